--- /dev/null
+++ b/crates/base/src/http/client.rs
@@ -0,0 +1,145 @@
+//! Client for JSON interfaces: one connection a request, bounded in time and size.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Largest answer accepted, in bytes.
+const ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Why a call gave no answer.
+#[derive(Debug)]
+pub enum Error {
+    /// No connection was made, so the call had no effect.
+    Connect(std::io::Error),
+    /// The call was sent and no whole answer came back: its effect is unknown.
+    Lost(Box<str>),
+    /// The answer is not what the interface promises.
+    Decode(Box<str>),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connect(error) => write!(f, "connection failed: {error}"),
+            Self::Lost(reason) => write!(f, "no answer: {reason}"),
+            Self::Decode(reason) => write!(f, "invalid answer: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Where and how to call.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Target {
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Longest time for one call, connection included.
+    pub timeout: Duration,
+    /// Value of the `authorization` header, if the interface asks for one.
+    pub authorization: Option<Box<str>>,
+}
+
+/// Status and body of an answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    /// Status code.
+    pub status: StatusCode,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Decodes the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body does not describe a `T`.
+    pub fn decode<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        serde_json::from_slice(&self.body).map_err(|e| Error::Decode(e.to_string().into()))
+    }
+}
+
+impl Target {
+    /// Sends one request with a body and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection is made or no whole answer arrives in time.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, Error> {
+        let connect = tokio::time::timeout(self.timeout, TcpStream::connect(self.address));
+        let stream = match connect.await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(Error::Connect(error)),
+            Err(_) => return Err(Error::Connect(std::io::ErrorKind::TimedOut.into())),
+        };
+        let request = self.request(method, path, body.into())?;
+        match tokio::time::timeout(self.timeout, exchange(stream, request)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(Error::Lost("timed out".into())),
+        }
+    }
+
+    /// Sends `value` as JSON and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Target::call`] does, or if `value` can't be encoded.
+    pub async fn call_json(
+        &self,
+        method: Method,
+        path: &str,
+        value: &impl Serialize,
+    ) -> Result<Answer, Error> {
+        let body = serde_json::to_vec(value).map_err(|e| Error::Decode(e.to_string().into()))?;
+        self.call(method, path, body).await
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(hyper::header::HOST, self.address.to_string());
+        if let Some(value) = &self.authorization {
+            request = request.header(hyper::header::AUTHORIZATION, &**value);
+        }
+        request
+            .body(Full::new(body))
+            .map_err(|e| Error::Decode(e.to_string().into()))
+    }
+}
+
+async fn exchange(stream: TcpStream, request: Request<Full<Bytes>>) -> Result<Answer, Error> {
+    let lost = |e: hyper::Error| Error::Lost(e.to_string().into());
+    let _ = stream.set_nodelay(true);
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(lost)?;
+    let driver = tokio::spawn(connection);
+    let response = sender.send_request(request).await.map_err(lost)?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|e| Error::Lost(e.to_string().into()))?
+        .to_bytes();
+    driver.abort();
+    Ok(Answer { status, body })
+}
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,11 @@
+//! Plumbing that every package shares: ids, units, settings, logs, HTTP serving and shutdown.
+
+pub mod clock;
+pub mod derive;
+pub mod http;
+pub mod id;
+pub mod logging;
+pub mod metrics;
+pub mod settings;
+pub mod shutdown;
+pub mod unit;
--- /dev/null
+++ b/crates/steering/src/balance.rs
@@ -0,0 +1,1 @@
+//! Choice of the backend server for a request.
--- /dev/null
+++ b/crates/steering/src/claims.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution per request id.
--- /dev/null
+++ b/crates/steering/src/config.rs
@@ -0,0 +1,1 @@
+//! Which configuration version is in force.
--- /dev/null
+++ b/crates/steering/src/drain.rs
@@ -0,0 +1,1 @@
+//! Order of steps in a drain and in a VM's own stop.
--- /dev/null
+++ b/crates/steering/src/keys.rs
@@ -0,0 +1,1 @@
+//! Workspace keys as keyed digests, and their withdrawal.
--- /dev/null
+++ b/crates/steering/src/lease.rs
@@ -0,0 +1,1 @@
+//! Ownership under a lease that the table's versions fence.
--- /dev/null
+++ b/crates/steering/src/limits.rs
@@ -0,0 +1,1 @@
+//! Rate and burst of a workspace over all VMs, divided into conserved parts.
--- /dev/null
+++ b/crates/steering/src/lookup.rs
@@ -0,0 +1,1 @@
+//! Which entry VMs a client should use.
--- /dev/null
+++ b/crates/steering/src/membership.rs
@@ -0,0 +1,1 @@
+//! Which VMs and backend servers are live, leaving or gone.
--- /dev/null
+++ b/crates/steering/src/quarantine.rs
@@ -0,0 +1,1 @@
+//! Requests that crash backend servers.
--- /dev/null
+++ b/crates/steering/src/release.rs
@@ -0,0 +1,1 @@
+//! Share, verdict and pacing of a new version.
--- /dev/null
+++ b/crates/steering/src/retry.rs
@@ -0,0 +1,1 @@
+//! Budget for retries.
--- /dev/null
+++ b/crates/steering/src/spill.rs
@@ -0,0 +1,1 @@
+//! How much traffic goes to which data centre.
--- /dev/null
+++ b/programs/control/src/main.rs
@@ -0,0 +1,3 @@
+//! Scaffold of the program.
+
+fn main() {}
--- /dev/null
+++ b/standins/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scaffold of the package.
--- /dev/null
+++ b/tools/bench/src/experiment/answers.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution under crashes, resends and lost answers.
--- /dev/null
+++ b/tools/bench/src/experiment/config.rs
@@ -0,0 +1,1 @@
+//! Propagation of configuration through store outages and partitions.
--- /dev/null
+++ b/tools/bench/src/experiment/fairness.rs
@@ -0,0 +1,1 @@
+//! Workspaces inside their rate beside one that floods.
--- /dev/null
+++ b/tools/bench/src/experiment/lease.rs
@@ -0,0 +1,1 @@
+//! Lease holders that are paused, killed and cut off.
--- /dev/null
+++ b/tools/bench/src/experiment/limits.rs
@@ -0,0 +1,1 @@
+//! Rate and burst over all VMs under faults and moving demand.
--- /dev/null
+++ b/tools/bench/src/experiment/overload.rs
@@ -0,0 +1,1 @@
+//! A service at twice its capacity, with retries.
--- /dev/null
+++ b/tools/bench/src/experiment/release.rs
@@ -0,0 +1,1 @@
+//! Generated good and bad versions.
--- /dev/null
+++ b/tools/bench/src/experiment/spill.rs
@@ -0,0 +1,1 @@
+//! Failure of a data centre and a region at peak.
