feature: steering files with checks, local messages and stand-ins

Cause: the request path needs its configuration source and its surroundings before any process can be started. Ruled out: a hand-written YAML reader (serde-saphyr reports line, column and accepted names), one generic tarpc server function (the Send bound of the request futures is not provable for a generic service, so the caller passes the concrete one). Change: `operators` (fleet and service files, cross-file checks, admin API types and client), `peers` (framed tarpc transport, `local` service), stand-ins for the platform and a backend server with fault switches. Conclusion: the control process can be built on these.

--- /dev/null
+++ b/crates/operators/src/admin.rs
@@ -0,0 +1,311 @@
+//! Administration API: its messages and a client.
+
+use crate::bundle::Files;
+use crate::check::Finding;
+use base::clock::Millis;
+use base::http::client::{self, Answer, Target};
+use base::id::{DataCentre, Release, Version, Vm, Workspace};
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use indexmap::IndexMap;
+use serde::de::DeserializeOwned;
+use std::fmt;
+
+/// Paths of the administration API.
+pub mod path {
+    /// Configuration in force: `GET` reads it, `PUT` publishes.
+    pub const CONFIG: &str = "/admin/config";
+    /// State of the fleet: `GET`.
+    pub const STATUS: &str = "/admin/status";
+    /// Keys: `POST` issues one, `DELETE` withdraws one.
+    pub const KEYS: &str = "/admin/keys";
+    /// Drains of backend servers: `POST`.
+    pub const DRAINS: &str = "/admin/drains";
+    /// Halt of a release: `POST`.
+    pub const HALTS: &str = "/admin/halts";
+}
+
+base::message! {
+    /// Configuration in force.
+    pub struct Config {
+        /// Its version; 0 if nothing has been published.
+        pub version: Version,
+        /// Steering files.
+        pub files: Files,
+    }
+
+    /// A publication proposed against a base version.
+    #[serde(deny_unknown_fields)]
+    pub struct Proposal {
+        /// Version that the operator reviewed.
+        pub base: Version,
+        /// Author, for the record.
+        pub author: Box<str>,
+        /// All steering files.
+        pub files: Files,
+    }
+
+    /// Outcome of a publication.
+    #[serde(rename_all = "kebab-case", tag = "outcome")]
+    pub enum Verdict {
+        /// Accepted as this version.
+        Accepted {
+            /// New version.
+            version: Version,
+        },
+        /// Another publication came first.
+        Conflict {
+            /// Version to review again.
+            version: Version,
+        },
+        /// The files have errors; nothing changed.
+        Refused {
+            /// What is wrong.
+            findings: Vec<Finding>,
+        },
+        /// The store can't be reached; nothing changed.
+        Unavailable {
+            /// Why.
+            reason: Box<str>,
+        },
+        /// The store's answer was lost; `status` tells later whether the version is in force.
+        Unknown {
+            /// Why.
+            reason: Box<str>,
+        },
+    }
+
+    /// Request for a new key.
+    #[serde(deny_unknown_fields)]
+    pub struct Issue {
+        /// Workspace of the key.
+        pub workspace: Workspace,
+    }
+
+    /// A new key; the only place where its text appears.
+    pub struct Issued {
+        /// Id by which the key is withdrawn.
+        pub id: Box<str>,
+        /// Key.
+        pub key: Box<str>,
+    }
+
+    /// Request to withdraw a key.
+    #[serde(deny_unknown_fields)]
+    pub struct Withdraw {
+        /// Id of the key.
+        pub id: Box<str>,
+    }
+
+    /// Request to drain backend servers.
+    #[serde(deny_unknown_fields)]
+    pub struct Drain {
+        /// Names of the backend servers.
+        pub servers: Vec<Box<str>>,
+    }
+
+    /// Request to halt a release.
+    #[serde(deny_unknown_fields)]
+    pub struct Halt {
+        /// Id of the release.
+        pub release: Release,
+        /// Reason, for the record.
+        pub reason: Box<str>,
+    }
+
+    /// Acknowledgement of a safe change.
+    pub struct Done {
+        /// Whether the store has recorded the change; if not, it is recorded once the store is
+        /// reachable again.
+        pub durable: bool,
+    }
+
+    /// State of the fleet as one VM sees it.
+    pub struct Status {
+        /// VM that answers.
+        pub vm: Vm,
+        /// Configuration version in force on it.
+        pub version: Version,
+        /// Versions in force on the VMs, by name; absent if not heard of.
+        pub in_force: IndexMap<Vm, Report>,
+        /// VMs that the platform lists but that have not been heard of lately.
+        pub missing: Vec<Vm>,
+        /// Time of the last confirmation by the store.
+        pub confirmed_by_store: Millis,
+        /// Number of keys issued and withdrawn.
+        pub keys: Keys,
+        /// Releases with their state.
+        pub releases: IndexMap<Release, Box<str>>,
+        /// Backend servers that are being drained.
+        pub draining: Vec<Box<str>>,
+    }
+
+    /// What is known of one VM.
+    pub struct Report {
+        /// Data centre of the VM.
+        pub data_centre: DataCentre,
+        /// Configuration version in force on it.
+        pub version: Version,
+    }
+
+    /// Numbers of keys.
+    pub struct Keys {
+        /// Issued and valid.
+        pub valid: usize,
+        /// Withdrawn.
+        pub withdrawn: usize,
+    }
+
+    /// Text of an error answer.
+    pub struct Problem {
+        /// What is wrong.
+        pub error: Box<str>,
+    }
+}
+
+/// Why a call of the administration API failed.
+#[derive(Debug)]
+pub enum Error {
+    /// The call did not succeed.
+    Call(client::Error),
+    /// The API refused the call.
+    Refused(StatusCode, Box<str>),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Call(error) => error.fmt(f),
+            Self::Refused(status, reason) => write!(f, "refused with status {status}: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<client::Error> for Error {
+    fn from(error: client::Error) -> Self {
+        Self::Call(error)
+    }
+}
+
+/// Client of the administration API of one VM.
+#[derive(Debug, Clone)]
+pub struct Client {
+    target: Target,
+}
+
+impl Client {
+    /// Makes a client; `target` carries the administration credential.
+    pub fn new(target: Target) -> Self {
+        Self { target }
+    }
+
+    /// Reads the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails or is refused.
+    pub async fn config(&self) -> Result<Config, Error> {
+        decode(
+            &self
+                .target
+                .call(Method::GET, path::CONFIG, Bytes::new())
+                .await?,
+        )
+    }
+
+    /// Publishes steering files.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails or is refused; a refused publication is a [`Verdict`].
+    pub async fn publish(&self, proposal: &Proposal) -> Result<Verdict, Error> {
+        decode(
+            &self
+                .target
+                .call_json(Method::PUT, path::CONFIG, proposal)
+                .await?,
+        )
+    }
+
+    /// Reads the state of the fleet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails or is refused.
+    pub async fn status(&self) -> Result<Status, Error> {
+        decode(
+            &self
+                .target
+                .call(Method::GET, path::STATUS, Bytes::new())
+                .await?,
+        )
+    }
+
+    /// Issues a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails or is refused.
+    pub async fn issue(&self, issue: &Issue) -> Result<Issued, Error> {
+        decode(
+            &self
+                .target
+                .call_json(Method::POST, path::KEYS, issue)
+                .await?,
+        )
+    }
+
+    /// Withdraws a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails or is refused.
+    pub async fn withdraw(&self, withdraw: &Withdraw) -> Result<Done, Error> {
+        decode(
+            &self
+                .target
+                .call_json(Method::DELETE, path::KEYS, withdraw)
+                .await?,
+        )
+    }
+
+    /// Drains backend servers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails or is refused.
+    pub async fn drain(&self, drain: &Drain) -> Result<Done, Error> {
+        decode(
+            &self
+                .target
+                .call_json(Method::POST, path::DRAINS, drain)
+                .await?,
+        )
+    }
+
+    /// Halts a release.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails or is refused.
+    pub async fn halt(&self, halt: &Halt) -> Result<Done, Error> {
+        decode(
+            &self
+                .target
+                .call_json(Method::POST, path::HALTS, halt)
+                .await?,
+        )
+    }
+}
+
+fn decode<T: DeserializeOwned>(answer: &Answer) -> Result<T, Error> {
+    if answer.status.is_success() {
+        return Ok(answer.decode()?);
+    }
+    let reason = answer
+        .decode::<Problem>()
+        .map_or_else(|_| "no reason given".into(), |p| p.error);
+    Err(Error::Refused(answer.status, reason))
+}
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -1,1 +1,7 @@
-//! Scaffold of the package.
+//! Operators: steering files, their checks, publications and the administration API.
+
+pub mod admin;
+pub mod bundle;
+pub mod check;
+pub mod fleet;
+pub mod service;
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,1 +1,4 @@
-//! Scaffold of the package.
+//! Messages between the system's own processes, over tarpc.
+
+pub mod local;
+pub mod wire;
