feature: claims on request ids

Cause: a resent booking must not run twice. Change: claims::Register for ids that name a VM incarnation, claims::table::Batch for others, and the experiment that drives both under crashes and lost answers. Ruled out: dropping a claim by age alone, after which a late resend would run again; the expiry is part of the id instead.

--- a/crates/steering/src/claims.rs
+++ b/crates/steering/src/claims.rs
@@ -1,1 +1,199 @@
 //! At-most-once execution per request id.
+//!
+//! Use: call [`Register::claim`] before a request on a non-idempotent route is queued, and
+//! [`Register::finish`] with its outcome. A VM that is asked about an id first sent to it answers
+//! with [`Register::settle`]. Ids that name no VM go through [`table::Batch`].
+
+mod id;
+pub mod table;
+
+pub use id::{Id, Key, prefix};
+
+use crate::attempt::{Attempt, Outcome, Refusal, Uncertainty};
+use base::id::{Incarnation, Vm};
+use indexmap::IndexMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+base::value! {
+    /// Bounds of a register.
+    pub struct Settings {
+        /// Independent parts, each with its own lock.
+        pub shards: usize,
+        /// Most claims in one shard; further first sends are refused as not run.
+        pub per_shard: usize,
+        /// Latest expiry that an id may name, from now.
+        pub retention: Duration,
+    }
+
+    /// What is known of a claimed id.
+    pub enum State {
+        /// The request is queued or with a backend server.
+        InFlight,
+        /// The request is over with this outcome.
+        Finished(Outcome),
+        /// The id was closed before its request came and never runs.
+        Closed,
+    }
+
+    /// What to do with a request.
+    pub enum Claim {
+        /// The id is claimed by this call: run the request.
+        Run,
+        /// The id was used before: answer with this outcome.
+        Known(Outcome),
+        /// Ask this VM to settle the id; unreachable means [`Uncertainty::VmUnreachable`].
+        Ask(Vm),
+        /// The id names no VM: claim a row of the table.
+        Table,
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            shards: 16,
+            per_shard: 16_384,
+            retention: Duration::from_secs(900),
+        }
+    }
+}
+
+impl State {
+    /// Returns the outcome that a resend of the id is told.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::InFlight => Outcome::Unknown(Uncertainty::InFlight),
+            Self::Finished(Outcome::Served) => Outcome::ServedBefore,
+            Self::Finished(outcome) => outcome.clone(),
+            Self::Closed => Attempt::new(false).give_up(Refusal::ClaimExpired),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Record {
+    state: State,
+    expires: u64,
+}
+
+type Shard = IndexMap<Key, Record>;
+
+/// Claims on the ids that name this incarnation of this VM.
+///
+/// A record is dropped only once its id has expired, and an expired id is never run. So an id
+/// that is absent and not expired has never run here.
+#[derive(Debug)]
+pub struct Register {
+    vm: Vm,
+    incarnation: Incarnation,
+    settings: Settings,
+    shards: Box<[Mutex<Shard>]>,
+    /// Wall-clock seconds; grows only, so that a clock set back revives no expired id.
+    horizon: AtomicU64,
+}
+
+impl Register {
+    /// Makes an empty register.
+    pub fn new(vm: Vm, incarnation: Incarnation, settings: Settings) -> Self {
+        let shards = (0..settings.shards.max(1)).map(|_| Mutex::default());
+        Self {
+            vm,
+            incarnation,
+            shards: shards.collect(),
+            settings,
+            horizon: AtomicU64::new(0),
+        }
+    }
+
+    /// Moves time to `unix_seconds` and returns the time that counts.
+    fn advance(&self, unix_seconds: u64) -> u64 {
+        let before = self.horizon.fetch_max(unix_seconds, Ordering::AcqRel);
+        before.max(unix_seconds)
+    }
+
+    fn shard(&self, key: &Key) -> MutexGuard<'_, Shard> {
+        let index = usize::from(key[0]) % self.shards.len();
+        let shard = self.shards[index].lock();
+        shard.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Claims the id of a request. `incarnation_of` returns the live incarnation of another VM,
+    /// or none if the membership view does not know it.
+    pub fn claim(
+        &self,
+        workspace: &str,
+        request: &str,
+        incarnation_of: impl Fn(&str) -> Option<Incarnation>,
+        unix_seconds: u64,
+    ) -> Claim {
+        let Some(id) = Id::parse(request) else {
+            return Claim::Table;
+        };
+        if *id.vm != *self.vm {
+            return match incarnation_of(&id.vm) {
+                Some(live) if live == id.incarnation => Claim::Ask(id.vm),
+                Some(_) => Claim::Known(Outcome::Unknown(Uncertainty::IncarnationDead)),
+                None => Claim::Known(Outcome::Unknown(Uncertainty::VmUnreachable)),
+            };
+        }
+        if id.incarnation != self.incarnation {
+            return Claim::Known(Outcome::Unknown(Uncertainty::IncarnationDead));
+        }
+        let key = id::key(workspace, request);
+        match self.insert(key, id.expires, State::InFlight, unix_seconds) {
+            None => Claim::Run,
+            Some(outcome) => Claim::Known(outcome),
+        }
+    }
+
+    /// Records `state` for a new id, or returns the outcome of the one that is there.
+    fn insert(&self, key: Key, expires: u64, state: State, unix_seconds: u64) -> Option<Outcome> {
+        let now = self.advance(unix_seconds);
+        let mut shard = self.shard(&key);
+        if let Some(record) = shard.get(&key) {
+            return Some(record.state.outcome());
+        }
+        if expires <= now {
+            return Some(Outcome::Unknown(Uncertainty::OutcomeLost));
+        }
+        let refuse = |reason| Some(Attempt::new(false).give_up(reason));
+        if expires > now.saturating_add(self.settings.retention.as_secs()) {
+            return refuse(Refusal::Invalid);
+        }
+        if shard.len() >= self.settings.per_shard {
+            shard.retain(|_, r| r.expires > now || r.state == State::InFlight);
+        }
+        if shard.len() >= self.settings.per_shard {
+            return refuse(Refusal::ClaimsFull);
+        }
+        shard.insert(key, Record { state, expires });
+        None
+    }
+
+    /// Records the outcome of a request that this register let run.
+    ///
+    /// "Not run" spends the id too: a late copy of the request must not make it false. The caller
+    /// sends the request under a new id.
+    pub fn finish(&self, workspace: &str, request: &str, outcome: &Outcome) {
+        let key = id::key(workspace, request);
+        if let Some(record) = self.shard(&key).get_mut(&key) {
+            record.state = State::Finished(outcome.clone());
+        }
+    }
+
+    /// Answers another VM's question about an id of this incarnation.
+    ///
+    /// An id that is not here is closed first, so that "not run" stays true when the first send
+    /// arrives late.
+    pub fn settle(&self, workspace: &str, request: &str, unix_seconds: u64) -> Outcome {
+        let own = |id: &Id| *id.vm == *self.vm && id.incarnation == self.incarnation;
+        let Some(id) = Id::parse(request).filter(own) else {
+            return Outcome::Unknown(Uncertainty::IncarnationDead);
+        };
+        let key = id::key(workspace, request);
+        self.insert(key, id.expires, State::Closed, unix_seconds)
+            .unwrap_or_else(|| State::Closed.outcome())
+    }
+}
--- /dev/null
+++ b/crates/steering/src/claims/id.rs
@@ -0,0 +1,56 @@
+//! Form of request ids that name where they were first sent.
+
+use base::id::{Incarnation, Vm};
+
+/// Digest of workspace and request id.
+pub type Key = [u8; 16];
+
+/// Digits of an incarnation in an id.
+const INCARNATION_DIGITS: usize = 16;
+
+base::value! {
+    /// An id of the form `<vm>.<incarnation>.<expires>.<random>`.
+    pub struct Id {
+        /// VM to which the request is first sent.
+        pub vm: Vm,
+        /// Incarnation of its entry program.
+        pub incarnation: Incarnation,
+        /// Wall-clock seconds since the Unix epoch after which the id is not run.
+        pub expires: u64,
+    }
+}
+
+impl Id {
+    /// Reads an id; none if it does not have the form.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.rsplitn(4, '.');
+        let random = parts.next()?;
+        let expires = u64::from_str_radix(parts.next()?, 16).ok()?;
+        let digits = parts.next()?;
+        let incarnation = Incarnation::from_str_radix(digits, 16).ok()?;
+        let vm = parts.next()?;
+        let valid = !vm.is_empty() && !random.is_empty() && digits.len() == INCARNATION_DIGITS;
+        valid.then(|| Self {
+            vm: vm.into(),
+            incarnation,
+            expires,
+        })
+    }
+}
+
+/// Returns the id prefix that an entry lookup answer hands to callers.
+pub fn prefix(vm: &str, incarnation: Incarnation, expires: u64) -> Box<str> {
+    format!("{vm}.{incarnation:016x}.{expires:x}.").into()
+}
+
+/// Returns the digest under which an id is kept.
+pub(super) fn key(workspace: &str, request: &str) -> Key {
+    let mut hasher = blake3::Hasher::new();
+    // The length keeps `a` + `bc` apart from `ab` + `c`.
+    hasher.update(&(workspace.len() as u64).to_le_bytes());
+    hasher.update(workspace.as_bytes());
+    hasher.update(request.as_bytes());
+    let mut key = Key::default();
+    hasher.finalize_xof().fill(&mut key);
+    key
+}
--- /dev/null
+++ b/crates/steering/src/claims/table.rs
@@ -0,0 +1,188 @@
+//! Claims on ids that name no VM: batches of claims in rows of the platform's table.
+//!
+//! Use: one [`Batch`] per row `claim/<shard>`. [`Batch::add`] requests; send the [`Write`] of
+//! [`Batch::start`] with the row just read; pass its answer to [`Batch::answered`], or the row
+//! read back after a lost answer to [`Batch::settle`]. A request runs only on [`Verdict::Run`].
+
+use super::id;
+use crate::attempt::{Attempt, Outcome, Refusal, Uncertainty};
+use base::id::Operation;
+use indexmap::IndexMap;
+
+/// Rows over which claims are spread.
+pub const SHARDS: u8 = 64;
+
+base::message! {
+    /// One claim in a row.
+    pub struct Claim {
+        /// Id of the write that made the claim.
+        pub operation: Operation,
+        /// Wall-clock seconds after which the claim is dropped.
+        pub expires: u64,
+    }
+
+    /// Content of a row: claims by digest.
+    #[derive(Default)]
+    pub struct Row {
+        /// Claims by the digest of workspace and id in hexadecimal.
+        pub claims: IndexMap<Box<str>, Claim>,
+    }
+}
+
+base::value! {
+    /// A compare-and-set write to send.
+    pub struct Write {
+        /// Version that the row must have.
+        pub expected: u64,
+        /// Id of the write.
+        pub operation: Operation,
+        /// New content.
+        pub row: Row,
+    }
+
+    /// What becomes of one request.
+    pub enum Verdict {
+        /// The claim is this VM's: run the request.
+        Run,
+        /// Answer with this outcome.
+        Known(Outcome),
+    }
+
+    /// Answer to a write.
+    pub enum Answer {
+        /// The row was written.
+        Written,
+        /// Another write came first: read the row and start again.
+        Conflict,
+        /// The write had no effect and the table is out of service.
+        Unavailable,
+    }
+}
+
+/// Returns the row of an id, and the digest under which it is claimed.
+pub fn place(workspace: &str, request: &str) -> (u8, Box<str>) {
+    let key = id::key(workspace, request);
+    let digest: String = key.iter().map(|byte| format!("{byte:02x}")).collect();
+    (key[0] % SHARDS, digest.into())
+}
+
+/// Claims of one row that wait for one write.
+#[derive(Debug, Default)]
+pub struct Batch {
+    waiting: IndexMap<Box<str>, u64>,
+    sent: Option<Write>,
+}
+
+/// Verdicts by digest.
+pub type Verdicts = Vec<(Box<str>, Verdict)>;
+
+impl Batch {
+    /// Adds a claim; false if the same id waits already, so this request must not run.
+    pub fn add(&mut self, digest: Box<str>, expires: u64) -> bool {
+        let first = !self.waiting.contains_key(&digest);
+        if first {
+            self.waiting.insert(digest, expires);
+        }
+        first
+    }
+
+    /// Starts a write of all waiting claims on the row at `version`; ids that the row holds are
+    /// answered at once. Nothing is started while a write is unsettled.
+    pub fn start(
+        &mut self,
+        mut row: Row,
+        version: u64,
+        operation: Operation,
+        unix_seconds: u64,
+    ) -> (Option<Write>, Verdicts) {
+        if self.sent.is_some() {
+            return (None, Vec::new());
+        }
+        row.claims.retain(|_, claim| claim.expires > unix_seconds);
+        let known = |digest: &str| row.claims.contains_key(digest);
+        let taken: Vec<_> = self.waiting.keys().filter(|d| known(d)).cloned().collect();
+        let lost = || Verdict::Known(Outcome::Unknown(Uncertainty::OutcomeLost));
+        taken.iter().for_each(|digest| {
+            self.waiting.swap_remove(digest);
+        });
+        let verdicts = taken.into_iter().map(|digest| (digest, lost())).collect();
+        if self.waiting.is_empty() {
+            return (None, verdicts);
+        }
+        row.claims
+            .extend(self.waiting.iter().map(|(digest, &expires)| {
+                let operation = operation.clone();
+                (digest.clone(), Claim { operation, expires })
+            }));
+        let write = Write {
+            expected: version,
+            operation,
+            row,
+        };
+        self.sent = Some(write.clone());
+        (Some(write), verdicts)
+    }
+
+    /// Takes the answer to the write.
+    pub fn answered(&mut self, answer: &Answer) -> Verdicts {
+        let Some(write) = self.sent.take() else {
+            return Vec::new();
+        };
+        match answer {
+            Answer::Written => self.end(&write, || Verdict::Run),
+            Answer::Conflict => Vec::new(),
+            Answer::Unavailable => self.refuse(&write),
+        }
+    }
+
+    /// Settles a write whose answer was lost, by the row read back.
+    ///
+    /// If the row is as before, the write may still take effect; sending the same write again is
+    /// safe, because only one write can follow a version. Returns the write to send again.
+    pub fn settle(&mut self, row: &Row, version: u64) -> (Option<Write>, Verdicts) {
+        let Some(write) = self.sent.take() else {
+            return (None, Vec::new());
+        };
+        if version == write.expected {
+            self.sent = Some(write.clone());
+            return (Some(write), Vec::new());
+        }
+        let ours = |claim: &Claim| claim.operation == write.operation;
+        if row.claims.values().any(ours) {
+            return (None, self.end(&write, || Verdict::Run));
+        }
+        // Another write came first, so ours never takes effect: the claims wait for the next one.
+        (None, Vec::new())
+    }
+
+    /// Gives up on a write that can't be settled in time: its requests are refused as not run.
+    ///
+    /// The write may take effect later; its ids are then spent without having run.
+    pub fn abandon(&mut self) -> Verdicts {
+        match self.sent.take() {
+            Some(write) => self.refuse(&write),
+            None => Vec::new(),
+        }
+    }
+
+    fn refuse(&mut self, write: &Write) -> Verdicts {
+        let refusal = || Attempt::new(false).give_up(Refusal::ClaimsUnavailable);
+        self.end(write, || Verdict::Known(refusal()))
+    }
+
+    /// Ends the claims of one write; those added since wait on.
+    fn end(&mut self, write: &Write, verdict: impl Fn() -> Verdict) -> Verdicts {
+        let ours = |digest: &str| {
+            let claim = write.row.claims.get(digest);
+            claim.is_some_and(|claim| claim.operation == write.operation)
+        };
+        let waiting = std::mem::take(&mut self.waiting);
+        let (ended, rest) = waiting.into_iter().partition(|(digest, _)| ours(digest));
+        self.waiting = rest;
+        let ended: IndexMap<Box<str>, u64> = ended;
+        ended
+            .into_keys()
+            .map(|digest| (digest, verdict()))
+            .collect()
+    }
+}
--- a/tools/bench/src/experiment/answers.rs
+++ b/tools/bench/src/experiment/answers.rs
@@ -1,1 +1,307 @@
 //! At-most-once execution under crashes, resends and lost answers.
+
+use crate::agenda::{Agenda, Network};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::time::{Duration, Instant};
+use steering::attempt::{Attempt, Outcome, Refusal, Uncertainty};
+use steering::claims::table::{Answer, Batch, Row, Verdict, Write, place};
+use steering::claims::{Claim, Register, Settings, prefix};
+
+/// How the entries treat request ids.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Method {
+    /// Baseline: each send runs, as with a plain retry.
+    Plain,
+    /// Ids name the VM incarnation where they are first sent.
+    Named,
+    /// Ids name no VM; claims are rows of the table.
+    Table,
+}
+
+/// Counts over all runs of one method.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Runs, each of one request with its resends.
+    pub runs: u32,
+    /// Runs in which the request was executed.
+    pub executed: u32,
+    /// Runs in which it was executed more than once.
+    pub doubled: u32,
+    /// Runs in which a caller was told "not run" and the request was executed.
+    pub false_not_run: u32,
+    /// Runs in which some caller's send was answered "served".
+    pub served: u32,
+}
+
+const VMS: usize = 2;
+const SENDS: u32 = 5;
+const WORKSPACE: &str = "atlas";
+const EXPIRES: u64 = 900;
+/// Longest pause between two sends of the caller.
+const PAUSE: Duration = Duration::from_millis(60);
+/// Wait of an entry for the table before it reads the row back.
+const TABLE_WAIT: Duration = Duration::from_millis(25);
+
+#[derive(Debug, Clone)]
+enum Event {
+    Arrive(usize),
+    Settle(usize, u64),
+    Handoff(usize, u64),
+    Execute(usize, u64),
+    Answered(usize, u64),
+    Crash(usize),
+    Store(usize, u64, Write),
+    Written(usize, u64, Answer),
+    ReadBack(usize, u64),
+}
+
+struct Vm {
+    incarnation: u64,
+    register: Register,
+    batch: Batch,
+}
+
+struct World {
+    agenda: Agenda<Event>,
+    rng: StdRng,
+    method: Method,
+    vms: Vec<Vm>,
+    id: Box<str>,
+    row: (Row, u64),
+    writes: u32,
+    executions: u32,
+    not_run: bool,
+    served: bool,
+}
+
+fn vm(index: usize, incarnation: u64) -> Vm {
+    let register = Register::new(name(index), incarnation, Settings::default());
+    Vm {
+        incarnation,
+        register,
+        batch: Batch::default(),
+    }
+}
+
+fn name(index: usize) -> Box<str> {
+    format!("vm-{index}").into()
+}
+
+impl World {
+    fn new(method: Method, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut agenda = Agenda::new(Instant::now());
+        let id = match method {
+            Method::Table => "caller-made-id".into(),
+            _ => format!("{}r", prefix("vm-0", 1, EXPIRES)).into(),
+        };
+        let mut at = Duration::ZERO;
+        for send in 0..SENDS {
+            let to = if send == 0 {
+                0
+            } else {
+                rng.random_range(0..VMS)
+            };
+            for delay in network().deliveries(&mut rng) {
+                agenda.after(at + delay, Event::Arrive(to));
+            }
+            at += PAUSE.mul_f64(rng.random());
+        }
+        for _ in 0..2 {
+            let when = (PAUSE * SENDS).mul_f64(rng.random());
+            agenda.after(when, Event::Crash(rng.random_range(0..VMS)));
+        }
+        Self {
+            agenda,
+            rng,
+            method,
+            vms: (0..VMS).map(|index| vm(index, 1)).collect(),
+            id,
+            row: (Row::default(), 0),
+            writes: 0,
+            executions: 0,
+            not_run: false,
+            served: false,
+        }
+    }
+
+    fn deliver(&mut self, event: &Event) {
+        for delay in network().deliveries(&mut self.rng) {
+            self.agenda.after(delay, event.clone());
+        }
+    }
+
+    fn told(&mut self, outcome: &Outcome) {
+        self.not_run |= matches!(outcome, Outcome::NotRun(_));
+        self.served |= matches!(outcome, Outcome::Served | Outcome::ServedBefore);
+    }
+
+    /// The request waits in the queue of the entry, then goes to a backend server.
+    fn run_at(&mut self, vm: usize) {
+        let wait = Duration::from_millis(self.rng.random_range(0..20));
+        self.agenda
+            .after(wait, Event::Handoff(vm, self.vms[vm].incarnation));
+    }
+
+    fn arrive(&mut self, vm: usize) {
+        let live: Vec<u64> = self.vms.iter().map(|vm| vm.incarnation).collect();
+        let index = |name: &str| name.strip_prefix("vm-")?.parse::<usize>().ok();
+        let live_of = |name: &str| index(name).and_then(|index| live.get(index).copied());
+        let claim = match self.method {
+            Method::Plain => Claim::Run,
+            _ => self.vms[vm].register.claim(WORKSPACE, &self.id, live_of, 0),
+        };
+        match claim {
+            Claim::Run => self.run_at(vm),
+            Claim::Known(outcome) => self.told(&outcome),
+            Claim::Ask(other) => {
+                let other = index(&other).unwrap_or_default();
+                self.deliver(&Event::Settle(other, live[other]));
+            }
+            Claim::Table => {
+                let (_, digest) = place(WORKSPACE, &self.id);
+                if self.vms[vm].batch.add(digest, EXPIRES) {
+                    self.write(vm);
+                } else {
+                    self.told(&Outcome::Unknown(Uncertainty::InFlight));
+                }
+            }
+        }
+    }
+
+    fn write(&mut self, vm: usize) {
+        self.writes += 1;
+        let operation = format!("op-{}", self.writes).into();
+        let (row, version) = self.row.clone();
+        let (write, verdicts) = self.vms[vm].batch.start(row, version, operation, 0);
+        self.decide(vm, verdicts);
+        if let Some(write) = write {
+            self.send_write(vm, write);
+        }
+    }
+
+    fn send_write(&mut self, vm: usize, write: Write) {
+        let incarnation = self.vms[vm].incarnation;
+        self.deliver(&Event::Store(vm, incarnation, write));
+        self.agenda
+            .after(TABLE_WAIT, Event::ReadBack(vm, incarnation));
+    }
+
+    fn decide(&mut self, vm: usize, verdicts: Vec<(Box<str>, Verdict)>) {
+        for (_, verdict) in verdicts {
+            match verdict {
+                Verdict::Run => self.run_at(vm),
+                Verdict::Known(outcome) => self.told(&outcome),
+            }
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let alive = |vm: usize, incarnation| self.vms[vm].incarnation == incarnation;
+        match event {
+            Event::Arrive(vm) => self.arrive(vm),
+            Event::Settle(vm, incarnation) if alive(vm, incarnation) => {
+                let outcome = self.vms[vm].register.settle(WORKSPACE, &self.id, 0);
+                self.told(&outcome);
+            }
+            Event::Handoff(vm, incarnation) if alive(vm, incarnation) => {
+                // One in five finds no backend server, so that true refusals occur too.
+                if self.rng.random_ratio(1, 5) {
+                    let outcome = Attempt::new(false).give_up(Refusal::NoServer);
+                    self.finish(vm, &outcome);
+                } else {
+                    let delay = Duration::from_millis(self.rng.random_range(1..30));
+                    self.agenda.after(delay, Event::Execute(vm, incarnation));
+                }
+            }
+            Event::Execute(vm, incarnation) => {
+                self.executions += 1;
+                self.deliver(&Event::Answered(vm, incarnation));
+            }
+            Event::Answered(vm, incarnation) if alive(vm, incarnation) => {
+                self.finish(vm, &Attempt::new(false).send().served());
+            }
+            Event::Crash(index) => {
+                self.vms[index] = vm(index, self.vms[index].incarnation + 1);
+            }
+            Event::Store(vm, incarnation, write) => {
+                let answer = if write.expected == self.row.1 {
+                    self.row = (write.row, write.expected + 1);
+                    Answer::Written
+                } else {
+                    Answer::Conflict
+                };
+                // Only an answer that says "written" is trusted: a copy of a write that took
+                // effect meets its own conflict.
+                if answer == Answer::Written {
+                    self.deliver(&Event::Written(vm, incarnation, answer));
+                }
+            }
+            Event::Written(vm, incarnation, answer) if alive(vm, incarnation) => {
+                let verdicts = self.vms[vm].batch.answered(&answer);
+                self.decide(vm, verdicts);
+            }
+            Event::ReadBack(vm, incarnation) if alive(vm, incarnation) => self.read_back(vm),
+            _ => {}
+        }
+    }
+
+    fn read_back(&mut self, vm: usize) {
+        let (row, version) = self.row.clone();
+        let (again, verdicts) = self.vms[vm].batch.settle(&row, version);
+        self.decide(vm, verdicts);
+        match again {
+            Some(_) if self.rng.random_ratio(1, 3) => {
+                let verdicts = self.vms[vm].batch.abandon();
+                self.decide(vm, verdicts);
+            }
+            Some(write) => self.send_write(vm, write),
+            None => self.write(vm),
+        }
+    }
+
+    fn finish(&mut self, vm: usize, outcome: &Outcome) {
+        self.vms[vm].register.finish(WORKSPACE, &self.id, outcome);
+        self.told(outcome);
+    }
+}
+
+fn network() -> Network {
+    Network {
+        delay: Duration::from_millis(1),
+        jitter: Duration::from_millis(40),
+        loss: 0.1,
+        duplication: 0.1,
+    }
+}
+
+/// Runs `runs` requests, each with its own seed from `seed` on.
+pub fn run(method: Method, runs: u32, seed: u64) -> Tally {
+    let mut tally = Tally::default();
+    for offset in 0..runs {
+        let mut world = World::new(method, seed + u64::from(offset));
+        while let Some((_, event)) = world.agenda.take() {
+            world.step(event);
+        }
+        tally.runs += 1;
+        tally.executed += u32::from(world.executions > 0);
+        tally.doubled += u32::from(world.executions > 1);
+        tally.false_not_run += u32::from(world.not_run && world.executions > 0);
+        tally.served += u32::from(world.served);
+    }
+    tally
+}
+
+/// Returns the table of all methods.
+pub fn report() -> Box<str> {
+    let mut text = String::from("method runs executed doubled false-not-run served\n");
+    for method in [Method::Plain, Method::Named, Method::Table] {
+        let t = run(method, 5_000, 1);
+        text += &format!(
+            "{method:?} {} {} {} {} {}\n",
+            t.runs, t.executed, t.doubled, t.false_not_run, t.served
+        );
+    }
+    text.into()
+}
