feature: definite outcomes when the claim row can't be written

Change: callers mark resends with x-resend, and a resend whose claim can't be written ends as unknown; ids refused as not run stay spent.

--- a/crates/callers/src/header.rs
+++ b/crates/callers/src/header.rs
@@ -11,6 +11,8 @@
 ///
 /// A time left needs no agreement between the clocks of the caller and the VM.
 pub const DEADLINE: &str = "x-deadline-ms";
+/// Present when the caller sent the same request id before, to any VM.
+pub const RESEND: &str = "x-resend";
 /// Outcome in answers: `served`, `not-run` or `unknown`.
 pub const OUTCOME: &str = "x-outcome";
 /// Reason for an outcome other than `served`.
--- a/crates/steering/src/attempt/reason.rs
+++ b/crates/steering/src/attempt/reason.rs
@@ -114,6 +114,8 @@
         VmUnreachable = "vm-unreachable",
         /// The id was used before and the outcome was not recorded.
         OutcomeLost = "outcome-lost",
+        /// The id was sent before, and its claim can't be read or written.
+        ClaimsUnavailable = "claims-unavailable",
     }
 }
 
--- a/crates/steering/src/claims/table.rs
+++ b/crates/steering/src/claims/table.rs
@@ -11,6 +11,8 @@
 
 /// Rows over which claims are spread.
 pub const SHARDS: u8 = 64;
+/// Most ids of one row that are kept as refused; further ones end as unknown.
+const SPENT: usize = 4096;
 
 base::message! {
     /// One claim in a row.
@@ -66,24 +68,42 @@
     (key[0] % SHARDS, digest.into())
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    expires: u64,
+    resend: bool,
+}
+
 /// Claims of one row that wait for one write.
 #[derive(Debug, Default)]
 pub struct Batch {
-    waiting: IndexMap<Box<str>, u64>,
+    waiting: IndexMap<Box<str>, Waiting>,
     sent: Option<Write>,
+    /// Ids refused as not run, until they expire: a late copy must not make that false.
+    spent: IndexMap<Box<str>, u64>,
 }
 
 /// Verdicts by digest.
 pub type Verdicts = Vec<(Box<str>, Verdict)>;
 
 impl Batch {
-    /// Adds a claim; false if the same id waits already, so this request must not run.
-    pub fn add(&mut self, digest: Box<str>, expires: u64) -> bool {
-        let first = !self.waiting.contains_key(&digest);
-        if first {
-            self.waiting.insert(digest, expires);
+    /// Adds a claim; returns the outcome if the request must not run.
+    ///
+    /// `resend` says that the caller sent the id before: then an earlier send may have run at
+    /// another VM, and a claim that can't be written ends as unknown instead of not run.
+    pub fn add(&mut self, digest: Box<str>, expires: u64, resend: bool) -> Option<Outcome> {
+        if self.spent.contains_key(&digest) {
+            return Some(if resend {
+                Outcome::Unknown(Uncertainty::ClaimsUnavailable)
+            } else {
+                Attempt::new(false).give_up(Refusal::ClaimExpired)
+            });
+        }
+        if self.waiting.contains_key(&digest) {
+            return Some(Outcome::Unknown(Uncertainty::InFlight));
         }
-        first
+        self.waiting.insert(digest, Waiting { expires, resend });
+        None
     }
 
     /// Starts a write of all waiting claims on the row at `version`; ids that the row holds are
@@ -99,6 +119,7 @@
             return (None, Vec::new());
         }
         row.claims.retain(|_, claim| claim.expires > unix_seconds);
+        self.spent.retain(|_, expires| *expires > unix_seconds);
         let known = |digest: &str| row.claims.contains_key(digest);
         let taken: Vec<_> = self.waiting.keys().filter(|d| known(d)).cloned().collect();
         let lost = || Verdict::Known(Outcome::Unknown(Uncertainty::OutcomeLost));
@@ -110,8 +131,9 @@
             return (None, verdicts);
         }
         row.claims
-            .extend(self.waiting.iter().map(|(digest, &expires)| {
+            .extend(self.waiting.iter().map(|(digest, waiting)| {
                 let operation = operation.clone();
+                let expires = waiting.expires;
                 (digest.clone(), Claim { operation, expires })
             }));
         let write = Write {
@@ -129,7 +151,7 @@
             return Vec::new();
         };
         match answer {
-            Answer::Written => self.end(&write, || Verdict::Run),
+            Answer::Written => self.run(&write),
             Answer::Conflict => Vec::new(),
             Answer::Unavailable => self.refuse(&write),
         }
@@ -149,13 +171,13 @@
         }
         let ours = |claim: &Claim| claim.operation == write.operation;
         if row.claims.values().any(ours) {
-            return (None, self.end(&write, || Verdict::Run));
+            return (None, self.run(&write));
         }
         // Another write came first, so ours never takes effect: the claims wait for the next one.
         (None, Vec::new())
     }
 
-    /// Gives up on a write that can't be settled in time: its requests are refused as not run.
+    /// Gives up on a write that can't be settled in time: its first sends are refused as not run.
     ///
     /// The write may take effect later; its ids are then spent without having run.
     pub fn abandon(&mut self) -> Verdicts {
@@ -166,23 +188,35 @@
     }
 
     fn refuse(&mut self, write: &Write) -> Verdicts {
-        let refusal = || Attempt::new(false).give_up(Refusal::ClaimsUnavailable);
-        self.end(write, || Verdict::Known(refusal()))
+        let mut room = SPENT.saturating_sub(self.spent.len());
+        let mut verdicts = Vec::new();
+        for (digest, waiting) in self.take(write) {
+            let outcome = if waiting.resend || room == 0 {
+                Outcome::Unknown(Uncertainty::ClaimsUnavailable)
+            } else {
+                room -= 1;
+                self.spent.insert(digest.clone(), waiting.expires);
+                Attempt::new(false).give_up(Refusal::ClaimsUnavailable)
+            };
+            verdicts.push((digest, Verdict::Known(outcome)));
+        }
+        verdicts
+    }
+
+    fn run(&mut self, write: &Write) -> Verdicts {
+        let ended = self.take(write).into_keys();
+        ended.map(|digest| (digest, Verdict::Run)).collect()
     }
 
-    /// Ends the claims of one write; those added since wait on.
-    fn end(&mut self, write: &Write, verdict: impl Fn() -> Verdict) -> Verdicts {
+    /// Takes the claims of one write; those added since wait on.
+    fn take(&mut self, write: &Write) -> IndexMap<Box<str>, Waiting> {
         let ours = |digest: &str| {
             let claim = write.row.claims.get(digest);
             claim.is_some_and(|claim| claim.operation == write.operation)
         };
         let waiting = std::mem::take(&mut self.waiting);
-        let (ended, rest) = waiting.into_iter().partition(|(digest, _)| ours(digest));
+        let (taken, rest) = waiting.into_iter().partition(|(digest, _)| ours(digest));
         self.waiting = rest;
-        let ended: IndexMap<Box<str>, u64> = ended;
-        ended
-            .into_keys()
-            .map(|digest| (digest, verdict()))
-            .collect()
+        taken
     }
 }
