feature: quarantine of requests that crash backend servers

Cause: a caller that resends a crashing request loses one backend server per send. Ruled out: conviction by repeated crashes alone; a request that innocent clients poll is in flight at several crashes too. Change: quarantine::Register suspects what was in flight at a crash; suspects run only alone, one at a time, at one keeper; a crash in such a trial convicts.

--- a/crates/steering/src/quarantine.rs
+++ b/crates/steering/src/quarantine.rs
@@ -1,1 +1,223 @@
 //! Requests that crash backend servers.
+//!
+//! Use: [`Register::admit`] decides on each request by its [`digest`]. When a backend server
+//! crashes, [`Register::crashed`] takes the digests in flight on it; the replies to them are held
+//! until [`Settings::hold`] has passed, while [`Register::delta`] is pushed to all VMs and taken
+//! in by [`Register::merge`]. [`Register::completed`] clears suspects.
+//!
+//! A request in flight at a crash is suspected and from then on runs only as a trial: alone on
+//! its server and one at a time, at the keeper. The keeper is one VM, the first live one by name
+//! in the data centre of the suspicion. Only a crash during a trial quarantines, so an innocent
+//! request in flight beside the cause is not refused for good.
+
+use crate::attempt::Refusal;
+use base::id::DataCentre;
+use indexmap::{IndexMap, IndexSet};
+use std::time::{Duration, Instant};
+
+/// Digest of workspace, method, path and body.
+pub type Digest = [u8; 16];
+
+base::value! {
+    /// Time bounds of a register.
+    #[derive(Copy)]
+    pub struct Settings {
+        /// Time for which replies to requests in flight at a crash are held, so that the
+        /// suspicion reaches the other VMs before the caller sends again: two gossip periods.
+        pub hold: Duration,
+        /// Time from the last suspicion, or change of the trial server, to the next trial, in
+        /// which all VMs of the data centre leave the trial server.
+        pub settle: Duration,
+        /// Time after which a trial that did not end no longer blocks the next one.
+        pub trial: Duration,
+    }
+
+    /// What to do with a request.
+    pub enum Admit {
+        /// Run it as any other.
+        Run,
+        /// Run it alone on the trial server, and report its end.
+        Trial,
+        /// Pass it to the keeper of this data centre.
+        Refer(DataCentre),
+        /// Refuse it as not run.
+        Refuse(Refusal),
+    }
+}
+
+base::message! {
+    /// Suspicion of one digest; the larger `(round, cleared)` wins, then the smaller origin.
+    pub struct Suspect {
+        /// Number of the suspicion of this digest.
+        pub round: u64,
+        /// Whether the request has completed since.
+        pub cleared: bool,
+        /// Data centre that runs the trials.
+        pub origin: DataCentre,
+    }
+
+    /// What a register knows, for gossip; merging is idempotent and order does not matter.
+    #[derive(Default)]
+    pub struct Delta {
+        /// Digests refused for good.
+        pub quarantined: IndexSet<Digest>,
+        /// Suspicions.
+        pub suspects: IndexMap<Digest, Suspect>,
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            hold: Duration::from_secs(1),
+            settle: Duration::from_secs(2),
+            trial: Duration::from_secs(5),
+        }
+    }
+}
+
+impl Suspect {
+    fn wins_over(&self, other: &Self) -> bool {
+        let rank = |suspect: &Self| (suspect.round, suspect.cleared);
+        rank(self) > rank(other) || (rank(self) == rank(other) && self.origin < other.origin)
+    }
+}
+
+/// Returns the digest of a request.
+pub fn digest(workspace: &str, method: &str, path: &str, body: &[u8]) -> Digest {
+    let mut hasher = blake3::Hasher::new();
+    for part in [
+        workspace.as_bytes(),
+        method.as_bytes(),
+        path.as_bytes(),
+        body,
+    ] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut digest = Digest::default();
+    hasher.finalize_xof().fill(&mut digest);
+    digest
+}
+
+/// Quarantined and suspected digests that one VM knows.
+#[derive(Debug, Clone)]
+pub struct Register {
+    data_centre: DataCentre,
+    settings: Settings,
+    known: Delta,
+    /// Time from which the trial server is left by all VMs of the data centre.
+    settled: Option<Instant>,
+    trial: Option<(Digest, Instant)>,
+}
+
+impl Register {
+    /// Makes an empty register for a VM of `data_centre`.
+    pub fn new(data_centre: DataCentre, settings: Settings) -> Self {
+        Self {
+            data_centre,
+            settings,
+            known: Delta::default(),
+            settled: None,
+            trial: None,
+        }
+    }
+
+    /// Returns whether a trial server must be left free in this data centre.
+    pub fn reserves(&self) -> bool {
+        let here = |suspect: &Suspect| !suspect.cleared && suspect.origin == self.data_centre;
+        self.known.suspects.values().any(here)
+    }
+
+    /// Returns whether the digest is refused for good.
+    pub fn quarantined(&self, digest: &Digest) -> bool {
+        self.known.quarantined.contains(digest)
+    }
+
+    /// Decides on a request; `keeper` says whether this VM is the keeper of its data centre.
+    pub fn admit(&mut self, digest: &Digest, keeper: bool, now: Instant) -> Admit {
+        if self.quarantined(digest) {
+            return Admit::Refuse(Refusal::Quarantined);
+        }
+        let suspect = match self.known.suspects.get(digest) {
+            Some(suspect) if !suspect.cleared => suspect,
+            _ => return Admit::Run,
+        };
+        if !keeper || suspect.origin != self.data_centre {
+            return Admit::Refer(suspect.origin.clone());
+        }
+        let running = self.trial.is_some_and(|(_, limit)| now < limit);
+        if running || self.settled.is_none_or(|at| now < at) {
+            return Admit::Refuse(Refusal::Suspected);
+        }
+        self.trial = Some((*digest, now + self.settings.trial));
+        Admit::Trial
+    }
+
+    /// Records the crash of a backend server with these digests in flight, and returns until
+    /// when the replies to them are held.
+    pub fn crashed(&mut self, in_flight: &[Digest], now: Instant) -> Instant {
+        for digest in in_flight {
+            if self.trial.is_some_and(|(running, _)| running == *digest) {
+                self.trial = None;
+                self.known.quarantined.insert(*digest);
+                // The trial server is gone; the next one is not empty yet.
+                self.moved(now);
+            } else {
+                self.suspect(*digest, now);
+            }
+        }
+        now + self.settings.hold
+    }
+
+    fn suspect(&mut self, digest: Digest, now: Instant) {
+        let round = match self.known.suspects.get(&digest) {
+            Some(suspect) if !suspect.cleared => return,
+            Some(suspect) => suspect.round + 1,
+            None => 1,
+        };
+        let suspect = Suspect {
+            round,
+            cleared: false,
+            origin: self.data_centre.clone(),
+        };
+        self.known.suspects.insert(digest, suspect);
+        self.moved(now);
+    }
+
+    /// Starts the settle time again. The shell calls it when the trial server changes, because
+    /// other VMs may still have requests on the new one.
+    pub fn moved(&mut self, now: Instant) {
+        self.settled = Some(now + self.settings.settle);
+    }
+
+    /// Records that a backend server answered the request, which clears a suspicion.
+    pub fn completed(&mut self, digest: &Digest) {
+        if self.trial.is_some_and(|(running, _)| running == *digest) {
+            self.trial = None;
+        }
+        if let Some(suspect) = self.known.suspects.get_mut(digest) {
+            suspect.cleared = true;
+        }
+    }
+
+    /// Returns what to push to other VMs.
+    pub fn delta(&self) -> &Delta {
+        &self.known
+    }
+
+    /// Takes in what another VM knows.
+    pub fn merge(&mut self, delta: &Delta, now: Instant) {
+        self.known.quarantined.extend(&delta.quarantined);
+        for (digest, theirs) in &delta.suspects {
+            let ours = self.known.suspects.get(digest);
+            if ours.is_some_and(|ours| !theirs.wins_over(ours)) {
+                continue;
+            }
+            self.known.suspects.insert(*digest, theirs.clone());
+            if !theirs.cleared && theirs.origin == self.data_centre {
+                self.moved(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/tests/attempt.rs
@@ -0,0 +1,70 @@
+//! Typestate of one request.
+
+use rstest::rstest;
+use std::collections::HashSet;
+use steering::attempt::{
+    Attempt, Failure, Outcome, Refusal, Retry, Sent, Step, Uncertainty as Cause,
+};
+
+fn fail(sent: Sent, failure: Failure) -> Result<Attempt, Outcome> {
+    match sent.fail(failure) {
+        Step::Retry(attempt, _) => Ok(attempt),
+        Step::Done(outcome) => Err(outcome),
+    }
+}
+
+/// Guards against "unknown" for requests that surely did not run: they may be retried and refused.
+#[rstest]
+#[case(Failure::Unsent(Retry::ConnectFailed))]
+#[case(Failure::Refused(Retry::ServerShedding))]
+fn unsent_requests_may_be_retried_or_refused(
+    #[case] failure: Failure,
+    #[values(true, false)] idempotent: bool,
+) {
+    let attempt = fail(Attempt::new(idempotent).send(), failure).unwrap();
+    let outcome = attempt.give_up(Refusal::BudgetSpent);
+    assert!(matches!(outcome, Outcome::NotRun(proof) if proof.reason() == Refusal::BudgetSpent));
+}
+
+/// Guards against a replay of a request that may have run.
+#[rstest]
+#[case(Cause::Interrupted)]
+#[case(Cause::Silent)]
+#[case(Cause::WrongAnswer)]
+fn non_idempotent_request_that_may_have_run_ends(#[case] cause: Cause) {
+    let result = fail(Attempt::new(false).send(), Failure::MayHaveRun(cause));
+    assert_eq!(result, Err(Outcome::Unknown(cause)));
+}
+
+/// Guards against "not run" after a retry on an idempotent route whose first send may have run.
+#[test]
+fn uncertainty_stays_over_retries() {
+    let first = Failure::MayHaveRun(Cause::Silent);
+    let attempt = fail(Attempt::new(true).send(), first).unwrap();
+    let refused = Failure::Refused(Retry::ServerLeaving);
+    let attempt = fail(attempt.send(), refused).unwrap();
+    let outcome = attempt.give_up(Refusal::NoServer);
+    assert_eq!(outcome, Outcome::Unknown(Cause::Silent));
+}
+
+/// Guards against retries for a caller that left or whose deadline passed.
+#[rstest]
+#[case(Cause::DeadlinePassed)]
+#[case(Cause::Cancelled)]
+fn nothing_is_retried_for_nobody(#[case] cause: Cause) {
+    let result = fail(Attempt::new(true).send(), Failure::MayHaveRun(cause));
+    assert_eq!(result, Err(Outcome::Unknown(cause)));
+}
+
+/// Guards against two reasons with one metric label, or a label that is not kebab-case.
+#[test]
+fn labels_are_distinct_and_kebab_case() {
+    let refusals: Vec<_> = Refusal::ALL.iter().map(|r| r.text()).collect();
+    let retries: Vec<_> = Retry::ALL.iter().map(|r| r.text()).collect();
+    let causes: Vec<_> = Cause::ALL.iter().map(|r| r.text()).collect();
+    for texts in [refusals, retries, causes] {
+        let kebab = |t: &&str| t.bytes().all(|b| b.is_ascii_lowercase() || b == b'-');
+        assert!(texts.iter().all(kebab), "{texts:?}");
+        assert_eq!(texts.iter().collect::<HashSet<_>>().len(), texts.len());
+    }
+}
--- /dev/null
+++ b/crates/steering/tests/claims.rs
@@ -0,0 +1,145 @@
+//! Claims on request ids.
+#![allow(
+    clippy::unwrap_used,
+    reason = "helpers of tests unwrap as the tests do"
+)]
+
+use std::time::Duration;
+use steering::attempt::{Attempt, Outcome, Refusal, Uncertainty};
+use steering::claims::table::{Answer, Batch, Row, Verdict};
+use steering::claims::{Claim, Register, Settings, prefix};
+
+const NOW: u64 = 1_000;
+
+fn register(per_shard: usize) -> Register {
+    let settings = Settings {
+        shards: 1,
+        per_shard,
+        retention: Duration::from_secs(100),
+    };
+    Register::new("vm-a".into(), 7, settings)
+}
+
+fn id(random: &str, expires: u64) -> Box<str> {
+    format!("{}{random}", prefix("vm-a", 7, expires)).into()
+}
+
+fn claim(register: &Register, workspace: &str, id: &str, now: u64) -> Claim {
+    let live = |vm: &str| (vm == "vm.b").then_some(9);
+    register.claim(workspace, id, live, now)
+}
+
+fn known(claim: Claim) -> Outcome {
+    match claim {
+        Claim::Known(outcome) => outcome,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a second run of an id, and one workspace's id blocking another's.
+#[test]
+fn id_runs_once_per_workspace() {
+    let register = register(10);
+    let id = id("x", NOW + 10);
+    assert_eq!(claim(&register, "a", &id, NOW), Claim::Run);
+    let in_flight = Outcome::Unknown(Uncertainty::InFlight);
+    assert_eq!(known(claim(&register, "a", &id, NOW)), in_flight);
+    register.finish("a", &id, &Outcome::Served);
+    assert_eq!(
+        known(claim(&register, "a", &id, NOW)),
+        Outcome::ServedBefore
+    );
+    assert_eq!(claim(&register, "b", &id, NOW), Claim::Run);
+}
+
+/// Guards against running an id again after its record was dropped, also with the clock set back.
+#[test]
+fn expired_id_never_runs() {
+    let register = register(1);
+    let old = id("old", NOW + 10);
+    assert_eq!(claim(&register, "a", &old, NOW), Claim::Run);
+    register.finish("a", &old, &Outcome::Served);
+    let new = id("new", NOW + 50);
+    assert_eq!(claim(&register, "a", &new, NOW + 20), Claim::Run);
+    let lost = Outcome::Unknown(Uncertainty::OutcomeLost);
+    assert_eq!(known(claim(&register, "a", &old, NOW)), lost);
+}
+
+/// Guards against dropping a live claim to make room, and against ids kept without bound.
+#[test]
+fn full_shard_and_far_expiry_are_refused() {
+    let register = register(1);
+    assert_eq!(claim(&register, "a", &id("x", NOW + 10), NOW), Claim::Run);
+    let full = Attempt::new(false).give_up(Refusal::ClaimsFull);
+    assert_eq!(known(claim(&register, "a", &id("y", NOW + 10), NOW)), full);
+    let far = Attempt::new(false).give_up(Refusal::Invalid);
+    assert_eq!(known(claim(&register, "a", &id("z", NOW + 500), NOW)), far);
+}
+
+/// Guards against running an id whose VM or incarnation is another one.
+#[test]
+fn other_vms_are_asked_and_dead_incarnations_unknown() {
+    let register = register(10);
+    let ask = format!("{}x", prefix("vm.b", 9, NOW + 10));
+    assert_eq!(claim(&register, "a", &ask, NOW), Claim::Ask("vm.b".into()));
+    let dead = Outcome::Unknown(Uncertainty::IncarnationDead);
+    for (vm, incarnation) in [("vm.b", 8), ("vm-a", 6)] {
+        let id = format!("{}x", prefix(vm, incarnation, NOW + 10));
+        assert_eq!(known(claim(&register, "a", &id, NOW)), dead);
+    }
+    assert_eq!(claim(&register, "a", "plain", NOW), Claim::Table);
+}
+
+/// Guards against a first send that arrives after another VM was told "not run".
+#[test]
+fn settled_id_never_runs() {
+    let register = register(10);
+    let id = id("x", NOW + 10);
+    let outcome = register.settle("a", &id, NOW);
+    assert!(matches!(outcome, Outcome::NotRun(_)));
+    assert_eq!(known(claim(&register, "a", &id, NOW)), outcome);
+}
+
+/// Guards against a second run when the answer to a write is lost, in each order of events.
+#[test]
+fn lost_answer_is_settled_by_operation() {
+    let mut batch = Batch::default();
+    assert_eq!(batch.add("d".into(), NOW + 10, false), None);
+    let (write, _) = batch.start(Row::default(), 0, "op-1".into(), NOW);
+    let write = write.unwrap();
+    let (again, verdicts) = batch.settle(&Row::default(), 0);
+    assert_eq!((again, verdicts.len()), (Some(write.clone()), 0));
+    let (again, verdicts) = batch.settle(&write.row, 1);
+    assert_eq!((again, verdicts), (None, vec![("d".into(), Verdict::Run)]));
+    assert!(
+        batch.answered(&Answer::Written).is_empty(),
+        "a late answer runs nothing"
+    );
+
+    let mut other = Batch::default();
+    other.add("d".into(), NOW + 10, true);
+    let (second, verdicts) = other.start(write.row, 1, "op-2".into(), NOW);
+    let lost = Verdict::Known(Outcome::Unknown(Uncertainty::OutcomeLost));
+    assert_eq!((second, verdicts), (None, vec![("d".into(), lost)]));
+}
+
+/// Guards against "not run" for a resend whose first send may have run at another VM, and against
+/// a refusal that a late copy makes false.
+#[test]
+fn unwritten_claims_are_refused_or_unknown() {
+    let mut batch = Batch::default();
+    batch.add("first".into(), NOW + 10, false);
+    batch.add("resend".into(), NOW + 10, true);
+    batch.start(Row::default(), 0, "op-1".into(), NOW);
+    batch.add("later".into(), NOW + 10, false);
+    let verdicts = batch.answered(&Answer::Unavailable);
+    let refused = Attempt::new(false).give_up(Refusal::ClaimsUnavailable);
+    let unknown = Outcome::Unknown(Uncertainty::ClaimsUnavailable);
+    let expected = vec![
+        ("first".into(), Verdict::Known(refused)),
+        ("resend".into(), Verdict::Known(unknown)),
+    ];
+    assert_eq!(verdicts, expected);
+    let copy = batch.add("first".into(), NOW + 10, false);
+    assert!(matches!(copy, Some(Outcome::NotRun(_))));
+}
--- /dev/null
+++ b/crates/steering/tests/quarantine.rs
@@ -0,0 +1,88 @@
+//! Requests that crash backend servers.
+
+use std::time::{Duration, Instant};
+use steering::attempt::Refusal;
+use steering::quarantine::{Admit, Register, Settings, digest};
+
+const A: [u8; 16] = [1; 16];
+const B: [u8; 16] = [2; 16];
+
+fn register(data_centre: &str) -> Register {
+    Register::new(data_centre.into(), Settings::default())
+}
+
+/// Guards against digests that mix up workspaces or the parts of a request.
+#[test]
+fn digest_tells_parts_apart() {
+    let one = digest("a", "POST", "/x", b"y");
+    assert_ne!(one, digest("b", "POST", "/x", b"y"));
+    assert_ne!(one, digest("a", "POST", "/xy", b""));
+}
+
+/// Guards against a suspect that runs beside others, and against an innocent refused for good.
+#[test]
+fn trials_tell_cause_from_bystander() {
+    let start = Instant::now();
+    let mut keeper = register("dc-1");
+    keeper.crashed(&[A, B], start);
+    assert!(keeper.reserves());
+    let suspected = Admit::Refuse(Refusal::Suspected);
+    assert_eq!(keeper.admit(&A, true, start), suspected);
+    let settled = start + Settings::default().settle;
+    assert_eq!(keeper.admit(&B, true, settled), Admit::Trial);
+    assert_eq!(
+        keeper.admit(&A, true, settled),
+        suspected,
+        "one trial at a time"
+    );
+    keeper.completed(&B);
+    assert_eq!(keeper.admit(&B, true, settled), Admit::Run);
+    assert_eq!(keeper.admit(&A, true, settled), Admit::Trial);
+    keeper.crashed(&[A], settled);
+    assert_eq!(
+        keeper.admit(&A, true, settled),
+        Admit::Refuse(Refusal::Quarantined)
+    );
+}
+
+/// Guards against a trial that never ends and blocks the others.
+#[test]
+fn overdue_trial_makes_room() {
+    let start = Instant::now();
+    let mut keeper = register("dc-1");
+    keeper.crashed(&[A, B], start);
+    let settled = start + Settings::default().settle;
+    assert_eq!(keeper.admit(&A, true, settled), Admit::Trial);
+    let overdue = settled + Settings::default().trial + Duration::from_millis(1);
+    assert_eq!(keeper.admit(&B, true, overdue), Admit::Trial);
+}
+
+/// Guards against VMs that disagree after gossip in another order, and quarantine undone by it.
+#[test]
+fn merges_agree_in_any_order() {
+    let now = Instant::now();
+    let (mut one, mut two) = (register("dc-1"), register("dc-2"));
+    one.crashed(&[A, B], now);
+    two.crashed(&[A], now);
+    one.completed(&B);
+    let settled = now + Settings::default().settle;
+    let mut convicting = register("dc-1");
+    convicting.merge(one.delta(), now);
+    assert_eq!(convicting.admit(&A, true, settled), Admit::Trial);
+    convicting.crashed(&[A], settled);
+    let deltas = [
+        one.delta().clone(),
+        two.delta().clone(),
+        convicting.delta().clone(),
+    ];
+    for order in [[0, 1, 2], [2, 1, 0], [1, 2, 0]] {
+        let mut merged = register("dc-3");
+        order
+            .iter()
+            .for_each(|&i: &usize| merged.merge(&deltas[i], now));
+        merged.merge(&deltas[order[0]], now);
+        assert!(merged.quarantined(&A));
+        assert_eq!(merged.admit(&B, false, now), Admit::Run);
+        assert_eq!(&*merged.delta().suspects[&A].origin, "dc-1");
+    }
+}
--- a/tools/bench/src/experiment/quarantine.rs
+++ b/tools/bench/src/experiment/quarantine.rs
@@ -1,1 +1,260 @@
-//! Requests that crash backend servers, sent again.
+//! Backend servers lost to a crashing request that its caller sends again to other VMs.
+
+use crate::agenda::{Agenda, Network};
+use indexmap::{IndexMap, IndexSet};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::time::{Duration, Instant};
+use steering::attempt::Refusal;
+use steering::quarantine::{Admit, Delta, Digest, Register, Settings, digest};
+
+const DATA_CENTRES: usize = 6;
+const VMS: usize = 12;
+const SERVERS: usize = 12;
+const SLOTS: usize = 3;
+const RESENDS: u32 = 30;
+/// Innocent callers; each repeats its own request, as clients that poll do.
+const INNOCENTS: usize = 200;
+const GOSSIP: Duration = Duration::from_millis(500);
+const LENGTH: Duration = Duration::from_secs(60);
+
+/// What a crashing request cost.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Cost {
+    /// Most backend servers lost in one data centre.
+    pub worst_data_centre: usize,
+    /// Backend servers lost in all.
+    pub total: usize,
+    /// Innocent digests quarantined.
+    pub innocents_quarantined: usize,
+    /// Longest time in which an innocent caller got refusals only.
+    pub longest_refusal: Duration,
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Send(usize, usize),
+    Finish(usize, usize, usize),
+    Push(usize, Delta),
+    Gossip(usize),
+}
+
+struct World {
+    agenda: Agenda<Event>,
+    rng: StdRng,
+    quarantine: bool,
+    registers: Vec<Register>,
+    /// Requests on each live server by caller, with the VM that sent them.
+    servers: IndexMap<(usize, usize), Vec<(usize, usize)>>,
+    lost: [usize; DATA_CENTRES],
+    sends: u32,
+    refused_since: IndexMap<usize, Instant>,
+    longest: Duration,
+    end: Instant,
+}
+
+/// Caller 0 sends the crashing request.
+fn request(caller: usize) -> Digest {
+    digest("atlas", "POST", "/permits", &caller.to_le_bytes())
+}
+
+fn home(vm: usize) -> usize {
+    vm % DATA_CENTRES
+}
+
+fn network(from: usize, to: usize) -> Network {
+    let near = home(from) / 2 == home(to) / 2;
+    Network {
+        delay: Duration::from_micros(if near { 500 } else { 12_000 }),
+        jitter: Duration::from_millis(5),
+        loss: 0.05,
+        duplication: 0.05,
+    }
+}
+
+impl World {
+    fn new(quarantine: bool, seed: u64) -> Self {
+        let start = Instant::now();
+        let mut agenda = Agenda::new(start);
+        let mut rng = StdRng::seed_from_u64(seed);
+        for caller in 0..=INNOCENTS {
+            let at = Duration::from_millis(rng.random_range(0..1000));
+            agenda.after(at, Event::Send(caller, rng.random_range(0..VMS)));
+        }
+        (0..VMS).for_each(|vm| agenda.after(GOSSIP, Event::Gossip(vm)));
+        let name = |vm| format!("dc-{}", home(vm)).into();
+        let all = (0..DATA_CENTRES).flat_map(|dc| (0..SERVERS).map(move |s| ((dc, s), vec![])));
+        Self {
+            registers: (0..VMS)
+                .map(|vm| Register::new(name(vm), Settings::default()))
+                .collect(),
+            agenda,
+            rng,
+            quarantine,
+            servers: all.collect(),
+            lost: [0; DATA_CENTRES],
+            sends: 0,
+            refused_since: IndexMap::new(),
+            longest: Duration::ZERO,
+            end: start + LENGTH,
+        }
+    }
+
+    /// The caller sends again to any VM; the crashing one goes on at once.
+    fn again(&mut self, caller: usize, pause: Duration) {
+        self.sends += u32::from(caller == 0);
+        if self.agenda.now() + pause < self.end && (caller > 0 || self.sends < RESENDS) {
+            let vm = self.rng.random_range(0..VMS);
+            self.agenda.after(pause, Event::Send(caller, vm));
+        }
+    }
+
+    fn refused(&mut self, caller: usize) {
+        let now = self.agenda.now();
+        let since = *self.refused_since.entry(caller).or_insert(now);
+        if caller > 0 {
+            self.longest = self.longest.max(now - since);
+        }
+        self.again(caller, Duration::from_millis(500));
+    }
+
+    fn send(&mut self, caller: usize, vm: usize) {
+        let now = self.agenda.now();
+        // The first VM of each data centre by name is its keeper.
+        let keeper = vm < DATA_CENTRES;
+        let admit = match self.quarantine {
+            true => self.registers[vm].admit(&request(caller), keeper, now),
+            false => Admit::Run,
+        };
+        match admit {
+            Admit::Run => self.run(caller, vm, false),
+            Admit::Trial => self.run(caller, vm, true),
+            Admit::Refer(dc) => {
+                let keeper = dc.strip_prefix("dc-").and_then(|n| n.parse().ok());
+                let keeper = keeper.unwrap_or_default();
+                let delay = network(vm, keeper).delay;
+                self.agenda.after(delay, Event::Send(caller, keeper));
+            }
+            Admit::Refuse(Refusal::Quarantined | Refusal::Suspected) => self.refused(caller),
+            Admit::Refuse(_) => unreachable!("the register refuses for two reasons only"),
+        }
+    }
+
+    fn run(&mut self, caller: usize, vm: usize, trial: bool) {
+        let live = self.servers.keys().filter(|(dc, _)| *dc == home(vm));
+        let mut live: Vec<_> = live.copied().collect();
+        // The trial server is the first live one by name.
+        let reserved = self.registers[vm].reserves().then(|| live.remove(0));
+        let server = match (trial, reserved) {
+            (true, Some(server)) => Some(server),
+            _ => {
+                let free = |key: &&(usize, usize)| self.servers[*key].len() < SLOTS;
+                let free: Vec<_> = live.iter().filter(free).copied().collect();
+                (!free.is_empty()).then(|| free[self.rng.random_range(0..free.len())])
+            }
+        };
+        let Some(server) = server else {
+            return self.again(caller, Duration::from_millis(50));
+        };
+        if trial {
+            assert!(self.servers[&server].is_empty(), "a trial runs alone");
+        }
+        self.servers[&server].push((caller, vm));
+        let work = Duration::from_millis(self.rng.random_range(20..400));
+        let (dc, index) = server;
+        self.agenda.after(work, Event::Finish(caller, dc, index));
+    }
+
+    fn finish(&mut self, caller: usize, server: (usize, usize)) {
+        let Some(running) = self.servers.get_mut(&server) else {
+            return;
+        };
+        let Some(position) = running.iter().position(|(c, _)| *c == caller) else {
+            return;
+        };
+        if caller == 0 {
+            return self.crash(server);
+        }
+        let (_, vm) = running.swap_remove(position);
+        self.registers[vm].completed(&request(caller));
+        self.refused_since.swap_remove(&caller);
+        self.again(caller, Duration::from_millis(100));
+    }
+
+    fn crash(&mut self, server: (usize, usize)) {
+        let now = self.agenda.now();
+        self.lost[server.0] += 1;
+        let victims = self.servers.shift_remove(&server).unwrap_or_default();
+        let vms: IndexSet<usize> = victims.iter().map(|(_, vm)| *vm).collect();
+        for vm in vms {
+            let theirs = victims.iter().filter(|(_, v)| *v == vm);
+            let digests: Vec<_> = theirs.map(|(caller, _)| request(*caller)).collect();
+            self.registers[vm].crashed(&digests, now);
+            self.push(vm);
+        }
+        let hold = if self.quarantine {
+            Settings::default().hold
+        } else {
+            Duration::ZERO
+        };
+        victims
+            .iter()
+            .for_each(|(caller, _)| self.again(*caller, hold));
+    }
+
+    fn push(&mut self, from: usize) {
+        let delta = self.registers[from].delta().clone();
+        for to in (0..VMS).filter(|&to| to != from) {
+            for delay in network(from, to).deliveries(&mut self.rng) {
+                self.agenda.after(delay, Event::Push(to, delta.clone()));
+            }
+        }
+    }
+
+    fn step(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::Send(caller, vm) => self.send(caller, vm),
+            Event::Finish(caller, dc, server) => self.finish(caller, (dc, server)),
+            Event::Push(vm, delta) => self.registers[vm].merge(&delta, now),
+            Event::Gossip(vm) => {
+                self.push(vm);
+                if now < self.end {
+                    self.agenda.after(GOSSIP, Event::Gossip(vm));
+                }
+            }
+        }
+    }
+}
+
+/// Runs one crashing request among innocent ones.
+pub fn run(quarantine: bool, seed: u64) -> Cost {
+    let mut world = World::new(quarantine, seed);
+    while let Some((now, event)) = world.agenda.take() {
+        world.step(now, event);
+    }
+    let innocent = |caller: &usize| {
+        let refused = |register: &Register| register.quarantined(&request(*caller));
+        world.registers.iter().any(refused)
+    };
+    Cost {
+        worst_data_centre: world.lost.into_iter().max().unwrap_or_default(),
+        total: world.lost.iter().sum(),
+        innocents_quarantined: (1..=INNOCENTS).filter(innocent).count(),
+        longest_refusal: world.longest,
+    }
+}
+
+/// Returns the worst of several seeds for both methods.
+pub fn report() -> Box<str> {
+    let mut text = String::from("quarantine seed worst-dc total innocents longest-refusal\n");
+    for quarantine in [false, true] {
+        for seed in 1..=5 {
+            let c = run(quarantine, seed);
+            text += &format!(
+                "{quarantine} {seed} {} {} {} {:?}\n",
+                c.worst_data_centre, c.total, c.innocents_quarantined, c.longest_refusal
+            );
+        }
+    }
+    text.into()
+}
