--- a/crates/base/src/unit.rs
+++ b/crates/base/src/unit.rs
@@ -27,6 +27,8 @@
 
 const SECONDS_PER_MINUTE: f64 = 60.0;
 const PERCENT: f64 = 100.0;
+/// Reciprocal of the smallest part of a percent that is shown.
+const DIGITS: f64 = 1e6;
 const BITS_PER_MEGABIT: f64 = 1e6;
 const BITS_PER_GIGABIT: f64 = 1e9;
 
@@ -85,7 +87,8 @@
 
 impl fmt::Display for Share {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}%", self.0 * PERCENT)
+        // Hides the rounding error of sums such as 70% + 40%.
+        write!(f, "{}%", (self.0 * PERCENT * DIGITS).round() / DIGITS)
     }
 }
 
@@ -135,3 +138,11 @@
 text_form!(Span, "a time span such as `250ms`, `2s` or `1h 30m`");
 text_form!(Moment, "a time such as `2026-12-05T06:00:00Z`");
 text_form!(Bandwidth, "a bandwidth such as `280Mbit/s` or `4Gbit/s`");
+
+impl std::str::FromStr for Span {
+    type Err = Box<str>;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::parse(text).ok_or_else(|| "expected a time span such as `250ms` or `2s`".into())
+    }
+}
--- a/crates/peers/src/local.rs
+++ b/crates/peers/src/local.rs
@@ -6,7 +6,8 @@
 use indexmap::{IndexMap, IndexSet};
 use platform::list::List;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
 
 base::message! {
     /// A key as the entry knows it.
@@ -70,3 +71,54 @@
     let transport = wire::connect(address).await?;
     Ok(LocalClient::new(tarpc::client::Config::default(), transport).spawn())
 }
+
+/// Pause before the control process is called again after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest time for one call of `sync`; covers the wait and the transfer.
+const SYNC_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Follows the control process's state until `stop` is cancelled and hands on each new one.
+///
+/// While the control process can't be reached, the last state stays in force.
+pub async fn follow(address: SocketAddr, stop: CancellationToken, update: impl Fn(&State)) {
+    let mut connected = false;
+    while !stop.is_cancelled() {
+        let Some(result) = stop
+            .run_until_cancelled(session(address, &mut connected, &update))
+            .await
+        else {
+            return;
+        };
+        if let Err(error) = result {
+            if connected {
+                log::warn!("lost the control process: {error}");
+            }
+            connected = false;
+            stop.run_until_cancelled(tokio::time::sleep(RETRY_PAUSE))
+                .await;
+        }
+    }
+}
+
+async fn session(
+    address: SocketAddr,
+    connected: &mut bool,
+    update: &impl Fn(&State),
+) -> Result<(), Error> {
+    let client = connect(address).await?;
+    // NOTE: a restarted control process counts generations anew, so each session starts at 0.
+    let mut have = 0;
+    loop {
+        let mut context = tarpc::context::current();
+        context.deadline = Instant::now() + SYNC_TIMEOUT;
+        let state = client.sync(context, have).await?.open()?;
+        if !std::mem::replace(connected, true) {
+            log::info!("following the control process at {address}");
+        }
+        if state.generation != have {
+            have = state.generation;
+            update(&state);
+        }
+    }
+}
--- a/crates/steering/src/lookup.rs
+++ b/crates/steering/src/lookup.rs
@@ -1,1 +1,7 @@
 //! Which entry VMs a client should use.
+
+pub mod map;
+pub mod rank;
+
+pub use map::Map;
+pub use rank::{Answer, Entry};
--- a/programs/control/src/lib.rs
+++ b/programs/control/src/lib.rs
@@ -1,1 +1,11 @@
-//! Scaffold of the package.
+//! Control process of a VM: configuration, keys, membership, releases and drains.
+
+pub mod admin;
+pub mod args;
+pub mod local;
+pub mod reader;
+pub mod record;
+pub mod run;
+pub mod settings;
+pub mod state;
+pub mod table;
--- /dev/null
+++ b/programs/control/src/local.rs
@@ -0,0 +1,32 @@
+//! Serves the processes of this VM.
+
+use crate::state::Shared;
+use peers::local::{Local, SYNC_WAIT, State};
+use peers::wire::{self, Frame};
+use tarpc::context::Context;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+#[derive(Clone)]
+struct Server {
+    shared: Shared,
+}
+
+impl Local for Server {
+    async fn sync(self, _: Context, have: u64) -> Frame<State> {
+        let mut states = self.shared.subscribe();
+        let changed = states.wait_for(|state| state.generation != have);
+        let _ = tokio::time::timeout(SYNC_WAIT, changed).await;
+        let state = State::clone(&states.borrow());
+        Frame::new(state)
+    }
+}
+
+/// Serves until `stop` is cancelled.
+pub async fn run(listener: TcpListener, shared: Shared, stop: CancellationToken) {
+    let server = Server { shared };
+    wire::accept(listener, stop, |stream| {
+        wire::serve(stream, server.clone().serve())
+    })
+    .await;
+}
--- /dev/null
+++ b/programs/control/src/run.rs
@@ -0,0 +1,33 @@
+//! Starts the tasks of the control process.
+
+use crate::settings::Settings;
+use crate::state::Shared;
+use crate::{admin, local, reader};
+use base::http::client::Target;
+use std::io;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Runs until `stop` is cancelled.
+///
+/// # Errors
+///
+/// Fails if an address can't be bound.
+pub async fn run(settings: Settings, stop: CancellationToken) -> io::Result<()> {
+    let local = TcpListener::bind(settings.local).await?;
+    let admin = TcpListener::bind(settings.admin).await?;
+    log::info!("vm {} of {} started", settings.vm, settings.data_centre);
+    let client = platform::Client::new(Target {
+        address: settings.platform,
+        timeout: settings.platform_timeout.0,
+        authorization: None,
+    });
+    let shared = Shared::new(settings);
+    tokio::join!(
+        reader::run(shared.clone(), client.clone(), stop.clone()),
+        local::run(local, shared.clone(), stop.clone()),
+        admin::run(admin, shared, client, stop),
+    );
+    log::info!("stopped");
+    Ok(())
+}
--- /dev/null
+++ b/programs/control/src/settings.rs
@@ -0,0 +1,89 @@
+//! Settings of the control process.
+
+use base::id::{DataCentre, Region, Vm};
+use base::unit::Span;
+use serde::Deserialize;
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// Settings of the control process.
+#[derive(Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Name of this VM.
+    pub vm: Vm,
+    /// Region of this VM.
+    pub region: Region,
+    /// Data centre of this VM.
+    pub data_centre: DataCentre,
+    /// Address for the other processes of this VM.
+    pub local: SocketAddr,
+    /// Address for control processes of other VMs.
+    pub gossip: SocketAddr,
+    /// Address of the administration API and of the metrics.
+    pub admin: SocketAddr,
+    /// Credential of the administration API.
+    pub admin_token: Box<str>,
+    /// Secret under which key digests are computed; the same on all VMs.
+    pub key_secret: Box<str>,
+    /// Address of the platform's service.
+    pub platform: SocketAddr,
+    /// Longest time for one call to the platform.
+    pub platform_timeout: Span,
+    /// Time between two reads of the platform's table.
+    pub poll_interval: Span,
+    /// Log specification.
+    pub log: Box<str>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let loopback = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        Self {
+            vm: "".into(),
+            region: "".into(),
+            data_centre: "".into(),
+            local: loopback(7100),
+            gossip: loopback(7101),
+            admin: loopback(7102),
+            admin_token: "".into(),
+            key_secret: "".into(),
+            platform: loopback(7000),
+            platform_timeout: Span(Duration::from_secs(2)),
+            poll_interval: Span(Duration::from_millis(500)),
+            log: "info".into(),
+        }
+    }
+}
+
+/// Least length of a secret, in bytes.
+const SECRET_BYTES: usize = 16;
+
+impl Settings {
+    /// Says what is wrong with the settings, if anything.
+    pub fn problem(&self) -> Option<&'static str> {
+        if self.vm.is_empty() || self.region.is_empty() || self.data_centre.is_empty() {
+            return Some("`vm`, `region` and `data_centre` are needed");
+        }
+        if self.admin_token.len() < SECRET_BYTES || self.key_secret.len() < SECRET_BYTES {
+            return Some("`admin_token` and `key_secret` need at least 16 bytes each");
+        }
+        None
+    }
+}
+
+/// Shows no secrets.
+impl fmt::Debug for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Settings")
+            .field("vm", &self.vm)
+            .field("region", &self.region)
+            .field("data_centre", &self.data_centre)
+            .field("local", &self.local)
+            .field("gossip", &self.gossip)
+            .field("admin", &self.admin)
+            .field("platform", &self.platform)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/programs/control/src/state.rs
@@ -0,0 +1,121 @@
+//! What the control process knows, and its publication to the processes of the VM.
+
+use crate::record::{Growing, Key};
+use crate::settings::Settings;
+use base::clock::Millis;
+use base::id::Version;
+use indexmap::IndexMap;
+use operators::bundle::{Bundle, Files};
+use peers::local::{self, State};
+use platform::list::List;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::watch;
+
+/// Configuration in force.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Active {
+    /// Version.
+    pub version: Version,
+    /// Texts of the steering files.
+    pub files: Files,
+    /// Parsed files.
+    pub bundle: Bundle,
+}
+
+/// All that the control process knows.
+#[derive(Debug, Default)]
+pub struct Known {
+    /// Configuration in force, once one is known.
+    pub active: Option<Active>,
+    /// Issued keys.
+    pub keys: IndexMap<Box<str>, Key>,
+    /// Changes that only grow.
+    pub growing: Growing,
+    /// Growing changes as the table holds them.
+    pub recorded: Growing,
+    /// Last list of VMs and backend servers.
+    pub list: List,
+    /// Time of the last successful read of the table.
+    pub confirmed: Millis,
+}
+
+/// Knowledge shared by the tasks of the process.
+#[derive(Debug, Clone)]
+pub struct Shared {
+    /// Settings.
+    pub settings: Arc<Settings>,
+    known: Arc<Mutex<Known>>,
+    published: watch::Sender<Arc<State>>,
+}
+
+impl Shared {
+    /// Starts with nothing known.
+    pub fn new(settings: Settings) -> Self {
+        let published = watch::Sender::new(Arc::new(State::default()));
+        Self {
+            settings: Arc::new(settings),
+            known: Arc::default(),
+            published,
+        }
+    }
+
+    /// Reads what is known.
+    pub fn read<T>(&self, read: impl FnOnce(&Known) -> T) -> T {
+        read(&self.known.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Changes what is known and publishes it if that changes the published state.
+    pub fn change<T>(&self, change: impl FnOnce(&mut Known) -> T) -> T {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let result = change(&mut known);
+        let state = published(&known);
+        self.published.send_if_modified(|last| {
+            let same = State {
+                generation: last.generation,
+                confirmed: last.confirmed,
+                ..state
+            };
+            if same == **last {
+                return false;
+            }
+            let generation = last.generation + 1;
+            *last = Arc::new(State {
+                generation,
+                confirmed: known.confirmed,
+                ..same
+            });
+            true
+        });
+        result
+    }
+
+    /// Returns a receiver of published states.
+    pub fn subscribe(&self) -> watch::Receiver<Arc<State>> {
+        self.published.subscribe()
+    }
+}
+
+fn published(known: &Known) -> State {
+    let key = |key: &Key| local::Key {
+        workspace: key.workspace.clone(),
+        expires: key.expires,
+    };
+    State {
+        version: known.active.as_ref().map_or(0, |active| active.version),
+        files: known
+            .active
+            .as_ref()
+            .map(|active| active.files.clone())
+            .unwrap_or_default(),
+        keys: known
+            .keys
+            .iter()
+            .map(|(digest, k)| (digest.clone(), key(k)))
+            .collect(),
+        withdrawn: known.growing.withdrawn.clone(),
+        halted: known.growing.halted.keys().cloned().collect(),
+        draining: known.growing.draining.clone(),
+        list: known.list.clone(),
+        ..State::default()
+    }
+}
--- /dev/null
+++ b/programs/ctl/src/args.rs
@@ -0,0 +1,181 @@
+//! Command line.
+
+use base::unit::Span;
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Command line of the operators' program.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Args {
+    /// Address of the administration API of any VM.
+    pub admin: SocketAddr,
+    /// Credential of the administration API.
+    pub token: Box<str>,
+    /// Whether to print JSON.
+    pub json: bool,
+    /// What to do.
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command {
+    /// Checks steering files without any VM.
+    Check {
+        /// Directory of the files.
+        directory: PathBuf,
+    },
+    /// Shows how steering files differ from the configuration in force.
+    Diff {
+        /// Directory of the files.
+        directory: PathBuf,
+    },
+    /// Publishes steering files against the version that was reviewed.
+    Publish {
+        /// Directory of the files.
+        directory: PathBuf,
+        /// Version that was reviewed; the one in force now if absent.
+        base: Option<u64>,
+        /// Author, for the record.
+        author: Box<str>,
+        /// Longest wait until the version is in force everywhere.
+        wait: Duration,
+    },
+    /// Shows the state of the fleet.
+    Status,
+    /// Issues a key.
+    Issue {
+        /// Workspace of the key.
+        workspace: Box<str>,
+    },
+    /// Withdraws a key.
+    Withdraw {
+        /// Id of the key.
+        id: Box<str>,
+    },
+    /// Drains backend servers.
+    Drain {
+        /// Names of the servers.
+        servers: Vec<Box<str>>,
+    },
+    /// Halts a release for good.
+    Halt {
+        /// Id of the release.
+        release: Box<str>,
+        /// Reason, for the record.
+        reason: Box<str>,
+    },
+}
+
+/// Longest wait until a version is in force everywhere, unless another is asked for.
+const WAIT: Duration = Duration::from_secs(10);
+
+/// Describes the command line.
+pub fn parser() -> OptionParser<Args> {
+    let admin = long("admin")
+        .help("Administration address of any VM")
+        .env("CARDAMOM_ADMIN")
+        .argument("ADDRESS")
+        .fallback(SocketAddr::from(([127, 0, 0, 1], 7102)));
+    let token = long("token")
+        .help("Administration credential")
+        .env("CARDAMOM_TOKEN")
+        .argument::<String>("TOKEN")
+        .map(Into::into)
+        .fallback("".into());
+    let json = long("json").help("Print JSON").switch();
+    let command = command();
+    construct!(Args {
+        admin,
+        token,
+        json,
+        command
+    })
+    .to_options()
+    .descr("Edits, reviews and publishes steering files, and reports what is in force")
+}
+
+fn command() -> impl Parser<Command> {
+    let check = directory().map(|directory| Command::Check { directory });
+    let check = check
+        .to_options()
+        .descr("Check steering files")
+        .command("check");
+    let diff = directory().map(|directory| Command::Diff { directory });
+    let diff = diff
+        .to_options()
+        .descr("Compare with the version in force")
+        .command("diff");
+    let publish = publish()
+        .to_options()
+        .descr("Publish steering files")
+        .command("publish");
+    let status = bpaf::pure(Command::Status);
+    let status = status
+        .to_options()
+        .descr("Show the state of the fleet")
+        .command("status");
+    let issue = text("WORKSPACE").map(|workspace| Command::Issue { workspace });
+    let issue = issue.to_options().descr("Issue a key").command("issue");
+    let withdraw = text("KEY_ID").map(|id| Command::Withdraw { id });
+    let withdraw = withdraw
+        .to_options()
+        .descr("Withdraw a key")
+        .command("withdraw");
+    let drain = text("SERVER").some("name at least one server");
+    let drain = drain.map(|servers| Command::Drain { servers });
+    let drain = drain
+        .to_options()
+        .descr("Drain backend servers")
+        .command("drain");
+    let halt = halt()
+        .to_options()
+        .descr("Halt a release for good")
+        .command("halt");
+    construct!([check, diff, publish, status, issue, withdraw, drain, halt])
+}
+
+fn publish() -> impl Parser<Command> {
+    let base = long("base")
+        .help("Version that was reviewed")
+        .argument("VERSION")
+        .optional();
+    let author = long("author")
+        .help("Author, for the record")
+        .env("USER")
+        .argument::<String>("NAME")
+        .map(Into::into)
+        .fallback("operator".into());
+    let wait = long("wait")
+        .help("Wait until in force, such as 10s")
+        .argument::<Span>("SPAN")
+        .map(|span| span.0)
+        .fallback(WAIT);
+    let directory = directory();
+    construct!(Command::Publish {
+        base,
+        author,
+        wait,
+        directory
+    })
+}
+
+fn halt() -> impl Parser<Command> {
+    let reason = long("reason")
+        .help("Reason, for the record")
+        .argument::<String>("TEXT")
+        .map(Into::into)
+        .fallback("halted by an operator".into());
+    let release = text("RELEASE");
+    construct!(Command::Halt { reason, release })
+}
+
+fn directory() -> impl Parser<PathBuf> {
+    positional("DIRECTORY").help("Directory of the steering files")
+}
+
+fn text(name: &'static str) -> impl Parser<Box<str>> {
+    positional::<String>(name).map(Into::into)
+}
--- a/programs/ctl/src/lib.rs
+++ b/programs/ctl/src/lib.rs
@@ -1,1 +1,8 @@
-//! Scaffold of the package.
+//! Operators' command line.
+
+pub mod args;
+pub mod diff;
+pub mod exit;
+pub mod files;
+pub mod output;
+pub mod run;
--- a/programs/ctl/src/main.rs
+++ b/programs/ctl/src/main.rs
@@ -1,3 +1,9 @@
-//! Scaffold of the program.
+//! Operators' command line.
 
-fn main() {}
+use cardamomctl::{args, run};
+use std::process::ExitCode;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    run::run(args::parser().run()).await.into()
+}
--- /dev/null
+++ b/programs/ctl/src/output.rs
@@ -0,0 +1,90 @@
+//! Text and JSON output.
+
+use crate::diff::Change;
+use operators::admin::{Status, Verdict};
+use operators::check::Finding;
+use serde::Serialize;
+
+/// Prints a value as JSON, or as the text that `text` makes of it.
+pub fn print<T: Serialize>(json: bool, value: &T, text: impl FnOnce(&T) -> String) {
+    if json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(value).unwrap_or_default()
+        );
+    } else {
+        println!("{}", text(value).trim_end());
+    }
+}
+
+/// Describes findings, a line each.
+pub fn findings(findings: &[Finding]) -> String {
+    findings
+        .iter()
+        .map(|finding| format!("{finding}\n"))
+        .collect()
+}
+
+/// Describes differences, a block for each file.
+pub fn changes(changes: &[Change]) -> String {
+    let lines = |sign: char, lines: &[Box<str>]| -> String {
+        lines
+            .iter()
+            .map(|line| format!("  {sign} {line}\n"))
+            .collect()
+    };
+    let block = |change: &Change| {
+        let (removed, added) = (lines('-', &change.removed), lines('+', &change.added));
+        format!("{}\n{removed}{added}", change.file)
+    };
+    changes.iter().map(block).collect()
+}
+
+/// Describes the outcome of a publication.
+pub fn verdict(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::Accepted { version } => format!("accepted as version {version}"),
+        Verdict::Conflict { version } => {
+            format!("conflict: version {version} is in force now; review it and publish again")
+        }
+        Verdict::Refused { findings: found } => format!("refused:\n{}", findings(found)),
+        Verdict::Unavailable { reason } => format!("not published: {reason}"),
+        Verdict::Unknown { reason } => format!("outcome unknown: {reason}; see `status`"),
+    }
+}
+
+/// Describes the state of the fleet.
+pub fn status(status: &Status) -> String {
+    let behind = status
+        .in_force
+        .iter()
+        .filter(|(_, report)| report.version < status.version);
+    let behind: Vec<Box<str>> = behind.map(|(vm, _)| vm.clone()).collect();
+    let current = status.in_force.len() - behind.len();
+    let total = status.in_force.len() + status.missing.len();
+    let confirmed = base::unit::Moment(base::clock::from_millis(status.confirmed_by_store));
+    let keys = &status.keys;
+    let mut lines = vec![format!(
+        "version {} in force on {current} of {total}",
+        status.version
+    )];
+    lines.extend(names("behind", &behind));
+    lines.extend(names("missing", &status.missing));
+    lines.extend(names("draining", &status.draining));
+    lines.extend(
+        status
+            .releases
+            .iter()
+            .map(|(id, state)| format!("release {id}: {state}")),
+    );
+    lines.push(format!(
+        "keys: {} valid, {} withdrawn",
+        keys.valid, keys.withdrawn
+    ));
+    lines.push(format!("confirmed by the store at {confirmed}"));
+    lines.join("\n")
+}
+
+fn names(title: &str, names: &[Box<str>]) -> Option<String> {
+    (!names.is_empty()).then(|| format!("{title}: {}", names.join(", ")))
+}
--- /dev/null
+++ b/programs/ctl/src/run.rs
@@ -0,0 +1,192 @@
+//! Runs a command.
+
+use crate::args::{Args, Command};
+use crate::exit::Exit;
+use crate::{diff, files, output};
+use base::http::client::Target;
+use operators::admin::{Client, Drain, Error, Halt, Issue, Proposal, Status, Verdict, Withdraw};
+use operators::bundle::{Bundle, Files};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Longest time for one call of the administration API.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time between two looks at the state of the fleet while a publication takes effect.
+const STATUS_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Runs the command and prints its result.
+pub async fn run(args: Args) -> Exit {
+    let client = Client::new(Target {
+        address: args.admin,
+        timeout: CALL_TIMEOUT,
+        authorization: Some(format!("Bearer {}", args.token).into()),
+    });
+    let session = Session {
+        client,
+        json: args.json,
+    };
+    session.run(args.command).await.unwrap_or_else(|error| {
+        eprintln!("cardamomctl: {error}");
+        Exit::Failed
+    })
+}
+
+struct Session {
+    client: Client,
+    json: bool,
+}
+
+impl Session {
+    async fn run(&self, command: Command) -> Result<Exit, Error> {
+        match command {
+            Command::Check { directory } => Ok(self.check(&directory)),
+            Command::Diff { directory } => self.diff(&directory).await,
+            Command::Publish {
+                directory,
+                base,
+                author,
+                wait,
+            } => self.publish(&directory, base, author, wait).await,
+            Command::Status => {
+                let status = self.client.status().await?;
+                output::print(self.json, &status, output::status);
+                Ok(Exit::Done)
+            }
+            Command::Issue { workspace } => {
+                let issued = self.client.issue(&Issue { workspace }).await?;
+                output::print(self.json, &issued, |i| {
+                    format!("id {}\nkey {}", i.id, i.key)
+                });
+                Ok(Exit::Done)
+            }
+            Command::Withdraw { id } => {
+                let done = self.client.withdraw(&Withdraw { id }).await?;
+                Ok(self.done(&done))
+            }
+            Command::Drain { servers } => {
+                let done = self.client.drain(&Drain { servers }).await?;
+                Ok(self.done(&done))
+            }
+            Command::Halt { release, reason } => {
+                let done = self.client.halt(&Halt { release, reason }).await?;
+                Ok(self.done(&done))
+            }
+        }
+    }
+
+    fn done(&self, done: &operators::admin::Done) -> Exit {
+        output::print(self.json, done, |done| {
+            let note = if done.durable {
+                "recorded"
+            } else {
+                "not recorded by the store yet"
+            };
+            format!("in force on this VM and spreading; {note}")
+        });
+        Exit::Done
+    }
+
+    fn check(&self, directory: &Path) -> Exit {
+        let Some(files) = read(directory) else {
+            return Exit::Failed;
+        };
+        match Bundle::parse(&files) {
+            Ok(_) => {
+                output::print(self.json, &files.len(), |count| {
+                    format!("{count} files are valid")
+                });
+                Exit::Done
+            }
+            Err(findings) => {
+                output::print(self.json, &findings, |f| output::findings(f));
+                Exit::Refused
+            }
+        }
+    }
+
+    async fn diff(&self, directory: &Path) -> Result<Exit, Error> {
+        let Some(files) = read(directory) else {
+            return Ok(Exit::Failed);
+        };
+        let config = self.client.config().await?;
+        let changes = diff::changes(&config.files, &files);
+        output::print(self.json, &changes, |changes| {
+            let against = format!("against version {}", config.version);
+            if changes.is_empty() {
+                format!("no change {against}")
+            } else {
+                format!(
+                    "{against}, publish with --base {0}\n{1}",
+                    config.version,
+                    output::changes(changes)
+                )
+            }
+        });
+        Ok(Exit::Done)
+    }
+
+    async fn publish(
+        &self,
+        directory: &Path,
+        base: Option<u64>,
+        author: Box<str>,
+        wait: Duration,
+    ) -> Result<Exit, Error> {
+        let Some(files) = read(directory) else {
+            return Ok(Exit::Failed);
+        };
+        let base = match base {
+            Some(base) => base,
+            None => self.client.config().await?.version,
+        };
+        let verdict = self
+            .client
+            .publish(&Proposal {
+                base,
+                author,
+                files,
+            })
+            .await?;
+        output::print(self.json, &verdict, output::verdict);
+        match verdict {
+            Verdict::Accepted { version } => self.await_version(version, wait).await,
+            Verdict::Conflict { .. } => Ok(Exit::Conflict),
+            Verdict::Refused { .. } => Ok(Exit::Refused),
+            Verdict::Unavailable { .. } | Verdict::Unknown { .. } => Ok(Exit::Failed),
+        }
+    }
+
+    /// Waits until the version is in force on all listed VMs.
+    async fn await_version(&self, version: u64, wait: Duration) -> Result<Exit, Error> {
+        let deadline = Instant::now() + wait;
+        loop {
+            let status = self.client.status().await?;
+            if in_force(&status, version) {
+                output::print(self.json, &status, |status| {
+                    format!("{}\ndone", output::status(status))
+                });
+                return Ok(Exit::Done);
+            }
+            if Instant::now() >= deadline {
+                output::print(self.json, &status, output::status);
+                return Ok(Exit::Incomplete);
+            }
+            tokio::time::sleep(STATUS_INTERVAL).await;
+        }
+    }
+}
+
+fn in_force(status: &Status, version: u64) -> bool {
+    status.missing.is_empty()
+        && status
+            .in_force
+            .values()
+            .all(|report| report.version >= version)
+}
+
+fn read(directory: &Path) -> Option<Files> {
+    files::read(directory)
+        .inspect_err(|error| eprintln!("cardamomctl: {}: {error}", directory.display()))
+        .ok()
+}
--- /dev/null
+++ b/programs/entry/src/forward.rs
@@ -0,0 +1,90 @@
+//! Sends a request to backend servers until one answers or no other may be tried.
+
+use crate::authorise::Grant;
+use crate::metrics::Metrics;
+use crate::receive::Call;
+use crate::route;
+use crate::server::Flight;
+use crate::settings::Settings;
+use crate::snapshot::Snapshot;
+use backends::client::{After, Before, Failure, NotRun};
+use base::http::Body;
+use hyper::Response;
+use steering::attempt::{self, Attempt, Outcome, Refusal, Retry, Step, Uncertainty};
+
+/// Most servers that one request is sent to.
+const ATTEMPTS: usize = 3;
+
+/// Answer of a backend server, and its request in flight.
+#[derive(Debug)]
+pub struct Answer {
+    /// Answer, whose body streams.
+    pub response: Response<Body>,
+    /// Request in flight; ends with the body.
+    pub flight: Flight,
+}
+
+/// Result of forwarding: an answer, or the outcome that the caller is told.
+pub type Forwarded = Result<Answer, Outcome>;
+
+/// Forwards a request.
+///
+/// # Errors
+///
+/// Returns the outcome if no backend server answered.
+pub async fn forward(
+    call: &Call,
+    grant: &Grant<'_>,
+    snapshot: &Snapshot,
+    settings: &Settings,
+    metrics: &Metrics,
+) -> Forwarded {
+    let mut attempt = Attempt::new(grant.path.idempotent);
+    let mut tried = Vec::new();
+    for _ in 0..ATTEMPTS {
+        let label = &grant.service.current;
+        let chosen = route::choose(snapshot, grant.service, label, settings, &tried);
+        let Some(server) = chosen else {
+            break;
+        };
+        tried.push(server.listed.name.clone());
+        let flight = server.start();
+        let sent = attempt.send();
+        match server.pool.send(call.request(), call.deadline).await {
+            Ok(response) => return Ok(Answer { response, flight }),
+            Err(failure) => match sent.fail(classify(failure)) {
+                Step::Retry(next, retry) => {
+                    log::debug!("request {}: {retry} on {}", call.id, server.listed.name);
+                    metrics.retry(retry);
+                    attempt = next;
+                }
+                Step::Done(outcome) => return Err(outcome),
+            },
+        }
+    }
+    let reason = if tried.is_empty() {
+        Refusal::NoServer
+    } else {
+        Refusal::ServersRefused
+    };
+    Err(attempt.give_up(reason))
+}
+
+/// Says what a failed send means for the request.
+fn classify(failure: Failure) -> attempt::Failure {
+    use attempt::Failure::{MayHaveRun, Refused, Unsent};
+    match failure {
+        Failure::Before(Before::Busy) => Unsent(Retry::ConnectionsBusy),
+        Failure::Before(Before::ConnectRefused | Before::ConnectTimeout | Before::Deadline) => {
+            Unsent(Retry::ConnectFailed)
+        }
+        Failure::Before(Before::Stale) => Unsent(Retry::StaleConnection),
+        Failure::NotRun(NotRun::Shedding) => Refused(Retry::ServerShedding),
+        Failure::NotRun(NotRun::Leaving) => Refused(Retry::ServerLeaving),
+        Failure::NotRun(NotRun::Other) => Refused(Retry::ServerRefused),
+        Failure::After(After::Silent) => MayHaveRun(Uncertainty::Silent),
+        Failure::After(After::Interrupted) => MayHaveRun(Uncertainty::Interrupted),
+        Failure::After(After::Deadline) => MayHaveRun(Uncertainty::DeadlinePassed),
+        Failure::After(After::WrongAnswer) => MayHaveRun(Uncertainty::WrongAnswer),
+    }
+}
--- a/programs/entry/src/lib.rs
+++ b/programs/entry/src/lib.rs
@@ -1,1 +1,18 @@
-//! Scaffold of the package.
+//! Entry of the system: receives requests, authorises, limits, chooses a backend server, forwards.
+//!
+//! A request passes the modules `receive`, `authorise`, `admission`, `route`, `forward` and `reply`
+//! in this order; `pipeline` puts them together.
+
+pub mod admission;
+pub mod args;
+pub mod authorise;
+pub mod forward;
+pub mod metrics;
+pub mod pipeline;
+pub mod receive;
+pub mod reply;
+pub mod route;
+pub mod run;
+pub mod server;
+pub mod settings;
+pub mod snapshot;
--- /dev/null
+++ b/programs/entry/src/receive.rs
@@ -0,0 +1,109 @@
+//! Reads a request within its bounds.
+
+use crate::settings::Settings;
+use base::http::Body;
+use base::id;
+use bytes::Bytes;
+use callers::header;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, Uri};
+use std::time::Instant;
+use steering::attempt::Refusal;
+
+/// A received request: whole, within its bounds, and without its key header.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Request id, from the caller or made here.
+    pub id: id::Request,
+    /// Whether the caller chose the id.
+    pub named: bool,
+    /// Key, if one was shown.
+    pub key: Option<Box<str>>,
+    /// Name of the service, the first segment of the path.
+    pub service: id::Service,
+    /// Path and query for the backend server.
+    pub target: Uri,
+    /// Method.
+    pub method: Method,
+    /// Headers without the key.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Time of arrival.
+    pub arrived: Instant,
+    /// Time by which the caller wants its answer.
+    pub deadline: Instant,
+}
+
+impl Call {
+    /// Makes the request for a backend server; it can be made again for a retry.
+    pub fn request(&self) -> Request<Body> {
+        let mut request = Request::new(base::http::full(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.clone();
+        *request.headers_mut() = self.headers.clone();
+        request
+    }
+}
+
+/// Reads the head and the whole body, so that a body cut short never reaches a backend server.
+///
+/// # Errors
+///
+/// Returns why the request is refused.
+pub async fn receive(request: Request<Incoming>, settings: &Settings) -> Result<Call, Refusal> {
+    let arrived = Instant::now();
+    let (mut head, body) = request.into_parts();
+    let key = header::key(&mut head.headers).map_err(|_| Refusal::Invalid)?;
+    let named = header::request_id(&head.headers).map_err(|_| Refusal::Invalid)?;
+    let deadline = header::deadline(&head.headers, arrived).map_err(|_| Refusal::Invalid)?;
+    let (service, target) = split(&head.uri).ok_or(Refusal::NoRoute)?;
+    let body = read(body, settings).await?;
+    let id = named
+        .clone()
+        .unwrap_or_else(|| id::random(&mut rand::rng()));
+    let value = id.parse().map_err(|_| Refusal::Invalid)?;
+    head.headers.insert(header::REQUEST_ID, value);
+    // The whole body is sent on with its own length.
+    head.headers.remove(hyper::header::TRANSFER_ENCODING);
+    head.headers.remove(hyper::header::CONTENT_LENGTH);
+    Ok(Call {
+        named: named.is_some(),
+        id,
+        key,
+        service,
+        target,
+        method: head.method,
+        headers: head.headers,
+        body,
+        arrived,
+        deadline,
+    })
+}
+
+async fn read(body: Incoming, settings: &Settings) -> Result<Bytes, Refusal> {
+    // An announced length is refused before any of the body is read.
+    if hyper::body::Body::size_hint(&body).lower() > settings.body_bytes as u64 {
+        return Err(Refusal::TooLarge);
+    }
+    let whole = Limited::new(body, settings.body_bytes).collect();
+    match tokio::time::timeout(settings.body_timeout.0, whole).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+        _ => Err(Refusal::Invalid),
+    }
+}
+
+/// Splits `/service/path?query` into the service and the target for its backend servers.
+fn split(uri: &Uri) -> Option<(id::Service, Uri)> {
+    let text = uri.path_and_query()?.as_str().strip_prefix('/')?;
+    let end = text.find(['/', '?']).unwrap_or(text.len());
+    let (service, rest) = text.split_at(end);
+    let target = if rest.starts_with('/') {
+        rest.into()
+    } else {
+        format!("/{rest}")
+    };
+    (!service.is_empty()).then_some((service.into(), target.parse().ok()?))
+}
--- /dev/null
+++ b/programs/entry/src/run.rs
@@ -0,0 +1,58 @@
+//! Starts the tasks of the entry.
+
+use crate::metrics::Metrics;
+use crate::pipeline::Pipeline;
+use crate::settings::Settings;
+use crate::snapshot::Snapshot;
+use backends::client;
+use base::http::server::Limits;
+use peers::local;
+use prometheus_client::registry::Registry;
+use std::io;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Runs until `stop` is cancelled, then lets the requests in flight finish.
+///
+/// # Errors
+///
+/// Fails if an address can't be bound.
+pub async fn run(settings: Settings, stop: CancellationToken) -> io::Result<()> {
+    let listener = TcpListener::bind(settings.listen).await?;
+    let exposed = TcpListener::bind(settings.metrics).await?;
+    let metrics = Arc::new(Metrics::default());
+    let mut registry = Registry::with_prefix("cardamomhall");
+    metrics.register(&mut registry);
+    let snapshot = watch::Sender::new(Arc::new(Snapshot::default()));
+    let pipeline = Arc::new(Pipeline::new(
+        settings.clone(),
+        snapshot.subscribe(),
+        metrics.clone(),
+    ));
+    let pool = client::Settings {
+        read_timeout: settings.read_timeout.0,
+        ..client::Settings::default()
+    };
+    let update = move |state: &local::State| {
+        snapshot.send_modify(|current| *current = Arc::new(current.next(state, &pool)));
+    };
+    let limits = Limits {
+        connections: settings.connections,
+        drain_timeout: settings.drain_timeout.0,
+        ..Limits::default()
+    };
+    let handler = move |request, _| {
+        let pipeline = pipeline.clone();
+        async move { pipeline.handle(request).await }
+    };
+    log::info!("vm {} serving on {}", settings.vm, settings.listen);
+    tokio::join!(
+        local::follow(settings.control, stop.clone(), update),
+        base::http::server::serve(listener, limits, stop.clone(), handler),
+        base::metrics::serve(exposed, registry, stop),
+    );
+    log::info!("stopped");
+    Ok(())
+}
--- /dev/null
+++ b/programs/entry/src/settings.rs
@@ -0,0 +1,94 @@
+//! Settings of the entry.
+
+use base::id::{DataCentre, Region, Vm};
+use base::unit::Span;
+use serde::Deserialize;
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// Settings of the entry.
+#[derive(Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Name of this VM.
+    pub vm: Vm,
+    /// Region of this VM.
+    pub region: Region,
+    /// Data centre of this VM.
+    pub data_centre: DataCentre,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for the entries of other VMs.
+    pub share: SocketAddr,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    /// Address of this VM's control process.
+    pub control: SocketAddr,
+    /// Secret under which key digests are computed; the same on all VMs.
+    pub key_secret: Box<str>,
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a request body to arrive.
+    pub body_timeout: Span,
+    /// Most connections of callers.
+    pub connections: usize,
+    /// Longest time that a stopping entry waits for requests in flight.
+    pub drain_timeout: Span,
+    /// Time without a byte after which a backend server's connection is retired.
+    pub read_timeout: Span,
+    /// Log specification.
+    pub log: Box<str>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let loopback = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        Self {
+            vm: "".into(),
+            region: "".into(),
+            data_centre: "".into(),
+            listen: loopback(7300),
+            share: loopback(7301),
+            metrics: loopback(7302),
+            control: loopback(7100),
+            key_secret: "".into(),
+            body_bytes: 1024 * 1024,
+            body_timeout: Span(Duration::from_secs(10)),
+            connections: 4096,
+            drain_timeout: Span(Duration::from_secs(30)),
+            read_timeout: Span(Duration::from_secs(5)),
+            log: "info".into(),
+        }
+    }
+}
+
+/// Least length of a secret, in bytes.
+const SECRET_BYTES: usize = 16;
+
+impl Settings {
+    /// Says what is wrong with the settings, if anything.
+    pub fn problem(&self) -> Option<&'static str> {
+        if self.vm.is_empty() || self.region.is_empty() || self.data_centre.is_empty() {
+            return Some("`vm`, `region` and `data_centre` are needed");
+        }
+        if self.key_secret.len() < SECRET_BYTES {
+            return Some("`key_secret` needs at least 16 bytes");
+        }
+        None
+    }
+}
+
+/// Shows no secrets.
+impl fmt::Debug for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Settings")
+            .field("vm", &self.vm)
+            .field("region", &self.region)
+            .field("data_centre", &self.data_centre)
+            .field("listen", &self.listen)
+            .field("share", &self.share)
+            .field("control", &self.control)
+            .finish_non_exhaustive()
+    }
+}
--- a/programs/lookup/src/main.rs
+++ b/programs/lookup/src/main.rs
@@ -1,3 +1,21 @@
-//! Scaffold of the program.
+//! Tells callers which entry VMs to use.
 
-fn main() {}
+use lookup::settings::Settings;
+use lookup::{args, run};
+use std::error::Error;
+
+#[tokio::main(worker_threads = 4)]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let args = args::parser().run();
+    let settings: Settings = base::settings::load(&args.settings)?;
+    if let Some(problem) = settings.problem() {
+        return Err(format!("{}: {problem}", args.settings.display()).into());
+    }
+    if args.check {
+        return Ok(());
+    }
+    let _log = base::logging::start(&settings.log)?;
+    let stop = base::shutdown::on_signal()?;
+    run::run(settings, stop).await?;
+    Ok(())
+}
--- /dev/null
+++ b/programs/lookup/src/run.rs
@@ -0,0 +1,40 @@
+//! Starts the tasks of the look-up.
+
+use crate::index::Index;
+use crate::metrics::Metrics;
+use crate::server;
+use crate::settings::Settings;
+use peers::local;
+use prometheus_client::registry::Registry;
+use std::io;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Runs until `stop` is cancelled.
+///
+/// # Errors
+///
+/// Fails if an address can't be bound.
+pub async fn run(settings: Settings, stop: CancellationToken) -> io::Result<()> {
+    let listener = TcpListener::bind(settings.listen).await?;
+    let exposed = TcpListener::bind(settings.metrics).await?;
+    let metrics = Arc::new(Metrics::default());
+    let mut registry = Registry::with_prefix("cardamomhall");
+    metrics.register(&mut registry);
+    let index = watch::Sender::new(Arc::new(Index::default()));
+    let receiver = index.subscribe();
+    let home = settings.data_centre.clone();
+    let update = move |state: &local::State| {
+        index.send_replace(Arc::new(Index::build(state, &home)));
+    };
+    log::info!("answering on {}", settings.listen);
+    tokio::join!(
+        local::follow(settings.control, stop.clone(), update),
+        server::run(listener, receiver, metrics, stop.clone()),
+        base::metrics::serve(exposed, registry, stop),
+    );
+    log::info!("stopped");
+    Ok(())
+}
--- /dev/null
+++ b/programs/lookup/src/settings.rs
@@ -0,0 +1,43 @@
+//! Settings of the look-up.
+
+use base::id::DataCentre;
+use serde::Deserialize;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// Settings of the look-up.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Data centre of this VM; home of clients that no block holds.
+    pub data_centre: DataCentre,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    /// Address of this VM's control process.
+    pub control: SocketAddr,
+    /// Log specification.
+    pub log: Box<str>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let loopback = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        Self {
+            data_centre: "".into(),
+            listen: loopback(7200),
+            metrics: loopback(7201),
+            control: loopback(7100),
+            log: "info".into(),
+        }
+    }
+}
+
+impl Settings {
+    /// Says what is wrong with the settings, if anything.
+    pub fn problem(&self) -> Option<&'static str> {
+        self.data_centre
+            .is_empty()
+            .then_some("`data_centre` is needed")
+    }
+}
--- a/standins/backend/src/server.rs
+++ b/standins/backend/src/server.rs
@@ -18,7 +18,7 @@
 /// Factor on the time of a request while caches are cold.
 const COLD_FACTOR: f64 = 5.0;
 
-/// Header of an answer that says that the request did not run.
+/// Header of an answer that says that the request did not run; its value is the reason.
 const NOT_RUN: &str = "x-not-run";
 
 /// Header of a request that crashes the server that runs it.
@@ -84,7 +84,6 @@
         match request.uri().path() {
             "/switch" => self.switch(request).await,
             "/health" => self.health(),
-            "/load" => self.load(),
             "/counts" => http::json(StatusCode::OK, &*lock(&self.counts)),
             _ => self.work(request).await,
         }
@@ -111,17 +110,22 @@
 
     fn health(&self) -> Response<Body> {
         let behaviour = lock(&self.behaviour).clone();
-        if behaviour.reported_health.unwrap_or(!behaviour.leaving) {
-            http::text(StatusCode::OK, "ok")
-        } else {
-            http::text(StatusCode::SERVICE_UNAVAILABLE, "leaving")
-        }
-    }
-
-    fn load(&self) -> Response<Body> {
-        let share = *lock(&self.running) as f64 / self.args.slots as f64;
-        let load = lock(&self.behaviour).reported_load.unwrap_or(share);
-        http::json(StatusCode::OK, &serde_json::json!({ "load": load }))
+        let healthy = behaviour.reported_health.unwrap_or(!behaviour.leaving);
+        let state = match healthy {
+            true if lock(&self.counts).served < self.args.cold => "warming",
+            true => "ready",
+            false => "leaving",
+        };
+        let in_flight = match behaviour.reported_load {
+            Some(load) => (load * self.args.slots as f64) as usize,
+            None => *lock(&self.running),
+        };
+        http::json(
+            StatusCode::OK,
+            &serde_json::json!({
+                "state": state, "in_flight": in_flight, "slots": self.args.slots,
+            }),
+        )
     }
 
     fn slot(&self) -> Option<Slot<'_>> {
@@ -145,7 +149,8 @@
         }
         let Some(mut slot) = self.slot() else {
             lock(&self.counts).shed += 1;
-            return not_run("all slots are taken or the server is leaving");
+            let leaving = lock(&self.behaviour).leaving;
+            return not_run(if leaving { "leaving" } else { "shedding" });
         };
         if head.headers.contains_key(CRASH) {
             log::error!("request crashes this server");
--- a/tests/integration/src/lib.rs
+++ b/tests/integration/src/lib.rs
@@ -1,1 +1,258 @@
-//! Scaffold of the package.
+//! Starts deployments of real processes on loopback for the tests of this package.
+
+use base::http::client::{Answer, Target};
+use bench::args::Load;
+use bench::load::Summary;
+use bench::topology::{self, ADMIN_TOKEN, Deployment};
+use hyper::Method;
+use operators::admin::{Client, Issue, Issued, Proposal, Verdict};
+use operators::bundle::Files;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Longest wait for a condition; a hang guard, not a bound of the system.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Longest time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A deployment of real processes, killed when dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    directory: PathBuf,
+    processes: Vec<(Box<str>, Child)>,
+}
+
+impl Fleet {
+    /// Starts all processes of a deployment; `port` must differ between tests.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a file can't be written or a program can't be started.
+    pub fn start(deployment: Deployment, port: u16) -> Self {
+        let directory = std::env::temp_dir().join(format!("cardamomhall-{port}"));
+        topology::write(deployment, &directory, port).expect("files of the deployment");
+        let lines = std::fs::read_to_string(directory.join("processes")).expect("process list");
+        let mut fleet = Self {
+            directory,
+            processes: Vec::new(),
+        };
+        for line in lines.lines() {
+            fleet.spawn(line);
+        }
+        fleet
+    }
+
+    fn spawn(&mut self, line: &str) {
+        let (name, command) = line.split_once(' ').expect("name and command");
+        let mut words = command.split(' ');
+        let program = binaries().join(words.next().expect("program"));
+        let log = std::fs::File::create(self.directory.join(format!("{name}.log"))).expect("log");
+        let child = Command::new(program)
+            .args(words)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("program starts; `cargo build --workspace --bins` builds it");
+        self.processes.push((name.into(), child));
+    }
+
+    /// Starts a process of the deployment again after it was stopped or killed.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the deployment has no such process.
+    pub fn restart(&mut self, name: &str) {
+        let lines = std::fs::read_to_string(self.directory.join("processes")).expect("list");
+        let line = lines
+            .lines()
+            .find(|line| line.starts_with(&format!("{name} ")));
+        self.processes.retain(|(known, _)| &**known != name);
+        self.spawn(line.expect("process of this name"));
+    }
+
+    /// Sends a signal, such as `KILL`, `TERM`, `STOP` or `CONT`, to a process.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process is not there.
+    pub fn signal(&self, name: &str, signal: &str) {
+        let child = self.processes.iter().find(|(known, _)| &**known == name);
+        let id = child.expect("process of this name").1.id();
+        let status = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(id.to_string())
+            .status();
+        assert!(
+            status.expect("kill runs").success(),
+            "signal {signal} to {name}"
+        );
+    }
+
+    /// Waits for the end of a process and returns whether it ended with success.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process is not there.
+    pub fn wait(&mut self, name: &str) -> bool {
+        let child = self
+            .processes
+            .iter_mut()
+            .find(|(known, _)| &**known == name);
+        child
+            .expect("process of this name")
+            .1
+            .wait()
+            .expect("process ends")
+            .success()
+    }
+
+    /// Returns a setting of a program of a VM, such as `("vm-01-control", "admin")`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such setting.
+    pub fn address(&self, program: &str, setting: &str) -> SocketAddr {
+        let text = std::fs::read_to_string(self.directory.join(format!("{program}.yaml")));
+        let text = text.expect("settings");
+        let prefix = format!("{setting}: ");
+        let value = text
+            .lines()
+            .find_map(|line| line.strip_prefix(&*prefix))
+            .expect("setting");
+        value.parse().expect("address")
+    }
+
+    /// Returns the log of a process so far.
+    pub fn log(&self, name: &str) -> String {
+        std::fs::read_to_string(self.directory.join(format!("{name}.log"))).unwrap_or_default()
+    }
+
+    /// Returns a client of a VM's administration API.
+    pub fn admin(&self, vm: &str) -> Client {
+        let authorization = Some(format!("Bearer {ADMIN_TOKEN}").into());
+        let address = self.address(&format!("{vm}-control"), "admin");
+        Client::new(Target {
+            address,
+            timeout: CALL_TIMEOUT,
+            authorization,
+        })
+    }
+
+    /// Calls the platform's stand-in.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not answer.
+    pub async fn platform(&self, method: Method, path: &str, body: &serde_json::Value) -> Answer {
+        let address = self.address("vm-01-control", "platform");
+        let target = Target {
+            address,
+            timeout: CALL_TIMEOUT,
+            authorization: None,
+        };
+        target
+            .call_json(method, path, body)
+            .await
+            .expect("the stand-in answers")
+    }
+
+    /// Publishes the example files of a deployment through a VM, against version 0.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they are not accepted.
+    pub async fn publish(&self, vm: &str, example: &str) -> u64 {
+        let admin = self.admin(vm);
+        until("the administration API answers", async || {
+            admin.status().await.is_ok()
+        })
+        .await;
+        let proposal = Proposal {
+            base: 0,
+            author: "test".into(),
+            files: examples(example),
+        };
+        match admin.publish(&proposal).await.expect("an answer") {
+            Verdict::Accepted { version } => version,
+            other => panic!("not accepted: {other:?}"),
+        }
+    }
+
+    /// Issues a key through a VM, once that has the configuration.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no key is issued.
+    pub async fn issue(&self, vm: &str, workspace: &str) -> Issued {
+        self.admin(vm)
+            .issue(&Issue {
+                workspace: workspace.into(),
+            })
+            .await
+            .expect("a key")
+    }
+
+    /// Sends requests through the entry of a VM and counts what became of them.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the options are invalid.
+    pub async fn load(&self, vm: &str, load: Load) -> Summary {
+        let address = Some(self.address(&format!("{vm}-entry"), "listen"));
+        bench::load::run(Load { address, ..load })
+            .await
+            .expect("a summary")
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for (_, child) in &mut self.processes {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// Returns the example files of a deployment.
+///
+/// # Panics
+///
+/// Panics if they can't be read.
+pub fn examples(name: &str) -> Files {
+    let directory = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(name);
+    cardamomctl::files::read(&directory).expect("example files")
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics if it does not hold for a minute.
+pub async fn until<F: Future<Output = bool>>(what: &str, holds: impl Fn() -> F) {
+    let end = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < end, "gave up waiting until {what}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Returns the directory of the programs, next to that of the test.
+fn binaries() -> PathBuf {
+    let test = std::env::current_exe().expect("path of the test");
+    test.ancestors()
+        .nth(2)
+        .expect("target directory")
+        .to_path_buf()
+}
--- /dev/null
+++ b/tools/bench/src/args.rs
@@ -0,0 +1,126 @@
+//! Command line.
+
+use crate::topology::Deployment;
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command {
+    /// Writes settings and the process list of a deployment on loopback.
+    Topology {
+        /// Deployment.
+        deployment: Deployment,
+        /// Directory for the files.
+        directory: PathBuf,
+        /// First port; the processes use the ports after it.
+        port: u16,
+    },
+    /// Sends requests through the system or straight to a server.
+    Load(Load),
+    /// Runs experiments in simulated time.
+    Experiment {
+        /// Name, or `all`.
+        name: Box<str>,
+    },
+}
+
+/// Requests to send.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Load {
+    /// Address of a look-up, which names the entries to use.
+    pub lookup: Option<SocketAddr>,
+    /// Address to use without asking a look-up.
+    pub address: Option<SocketAddr>,
+    /// Path with the service as its first segment.
+    pub path: Box<str>,
+    /// Method.
+    pub method: Box<str>,
+    /// Workspace key.
+    pub key: Option<Box<str>>,
+    /// Number of requests.
+    pub requests: usize,
+    /// Connections, each with one request at a time.
+    pub connections: usize,
+}
+
+/// Describes the command line.
+pub fn parser() -> OptionParser<Command> {
+    let topology = topology()
+        .to_options()
+        .descr("Write a deployment's files")
+        .command("topology");
+    let load = load().map(Command::Load);
+    let load = load
+        .to_options()
+        .descr("Send requests and count outcomes")
+        .command("load");
+    let name = positional::<String>("NAME")
+        .help("Experiment, or `all`")
+        .map(Into::into);
+    let experiment = name.map(|name| Command::Experiment { name });
+    let experiment = experiment
+        .to_options()
+        .descr("Run an experiment")
+        .command("experiment");
+    construct!([topology, load, experiment])
+        .to_options()
+        .descr("Load, experiments, capacity")
+}
+
+fn topology() -> impl Parser<Command> {
+    let port = long("port")
+        .help("First port")
+        .argument("PORT")
+        .fallback(20_000);
+    let deployment = positional("DEPLOYMENT").help("atlas or elsherbiny");
+    let directory = positional("DIRECTORY").help("Directory for the files");
+    construct!(Command::Topology {
+        port,
+        deployment,
+        directory
+    })
+}
+
+fn load() -> impl Parser<Load> {
+    let lookup = long("lookup")
+        .help("Address of a look-up")
+        .argument("ADDRESS")
+        .optional();
+    let address = long("address")
+        .help("Address to use directly")
+        .argument("ADDRESS")
+        .optional();
+    let path = long("path")
+        .help("Path")
+        .argument::<String>("PATH")
+        .map(Into::into);
+    let method = long("method")
+        .help("Method")
+        .argument::<String>("METHOD")
+        .map(Into::into)
+        .fallback("GET".into());
+    let key = long("key")
+        .help("Key")
+        .argument::<String>("KEY")
+        .map(Into::into)
+        .optional();
+    let requests = long("requests")
+        .help("Number of requests")
+        .argument("N")
+        .fallback(100);
+    let connections = long("connections")
+        .help("Connections")
+        .argument("N")
+        .fallback(8);
+    construct!(Load {
+        lookup,
+        address,
+        path,
+        method,
+        key,
+        requests,
+        connections
+    })
+}
--- a/tools/bench/src/experiment.rs
+++ b/tools/bench/src/experiment.rs
@@ -10,3 +10,12 @@
 pub mod quarantine;
 pub mod release;
 pub mod spill;
+
+/// Runs an experiment, or all of them, and returns its report.
+///
+/// # Errors
+///
+/// Fails if there is no experiment of this name.
+pub fn report(name: &str) -> Result<Box<str>, Box<str>> {
+    Err(format!("no experiment `{name}`").into())
+}
--- a/tools/bench/src/lib.rs
+++ b/tools/bench/src/lib.rs
@@ -1,4 +1,7 @@
 //! Load generator, experiments in simulated time and capacity measurements.
 
 pub mod agenda;
+pub mod args;
 pub mod experiment;
+pub mod load;
+pub mod topology;
--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -1,3 +1,25 @@
-//! Scaffold of the program.
+//! Load generator, experiments in simulated time and capacity measurements.
 
-fn main() {}
+use bench::args::{self, Command};
+use bench::{experiment, load, topology};
+use std::error::Error;
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error + Send + Sync>> {
+    match args::parser().run() {
+        Command::Topology {
+            deployment,
+            directory,
+            port,
+        } => {
+            topology::write(deployment, &directory, port)?;
+        }
+        Command::Load(load) => {
+            println!("{}", serde_json::to_string_pretty(&load::run(load).await?)?);
+        }
+        Command::Experiment { name } => {
+            println!("{}", experiment::report(&name).map_err(String::from)?);
+        }
+    }
+    Ok(())
+}
