feature: limits as conserved shares

Cause: each workspace's rate and burst count over all VMs and must hold through partitions. Change: buckets, holders, floors, granter and their messages; simulated fleet for the experiment. Not yet measured.

--- /dev/null
+++ b/crates/steering/src/limits/granter.rs
@@ -0,0 +1,227 @@
+//! Grants of elastic parts by the holder of the lease row `granter/<shard>`.
+
+use super::message::{Grant, Renew};
+use super::{Amount, Bucket, Floors, Part, Settings, allocation};
+use base::id::{Incarnation, Version, Vm};
+use indexmap::IndexMap;
+use std::time::Instant;
+
+/// Part of the current share, as a divisor, below which a change is not worth a message.
+const STEADY_DIVISOR: Amount = 16;
+/// Grant terms after which a silent holder's record is dropped.
+const FORGET_TERMS: u32 = 30;
+/// Number of rich holders named in a grant.
+const RICH: usize = 12;
+
+base::value! {
+    /// What the granter knows of one holder.
+    struct Record {
+        vm: Vm,
+        number: u64,
+        /// Upper bound of what the holder may hold; empty once expired.
+        held: Part,
+        expires: Instant,
+        returned: Amount,
+        tokens: Amount,
+        demand: Amount,
+        spare: Amount,
+        version: Version,
+    }
+
+    /// Grants of one workspace's elastic part. Its state is soft.
+    pub struct Granter {
+        settings: Settings,
+        limit: Part,
+        version: Version,
+        opens: Instant,
+        until: Instant,
+        pool: Bucket,
+        records: IndexMap<Incarnation, Record>,
+    }
+}
+
+impl Granter {
+    /// Starts a granter that has just taken the lease row, which it holds until `until`.
+    ///
+    /// It grants nothing for one term plus margin: by then the grants of its predecessor are over.
+    pub fn new(
+        settings: Settings,
+        limit: Part,
+        version: Version,
+        until: Instant,
+        now: Instant,
+    ) -> Self {
+        let opens = now + settings.term + settings.margin;
+        Self {
+            settings,
+            limit,
+            version,
+            opens,
+            until,
+            // The predecessor's holders may have spent all tokens, so the pool starts empty. It
+            // starts to fill only when the predecessor's parts no longer refill.
+            pool: Bucket::new(settings.elastic(limit), opens),
+            records: IndexMap::new(),
+        }
+    }
+
+    /// Extends the time during which the lease row is held.
+    pub fn extend(&mut self, until: Instant) {
+        self.until = self.until.max(until);
+    }
+
+    /// Changes the limit. A lower one is in force when [`Granter::unconfirmed`] is empty.
+    pub fn set_limit(&mut self, limit: Part, version: Version, now: Instant) {
+        if version > self.version {
+            (self.limit, self.version) = (limit, version);
+            self.expire(now);
+            self.fit(now);
+        }
+    }
+
+    /// Lists the VMs that may still use a higher limit: a floor of an older version, or a part
+    /// beyond the elastic capacity.
+    pub fn unconfirmed(&self, floors: &Floors) -> Vec<Vm> {
+        let fits = self.held().fits(self.settings.elastic(self.limit));
+        let confirmed = |incarnation: &Incarnation| {
+            self.records
+                .get(incarnation)
+                .is_some_and(|record| record.version >= self.version)
+        };
+        let late = floors
+            .owners()
+            .filter(|owner| !confirmed(&owner.incarnation))
+            .map(|owner| owner.vm.clone());
+        let over = self
+            .records
+            .values()
+            .filter(|record| !fits && !record.held.is_empty())
+            .map(|record| record.vm.clone());
+        let mut names: Vec<Vm> = late.chain(over).collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    /// Answers a renewal; `None` while the granter may not grant, and for a duplicate.
+    pub fn renew(&mut self, renew: &Renew, now: Instant) -> Option<Grant> {
+        if now < self.opens || now >= self.until {
+            return None;
+        }
+        self.expire(now);
+        let last = self.records.get(&renew.incarnation);
+        if last.is_some_and(|record| renew.number <= record.number) {
+            return None;
+        }
+        let credit = self.note(renew, now);
+        self.fit(now);
+        self.pool.add(credit, now);
+        Some(self.answer(renew, now))
+    }
+
+    /// Updates the record of a holder and returns the tokens that come back with its report.
+    fn note(&mut self, renew: &Renew, now: Instant) -> Amount {
+        let live = self
+            .records
+            .get(&renew.incarnation)
+            .filter(|record| !record.held.is_empty());
+        // Without a live record, a reported part has passed its deadline: only an old message can
+        // name it, and its tokens don't count.
+        let held = live.map_or(Part::default(), |record| record.held.min(renew.holding));
+        let credit = live.map_or(0, |record| {
+            let unused = record.tokens * Amount::from(renew.applied < record.number);
+            renew.returned.saturating_sub(record.returned) + unused
+        });
+        let record = Record {
+            vm: renew.vm.clone(),
+            number: renew.number,
+            held,
+            expires: now + self.settings.term + self.settings.margin,
+            returned: renew.returned,
+            tokens: 0,
+            demand: renew.demand,
+            spare: renew.spare,
+            version: renew.version,
+        };
+        self.records.insert(renew.incarnation, record);
+        credit
+    }
+
+    fn answer(&mut self, renew: &Renew, now: Instant) -> Grant {
+        let elastic = self.settings.elastic(self.limit);
+        let floor = self.settings.floor(self.limit);
+        let index = self.records.get_index_of(&renew.incarnation).unwrap_or(0);
+        let demands: Vec<Amount> = self.records.values().map(|record| record.demand).collect();
+        let target = allocation::divide(elastic, floor, &demands)[index];
+        let held = self.records[index].held;
+        let free = self.pool.part();
+        let close = |from: Amount, to: Amount| from.abs_diff(to) < from / STEADY_DIVISOR;
+        let steady = close(held.rate, target.rate)
+            && close(held.burst, target.burst)
+            && self.held().fits(elastic);
+        let part = if steady {
+            held
+        } else {
+            target.min(held.plus(free))
+        };
+        let added = part.minus(held);
+        let share = u128::from(self.pool.level(now)) * u128::from(added.burst)
+            / u128::from(free.burst.max(1));
+        let tokens = self
+            .pool
+            .take(Amount::try_from(share).unwrap_or(0).min(added.burst), now);
+        let record = &mut self.records[index];
+        record.held = held.max(part);
+        record.tokens = tokens;
+        self.fit(now);
+        Grant {
+            to: renew.incarnation,
+            number: renew.number,
+            part,
+            tokens,
+            term: self.settings.term,
+            rich: self.rich(&renew.vm),
+        }
+    }
+
+    fn rich(&self, except: &str) -> Vec<(Vm, Amount)> {
+        let mut rich: Vec<(Vm, Amount)> = self
+            .records
+            .values()
+            .filter(|record| &*record.vm != except)
+            .map(|record| (record.vm.clone(), record.spare))
+            .collect();
+        rich.sort_by_key(|(_, spare)| std::cmp::Reverse(*spare));
+        rich.truncate(RICH);
+        rich
+    }
+
+    fn held(&self) -> Part {
+        self.records
+            .values()
+            .fold(Part::default(), |sum, record| sum.plus(record.held))
+    }
+
+    /// Frees the parts whose term and margin are over; their tokens are lost.
+    fn expire(&mut self, now: Instant) {
+        let forget = self.settings.term * FORGET_TERMS;
+        for record in self.records.values_mut() {
+            if now >= record.expires {
+                record.held = Part::default();
+                record.demand = 0;
+                record.spare = 0;
+            }
+        }
+        self.records
+            .retain(|_, record| now < record.expires + forget);
+        self.fit(now);
+    }
+
+    /// Fits the pool to the capacity that no holder may hold.
+    fn fit(&mut self, now: Instant) {
+        let free = self.settings.elastic(self.limit).minus(self.held());
+        if free != self.pool.part() {
+            self.pool.resize(free, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/limits/holder.rs
@@ -0,0 +1,321 @@
+//! What one VM may spend of one workspace's limit.
+
+use super::demand::Demand;
+use super::loan::{Loan, Peers};
+use super::message::{Borrow, Grant, Lent, Renew};
+use super::{Amount, Bucket, Part, Settings};
+use base::id::{Incarnation, Version, Vm, Workspace};
+use indexmap::IndexMap;
+use std::time::Instant;
+
+/// Least amount that is worth borrowing; smaller loans only scatter fractions of a token.
+const LEAST_LOAN: Amount = super::TOKEN / 4;
+/// Borrowers whose last request is remembered. A duplicate from a forgotten one costs the lender
+/// tokens but creates none.
+const ANSWERED: usize = 256;
+
+base::value! {
+    /// Who a holder is.
+    pub struct Identity {
+        /// Workspace whose limit is shared.
+        pub workspace: Workspace,
+        /// VM that runs the holder.
+        pub vm: Vm,
+        /// Run of the process.
+        pub incarnation: Incarnation,
+    }
+
+    /// A borrow request and the peer to which it goes.
+    pub struct Ask {
+        /// Peer to ask.
+        pub peer: Vm,
+        /// Request to send.
+        pub borrow: Borrow,
+    }
+
+    /// Bucket of one VM and workspace: a floor bound to the incarnation, and a leased elastic part.
+    pub struct Holder {
+        settings: Settings,
+        identity: Identity,
+        version: Version,
+        floor: Part,
+        elastic: Part,
+        deadline: Instant,
+        bucket: Bucket,
+        demand: Demand,
+        number: u64,
+        sent: Option<Instant>,
+        applied: u64,
+        returned: Amount,
+        due: Instant,
+        asked: u64,
+        loans: IndexMap<u64, Loan>,
+        answered: IndexMap<Incarnation, u64>,
+        peers: Peers,
+    }
+}
+
+impl Holder {
+    /// Starts with no floor, no elastic part and no tokens.
+    pub fn new(settings: Settings, identity: Identity, now: Instant) -> Self {
+        Self {
+            settings,
+            identity,
+            version: 0,
+            floor: Part::default(),
+            elastic: Part::default(),
+            deadline: now,
+            bucket: Bucket::new(Part::default(), now),
+            demand: Demand::new(now),
+            number: 0,
+            sent: None,
+            applied: 0,
+            returned: 0,
+            due: now,
+            asked: 0,
+            loans: IndexMap::new(),
+            answered: IndexMap::new(),
+            peers: Peers::default(),
+        }
+    }
+
+    /// Sets the floor that this incarnation claimed, computed from `version` of the limit.
+    ///
+    /// An older version changes nothing. A lowered limit shrinks the floor at once.
+    pub fn set_floor(&mut self, floor: Part, version: Version, now: Instant) {
+        if version >= self.version {
+            self.settle(now);
+            self.version = version;
+            self.floor = floor;
+            self.resize(now);
+        }
+    }
+
+    /// Sets the peers to borrow from, with their distances.
+    pub fn set_peers(&mut self, distances: impl IntoIterator<Item = (Vm, u32)>) {
+        self.peers.set(distances);
+    }
+
+    /// Counts an arriving request for the reported demand; call once for each request.
+    pub fn offer(&mut self, cost: Amount, now: Instant) {
+        self.demand.count(cost, now);
+    }
+
+    /// Pays for a request, or returns false. Checks the deadline of the elastic part first.
+    #[must_use]
+    pub fn spend(&mut self, cost: Amount, now: Instant) -> bool {
+        self.settle(now);
+        self.bucket.spend(cost, now)
+    }
+
+    /// Returns the tokens that can be spent now.
+    pub fn level(&mut self, now: Instant) -> Amount {
+        self.settle(now);
+        self.bucket.level(now)
+    }
+
+    /// Returns floor and elastic part together.
+    pub fn part(&mut self, now: Instant) -> Part {
+        self.settle(now);
+        self.bucket.part()
+    }
+
+    /// Returns the next renewal when it is due.
+    ///
+    /// Sending it voids answers to earlier renewals, so `holding` is exact when the granter reads
+    /// it.
+    pub fn renew(&mut self, now: Instant) -> Option<Renew> {
+        let waiting = self
+            .sent
+            .is_some_and(|sent| now < sent + self.settings.patience);
+        if waiting || now < self.due {
+            return None;
+        }
+        self.settle(now);
+        self.number += 1;
+        self.sent = Some(now);
+        self.due = now + self.settings.renewal;
+        Some(Renew {
+            workspace: self.identity.workspace.clone(),
+            vm: self.identity.vm.clone(),
+            incarnation: self.identity.incarnation,
+            number: self.number,
+            applied: self.applied,
+            holding: self.elastic,
+            returned: self.returned,
+            demand: self.demand.rate(now),
+            spare: self.spare(now),
+            version: self.version,
+        })
+    }
+
+    /// Applies the answer to the last renewal; drops any other.
+    pub fn grant(&mut self, grant: &Grant, now: Instant) {
+        if grant.to != self.identity.incarnation || grant.number != self.number {
+            return;
+        }
+        let Some(sent) = self.sent.take() else { return };
+        self.settle(now);
+        for (vm, spare) in &grant.rich {
+            self.peers.update(vm, *spare);
+        }
+        let deadline = sent + grant.term;
+        if now >= deadline {
+            return;
+        }
+        self.applied = grant.number;
+        self.deadline = deadline;
+        let lost = self.elastic.burst.saturating_sub(grant.part.burst);
+        if lost > 0 {
+            self.give_back(lost, now);
+        }
+        if !self.elastic.fits(grant.part) {
+            self.due = now;
+        }
+        self.elastic = grant.part;
+        self.resize(now);
+        self.bucket.add(grant.tokens, now);
+    }
+
+    /// Takes the tokens of a lost burst out of the bucket, in proportion.
+    fn give_back(&mut self, lost: Amount, now: Instant) {
+        let whole = self.bucket.part().burst.max(1);
+        let level = self.bucket.level(now);
+        let share = u128::from(level) * u128::from(lost) / u128::from(whole);
+        let share = Amount::try_from(share).unwrap_or(level);
+        let above = level.saturating_sub(whole.saturating_sub(lost));
+        self.returned += self.bucket.take(share.max(above), now);
+    }
+
+    /// Asks a peer for tokens when fewer than `needed` are here; call again on each event while
+    /// requests wait.
+    ///
+    /// Headroom for the answer is reserved until it arrives or the wait ends. Without that, the
+    /// lender would refill while the tokens are in transit and the sum would exceed the burst.
+    pub fn borrow(&mut self, needed: Amount, now: Instant) -> Option<Ask> {
+        self.settle(now);
+        let expected: Amount = self.loans.values().map(|loan| loan.tokens).sum();
+        let short = needed.checked_sub(self.bucket.level(now).saturating_add(expected))?;
+        if short == 0 || self.loans.len() >= self.settings.loans {
+            return None;
+        }
+        let headroom = self.bucket.headroom(now);
+        if headroom < LEAST_LOAN {
+            return None;
+        }
+        let asked = |vm: &Vm| self.loans.values().any(|loan| loan.peer == *vm);
+        let peer = self.peers.choose(short, asked)?;
+        let tokens = short.max(super::TOKEN).min(headroom);
+        if self.settings.reserve {
+            self.bucket.reserve(tokens, now);
+        }
+        self.asked += 1;
+        let loan = Loan {
+            peer: peer.clone(),
+            tokens,
+            deadline: now + self.settings.loan_wait,
+        };
+        self.loans.insert(self.asked, loan);
+        let borrow = Borrow {
+            workspace: self.identity.workspace.clone(),
+            from: self.identity.incarnation,
+            number: self.asked,
+            tokens,
+        };
+        Some(Ask { peer, borrow })
+    }
+
+    /// Debits what can be lent and returns the answer; drops duplicates and overtaken requests.
+    pub fn lend(&mut self, borrow: &Borrow, now: Instant) -> Option<Lent> {
+        let last = self.answered.entry(borrow.from).or_insert(0);
+        if borrow.number <= *last || borrow.workspace != self.identity.workspace {
+            return None;
+        }
+        *last = borrow.number;
+        if self.answered.len() > ANSWERED {
+            self.answered.shift_remove_index(0);
+        }
+        self.settle(now);
+        let spare = self.spare(now);
+        Some(Lent {
+            to: borrow.from,
+            number: borrow.number,
+            tokens: self.bucket.take(spare.min(borrow.tokens), now),
+            left: self.spare(now),
+        })
+    }
+
+    /// Takes an answer into the reserved headroom; drops it after the wait has ended.
+    pub fn lent(&mut self, lent: &Lent, now: Instant) {
+        self.settle(now);
+        if lent.to != self.identity.incarnation {
+            return;
+        }
+        if let Some(loan) = self.loans.shift_remove(&lent.number) {
+            if self.settings.reserve {
+                self.bucket.release(loan.tokens, now);
+            }
+            self.bucket.add(lent.tokens.min(loan.tokens), now);
+            self.peers.update(&loan.peer, lent.left);
+        }
+    }
+
+    /// Gives everything up before the process stops: spends, lends and borrows nothing afterwards.
+    ///
+    /// The returned acknowledgement lets the granter and the floors pass the parts on.
+    pub fn retire(&mut self, now: Instant) -> Option<Renew> {
+        self.settle(now);
+        self.returned += self.bucket.take(self.elastic.burst, now);
+        (self.floor, self.elastic) = (Part::default(), Part::default());
+        self.resize(now);
+        (self.sent, self.due) = (None, now);
+        self.renew(now)
+    }
+
+    /// Tokens that can be lent: half of the level, or all without demand of its own.
+    fn spare(&mut self, now: Instant) -> Amount {
+        let level = self.bucket.level(now);
+        if self.demand.rate(now) < super::TOKEN {
+            level
+        } else {
+            level / 2
+        }
+    }
+
+    /// Ends the elastic part and the loans whose deadlines have passed.
+    fn settle(&mut self, now: Instant) {
+        if now >= self.deadline && !self.elastic.is_empty() {
+            // The elastic part refills up to its deadline, even when a pause delays this call.
+            self.bucket.refill(self.deadline);
+            self.elastic = Part::default();
+            self.resize(self.deadline);
+        }
+        let bucket = &mut self.bucket;
+        let reserve = self.settings.reserve;
+        let peers = &mut self.peers;
+        self.loans.retain(|_, loan| {
+            let open = now < loan.deadline;
+            if !open {
+                if reserve {
+                    bucket.release(loan.tokens, now);
+                }
+                peers.update(&loan.peer, 0);
+            }
+            open
+        });
+    }
+
+    /// Fits the bucket to floor and elastic part; drops the newest loans beyond the headroom.
+    fn resize(&mut self, now: Instant) {
+        let mut excess = self.bucket.resize(self.floor.plus(self.elastic), now);
+        while excess > 0 {
+            let Some((_, loan)) = self.loans.pop() else {
+                break;
+            };
+            if self.settings.reserve {
+                self.bucket.release(loan.tokens, now);
+            }
+            excess = excess.saturating_sub(loan.tokens);
+        }
+    }
+}
--- /dev/null
+++ b/tools/bench/src/experiment/limits/fleet.rs
@@ -0,0 +1,429 @@
+//! Simulated fleet of 11 VMs in 6 data centres of 3 regions that share one limit.
+
+use super::checker::Checker;
+use super::{Outcome, Plan, Split};
+use crate::agenda::{Agenda, Network};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+use steering::limits::{
+    Borrow, Bucket, Floors, Grant, Granter, Holder, Identity, Lent, Part, Renew, TOKEN,
+};
+
+/// VMs of the fleet.
+pub const VMS: usize = 11;
+/// Data centres; two form a region.
+pub const CENTRES: usize = 6;
+const LEASE: Duration = Duration::from_secs(3);
+/// Extra time that a rival waits for the lease row, for drift of the holder's clock.
+const LEASE_GRACE: Duration = Duration::from_millis(100);
+const LEASE_TICK: Duration = Duration::from_millis(500);
+const MOVE: Duration = Duration::from_secs(60);
+const FAULT_PAUSE: Duration = Duration::from_millis(700);
+const HOT_SHARE: f64 = 0.8;
+
+#[derive(Debug, Clone)]
+enum Message {
+    Renew(usize, Renew),
+    Grant(Grant),
+    Borrow(usize, Borrow),
+    Lent(Lent),
+}
+
+#[derive(Debug)]
+enum Event {
+    Arrive(usize, bool),
+    Next,
+    Tick(usize),
+    Deliver(usize, Message),
+    Restart(usize),
+    Lease,
+    Move,
+    Fault,
+    Store(bool),
+    Cut(usize, bool),
+}
+
+struct Node {
+    ppm: i64,
+    holder: Holder,
+    alive: bool,
+    paused: Instant,
+    floor: bool,
+    granter: Option<Granter>,
+    waiting: VecDeque<(Instant, bool)>,
+    alone: Bucket,
+}
+
+/// The running simulation.
+pub struct Fleet {
+    plan: Plan,
+    agenda: Agenda<Event>,
+    rng: StdRng,
+    origin: Instant,
+    nodes: Vec<Node>,
+    floors: Floors,
+    host: usize,
+    row_until: Instant,
+    store: bool,
+    cut: [bool; CENTRES],
+    hot: [usize; 2],
+    shared: Checker,
+    checker: Checker,
+    outcome: Outcome,
+}
+
+fn centre(vm: usize) -> usize {
+    vm % CENTRES
+}
+
+fn name(vm: usize) -> Box<str> {
+    format!("vm{vm}").into()
+}
+
+fn index(vm: &str) -> usize {
+    vm.trim_start_matches("vm").parse().unwrap_or(0)
+}
+
+fn distance(a: usize, b: usize) -> u32 {
+    match (centre(a), centre(b)) {
+        (a, b) if a == b => 0,
+        (a, b) if a / 2 == b / 2 => 1,
+        _ => 2,
+    }
+}
+
+impl Fleet {
+    /// Prepares a run.
+    pub fn new(plan: Plan) -> Self {
+        let origin = Instant::now();
+        let mut rng = StdRng::seed_from_u64(plan.seed);
+        let even = Part {
+            rate: plan.limit.rate / VMS as u64,
+            burst: plan.limit.burst / VMS as u64,
+        };
+        let nodes = (0..VMS)
+            .map(|vm| Node {
+                // The extremes of drift alternate, so neighbours are furthest apart.
+                ppm: if vm % 2 == 0 { plan.drift } else { -plan.drift },
+                holder: Self::holder(&plan, vm, rng.random(), origin),
+                alive: true,
+                paused: origin,
+                floor: false,
+                granter: None,
+                waiting: VecDeque::new(),
+                alone: Bucket::full(even, origin),
+            })
+            .collect();
+        Self {
+            agenda: Agenda::new(origin),
+            origin,
+            nodes,
+            floors: Floors::new(plan.settings.floor_units as usize),
+            host: 0,
+            row_until: origin,
+            store: true,
+            cut: [false; CENTRES],
+            hot: [0, 1],
+            shared: Checker::new(plan.limit, origin),
+            checker: Checker::new(plan.limit, origin),
+            outcome: Outcome::default(),
+            rng,
+            plan,
+        }
+    }
+
+    fn holder(plan: &Plan, vm: usize, incarnation: u64, now: Instant) -> Holder {
+        let identity = Identity {
+            workspace: "north-lodges".into(),
+            vm: name(vm),
+            incarnation,
+        };
+        let mut holder = Holder::new(plan.settings, identity, now);
+        let others = (0..VMS).filter(|&other| other != vm);
+        holder.set_peers(others.map(|other| (name(other), distance(vm, other))));
+        holder
+    }
+
+    fn local(&self, vm: usize, at: Instant) -> Instant {
+        let elapsed = at.duration_since(self.origin).as_nanos() as i64;
+        let drift = elapsed / 1_000_000 * self.nodes[vm].ppm
+            + elapsed % 1_000_000 * self.nodes[vm].ppm / 1_000_000;
+        self.origin + Duration::from_nanos((elapsed + drift) as u64)
+    }
+
+    /// Runs to the end of the plan.
+    pub fn run(mut self) -> Outcome {
+        let end = self.origin + self.plan.length;
+        for vm in 0..VMS {
+            self.agenda.after(Duration::ZERO, Event::Tick(vm));
+        }
+        for event in [Event::Lease, Event::Next, Event::Move] {
+            self.agenda.after(Duration::ZERO, event);
+        }
+        if self.plan.faults {
+            self.agenda.after(FAULT_PAUSE, Event::Fault);
+        }
+        if let Some((from, to)) = self.plan.cut {
+            self.agenda.after(from, Event::Cut(CENTRES - 1, true));
+            self.agenda.after(to, Event::Cut(CENTRES - 1, false));
+        }
+        while let Some((now, event)) = self.agenda.take().filter(|(at, _)| *at < end) {
+            self.handle(now, event);
+        }
+        self.outcome.excess = self.checker.excess;
+        self.outcome
+    }
+
+    fn handle(&mut self, now: Instant, event: Event) {
+        if let Event::Arrive(vm, _) | Event::Tick(vm) | Event::Deliver(vm, _) = event
+            && now < self.nodes[vm].paused
+        {
+            self.agenda.at(self.nodes[vm].paused, event);
+            return;
+        }
+        match event {
+            Event::Next => self.next(now),
+            Event::Arrive(vm, shared) => self.arrive(vm, shared, now),
+            Event::Tick(vm) => self.tick(vm, now),
+            Event::Deliver(vm, message) if self.nodes[vm].alive => self.receive(vm, message, now),
+            Event::Deliver(..) => {}
+            Event::Restart(vm) => self.restart(vm, now),
+            Event::Lease => self.lease(now),
+            Event::Move => {
+                let first = self.rng.random_range(0..VMS);
+                self.hot = [first, (first + self.rng.random_range(1..VMS)) % VMS];
+                self.agenda.after(MOVE, Event::Move);
+            }
+            Event::Fault => self.fault(now),
+            Event::Store(up) => self.store = up,
+            Event::Cut(at, cut) => self.cut[at] = cut,
+        }
+    }
+
+    fn next(&mut self, now: Instant) {
+        let per_second = self.plan.limit.rate as f64 / TOKEN as f64 * self.plan.load;
+        let pause = -(1.0 - self.rng.random::<f64>()).ln() / per_second;
+        self.agenda
+            .after(Duration::from_secs_f64(pause), Event::Next);
+        let elapsed = now.duration_since(self.origin).as_millis();
+        // Quiet seconds let every bucket fill, so that windows start at the full burst.
+        if self.plan.faults && elapsed % 2500 < 1000 {
+            return;
+        }
+        let vm = if self.rng.random::<f64>() < HOT_SHARE {
+            self.hot[self.rng.random_range(0..2)]
+        } else {
+            self.rng.random_range(0..VMS)
+        };
+        let shared = self.shared.admit(TOKEN, now);
+        self.arrive_or_defer(vm, shared, now);
+    }
+
+    fn arrive_or_defer(&mut self, vm: usize, shared: bool, now: Instant) {
+        if self.counted(now) {
+            self.outcome.offered += 1;
+            self.outcome.shared += u64::from(shared);
+        }
+        self.handle(now, Event::Arrive(vm, shared));
+    }
+
+    fn counted(&self, now: Instant) -> bool {
+        now >= self.origin + self.plan.warm_up
+    }
+
+    fn arrive(&mut self, vm: usize, shared: bool, now: Instant) {
+        let local = self.local(vm, now);
+        let node = &mut self.nodes[vm];
+        if !node.alive {
+            return self.refuse(shared, now);
+        }
+        if self.plan.split == Split::Even {
+            let admitted = node.alone.spend(TOKEN, local);
+            return self.settle(vm, shared, admitted, now);
+        }
+        node.holder.offer(TOKEN, local);
+        if node.waiting.is_empty() && node.holder.spend(TOKEN, local) {
+            return self.settle(vm, shared, true, now);
+        }
+        if self.plan.wait.is_zero() {
+            return self.refuse(shared, now);
+        }
+        node.waiting.push_back((now + self.plan.wait, shared));
+        self.pump(vm, now);
+    }
+
+    fn settle(&mut self, vm: usize, shared: bool, admitted: bool, now: Instant) {
+        if !admitted {
+            return self.refuse(shared, now);
+        }
+        self.checker.record(TOKEN, now);
+        if self.counted(now) {
+            self.outcome.admitted += 1;
+        }
+        let isolated = self.cut[CENTRES - 1] && centre(vm) == CENTRES - 1;
+        self.outcome.isolated += u64::from(isolated);
+    }
+
+    fn refuse(&mut self, shared: bool, now: Instant) {
+        self.outcome.refused += u64::from(shared && self.counted(now));
+    }
+
+    /// Serves and ends waiting requests, then borrows for those that still wait.
+    fn pump(&mut self, vm: usize, now: Instant) {
+        let local = self.local(vm, now);
+        while let Some(&(deadline, shared)) = self.nodes[vm].waiting.front() {
+            if now >= deadline {
+                self.refuse(shared, now);
+            } else if self.nodes[vm].holder.spend(TOKEN, local) {
+                self.settle(vm, shared, true, now);
+            } else {
+                break;
+            }
+            self.nodes[vm].waiting.pop_front();
+        }
+        if !self.plan.borrow {
+            return;
+        }
+        let needed = TOKEN * self.nodes[vm].waiting.len() as u64;
+        while let Some(ask) = self.nodes[vm].holder.borrow(needed, local) {
+            self.send(vm, index(&ask.peer), &Message::Borrow(vm, ask.borrow));
+        }
+    }
+
+    fn tick(&mut self, vm: usize, now: Instant) {
+        self.agenda.after(self.plan.tick, Event::Tick(vm));
+        if !self.nodes[vm].alive || self.plan.split == Split::Even {
+            return;
+        }
+        let local = self.local(vm, now);
+        if !self.nodes[vm].floor && self.reaches_store(vm) {
+            let incarnation = self.rng.random();
+            self.nodes[vm].holder = Self::holder(&self.plan, vm, incarnation, local);
+            let floor = self.plan.settings.floor(self.plan.limit);
+            if self.floors.claim(&name(vm), incarnation).is_some() {
+                self.nodes[vm].holder.set_floor(floor, 1, local);
+            }
+            self.nodes[vm].floor = true;
+        }
+        self.pump(vm, now);
+        if let Some(renew) = self.nodes[vm].holder.renew(local) {
+            self.send(vm, self.host, &Message::Renew(vm, renew));
+        }
+    }
+
+    fn receive(&mut self, vm: usize, message: Message, now: Instant) {
+        let local = self.local(vm, now);
+        let node = &mut self.nodes[vm];
+        match message {
+            Message::Renew(from, renew) => {
+                let grant = node.granter.as_mut().and_then(|g| g.renew(&renew, local));
+                if let Some(grant) = grant {
+                    self.send(vm, from, &Message::Grant(grant));
+                }
+            }
+            Message::Borrow(from, borrow) => {
+                if let Some(lent) = node.holder.lend(&borrow, local) {
+                    self.send(vm, from, &Message::Lent(lent));
+                }
+            }
+            Message::Grant(grant) => {
+                node.holder.grant(&grant, local);
+                self.pump(vm, now);
+                if let Some(renew) = self.nodes[vm].holder.renew(local) {
+                    self.send(vm, self.host, &Message::Renew(vm, renew));
+                }
+            }
+            Message::Lent(lent) => {
+                node.holder.lent(&lent, local);
+                self.pump(vm, now);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: &Message) {
+        if self.cut[centre(from)] != self.cut[centre(to)] {
+            return;
+        }
+        let delay = Duration::from_micros(if distance(from, to) == 2 { 12_000 } else { 500 });
+        let network = Network {
+            delay: if from == to { Duration::ZERO } else { delay },
+            ..self.plan.network
+        };
+        for delay in network.deliveries(&mut self.rng) {
+            self.agenda
+                .after(delay, Event::Deliver(to, message.clone()));
+        }
+    }
+
+    fn reaches_store(&self, vm: usize) -> bool {
+        self.store && !self.cut[centre(vm)]
+    }
+
+    fn runs(&self, vm: usize, now: Instant) -> bool {
+        self.nodes[vm].alive && now >= self.nodes[vm].paused && self.reaches_store(vm)
+    }
+
+    /// Extends the lease row `granter/<shard>`, or passes it on once it has run out.
+    fn lease(&mut self, now: Instant) {
+        self.agenda.after(LEASE_TICK, Event::Lease);
+        let granting = self.nodes[self.host].granter.is_some();
+        if granting && self.runs(self.host, now) && now < self.row_until {
+            let until = self.local(self.host, now) + LEASE;
+            if let Some(granter) = &mut self.nodes[self.host].granter {
+                granter.extend(until);
+            }
+            self.row_until = now + LEASE + LEASE_GRACE;
+        } else if now >= self.row_until {
+            let vm = self.rng.random_range(0..VMS);
+            if self.runs(vm, now) {
+                let local = self.local(vm, now);
+                let Plan {
+                    settings, limit, ..
+                } = self.plan;
+                self.nodes[vm].granter =
+                    Some(Granter::new(settings, limit, 1, local + LEASE, local));
+                self.host = vm;
+                self.row_until = now + LEASE + LEASE_GRACE;
+            }
+        }
+    }
+
+    fn restart(&mut self, vm: usize, now: Instant) {
+        let node = &mut self.nodes[vm];
+        (node.alive, node.floor, node.paused) = (true, false, now);
+        let incarnation = self.rng.random();
+        let local = self.local(vm, now);
+        self.nodes[vm].holder = Self::holder(&self.plan, vm, incarnation, local);
+    }
+
+    fn fault(&mut self, now: Instant) {
+        self.agenda.after(FAULT_PAUSE, Event::Fault);
+        let vm = self.rng.random_range(0..VMS);
+        let length = Duration::from_millis(self.rng.random_range(50..5000));
+        match self.rng.random_range(0..10) {
+            0..4 => {
+                self.outcome.faults[0] += 1;
+                let node = &mut self.nodes[vm];
+                (node.alive, node.granter) = (false, None);
+                node.waiting.clear();
+                self.agenda.after(length / 4, Event::Restart(vm));
+            }
+            4..8 => {
+                self.outcome.faults[1] += 1;
+                self.nodes[vm].paused = now + length;
+            }
+            8 => {
+                self.outcome.faults[2] += 1;
+                self.store = false;
+                self.agenda.after(length, Event::Store(true));
+            }
+            _ => {
+                self.outcome.faults[3] += 1;
+                self.cut[centre(vm)] = true;
+                self.agenda.after(length, Event::Cut(centre(vm), false));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tools/bench/src/experiment/limits/overlap.rs
@@ -0,0 +1,117 @@
+//! Directed schedules in which capacity would count twice without margin or reserved headroom.
+
+use super::checker::Checker;
+use std::time::{Duration, Instant};
+use steering::limits::{Amount, Granter, Holder, Identity, Part, Settings, TOKEN};
+
+const DRIFT_PPM: u32 = 200;
+const STEP: Duration = Duration::from_micros(10);
+
+fn holder(settings: Settings, incarnation: u64, now: Instant) -> Holder {
+    let identity = Identity {
+        workspace: "north-lodges".into(),
+        vm: format!("vm{incarnation}").into(),
+        incarnation,
+    };
+    Holder::new(settings, identity, now)
+}
+
+fn renew(holder: &mut Holder, granter: &mut Granter, at: Instant, granter_at: Instant) {
+    let grant = holder.renew(at).and_then(|r| granter.renew(&r, granter_at));
+    if let Some(grant) = grant {
+        holder.grant(&grant, at);
+    }
+}
+
+/// A holder with a slow clock is cut off with the whole elastic part; the granter's clock is fast
+/// and gives the part to another holder. Returns the excess over the bound.
+pub fn margin(margin: Duration) -> Amount {
+    let origin = Instant::now();
+    let limit = Part::tokens(20_000, 100);
+    let settings = Settings {
+        margin,
+        floor_units: 2,
+        ..Settings::default()
+    };
+    let slow = |elapsed: Duration| origin + elapsed - elapsed * DRIFT_PPM / 1_000_000;
+    let fast = |elapsed: Duration| origin + elapsed + elapsed * DRIFT_PPM / 1_000_000;
+    let mut granter = Granter::new(
+        settings,
+        limit,
+        1,
+        origin + Duration::from_secs(3600),
+        origin,
+    );
+    let mut first = holder(settings, 1, origin);
+    let mut second = holder(settings, 2, origin);
+    for holder in [&mut first, &mut second] {
+        holder.set_floor(settings.floor(limit), 1, origin);
+    }
+    let cut = Duration::from_secs(4);
+    first.offer(TOKEN * 100_000, slow(cut));
+    renew(&mut first, &mut granter, slow(cut), fast(cut));
+    // All buckets are full when the term is nearly over; then both holders spend all they can.
+    let mut checker = Checker::new(limit, origin);
+    let mut elapsed = cut + settings.term - Duration::from_millis(2);
+    while elapsed < cut + settings.term + Duration::from_millis(60) {
+        second.offer(TOKEN, fast(elapsed));
+        renew(&mut second, &mut granter, fast(elapsed), fast(elapsed));
+        if elapsed >= cut + settings.term - Duration::from_millis(1) {
+            while first.spend(TOKEN / 100, slow(elapsed)) {
+                checker.record(TOKEN / 100, origin + elapsed);
+            }
+            while second.spend(TOKEN / 100, fast(elapsed)) {
+                checker.record(TOKEN / 100, origin + elapsed);
+            }
+        }
+        elapsed += STEP;
+    }
+    checker.excess
+}
+
+/// Lent tokens are in transit while lender and borrower refill; then both spend all they have.
+/// Returns the excess over the bound.
+pub fn headroom(reserve: bool) -> Amount {
+    let origin = Instant::now();
+    let limit = Part::tokens(200, 40);
+    let settings = Settings {
+        reserve,
+        floor_percent: 100,
+        floor_units: 2,
+        loan_wait: Duration::from_secs(2),
+        ..Settings::default()
+    };
+    let mut lender = holder(settings, 1, origin);
+    let mut borrower = holder(settings, 2, origin);
+    for holder in [&mut lender, &mut borrower] {
+        holder.set_floor(settings.floor(limit), 1, origin);
+    }
+    borrower.set_peers([("vm1".into(), 0)]);
+    let mut checker = Checker::new(limit, origin);
+    // One refused renewal is enough for the borrower to learn what the lender could spare.
+    let full = origin + Duration::from_secs(1);
+    let mut granter = Granter::new(settings, limit, 1, full + Duration::from_secs(9), origin);
+    let open = origin + Duration::from_secs(3);
+    renew(&mut lender, &mut granter, open, open);
+    renew(&mut borrower, &mut granter, open, open);
+    while borrower.spend(TOKEN, open) {
+        checker.record(TOKEN, open);
+    }
+    let lent = borrower
+        .borrow(TOKEN * 10, open)
+        .and_then(|ask| lender.lend(&ask.borrow, open));
+    // In transit for a second, in which every bucket refills as far as it may.
+    let arrival = open + Duration::from_secs(1);
+    for holder in [&mut lender, &mut borrower] {
+        while holder.spend(TOKEN, arrival) {
+            checker.record(TOKEN, arrival);
+        }
+    }
+    if let Some(lent) = lent {
+        borrower.lent(&lent, arrival);
+    }
+    while borrower.spend(TOKEN, arrival) {
+        checker.record(TOKEN, arrival);
+    }
+    checker.excess
+}
