--- a/crates/steering/tests/limits.rs
+++ b/crates/steering/tests/limits.rs
@@ -202,6 +202,76 @@
     assert_eq!(added, if counts { lent.tokens } else { 0 });
 }
 
+fn granter(until: u64, start: Instant) -> Granter {
+    let limit = Part::tokens(200, 40);
+    Granter::new(fleet::settings(), limit, 1, after(start, until), start)
+}
+
+/// Guards against two granters that grant the same capacity: the new one waits a term plus margin,
+/// and the old one stops when its lease row runs out.
+#[test]
+fn successive_granters_do_not_overlap() {
+    let start = Instant::now();
+    let mut old = granter(3000, start);
+    let mut new = granter(60_000, after(start, 3000));
+    let renew = |at| {
+        holder(1, start)
+            .renew(after(start, at))
+            .expect("due at once")
+    };
+    assert!(old.renew(&renew(2049), after(start, 2049)).is_none());
+    assert!(old.renew(&renew(2999), after(start, 2999)).is_some());
+    assert!(
+        old.clone()
+            .renew(&renew(3000), after(start, 3000))
+            .is_none()
+    );
+    assert!(new.renew(&renew(5049), after(start, 5049)).is_none());
+    assert!(new.renew(&renew(5050), after(start, 5050)).is_some());
+}
+
+/// Guards against a delayed grant that the holder uses beyond the granter's term.
+#[test]
+fn term_counts_from_the_request() {
+    let start = Instant::now();
+    let mut granter = granter(60_000, start);
+    let sent = after(start, 3000);
+    let mut on_time = holder(1, start);
+    let renew = on_time.renew(sent).expect("due at once");
+    let grant = granter
+        .renew(&renew, after(sent, 1500))
+        .expect("the granter is open");
+    let mut late = on_time.clone();
+    late.grant(&grant, after(sent, 2000));
+    assert!(late.part(after(sent, 2000)).is_empty());
+    on_time.grant(&grant, after(sent, 1500));
+    assert!(!on_time.part(after(sent, 1999)).is_empty());
+    assert!(on_time.part(after(sent, 2000)).is_empty());
+}
+
+/// Guards against tokens that come back after the granter has given the part on.
+#[rstest]
+#[case(1900, 10 * TOKEN)]
+#[case(2100, 0)]
+fn returned_tokens_count_only_in_term(#[case] arrival: u64, #[case] counted: u64) {
+    let start = Instant::now();
+    let open = after(start, 10_000);
+    let late = after(open, arrival);
+    let tokens = |returned| {
+        let mut granter = granter(60_000, start);
+        let mut holder = holder(1, start);
+        let renew = holder.renew(open).expect("due at once");
+        let grant = granter.renew(&renew, open).expect("the granter is open");
+        holder.grant(&grant, open);
+        let mut renew = holder.renew(after(open, 100)).expect("due again");
+        renew.returned += returned;
+        renew.holding = Part::default();
+        let grant = granter.renew(&renew, late);
+        grant.expect("the granter is open").tokens
+    };
+    assert_eq!(tokens(10 * TOKEN).abs_diff(tokens(0)), counted);
+}
+
 /// Guards against floors that two incarnations use, and floors lost after a VM is gone.
 #[test]
 fn floors_pass_on_only_when_free() {
