--- a/crates/steering/tests/limits.rs
+++ b/crates/steering/tests/limits.rs
@@ -215,7 +215,7 @@
     let mut old = granter(3000, start);
     let mut new = granter(60_000, after(start, 3000));
     let renew = |at| {
-        holder(1, start)
+        holder(at, start)
             .renew(after(start, at))
             .expect("due at once")
     };
