feature: fair queue starts in order of arrival within a slack

Change: bounded credit for idle time, order of arrival within a slack, slots left free at 2 deviations; directed tests of limits for lowering, wake-up and messages.

--- a/crates/steering/src/fairness.rs
+++ b/crates/steering/src/fairness.rs
@@ -1,8 +1,8 @@
 //! Fair order among the queued requests of workspaces, with shedding by deadline.
 //!
-//! The order is start-time fair queueing on slot time: the workspace that has used the least starts
-//! next. A start is charged with the expected run time and corrected when the run ends, so slow and
-//! large requests count for what they take.
+//! Workspaces that have used about the least slot time start next, in order of arrival among them.
+//! A start is charged with the expected run time and corrected when the run ends, so slow and large
+//! requests count for what they take.
 
 pub mod lane;
 
@@ -11,11 +11,6 @@
 use lane::{Entry, Lane};
 use std::time::{Duration, Instant};
 
-/// Mean run time in relation to the others' from which a workspace leaves slots free for them.
-const SLOW_FACTOR: f64 = 2.0;
-/// Standard deviations of the others' slot use that are left free.
-const RESERVE_DEVIATIONS: f64 = 3.0;
-
 base::value! {
     /// Settings of a queue.
     #[derive(Copy)]
@@ -26,6 +21,18 @@
         pub length: usize,
         /// Run time that is expected of a workspace's first requests.
         pub expected: Duration,
+        /// Most slot time by which a workspace that was idle precedes the busy ones, so that a
+        /// short burst inside its rate doesn't queue behind a flood.
+        pub credit: Duration,
+        /// Difference in slot time within which requests start in order of arrival; strict order of
+        /// slot time would let workspaces inside their rate overtake each other without need.
+        pub slack: Duration,
+        /// Run time in relation to the others' mean from which a workspace leaves slots free for
+        /// them; infinite to start whatever is queued.
+        pub slow_factor: f64,
+        /// Standard deviations of the others' slot use that are left free. More keeps their latency
+        /// closer to what it is alone; fewer leave less capacity idle.
+        pub reserve_deviations: f64,
     }
 
     /// One request on its way into the queue.
@@ -72,6 +79,10 @@
             slots: 36,
             length: 256,
             expected: Duration::from_millis(20),
+            credit: Duration::from_millis(400),
+            slack: Duration::from_millis(350),
+            slow_factor: 2.0,
+            reserve_deviations: 2.0,
         }
     }
 }
@@ -129,8 +140,8 @@
             return Err((request.item, Refusal::Full));
         }
         if lane.queue.is_empty() && lane.running == 0 {
-            // Time without requests earns no credit.
-            lane.served = lane.served.max(self.virtual_time);
+            let credit = self.settings.credit.as_secs_f64();
+            lane.served = lane.served.max(self.virtual_time - credit);
         }
         self.numbers += 1;
         lane.queue.push_back(Entry {
@@ -143,7 +154,8 @@
         })
     }
 
-    /// Returns the next request to run or to refuse; call until `None`.
+    /// Returns the next request to run or to refuse; call until `None` after each change and at
+    /// [`Queue::due`]. A late request behind an earlier one of its workspace waits for its turn.
     pub fn next(&mut self, now: Instant) -> Option<Next<T>> {
         if let Some(lane) = self.lanes.values_mut().find(|lane| lane.is_late(now)) {
             return lane
@@ -157,9 +169,15 @@
         for lane in self.lanes.values_mut() {
             lane.observe(now);
         }
-        let index = (0..self.lanes.len())
+        let open: Vec<usize> = (0..self.lanes.len())
             .filter(|&index| !self.lanes[index].queue.is_empty() && self.may_start(index))
-            .min_by(|&a, &b| self.lanes[a].served.total_cmp(&self.lanes[b].served))?;
+            .collect();
+        let least = |least: f64, index: &usize| least.min(self.lanes[*index].served);
+        let line = open.iter().fold(f64::INFINITY, least) + self.settings.slack.as_secs_f64();
+        let index = open
+            .into_iter()
+            .filter(|&index| self.lanes[index].served <= line)
+            .min_by_key(|&index| self.lanes[index].queue.front().map(|entry| entry.number))?;
         let (workspace, lane) = self.lanes.get_index_mut(index)?;
         let entry = lane.queue.pop_front()?;
         self.virtual_time = self.virtual_time.max(lane.served);
@@ -242,13 +260,13 @@
         let runs: f64 = others()
             .map(|(_, lane)| lane.typical() * lane.usual())
             .sum();
-        let slow = lane.cost() * usual > runs * SLOW_FACTOR;
-        let fair = self.settings.slots / (others().count() + 1);
+        let slow = lane.cost() * usual > runs * self.settings.slow_factor;
+        let fair = (self.settings.slots / (others().count() + 1)).max(1);
         if !slow || lane.running < fair {
             return true;
         }
         let running: usize = others().map(|(_, lane)| lane.running).sum();
-        let wanted = usual + RESERVE_DEVIATIONS * usual.sqrt() - running as f64;
+        let wanted = usual + self.settings.reserve_deviations * usual.sqrt() - running as f64;
         let most = (self.settings.slots - fair).saturating_sub(running) as f64;
         let free = (self.settings.slots - self.running) as f64;
         free > wanted.min(most)
--- a/crates/steering/tests/fleet/mod.rs
+++ b/crates/steering/tests/fleet/mod.rs
@@ -198,7 +198,9 @@
                 let now = self.local(vm);
                 let needed = self.holders[vm].level(now) + 5 * TOKEN;
                 if let Some(ask) = self.holders[vm].borrow(needed, now) {
-                    let to = (0..VMS).position(|o| name(o) == ask.peer).unwrap();
+                    let to = (0..VMS)
+                        .position(|o| name(o) == ask.peer)
+                        .expect("a known VM");
                     self.messages.push(Message::Borrow(to, vm, ask.borrow));
                 }
             }
--- a/crates/steering/tests/limits.rs
+++ b/crates/steering/tests/limits.rs
@@ -9,7 +9,8 @@
 use rstest::rstest;
 use std::time::{Duration, Instant};
 use steering::limits::{
-    Bucket, Floors, Granter, Holder, Identity, Invalid, Part, Settings, TOKEN, allocation,
+    Bucket, Floors, Grant, Granter, Holder, Identity, Invalid, Part, Renew, Settings, TOKEN,
+    allocation,
 };
 
 const SEED: u64 = 11;
@@ -272,6 +273,69 @@
     assert_eq!(tokens(10 * TOKEN).abs_diff(tokens(0)), counted);
 }
 
+/// Guards against a lowered limit that is reported in force while a VM still uses the former one.
+#[test]
+fn lowered_limit_waits_for_acknowledgement() {
+    let start = Instant::now();
+    let settings = fleet::settings();
+    let (large, small) = (Part::tokens(200, 40), Part::tokens(100, 20));
+    let mut granter = granter(60_000, start);
+    let mut floors = Floors::new(3);
+    floors.claim("vm1", 1);
+    let mut holder = holder(1, start);
+    holder.set_floor(settings.floor(large), 1, start);
+    let renew = |holder: &mut Holder, granter: &mut Granter, millis| {
+        let now = after(start, millis);
+        let grant = holder
+            .renew(now)
+            .and_then(|renew| granter.renew(&renew, now));
+        holder.grant(&grant.expect("the granter is open"), now);
+    };
+    renew(&mut holder, &mut granter, 3000);
+    let now = after(start, 3050);
+    assert!(granter.in_force(&floors, now));
+    granter.set_limit(small, 2, now);
+    assert_eq!(granter.unconfirmed(&floors), ["vm1".into()]);
+    renew(&mut holder, &mut granter, 3100);
+    assert!(
+        !granter.in_force(&floors, after(start, 3100)),
+        "the floor is not confirmed"
+    );
+    holder.set_floor(settings.floor(small), 2, after(start, 3150));
+    holder.set_floor(settings.floor(large), 1, after(start, 3150));
+    renew(&mut holder, &mut granter, 3200);
+    assert!(granter.in_force(&floors, after(start, 3200)));
+    assert!(holder.part(after(start, 3200)).fits(small));
+}
+
+/// Guards against a wake-up for the own refill that comes too early, or never.
+#[test]
+fn ready_is_when_the_refill_suffices() {
+    let start = Instant::now();
+    let mut holder = holder(1, start);
+    assert_eq!(holder.ready(TOKEN, start), None);
+    holder.set_floor(Part::tokens(10, 2), 1, start);
+    let ready = holder.ready(TOKEN, start).expect("the floor refills");
+    assert!(ready <= after(start, 101));
+    assert!(!holder.clone().spend(TOKEN, after(start, 99)));
+    assert!(holder.spend(TOKEN, ready));
+    assert_eq!(holder.ready(3 * TOKEN, start), None, "beyond the burst");
+}
+
+/// Guards against message fields that don't survive the wire.
+#[test]
+fn messages_keep_their_values() {
+    let start = Instant::now();
+    let open = after(start, 3000);
+    let renew = holder(1, start).renew(open).expect("due at once");
+    let grant = granter(60_000, start)
+        .renew(&renew, open)
+        .expect("the granter is open");
+    let text = serde_json::to_string(&(&renew, &grant)).expect("plain values");
+    let read: (Renew, Grant) = serde_json::from_str(&text).expect("the same types");
+    assert_eq!(read, (renew, grant));
+}
+
 /// Guards against floors that two incarnations use, and floors lost after a VM is gone.
 #[test]
 fn floors_pass_on_only_when_free() {
--- a/tools/bench/src/experiment/fairness.rs
+++ b/tools/bench/src/experiment/fairness.rs
@@ -12,7 +12,9 @@
 /// Workspaces; the first one misbehaves.
 pub const WORKSPACES: usize = 8;
 /// Slots of Atlas's lookup service: 12 backend servers with 3 each.
-const SLOTS: usize = 36;
+pub const SLOTS: usize = 36;
+/// Slots of that service in one data centre of six.
+pub const CENTRE_SLOTS: usize = 6;
 const MEAN_RUN: Duration = Duration::from_millis(20);
 /// Rate of each workspace as a part of what all slots serve; together 70%.
 const RATE_SHARE: f64 = 0.7 / WORKSPACES as f64;
@@ -41,6 +43,8 @@
 pub enum Order {
     /// Fair queue.
     Fair,
+    /// Fair queue that leaves no slots free beside slow requests.
+    Eager,
     /// One first-in-first-out queue with the same deadlines.
     Arrival,
 }
@@ -72,19 +76,20 @@
     fair: Queue<Job>,
     arrival: VecDeque<Job>,
     running: usize,
+    slots: usize,
 }
 
 fn name(workspace: usize) -> String {
     format!("workspace{workspace}")
 }
 
-fn gap(workspace: usize, conduct: Conduct, rng: &mut StdRng) -> Duration {
+fn gap(slots: usize, workspace: usize, conduct: Conduct, rng: &mut StdRng) -> Duration {
     let times = if workspace == 0 && conduct == Conduct::Flood {
         10.0
     } else {
         1.0
     };
-    let rate = SLOTS as f64 / MEAN_RUN.as_secs_f64() * RATE_SHARE * times;
+    let rate = slots as f64 / MEAN_RUN.as_secs_f64() * RATE_SHARE * times;
     Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / rate)
 }
 
@@ -116,14 +121,14 @@
 
     /// Returns the next job and, if it runs, its charge; the flag says whether it runs.
     fn next(&mut self, order: Order, now: Instant) -> Option<(Job, Option<Charge>, bool)> {
-        if order == Order::Fair {
+        if order != Order::Arrival {
             return match self.fair.next(now)? {
                 Next::Run(job, charge) => Some((job, Some(charge), true)),
                 Next::Late(job) => Some((job, None, false)),
             };
         }
         let late = now + MEAN_RUN / 2 > self.arrival.front()?.arrived + DEADLINE;
-        if !late && self.running >= SLOTS {
+        if !late && self.running >= self.slots {
             return None;
         }
         self.running += usize::from(!late);
@@ -132,21 +137,27 @@
 }
 
 /// Runs one conduct under one order and returns the figures of each workspace.
-pub fn run(order: Order, conduct: Conduct, seed: u64) -> [Service; WORKSPACES] {
+pub fn run(slots: usize, order: Order, conduct: Conduct, seed: u64) -> [Service; WORKSPACES] {
     let origin = Instant::now();
     let mut agenda = Agenda::new(origin);
     // Each workspace has its own random stream, so the others' traffic is the same in every run.
     let mut rngs: Vec<StdRng> = (0..WORKSPACES as u64)
         .map(|index| StdRng::seed_from_u64(seed * 100 + index))
         .collect();
+    let usual = Settings::default();
     let settings = Settings {
-        slots: SLOTS,
-        ..Settings::default()
+        slots,
+        slow_factor: match order {
+            Order::Eager => f64::INFINITY,
+            Order::Fair | Order::Arrival => usual.slow_factor,
+        },
+        ..usual
     };
     let mut line = Line {
         fair: Queue::new(settings),
         arrival: VecDeque::new(),
         running: 0,
+        slots,
     };
     let mut services = [Service::default(); WORKSPACES];
     let mut times: Vec<Histogram<u64>> = (0..WORKSPACES)
@@ -159,7 +170,10 @@
         match event {
             Event::Arrive(workspace) => {
                 let rng = &mut rngs[workspace];
-                agenda.after(gap(workspace, conduct, rng), Event::Arrive(workspace));
+                agenda.after(
+                    gap(slots, workspace, conduct, rng),
+                    Event::Arrive(workspace),
+                );
                 let (own, transfer) = run_time(workspace, conduct, rng);
                 let job = Job {
                     workspace,
@@ -210,9 +224,9 @@
 }
 
 /// Compares the others' service under `conduct` with their service without the first workspace.
-pub fn compare(order: Order, conduct: Conduct, seed: u64) -> Comparison {
-    let alone = run(order, Conduct::Absent, seed);
-    let beside = run(order, conduct, seed);
+pub fn compare(slots: usize, order: Order, conduct: Conduct, seed: u64) -> Comparison {
+    let alone = run(slots, order, Conduct::Absent, seed);
+    let beside = run(slots, order, conduct, seed);
     let ratio = |index: usize| beside[index].p99.as_secs_f64() / alone[index].p99.as_secs_f64();
     let worst = (1..WORKSPACES)
         .max_by(|&a, &b| ratio(a).total_cmp(&ratio(b)))
@@ -228,26 +242,31 @@
 
 /// Returns the table of all conducts and orders.
 pub fn report() -> Box<str> {
-    let mut text =
-        String::from("conduct  order  p99 ratio  worst  its p99  others refused  first finished\n");
-    for conduct in [
+    let mut text = String::from(
+        "slots  conduct  order  p99 ratio  worst  its p99  others refused  first finished\n",
+    );
+    let orders = [Order::Fair, Order::Eager, Order::Arrival];
+    let conducts = [
         Conduct::Usual,
         Conduct::Flood,
         Conduct::Slow,
         Conduct::Large,
-    ] {
-        for order in [Order::Fair, Order::Arrival] {
-            let row = compare(order, conduct, 1);
-            let _ = writeln!(
-                text,
-                "{conduct:?}  {order:?}  {:.2}  {}  {:?}  {}  {}",
-                row.ratio,
-                name(row.worst),
-                row.p99,
-                row.refused,
-                row.first
-            );
-        }
+    ];
+    let rows = [SLOTS, CENTRE_SLOTS]
+        .into_iter()
+        .flat_map(|slots| conducts.map(|conduct| (slots, conduct)))
+        .flat_map(|(slots, conduct)| orders.map(|order| (slots, conduct, order)));
+    for (slots, conduct, order) in rows {
+        let row = compare(slots, order, conduct, 1);
+        let _ = writeln!(
+            text,
+            "{slots}  {conduct:?}  {order:?}  {:.2}  {}  {:?}  {}  {}",
+            row.ratio,
+            name(row.worst),
+            row.p99,
+            row.refused,
+            row.first
+        );
     }
     text.into()
 }
