--- a/tools/bench/tests/fairness.rs
+++ b/tools/bench/tests/fairness.rs
@@ -14,10 +14,12 @@
     #[values(1, 2, 3)] seed: u64,
 ) {
     let fair = compare(SLOTS, Order::Fair, conduct, seed);
+    println!("{conduct:?} seed {seed}: {fair:?}");
     assert!(fair.ratio <= MOST, "{fair:?}");
     assert_eq!(fair.refused, 0, "{fair:?}");
     assert!(fair.first > 0, "{fair:?}");
     let plain = compare(SLOTS, Order::Arrival, conduct, seed);
+    println!("{conduct:?} seed {seed}, order of arrival: {plain:?}");
     assert!(plain.ratio > MOST, "{plain:?}");
     assert!(plain.refused > 0, "{plain:?}");
 }
--- a/tools/bench/tests/limits.rs
+++ b/tools/bench/tests/limits.rs
@@ -24,6 +24,10 @@
     #[values(1, 2, 3)] seed: u64,
 ) {
     let outcome = at(seed, load).run();
+    println!(
+        "load {load} seed {seed}: {:.3}% refused",
+        outcome.refused_share() * 100.0
+    );
     assert!(outcome.shared > 40_000, "{outcome:?}");
     assert!(outcome.refused_share() <= most, "{outcome:?}");
     assert_eq!(outcome.excess, 0);
@@ -37,6 +41,12 @@
     let plan = at(1, load);
     for baseline in [plan.even(), plan.follow(), plan.follow_and_wait()] {
         let outcome = baseline.run();
+        println!(
+            "load {load} {:?} wait {:?}: {:.3}% refused",
+            baseline.split,
+            baseline.wait,
+            outcome.refused_share() * 100.0
+        );
         assert!(outcome.refused_share() > most, "{baseline:?} {outcome:?}");
     }
 }
@@ -47,6 +57,7 @@
 fn bound_holds_under_faults(#[values(1, 2, 3, 4)] seed: u64) {
     let plan = Plan::faulty(seed);
     let outcome = plan.run();
+    println!("faults, seed {seed}: {outcome:?}");
     assert_eq!(outcome.excess, 0, "{outcome:?}");
     assert!(outcome.room <= plan.limit.burst / 10, "{outcome:?}");
     assert!(outcome.faults.iter().all(|&count| count > 0), "{outcome:?}");
@@ -58,6 +69,7 @@
 fn isolated_data_centre_serves_its_floors() {
     let plan = Plan::isolated(1);
     let outcome = plan.run();
+    println!("cut off: {outcome:?}");
     let floors = 2 * plan.settings.floor(plan.limit).rate;
     let admitted = outcome.isolated * TOKEN / 3600;
     assert!(admitted >= floors * 9 / 10, "{admitted} of {floors}");
