feature: unclaimed floors serve in the granter's pool

Ruled out: as many floors as VMs, since VMs come and go. Change: the granter claims unclaimed floors in the same row, all but one, and gives one back when none is free; limits whose floors can't hold a token are refused.

--- a/crates/steering/src/limits.rs
+++ b/crates/steering/src/limits.rs
@@ -153,6 +153,8 @@
     Floors,
     /// Borrowing without reserved headroom breaks the bound.
     Reserve,
+    /// The burst is too small for floors of a token each.
+    Burst,
 }
 
 impl Settings {
@@ -171,6 +173,19 @@
         self.reserve.then_some(()).ok_or(Invalid::Reserve)
     }
 
+    /// Checks that every floor of `limit` can hold a token.
+    ///
+    /// With less, a VM with little demand can neither save nor borrow the token that a request
+    /// costs.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Invalid::Burst`] if the burst is below two tokens for each floor.
+    pub fn check_limit(&self, limit: Part) -> Result<(), Invalid> {
+        let enough = self.floor(limit).burst >= TOKEN;
+        enough.then_some(()).ok_or(Invalid::Burst)
+    }
+
     /// Returns one floor of `limit`.
     ///
     /// A floor holds at least one token where all floors together then take at most half of the
--- a/crates/steering/src/limits/floors.rs
+++ b/crates/steering/src/limits/floors.rs
@@ -2,6 +2,9 @@
 
 use base::id::{Incarnation, Vm};
 
+/// Name under which the granter owns floors; no VM has an empty name.
+const POOL: &str = "";
+
 base::message! {
     /// Owner of one floor.
     #[derive(Eq)]
@@ -57,8 +60,44 @@
         }
     }
 
-    /// Lists the owners.
+    /// Lists the VMs' claims.
     pub fn owners(&self) -> impl Iterator<Item = &Claim> {
-        self.claims.iter().flatten()
+        self.claims
+            .iter()
+            .flatten()
+            .filter(|claim| &*claim.vm != POOL)
+    }
+
+    /// Returns the number of floors in the granter's pool.
+    pub fn pooled(&self) -> usize {
+        let pooled = |claim: &&Claim| &*claim.vm == POOL;
+        self.claims.iter().flatten().filter(pooled).count()
+    }
+
+    /// Returns the number of unclaimed floors.
+    pub fn free(&self) -> usize {
+        self.claims.iter().filter(|claim| claim.is_none()).count()
+    }
+
+    /// Claims unclaimed floors for the granter's pool, all but `kept` that VMs can claim at once.
+    ///
+    /// The granter may use them through [`super::Granter::set_pooled`] once the row is written.
+    pub fn pool(&mut self, kept: usize) {
+        let free = self.claims.iter_mut().filter(|claim| claim.is_none());
+        for claim in free.skip(kept) {
+            *claim = Some(Claim {
+                vm: POOL.into(),
+                incarnation: 0,
+            });
+        }
+    }
+
+    /// Frees one floor of the pool. The granter must have lowered its pool before, and
+    /// [`super::Granter::fits`] must hold.
+    pub fn unpool(&mut self) {
+        let pooled = |claim: &&mut Option<Claim>| claim.as_ref().is_some_and(|c| &*c.vm == POOL);
+        if let Some(claim) = self.claims.iter_mut().find(pooled) {
+            *claim = None;
+        }
     }
 }
--- a/crates/steering/src/limits/granter.rs
+++ b/crates/steering/src/limits/granter.rs
@@ -33,6 +33,7 @@
         settings: Settings,
         limit: Part,
         version: Version,
+        pooled: Amount,
         opens: Instant,
         until: Instant,
         pool: Bucket,
@@ -56,6 +57,7 @@
             settings,
             limit,
             version,
+            pooled: 0,
             opens,
             until,
             // The predecessor's holders may have spent all tokens, so the pool starts empty. It
@@ -70,6 +72,29 @@
         self.until = self.until.max(until);
     }
 
+    /// Sets the number of floors that the row `floors` gives to the granter's pool.
+    ///
+    /// Raise it after the row is written. Lower it first, and free the floors in the row once
+    /// [`Granter::fits`] holds.
+    pub fn set_pooled(&mut self, floors: usize, now: Instant) {
+        self.pooled = floors as Amount;
+        self.expire(now);
+    }
+
+    /// Reports whether all parts in use, a predecessor's too, fit the capacity.
+    pub fn fits(&mut self, now: Instant) -> bool {
+        self.expire(now);
+        now >= self.opens && self.held().fits(self.elastic())
+    }
+
+    fn elastic(&self) -> Part {
+        let floor = self.settings.floor(self.limit);
+        self.settings.elastic(self.limit).plus(Part {
+            rate: floor.rate * self.pooled,
+            burst: floor.burst * self.pooled,
+        })
+    }
+
     /// Reports whether no VM can still use a higher limit than the current one.
     pub fn in_force(&mut self, floors: &Floors, now: Instant) -> bool {
         self.expire(now);
@@ -88,7 +113,7 @@
     /// Lists the VMs that may still use a higher limit: a floor of an older version, or a part
     /// beyond the elastic capacity.
     pub fn unconfirmed(&self, floors: &Floors) -> Vec<Vm> {
-        let fits = self.held().fits(self.settings.elastic(self.limit));
+        let fits = self.held().fits(self.elastic());
         let confirmed = |incarnation: &Incarnation| {
             self.records
                 .get(incarnation)
@@ -154,7 +179,7 @@
     }
 
     fn answer(&mut self, renew: &Renew, now: Instant) -> Grant {
-        let elastic = self.settings.elastic(self.limit);
+        let elastic = self.elastic();
         let floor = self.settings.floor(self.limit);
         let index = self.records.get_index_of(&renew.incarnation).unwrap_or(0);
         let demands: Vec<Amount> = self.records.values().map(|record| record.demand).collect();
@@ -225,7 +250,7 @@
 
     /// Fits the pool to the capacity that no holder may hold.
     fn fit(&mut self, now: Instant) {
-        let free = self.settings.elastic(self.limit).minus(self.held());
+        let free = self.elastic().minus(self.held());
         if free != self.pool.part() {
             self.pool.resize(free, now);
         }
--- a/crates/steering/tests/fleet/mod.rs
+++ b/crates/steering/tests/fleet/mod.rs
@@ -7,6 +7,7 @@
 };
 
 pub const VMS: usize = 3;
+const UNITS: usize = 5;
 const DRIFT: [i64; VMS] = [200, -200, 0];
 const LEASE: Duration = Duration::from_secs(3);
 const FINE: i128 = 1_000_000_000;
@@ -27,6 +28,8 @@
     Drop(usize),
     Double(usize),
     Kill(usize),
+    /// Claims a floor for a VM that has none.
+    Claim(usize),
     Retire(usize),
     Extend,
     Replace,
@@ -48,6 +51,7 @@
         2 => (0..8usize).prop_map(Step::Drop),
         2 => (0..8usize).prop_map(Step::Double),
         8 => Just(Step::Extend),
+        8 => (0..VMS).prop_map(Step::Claim),
         2 => rare(),
     ]
 }
@@ -65,7 +69,7 @@
 /// Settings of the small fleet.
 pub fn settings() -> Settings {
     Settings {
-        floor_units: VMS as u64,
+        floor_units: UNITS as u64,
         ..Settings::default()
     }
 }
@@ -77,7 +81,7 @@
     Grant(usize, Grant),
     Borrow(usize, usize, Borrow),
     Lent(usize, Lent),
-    Floor(usize, Part, u64),
+    Floor(usize, u64, Part, u64),
 }
 
 /// Holders, granters, messages in flight and an exact check of every window.
@@ -87,6 +91,7 @@
     elapsed: Duration,
     holders: Vec<Holder>,
     runs: u64,
+    current: [u64; VMS],
     floors: Floors,
     granters: Vec<Granter>,
     row_until: Duration,
@@ -118,7 +123,8 @@
             elapsed: Duration::ZERO,
             holders: Vec::new(),
             runs: 0,
-            floors: Floors::new(VMS),
+            current: [0; VMS],
+            floors: Floors::new(UNITS),
             granters: vec![Granter::new(settings, largest, 1, origin + LEASE, origin)],
             row_until: LEASE,
             messages: Vec::new(),
@@ -146,12 +152,17 @@
         let now = self.local(vm);
         let mut holder = Holder::new(self.settings, identity, now);
         holder.set_peers((0..VMS).filter(|&o| o != vm).map(|o| (name(o), 0)));
-        if self.floors.claim(&name(vm), self.runs).is_some() {
-            holder.set_floor(self.settings.floor(self.limit), self.version, now);
-        }
+        self.current[vm] = self.runs;
         holder
     }
 
+    fn claim(&mut self, vm: usize) {
+        if self.floors.claim(&name(vm), self.current[vm]).is_some() {
+            let now = self.local(vm);
+            self.holders[vm].set_floor(self.settings.floor(self.limit), self.version, now);
+        }
+    }
+
     fn local(&self, vm: usize) -> Instant {
         let nanos = self.elapsed.as_nanos() as i64;
         let drift = nanos / 1_000_000 * DRIFT[vm];
@@ -218,11 +229,12 @@
                 self.messages.extend(copy);
             }
             Step::Kill(vm) => self.holders[vm] = self.start(vm),
+            Step::Claim(vm) => self.claim(vm),
             Step::Retire(vm) => {
                 let now = self.local(vm);
                 let renew = self.holders[vm].retire(now);
                 self.report(vm, renew);
-                self.floors.reclaim(|claim| claim.vm == name(vm));
+                self.floors.release(self.current[vm]);
                 self.holders[vm] = self.start(vm);
             }
             Step::Extend | Step::Replace => self.lease(matches!(step, Step::Replace)),
@@ -256,6 +268,7 @@
         let now = self.granter_time(granter);
         if self.elapsed < self.row_until {
             self.granters[granter].extend(now + LEASE);
+            self.share_floors(granter, now);
         } else if replace {
             let now = self.granter_time(granter + 1);
             let next = Granter::new(self.settings, self.limit, self.version, now + LEASE, now);
@@ -267,6 +280,20 @@
         self.row_until = self.elapsed + LEASE + Duration::from_millis(10);
     }
 
+    /// Gives unclaimed floors to the pool and takes one back when none is free.
+    fn share_floors(&mut self, granter: usize, now: Instant) {
+        if self.floors.free() > 1 {
+            self.floors.pool(1);
+        }
+        let short = self.floors.free() == 0;
+        let pooled = self.floors.pooled();
+        let granter = &mut self.granters[granter];
+        granter.set_pooled(pooled - usize::from(short && pooled > 0), now);
+        if short && pooled > 0 && granter.fits(now) {
+            self.floors.unpool();
+        }
+    }
+
     fn change(&mut self, limit: Part) {
         self.limit = limit;
         self.version += 1;
@@ -275,7 +302,14 @@
         let now = self.granter_time(granter);
         self.granters[granter].set_limit(limit, self.version, now);
         let floor = self.settings.floor(limit);
-        let news = (0..VMS).map(|vm| Message::Floor(vm, floor, self.version));
+        let owned = |vm: &usize| {
+            let run = self.current[*vm];
+            self.floors.owners().any(|owner| owner.incarnation == run)
+        };
+        let owners: Vec<usize> = (0..VMS).filter(owned).collect();
+        let news = owners
+            .into_iter()
+            .map(|vm| Message::Floor(vm, self.current[vm], floor, self.version));
         self.messages.extend(news);
     }
 
@@ -307,10 +341,11 @@
                 let now = self.local(vm);
                 self.holders[vm].lent(&lent, now);
             }
-            Message::Floor(vm, floor, version) => {
+            Message::Floor(vm, run, floor, version) if self.current[vm] == run => {
                 let now = self.local(vm);
                 self.holders[vm].set_floor(floor, version, now);
             }
+            Message::Floor(..) => {}
         }
     }
 
--- a/crates/steering/tests/limits.rs
+++ b/crates/steering/tests/limits.rs
@@ -354,6 +354,54 @@
     assert_eq!(floors.owners().count(), 1);
 }
 
+/// Guards against unclaimed floors that nobody uses, and against a pooled floor that is freed while
+/// a holder still uses it.
+#[test]
+fn unclaimed_floors_serve_in_the_pool() {
+    let start = Instant::now();
+    let settings = fleet::settings();
+    let limit = Part::tokens(200, 40);
+    let floor = settings.floor(limit);
+    let mut granter = granter(60_000, start);
+    let mut floors = Floors::new(5);
+    floors.pool(1);
+    assert_eq!((floors.pooled(), floors.free()), (4, 1));
+    granter.set_pooled(4, start);
+    assert!(
+        !granter.fits(after(start, 2049)),
+        "a predecessor's parts may be in use"
+    );
+    let mut holder = holder(1, start);
+    let mut renew = |granter: &mut Granter, millis| {
+        let now = after(start, millis);
+        let grant = holder
+            .renew(now)
+            .and_then(|renew| granter.renew(&renew, now));
+        let grant = grant.expect("the granter is open");
+        holder.grant(&grant, now);
+        grant.part
+    };
+    let whole = renew(&mut granter, 3000);
+    assert_eq!(
+        whole,
+        settings.elastic(limit).plus(Part {
+            rate: floor.rate * 4,
+            burst: floor.burst * 4
+        })
+    );
+    granter.set_pooled(3, after(start, 3050));
+    assert!(!granter.fits(after(start, 3050)));
+    assert_eq!(renew(&mut granter, 3100), whole.minus(floor));
+    assert!(
+        !granter.fits(after(start, 3100)),
+        "the holder has not confirmed"
+    );
+    renew(&mut granter, 3200);
+    assert!(granter.fits(after(start, 3200)));
+    floors.unpool();
+    assert_eq!((floors.pooled(), floors.free()), (3, 2));
+}
+
 /// Guards against settings that break the bound, and floors beyond the limit.
 #[test]
 fn unsafe_settings_are_refused() {
@@ -374,6 +422,9 @@
         ..settings
     };
     assert_eq!(none.check(), Err(Invalid::Floors));
+    assert_eq!(settings.check_limit(Part::tokens(200, 24)), Ok(()));
+    let small = settings.check_limit(Part::tokens(200, 23));
+    assert_eq!(small, Err(Invalid::Burst));
 }
 
 proptest! {
--- a/tools/bench/src/experiment/limits/fleet.rs
+++ b/tools/bench/src/experiment/limits/fleet.rs
@@ -59,6 +59,7 @@
 struct Node {
     ppm: i64,
     holder: Holder,
+    incarnation: u64,
     alive: bool,
     paused: Instant,
     floor: bool,
@@ -115,10 +116,12 @@
             burst: plan.limit.burst / VMS as u64,
         };
         let nodes = (0..VMS)
-            .map(|vm| Node {
+            .map(|vm| (vm, rng.random()))
+            .map(|(vm, incarnation)| Node {
                 // The extremes of drift alternate, so neighbours are furthest apart.
                 ppm: if vm % 2 == 0 { plan.drift } else { -plan.drift },
-                holder: Self::holder(&plan, vm, rng.random(), origin),
+                holder: Self::holder(&plan, vm, incarnation, origin),
+                incarnation,
                 alive: true,
                 paused: origin,
                 floor: false,
@@ -315,13 +318,12 @@
         }
         let local = self.local(vm, now);
         if !self.nodes[vm].floor && self.reaches_store(vm) {
-            let incarnation = self.rng.random();
-            self.nodes[vm].holder = Self::holder(&self.plan, vm, incarnation, local);
-            let floor = self.plan.settings.floor(self.plan.limit);
+            let incarnation = self.nodes[vm].incarnation;
             if self.floors.claim(&name(vm), incarnation).is_some() {
+                let floor = self.plan.settings.floor(self.plan.limit);
                 self.nodes[vm].holder.set_floor(floor, 1, local);
+                self.nodes[vm].floor = true;
             }
-            self.nodes[vm].floor = true;
         }
         self.pump(vm, now);
         if let Some(renew) = self.nodes[vm].holder.renew(local) {
@@ -389,6 +391,7 @@
             let until = self.local(self.host, now) + LEASE;
             if let Some(granter) = &mut self.nodes[self.host].granter {
                 granter.extend(until);
+                Self::share_floors(&mut self.floors, granter, until - LEASE);
             }
             self.row_until = now + LEASE + LEASE_GRACE;
         } else if now >= self.row_until {
@@ -406,12 +409,25 @@
         }
     }
 
+    /// Gives unclaimed floors to the pool and takes one back when none is free.
+    fn share_floors(floors: &mut Floors, granter: &mut Granter, local: Instant) {
+        if floors.free() > 1 {
+            floors.pool(1);
+        }
+        let short = floors.free() == 0 && floors.pooled() > 0;
+        granter.set_pooled(floors.pooled() - usize::from(short), local);
+        if short && granter.fits(local) {
+            floors.unpool();
+        }
+    }
+
     fn restart(&mut self, vm: usize, now: Instant) {
         let node = &mut self.nodes[vm];
         (node.alive, node.floor, node.paused) = (true, false, now);
         let incarnation = self.rng.random();
         let local = self.local(vm, now);
         self.nodes[vm].holder = Self::holder(&self.plan, vm, incarnation, local);
+        self.nodes[vm].incarnation = incarnation;
     }
 
     fn volley(&mut self, now: Instant) {
--- a/tools/bench/tests/limits.rs
+++ b/tools/bench/tests/limits.rs
@@ -33,6 +33,20 @@
     assert_eq!(outcome.excess, 0);
 }
 
+/// Guards against capacity that lies idle in floors that no VM has claimed: 16 floors, 11 VMs.
+#[test]
+fn unclaimed_floors_are_used() {
+    let plan = at(1, 0.95);
+    let settings = Settings {
+        floor_units: 16,
+        ..plan.settings
+    };
+    let outcome = Plan { settings, ..plan }.run();
+    println!("16 floors: {:.3}% refused", outcome.refused_share() * 100.0);
+    assert!(outcome.refused_share() <= 0.02, "{outcome:?}");
+    assert_eq!(outcome.excess, 0);
+}
+
 /// Guards against a comparison that any mechanism would pass: each baseline misses the target.
 #[rstest]
 #[case(0.8, 0.001)]
