--- a/tools/bench/src/experiment/limits/fleet.rs
+++ b/tools/bench/src/experiment/limits/fleet.rs
@@ -1,8 +1,11 @@
 //! Simulated fleet of 11 VMs in 6 data centres of 3 regions that share one limit.
 
+mod exchange;
+mod fault;
+
 use super::checker::Checker;
 use super::{Outcome, Plan, Split};
-use crate::agenda::{Agenda, Network};
+use crate::agenda::Agenda;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::VecDeque;
@@ -17,10 +20,6 @@
 pub const CENTRES: usize = 6;
 /// Data centre that is cut off for an hour; it has two VMs.
 pub const CUT: usize = 0;
-const LEASE: Duration = Duration::from_secs(3);
-/// Extra time that a rival waits for the lease row, for drift of the holder's clock.
-const LEASE_GRACE: Duration = Duration::from_millis(100);
-const LEASE_TICK: Duration = Duration::from_millis(500);
 const MOVE: Duration = Duration::from_secs(60);
 const FAULT_PAUSE: Duration = Duration::from_millis(700);
 /// Length of a cycle of a quiet and a loud part in runs with faults.
@@ -28,9 +27,6 @@
 const QUIET: Duration = Duration::from_millis(1000);
 /// Part of the demand that goes on in the quiet part.
 const QUIET_SHARE: f64 = 0.08;
-/// Faults come in storms: each period starts with a calm time.
-const STORM: Duration = Duration::from_secs(20);
-const CALM: Duration = Duration::from_secs(8);
 const HOT_SHARE: f64 = 0.8;
 
 #[derive(Debug, Clone)]
@@ -310,166 +306,4 @@
             self.send(vm, index(&ask.peer), &Message::Borrow(vm, ask.borrow));
         }
     }
-
-    fn tick(&mut self, vm: usize, now: Instant) {
-        self.agenda.after(self.plan.tick, Event::Tick(vm));
-        if !self.nodes[vm].alive || self.plan.split == Split::Even {
-            return;
-        }
-        let local = self.local(vm, now);
-        if !self.nodes[vm].floor && self.reaches_store(vm) {
-            let incarnation = self.nodes[vm].incarnation;
-            if self.floors.claim(&name(vm), incarnation).is_some() {
-                let floor = self.plan.settings.floor(self.plan.limit);
-                self.nodes[vm].holder.set_floor(floor, 1, local);
-                self.nodes[vm].floor = true;
-            }
-        }
-        self.pump(vm, now);
-        if let Some(renew) = self.nodes[vm].holder.renew(local) {
-            self.send(vm, self.host, &Message::Renew(vm, renew));
-        }
-    }
-
-    fn receive(&mut self, vm: usize, message: Message, now: Instant) {
-        let local = self.local(vm, now);
-        let node = &mut self.nodes[vm];
-        match message {
-            Message::Renew(from, renew) => {
-                let grant = node.granter.as_mut().and_then(|g| g.renew(&renew, local));
-                if let Some(grant) = grant {
-                    self.send(vm, from, &Message::Grant(grant));
-                }
-            }
-            Message::Borrow(from, borrow) => {
-                if let Some(lent) = node.holder.lend(&borrow, local) {
-                    self.send(vm, from, &Message::Lent(lent));
-                }
-            }
-            Message::Grant(grant) => {
-                node.holder.grant(&grant, local);
-                self.pump(vm, now);
-                if let Some(renew) = self.nodes[vm].holder.renew(local) {
-                    self.send(vm, self.host, &Message::Renew(vm, renew));
-                }
-            }
-            Message::Lent(lent) => {
-                node.holder.lent(&lent, local);
-                self.pump(vm, now);
-            }
-        }
-    }
-
-    fn send(&mut self, from: usize, to: usize, message: &Message) {
-        if self.cut[centre(from)] != self.cut[centre(to)] {
-            return;
-        }
-        let delay = Duration::from_micros(if distance(from, to) == 2 { 12_000 } else { 500 });
-        let network = Network {
-            delay: if from == to { Duration::ZERO } else { delay },
-            ..self.plan.network
-        };
-        for delay in network.deliveries(&mut self.rng) {
-            self.agenda
-                .after(delay, Event::Deliver(to, message.clone()));
-        }
-    }
-
-    fn reaches_store(&self, vm: usize) -> bool {
-        self.store && !self.cut[centre(vm)]
-    }
-
-    fn runs(&self, vm: usize, now: Instant) -> bool {
-        self.nodes[vm].alive && now >= self.nodes[vm].paused && self.reaches_store(vm)
-    }
-
-    /// Extends the lease row `granter/<shard>`, or passes it on once it has run out.
-    fn lease(&mut self, now: Instant) {
-        self.agenda.after(LEASE_TICK, Event::Lease);
-        let granting = self.nodes[self.host].granter.is_some();
-        if granting && self.runs(self.host, now) && now < self.row_until {
-            let until = self.local(self.host, now) + LEASE;
-            if let Some(granter) = &mut self.nodes[self.host].granter {
-                granter.extend(until);
-                Self::share_floors(&mut self.floors, granter, until - LEASE);
-            }
-            self.row_until = now + LEASE + LEASE_GRACE;
-        } else if now >= self.row_until {
-            let vm = self.rng.random_range(0..VMS);
-            if self.runs(vm, now) {
-                let local = self.local(vm, now);
-                let Plan {
-                    settings, limit, ..
-                } = self.plan;
-                self.nodes[vm].granter =
-                    Some(Granter::new(settings, limit, 1, local + LEASE, local));
-                self.host = vm;
-                self.row_until = now + LEASE + LEASE_GRACE;
-            }
-        }
-    }
-
-    /// Gives unclaimed floors to the pool and takes one back when none is free.
-    fn share_floors(floors: &mut Floors, granter: &mut Granter, local: Instant) {
-        if floors.free() > 1 {
-            floors.pool(1);
-        }
-        let short = floors.free() == 0 && floors.pooled() > 0;
-        granter.set_pooled(floors.pooled() - usize::from(short), local);
-        if short && granter.fits(local) {
-            floors.unpool();
-        }
-    }
-
-    fn restart(&mut self, vm: usize, now: Instant) {
-        let node = &mut self.nodes[vm];
-        (node.alive, node.floor, node.paused) = (true, false, now);
-        let incarnation = self.rng.random();
-        let local = self.local(vm, now);
-        self.nodes[vm].holder = Self::holder(&self.plan, vm, incarnation, local);
-        self.nodes[vm].incarnation = incarnation;
-    }
-
-    fn volley(&mut self, now: Instant) {
-        self.agenda.after(CYCLE, Event::Volley);
-        for _ in 0..self.plan.limit.burst / TOKEN {
-            for vm in 0..VMS {
-                let shared = self.shared.admit(TOKEN, now);
-                self.arrive_or_defer(vm, shared, now);
-            }
-        }
-    }
-
-    fn fault(&mut self, now: Instant) {
-        self.agenda.after(FAULT_PAUSE, Event::Fault);
-        // Calm times let lost capacity come back, so that the next faults meet all of it.
-        if now.duration_since(self.origin).as_secs() % STORM.as_secs() < CALM.as_secs() {
-            return;
-        }
-        let vm = self.rng.random_range(0..VMS);
-        let length = Duration::from_millis(self.rng.random_range(50..5000));
-        match self.rng.random_range(0..10) {
-            0..4 => {
-                self.outcome.faults[0] += 1;
-                let node = &mut self.nodes[vm];
-                (node.alive, node.granter) = (false, None);
-                node.waiting.clear();
-                self.agenda.after(length / 4, Event::Restart(vm));
-            }
-            4..8 => {
-                self.outcome.faults[1] += 1;
-                self.nodes[vm].paused = now + length;
-            }
-            8 => {
-                self.outcome.faults[2] += 1;
-                self.store = false;
-                self.agenda.after(length, Event::Store(true));
-            }
-            _ => {
-                self.outcome.faults[3] += 1;
-                self.cut[centre(vm)] = true;
-                self.agenda.after(length, Event::Cut(centre(vm), false));
-            }
-        }
-    }
 }
