bug: borrowing in a data centre that is cut off stopped after one empty answer

Cause: only the granter's answers brought news of a peer's spare tokens, and a data centre that is cut off gets none.

--- a/crates/steering/src/limits/holder.rs
+++ b/crates/steering/src/limits/holder.rs
@@ -158,7 +158,7 @@
         let Some(sent) = self.sent.take() else { return };
         self.settle(now);
         for (vm, spare) in &grant.rich {
-            self.peers.update(vm, *spare);
+            self.peers.update(vm, *spare, now);
         }
         let deadline = sent + grant.term;
         if now >= deadline {
@@ -217,7 +217,7 @@
                 if reserve {
                     bucket.release(loan.tokens, now);
                 }
-                peers.update(&loan.peer, 0);
+                peers.silent(&loan.peer, now);
             }
             open
         });
--- a/crates/steering/src/limits/holder/lending.rs
+++ b/crates/steering/src/limits/holder/lending.rs
@@ -42,7 +42,7 @@
         let own = Amount::try_from(own).unwrap_or(Amount::MAX);
         let headroom = self.bucket.headroom(now).saturating_sub(own);
         let asked = |vm: &Vm| self.loans.values().any(|loan| loan.peer == *vm);
-        let (peer, spare) = self.peers.choose(short, asked)?;
+        let (peer, spare) = self.peers.choose(short, now, asked)?;
         let tokens = short.max(TOKEN).min(headroom).min(spare);
         if tokens < LEAST_LOAN {
             return None;
@@ -97,7 +97,7 @@
                 self.bucket.release(loan.tokens, now);
             }
             self.bucket.add(lent.tokens.min(loan.tokens), now);
-            self.peers.update(&loan.peer, lent.left);
+            self.peers.update(&loan.peer, lent.left, now);
         }
     }
 
--- a/crates/steering/tests/limits.rs
+++ b/crates/steering/tests/limits.rs
@@ -336,6 +336,38 @@
     assert_eq!(read, (renew, grant));
 }
 
+/// Guards against VMs of a data centre that is cut off and stop borrowing from each other for good
+/// after one answer without tokens.
+#[test]
+fn borrowing_resumes_without_granter() {
+    let start = Instant::now();
+    let (mut lender, mut borrower) = (holder(1, start), holder(2, start));
+    for holder in [&mut lender, &mut borrower] {
+        holder.set_floor(Part::tokens(10, 5), 1, start);
+        holder.set_peers([("vm1".into(), 0)]);
+    }
+    let open = after(start, 3000);
+    let mut granter = granter(60_000, start);
+    for holder in [&mut lender, &mut borrower] {
+        let grant = holder
+            .renew(open)
+            .and_then(|renew| granter.renew(&renew, open));
+        holder.grant(&grant.expect("the granter is open"), open);
+    }
+    let mut borrow = |millis| {
+        let now = after(start, millis);
+        let level = borrower.level(now);
+        assert!(borrower.spend(level, now));
+        let ask = borrower.borrow(TOKEN, now)?;
+        let lent = lender.lend(&ask.borrow, now)?;
+        borrower.lent(&lent, now);
+        Some(lent.tokens)
+    };
+    while borrow(6000).is_some_and(|tokens| tokens > 0) {}
+    assert_eq!(borrow(6500), None, "the lender had none");
+    assert!(borrow(7100).is_some_and(|tokens| tokens > 0));
+}
+
 /// Guards against floors that two incarnations use, and floors lost after a VM is gone.
 #[test]
 fn floors_pass_on_only_when_free() {
