feature: backend choice, slot ownership, retry budget and admission

Cause: requests need a backend server, a unit of its slots and a bound on retries. Ruled out: slot ownership by leases alone, because an isolated data centre then stops serving. Change: steering::balance and steering::retry.

--- /dev/null
+++ b/crates/steering/src/balance/outlier.rs
@@ -0,0 +1,252 @@
+//! Ejection of backend servers that are slow against their peers without returning errors.
+
+use super::{Settings, ramp};
+use base::id::{Route, Server};
+use indexmap::IndexMap;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Most recent samples kept per server and route.
+const KEPT_SAMPLES: usize = 64;
+/// Smallest spread as a part of the median, so that equal peers don't make noise look extreme.
+const SPREAD_FLOOR: f64 = 0.1;
+/// Scales the median absolute deviation to the standard deviation of a normal distribution.
+const MAD_SCALE: f64 = 1.4826;
+/// Share at which the ramp of a recovered server starts.
+const RECOVERY_FLOOR: f64 = 0.2;
+
+base::message! {
+    /// Median latency of one server on one route, as sent to other VMs of the same service.
+    pub struct Summary {
+        /// Backend server.
+        pub server: Server,
+        /// Route within the service.
+        pub route: Route,
+        /// Median latency over the window, in seconds.
+        pub median: f64,
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Standing {
+    Regular,
+    Ejected { due: Instant, good: u32 },
+    Recovering { since: Instant },
+}
+
+/// Compares each server with its peers of the same version and route.
+///
+/// Data centres may have two servers of a service, which are too few to tell which one is slow, so
+/// medians that other VMs measured on their own servers count as peers as well.
+#[derive(Debug)]
+pub struct Outlier {
+    settings: Settings,
+    samples: IndexMap<(Route, Server), VecDeque<(Instant, Duration)>>,
+    learned: IndexMap<(Route, Server), (f64, Instant)>,
+    standing: IndexMap<Server, Standing>,
+}
+
+impl Outlier {
+    /// Starts without servers.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            samples: IndexMap::new(),
+            learned: IndexMap::new(),
+            standing: IndexMap::new(),
+        }
+    }
+
+    /// Adds a server that this VM sends requests to.
+    pub fn insert(&mut self, server: impl Into<Server>) {
+        self.standing
+            .entry(server.into())
+            .or_insert(Standing::Regular);
+    }
+
+    /// Removes a server and its samples.
+    pub fn remove(&mut self, server: &str) {
+        self.standing.shift_remove(server);
+        self.samples.retain(|(_, name), _| &**name != server);
+    }
+
+    /// Notes the latency of an answer, and ejects or readmits the server.
+    ///
+    /// Samples of shed or failed requests don't belong here: they are short.
+    pub fn record(&mut self, route: &str, server: &str, latency: Duration, now: Instant) {
+        let key = (Route::from(route), Server::from(server));
+        let window = self.settings.window;
+        let samples = self.samples.entry(key).or_default();
+        samples.push_back((now, latency));
+        while samples.len() > KEPT_SAMPLES || samples.front().is_some_and(|s| s.0 + window < now) {
+            samples.pop_front();
+        }
+        match self.standing.get(server).cloned() {
+            Some(Standing::Ejected { good, .. }) => {
+                self.judge_ejected(route, server, latency, good, now);
+            }
+            Some(_) => self.judge_regular(route, server, now),
+            None => {}
+        }
+    }
+
+    /// Takes in the medians that another VM measured.
+    pub fn learn(&mut self, summaries: impl IntoIterator<Item = Summary>, now: Instant) {
+        for summary in summaries {
+            let key = (summary.route, summary.server);
+            self.learned.insert(key, (summary.median, now));
+        }
+    }
+
+    /// Returns the medians of the servers that this VM has enough samples of, for other VMs.
+    pub fn summaries(&self, now: Instant) -> Vec<Summary> {
+        self.samples
+            .keys()
+            .filter_map(|(route, server)| {
+                Some(Summary {
+                    server: server.clone(),
+                    route: route.clone(),
+                    median: self.own_median(route, server, now)?,
+                })
+            })
+            .collect()
+    }
+
+    /// Returns whether a server is ejected.
+    pub fn ejected(&self, server: &str) -> bool {
+        matches!(self.standing.get(server), Some(Standing::Ejected { .. }))
+    }
+
+    /// Returns the number of ejected servers.
+    pub fn ejections(&self) -> usize {
+        let ejected = |s: &&Standing| matches!(s, Standing::Ejected { .. });
+        self.standing.values().filter(ejected).count()
+    }
+
+    /// Returns the most servers that may be ejected at once.
+    pub fn most_ejections(&self) -> usize {
+        let servers = self.standing.len();
+        let share = (servers as f64 * self.settings.max_ejected) as usize;
+        share.max(usize::from(servers > 1))
+    }
+
+    /// Returns whether an ejected server is to get one request now.
+    pub fn due(&self, server: &str, now: Instant) -> bool {
+        matches!(self.standing.get(server), Some(Standing::Ejected { due, .. }) if *due <= now)
+    }
+
+    /// Counts a request to an ejected server.
+    pub fn trickled(&mut self, server: &str, now: Instant) {
+        let next = now + self.settings.trickle;
+        if let Some(Standing::Ejected { due, .. }) = self.standing.get_mut(server) {
+            *due = next;
+        }
+    }
+
+    /// Returns the part of its normal share that a server may get, from 0 to 1.
+    pub fn share(&self, server: &str, now: Instant) -> f64 {
+        match self.standing.get(server) {
+            Some(Standing::Ejected { .. }) => 0.0,
+            Some(Standing::Recovering { since }) => {
+                let elapsed = now.saturating_duration_since(*since);
+                ramp(RECOVERY_FLOOR, elapsed, self.settings.recovery_ramp)
+            }
+            _ => 1.0,
+        }
+    }
+
+    fn judge_regular(&mut self, route: &str, server: &str, now: Instant) {
+        if self.ejections() >= self.most_ejections() {
+            return;
+        }
+        let Some(median) = self.own_median(route, server, now) else {
+            return;
+        };
+        if self
+            .limit(route, server, now)
+            .is_some_and(|limit| median > limit)
+        {
+            let due = now + self.settings.trickle;
+            self.standing
+                .insert(server.into(), Standing::Ejected { due, good: 0 });
+        }
+    }
+
+    fn judge_ejected(
+        &mut self,
+        route: &str,
+        server: &str,
+        latency: Duration,
+        good: u32,
+        now: Instant,
+    ) {
+        let Some(limit) = self.limit(route, server, now) else {
+            return;
+        };
+        let standing = if latency.as_secs_f64() > limit {
+            Standing::Ejected {
+                due: now + self.settings.trickle,
+                good: 0,
+            }
+        } else if good + 1 < self.settings.good_samples {
+            Standing::Ejected {
+                due: now + self.settings.confirm,
+                good: good + 1,
+            }
+        } else {
+            // Samples from before the recovery would eject the server again.
+            self.samples.retain(|(_, name), _| &**name != server);
+            Standing::Recovering { since: now }
+        };
+        self.standing.insert(server.into(), standing);
+    }
+
+    /// Latency in seconds above which `server` is slow, from the medians of its peers.
+    fn limit(&self, route: &str, server: &str, now: Instant) -> Option<f64> {
+        let own = self
+            .samples
+            .keys()
+            .filter(|(r, name)| &**r == route && &**name != server)
+            .filter_map(|(r, name)| Some((name, self.own_median(r, name, now)?)));
+        let fresh = |at: Instant| now.saturating_duration_since(at) <= self.settings.window * 2;
+        let learned = self
+            .learned
+            .iter()
+            .filter(|((r, name), (_, at))| &**r == route && &**name != server && fresh(*at))
+            .map(|((_, name), (median, _))| (name, *median));
+        let peers: IndexMap<_, _> = learned.chain(own).collect();
+        if peers.len() < self.settings.min_peers {
+            return None;
+        }
+        let medians: Vec<f64> = peers.into_values().collect();
+        let centre = median(&medians)?;
+        let distances: Vec<f64> = medians.iter().map(|m| (m - centre).abs()).collect();
+        let spread = (MAD_SCALE * median(&distances)?).max(SPREAD_FLOOR * centre);
+        Some((centre * self.settings.factor).max(centre + self.settings.deviations * spread))
+    }
+
+    fn own_median(&self, route: &str, server: &str, now: Instant) -> Option<f64> {
+        let samples = self
+            .samples
+            .get(&(Route::from(route), Server::from(server)))?;
+        let fresh: Vec<f64> = samples
+            .iter()
+            .filter(|(at, _)| now.saturating_duration_since(*at) <= self.settings.window)
+            .map(|(_, latency)| latency.as_secs_f64())
+            .collect();
+        (fresh.len() >= self.settings.min_samples)
+            .then(|| median(&fresh))
+            .flatten()
+    }
+}
+
+fn median(values: &[f64]) -> Option<f64> {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let middle = sorted.len() / 2;
+    Some(match sorted.len() {
+        0 => return None,
+        n if n % 2 == 1 => sorted[middle],
+        _ => f64::midpoint(sorted[middle - 1], sorted[middle]),
+    })
+}
--- /dev/null
+++ b/crates/steering/src/balance/slots.rs
@@ -0,0 +1,256 @@
+//! Slots or connections of backend servers divided over the VMs of one data centre.
+//!
+//! Every unit of a server is assigned to one VM by rendezvous hashing over the live VMs. A VM that
+//! loses a unit keeps it until its last request on it has ended. A VM that gains a unit uses it
+//! only when every other live VM has said, after it learned of the same membership, that it
+//! doesn't hold the unit, and when VMs that are gone can have no request left.
+
+use base::id::{Incarnation, Server, Vm};
+use indexmap::{IndexMap, IndexSet};
+use std::time::{Duration, Instant};
+
+base::label! {
+    /// One slot of a server, or one block of its connections.
+    pub struct Unit(pub u32);
+}
+
+base::message! {
+    /// What one VM says about the units that it holds, to the other VMs of its data centre.
+    pub struct Notice {
+        /// Sender.
+        pub vm: Vm,
+        /// Run of the sender.
+        pub incarnation: Incarnation,
+        /// Grows with every notice of this run, so that an overtaken notice is dropped.
+        pub sequence: u64,
+        /// Grows with every membership that the sender applies.
+        pub epoch: u64,
+        /// Digest of the membership that the sender applies.
+        pub view: u64,
+        /// Units that the sender may be using, lent ones included.
+        pub held: Vec<(Server, Unit)>,
+        /// Run and epoch that the sender last heard of each other VM.
+        pub seen: IndexMap<Vm, (Incarnation, u64)>,
+    }
+
+    /// A unit lent for one request to a VM that ran out.
+    pub struct Loan {
+        /// Backend server.
+        pub server: Server,
+        /// Unit that is lent.
+        pub unit: Unit,
+        /// Time in which the request must end, counted by the borrower from before it asked.
+        pub term: Duration,
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Use {
+    Idle,
+    Busy,
+    Lent { until: Instant },
+}
+
+/// Units of this VM for one resource (slots or blocks of connections) of the servers.
+#[derive(Debug)]
+pub struct Slots {
+    vm: Vm,
+    incarnation: Incarnation,
+    settle: Duration,
+    servers: IndexMap<Server, u32>,
+    members: IndexMap<Vm, Incarnation>,
+    epoch: u64,
+    sequence: u64,
+    free_from: Instant,
+    notices: IndexMap<Vm, Notice>,
+    held: IndexMap<(Server, Unit), Use>,
+}
+
+impl Slots {
+    /// Starts one run of a VM with no unit.
+    ///
+    /// `settle` is the time after which requests of a VM that is gone have ended on the servers,
+    /// and so the longest time a request may run and the longest term of a loan.
+    pub fn new(vm: impl Into<Vm>, incarnation: Incarnation, settle: Duration, now: Instant) -> Self {
+        Self {
+            vm: vm.into(),
+            incarnation,
+            settle,
+            servers: IndexMap::new(),
+            members: IndexMap::new(),
+            epoch: 0,
+            sequence: 0,
+            free_from: now + settle,
+            notices: IndexMap::new(),
+            held: IndexMap::new(),
+        }
+    }
+
+    /// Applies the servers with their number of units and the live VMs of the data centre.
+    pub fn apply(
+        &mut self,
+        servers: IndexMap<Server, u32>,
+        mut members: IndexMap<Vm, Incarnation>,
+        now: Instant,
+    ) {
+        members.sort_unstable_keys();
+        if members == self.members && servers == self.servers {
+            return;
+        }
+        let gone = |(vm, run): (&Vm, &Incarnation)| members.get(vm) != Some(run);
+        if self.members.iter().any(gone) {
+            self.free_from = self.free_from.max(now + self.settle);
+        }
+        self.notices
+            .retain(|vm, notice| members.get(vm) == Some(&notice.incarnation));
+        self.members = members;
+        self.servers = servers;
+        self.epoch += 1;
+        self.update(now);
+    }
+
+    /// Takes in what another VM says.
+    pub fn hear(&mut self, notice: Notice, now: Instant) {
+        let known = self.members.get(&notice.vm) == Some(&notice.incarnation);
+        let newer = (self.notices.get(&notice.vm)).is_none_or(|n| n.sequence < notice.sequence);
+        if known && newer {
+            self.notices.insert(notice.vm.clone(), notice);
+            self.update(now);
+        }
+    }
+
+    /// Returns what to send to the other VMs of the data centre; several times a second.
+    pub fn notice(&mut self, now: Instant) -> Notice {
+        self.update(now);
+        self.sequence += 1;
+        let seen = |(vm, n): (&Vm, &Notice)| (vm.clone(), (n.incarnation, n.epoch));
+        Notice {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            epoch: self.epoch,
+            view: self.view(),
+            held: self.held.keys().cloned().collect(),
+            seen: self.notices.iter().map(seen).collect(),
+        }
+    }
+
+    /// Returns the number of units that a request can take now.
+    pub fn free(&self, server: &str) -> usize {
+        self.idle(server).count()
+    }
+
+    /// Returns the number of units that this VM holds, in use or not.
+    pub fn held(&self, server: &str) -> usize {
+        self.held.keys().filter(|(s, _)| &**s == server).count()
+    }
+
+    /// Takes a unit for one request.
+    pub fn take(&mut self, server: &str) -> Option<Unit> {
+        let unit = self.idle(server).next()?;
+        self.held.insert((server.into(), unit), Use::Busy);
+        Some(unit)
+    }
+
+    /// Gives back the unit of a request that ended on the server.
+    pub fn end(&mut self, server: &str, unit: Unit, now: Instant) {
+        if let Some(usage) = self.held.get_mut(&(Server::from(server), unit)) {
+            *usage = Use::Idle;
+        }
+        self.update(now);
+    }
+
+    /// Lends an idle unit for one request of another VM, which ends within half of `settle`.
+    ///
+    /// If the loan is not given back, it ends after the whole of `settle`: the margin covers the
+    /// drift of the clocks and the time that cancellation takes.
+    pub fn lend(&mut self, server: &str, now: Instant) -> Option<Loan> {
+        let unit = self.idle(server).next()?;
+        let until = now + self.settle;
+        self.held
+            .insert((server.into(), unit), Use::Lent { until });
+        Some(Loan {
+            server: server.into(),
+            unit,
+            term: self.settle / 2,
+        })
+    }
+
+    /// Takes a lent unit back, on the borrower's word that its request has ended.
+    pub fn returned(&mut self, loan: &Loan, now: Instant) {
+        let key = (loan.server.clone(), loan.unit);
+        if matches!(self.held.get(&key), Some(Use::Lent { .. })) {
+            self.end(&loan.server, loan.unit, now);
+        }
+    }
+
+    /// Ends overdue loans, releases units of other VMs and takes units that became free.
+    pub fn update(&mut self, now: Instant) {
+        for usage in self.held.values_mut() {
+            if matches!(usage, Use::Lent { until } if *until <= now) {
+                *usage = Use::Idle;
+            }
+        }
+        let mine: IndexSet<(Server, Unit)> = self.assigned().collect();
+        self.held
+            .retain(|key, usage| *usage != Use::Idle || mine.contains(key));
+        if now < self.free_from || !self.agreed() {
+            return;
+        }
+        for key in mine {
+            if !self.notices.values().any(|n| n.held.contains(&key)) {
+                self.held.entry(key).or_insert(Use::Idle);
+            }
+        }
+    }
+
+    /// Whether every other live VM has answered this VM's epoch under the same membership.
+    fn agreed(&self) -> bool {
+        let view = self.view();
+        let me = Some(&(self.incarnation, self.epoch));
+        self.members.keys().filter(|vm| **vm != self.vm).all(|vm| {
+            let notice = self.notices.get(vm);
+            notice.is_some_and(|n| n.view == view && n.seen.get(&self.vm) == me)
+        })
+    }
+
+    fn assigned(&self) -> impl Iterator<Item = (Server, Unit)> {
+        self.servers.iter().flat_map(|(server, units)| {
+            let mut ranked: Vec<_> = self.members.keys().collect();
+            ranked.sort_by_key(|vm| digest([server.as_bytes(), vm.as_bytes()]));
+            let rank = ranked.iter().position(|vm| **vm == self.vm);
+            let count = ranked.len();
+            (0..*units)
+                .filter(move |unit| rank.is_some_and(|r| *unit as usize % count == r))
+                .map(|unit| (server.clone(), Unit(unit)))
+        })
+    }
+
+    fn idle(&self, server: &str) -> impl Iterator<Item = Unit> {
+        let server = Server::from(server);
+        (self.held.iter())
+            .filter(move |((name, _), usage)| *name == server && **usage == Use::Idle)
+            .map(|((_, unit), _)| *unit)
+    }
+
+    fn view(&self) -> u64 {
+        let members = self.members.iter();
+        let servers = self.servers.iter();
+        let parts = members
+            .map(|(vm, run)| (vm, run.to_le_bytes()))
+            .chain(servers.map(|(name, units)| (name, u64::from(*units).to_le_bytes())));
+        let text: Vec<_> = parts.collect();
+        digest(text.iter().flat_map(|(name, n)| [name.as_bytes(), &n[..]]))
+    }
+}
+
+fn digest<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
--- a/crates/steering/src/retry.rs
+++ b/crates/steering/src/retry.rs
@@ -1,1 +1,59 @@
 //! Budget for retries.
+
+mod admission;
+
+pub use admission::{Admission, Refusal};
+
+/// Settings of a retry budget.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Retries allowed per success.
+    pub ratio: f64,
+    /// Retries that may be saved up; bounds the burst after a good period.
+    pub most: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            most: 20.0,
+        }
+    }
+}
+
+/// Retries paid for by successes.
+///
+/// The budget starts empty, so in any period from its start retries are at most `ratio` of
+/// successes: a service that answers nothing gets no retries at all.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Budget {
+    settings: Settings,
+    saved: f64,
+}
+
+impl Budget {
+    /// Starts an empty budget.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            saved: 0.0,
+        }
+    }
+
+    /// Counts a request that succeeded at its first try.
+    ///
+    /// Successes of retries don't count, or retries would pay for further retries.
+    pub fn succeeded(&mut self) {
+        self.saved = (self.saved + self.settings.ratio).min(self.settings.most);
+    }
+
+    /// Takes one retry from the budget; returns false if there is none.
+    pub fn take(&mut self) -> bool {
+        let allowed = self.saved >= 1.0;
+        if allowed {
+            self.saved -= 1.0;
+        }
+        allowed
+    }
+}
--- /dev/null
+++ b/crates/steering/src/retry/admission.rs
@@ -0,0 +1,71 @@
+//! Shedding of requests that can't finish within their deadline.
+
+use std::time::{Duration, Instant};
+
+/// Weight of a new sample in the estimates.
+const WEIGHT: f64 = 0.02;
+
+base::label! {
+    /// Why a request is not admitted; in both cases it has not run.
+    pub enum Refusal {
+        /// The deadline passes before the requests ahead are done.
+        Queue,
+        /// The deadline passes before the request itself can be done.
+        Late,
+    }
+}
+
+/// Estimate of the service time and the admission decisions that follow from it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Admission {
+    mean: f64,
+    deviation: f64,
+    margin: f64,
+}
+
+impl Admission {
+    /// Starts with an assumed mean; `margin` is in mean deviations above the mean.
+    pub fn new(assumed: Duration, margin: f64) -> Self {
+        Self {
+            mean: assumed.as_secs_f64(),
+            deviation: 0.0,
+            margin,
+        }
+    }
+
+    /// Notes the service time of one request, without its time in the queue.
+    pub fn record(&mut self, took: Duration) {
+        let error = took.as_secs_f64() - self.mean;
+        self.mean += WEIGHT * error;
+        self.deviation += WEIGHT * (error.abs() - self.deviation);
+    }
+
+    /// Returns the time that a request needs on a server, with the margin.
+    pub fn service(&self) -> Duration {
+        Duration::from_secs_f64(self.mean + self.margin * self.deviation)
+    }
+
+    /// Decides on arrival, with `ahead` requests that start first and `slots` servers' slots.
+    pub fn admit(
+        &self,
+        deadline: Instant,
+        ahead: usize,
+        slots: usize,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        let wait = Duration::from_secs_f64(self.mean * ahead as f64 / slots.max(1) as f64);
+        self.start(deadline, now)?;
+        match now + wait + self.service() <= deadline {
+            true => Ok(()),
+            false => Err(Refusal::Queue),
+        }
+    }
+
+    /// Decides again when a slot is free for a queued request.
+    pub fn start(&self, deadline: Instant, now: Instant) -> Result<(), Refusal> {
+        match now + self.service() <= deadline {
+            true => Ok(()),
+            false => Err(Refusal::Late),
+        }
+    }
+}
