--- a/crates/steering/src/balance/slots.rs
+++ b/crates/steering/src/balance/slots.rs
@@ -71,7 +71,12 @@
     ///
     /// `settle` is the time after which requests of a VM that is gone have ended on the servers,
     /// and so the longest time a request may run and the longest term of a loan.
-    pub fn new(vm: impl Into<Vm>, incarnation: Incarnation, settle: Duration, now: Instant) -> Self {
+    pub fn new(
+        vm: impl Into<Vm>,
+        incarnation: Incarnation,
+        settle: Duration,
+        now: Instant,
+    ) -> Self {
         Self {
             vm: vm.into(),
             incarnation,
@@ -167,8 +172,7 @@
     pub fn lend(&mut self, server: &str, now: Instant) -> Option<Loan> {
         let unit = self.idle(server).next()?;
         let until = now + self.settle;
-        self.held
-            .insert((server.into(), unit), Use::Lent { until });
+        self.held.insert((server.into(), unit), Use::Lent { until });
         Some(Loan {
             server: server.into(),
             unit,
--- /dev/null
+++ b/crates/steering/src/spill/link.rs
@@ -0,0 +1,202 @@
+//! Byte share of one region-to-region link that this VM may spend.
+
+use super::Class;
+use crate::balance::ramp;
+use base::id::Service;
+use indexmap::IndexMap;
+use std::time::{Duration, Instant};
+
+/// Weight of a new sample in the learned answer size.
+const WEIGHT: f64 = 0.05;
+/// Longest time over which unspent bytes are kept.
+const BURST: Duration = Duration::from_millis(200);
+/// Time constant of the spending of prompt services.
+const SPENDING: Duration = Duration::from_secs(1);
+
+/// Settings of a link share.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LinkSettings {
+    /// Bytes per second that this VM may spend, requests and answers together.
+    ///
+    /// The shares of all VMs of both regions sum to at most the link's bandwidth, less what
+    /// cache fills and other traffic need, so that neither direction can exceed it.
+    pub bytes_per_second: f64,
+    /// Answer size in bytes that is assumed before one was seen.
+    pub assumed_answer: f64,
+    /// Extra bytes per answer byte while the far cache is cold, for filling it.
+    pub cold_cost: f64,
+    /// Time in which the far cache becomes warm.
+    pub warm_up: Duration,
+    /// Time without a request after which the far cache counts as cold again.
+    pub cools: Duration,
+    /// Part of the share that the first requests to a cold cache may use.
+    pub cold_floor: f64,
+    /// Part of the burst that deferrable requests leave for prompt ones.
+    pub reserve: f64,
+}
+
+impl Default for LinkSettings {
+    fn default() -> Self {
+        Self {
+            bytes_per_second: 0.0,
+            assumed_answer: 65536.0,
+            cold_cost: 1.0,
+            warm_up: Duration::from_secs(10),
+            cools: Duration::from_secs(60),
+            cold_floor: 0.2,
+            reserve: 0.5,
+        }
+    }
+}
+
+base::value! {
+    /// Bytes charged for one request, corrected when its answer has come.
+    #[must_use]
+    pub struct Charge {
+        service: Service,
+        answer: f64,
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Warmth {
+    since: Instant,
+    last: Instant,
+    /// Bytes per second spent lately.
+    spending: f64,
+}
+
+/// Token bucket in bytes; filled at the VM's share of the link.
+#[derive(Debug)]
+pub struct Link {
+    settings: LinkSettings,
+    bytes: f64,
+    filled: Instant,
+    prompt: f64,
+    sizes: IndexMap<Service, f64>,
+    warmth: IndexMap<Service, Warmth>,
+}
+
+impl Link {
+    /// Starts with an empty bucket.
+    pub fn new(settings: LinkSettings, now: Instant) -> Self {
+        Self {
+            settings,
+            bytes: 0.0,
+            filled: now,
+            prompt: 0.0,
+            sizes: IndexMap::new(),
+            warmth: IndexMap::new(),
+        }
+    }
+
+    /// Charges a request of `bytes` and its expected answer, or refuses it; it has not run then.
+    ///
+    /// Deferrable requests leave a reserve in the bucket, so they yield first.
+    pub fn admit(
+        &mut self,
+        service: &str,
+        class: Class,
+        bytes: f64,
+        now: Instant,
+    ) -> Option<Charge> {
+        self.fill(now);
+        let answer = self.answer(service, now);
+        let kept = match class {
+            Class::Prompt => 0.0,
+            Class::Deferrable => self.settings.reserve * self.burst(),
+        };
+        // Larger than the whole burst: admitted by a full bucket, which then owes the difference.
+        let needed = (bytes + answer).min(self.burst() - kept);
+        if self.bytes < needed + kept || self.settings.bytes_per_second <= 0.0 {
+            return None;
+        }
+        let open = self.settings.bytes_per_second * self.ramped(service, now);
+        let warmth = self.warmth.entry(service.into()).or_insert(Warmth {
+            since: now,
+            last: now,
+            spending: 0.0,
+        });
+        let elapsed = now.saturating_duration_since(warmth.last);
+        warmth.spending *= decay(elapsed);
+        warmth.last = now;
+        if open < self.settings.bytes_per_second && warmth.spending > open {
+            return None;
+        }
+        warmth.spending += (bytes + answer) / SPENDING.as_secs_f64();
+        self.spend(class, bytes + answer);
+        Some(Charge {
+            service: service.into(),
+            answer,
+        })
+    }
+
+    /// Corrects a charge by the real size of the answer and learns from it.
+    pub fn settle(&mut self, charge: &Charge, class: Class, answer: f64, now: Instant) {
+        self.fill(now);
+        let cost = answer * self.fill_factor(&charge.service, now);
+        self.spend(class, cost - charge.answer);
+        let size = self.sizes.entry(charge.service.clone()).or_insert(answer);
+        *size += WEIGHT * (answer - *size);
+    }
+
+    /// Returns the requests per second of a service that fit, for the planner.
+    ///
+    /// For a deferrable service, what prompt services spend is left out.
+    pub fn rate(&self, service: &str, class: Class, now: Instant) -> f64 {
+        let taken = match class {
+            Class::Prompt => 0.0,
+            Class::Deferrable => self.prompt,
+        };
+        (self.settings.bytes_per_second * self.ramped(service, now) - taken).max(0.0)
+            / self.answer(service, now)
+    }
+
+    fn spend(&mut self, class: Class, bytes: f64) {
+        self.bytes -= bytes;
+        if class == Class::Prompt {
+            self.prompt += bytes / SPENDING.as_secs_f64();
+        }
+    }
+
+    fn fill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.filled);
+        self.prompt *= decay(elapsed);
+        self.bytes =
+            (self.bytes + elapsed.as_secs_f64() * self.settings.bytes_per_second).min(self.burst());
+        self.filled = now;
+        let cools = self.settings.cools;
+        (self.warmth).retain(|_, warmth| now.saturating_duration_since(warmth.last) < cools);
+    }
+
+    fn burst(&self) -> f64 {
+        self.settings.bytes_per_second * BURST.as_secs_f64()
+    }
+
+    /// Expected bytes of an answer, cache fill included.
+    fn answer(&self, service: &str, now: Instant) -> f64 {
+        let known = self.sizes.get(service).copied();
+        known.unwrap_or(self.settings.assumed_answer) * self.fill_factor(service, now)
+    }
+
+    fn fill_factor(&self, service: &str, now: Instant) -> f64 {
+        1.0 + self.settings.cold_cost * (1.0 - self.warm(service, now))
+    }
+
+    /// Part of the share that is open to a service by the warmth of its far cache.
+    fn ramped(&self, service: &str, now: Instant) -> f64 {
+        let floor = self.settings.cold_floor;
+        floor + (1.0 - floor) * self.warm(service, now)
+    }
+
+    fn warm(&self, service: &str, now: Instant) -> f64 {
+        self.warmth.get(service).map_or(0.0, |warmth| {
+            let elapsed = now.saturating_duration_since(warmth.since);
+            ramp(0.0, elapsed, self.settings.warm_up)
+        })
+    }
+}
+
+fn decay(elapsed: Duration) -> f64 {
+    (-elapsed.as_secs_f64() / SPENDING.as_secs_f64()).exp()
+}
--- /dev/null
+++ b/crates/steering/tests/balance.rs
@@ -0,0 +1,293 @@
+//! Choice of backend servers, ejection of slow ones and ownership of slots.
+
+use indexmap::IndexMap;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rstest::rstest;
+use std::time::{Duration, Instant};
+use steering::balance::{Chooser, Notice, Outlier, Reply, Settings, Slots, Summary};
+
+const SERVERS: [&str; 4] = ["a", "b", "c", "d"];
+
+fn setup(settings: &Settings) -> (Chooser, Outlier) {
+    let mut chooser = Chooser::new(settings.clone());
+    let mut outlier = Outlier::new(settings.clone());
+    for server in SERVERS {
+        chooser.insert(server, None);
+        outlier.insert(server);
+    }
+    (chooser, outlier)
+}
+
+/// Chooses `count` times while requests end at once, and returns how often `server` was chosen.
+fn choices(chooser: &Chooser, outlier: &mut Outlier, server: &str, now: Instant) -> usize {
+    let mut rng = StdRng::seed_from_u64(1);
+    (0..1000)
+        .filter_map(|_| chooser.choose(|_| true, outlier, now, &mut rng))
+        .filter(|chosen| &**chosen == server)
+        .count()
+}
+
+/// Guards against a report that claims idleness and attracts all requests.
+#[test]
+fn own_counts_precede_reports() {
+    let (mut chooser, mut outlier) = setup(&Settings::default());
+    let now = Instant::now();
+    chooser.begin("a");
+    chooser.report_load("a", 0.0, now);
+    for server in &SERVERS[1..] {
+        chooser.report_load(server, 1.0, now);
+    }
+    assert_eq!(choices(&chooser, &mut outlier, "a", now), 0);
+    // With equal counts the report decides, until it is too old.
+    chooser.end("a", Reply::Answered, now);
+    assert_eq!(choices(&chooser, &mut outlier, "a", now), 1000);
+    let later = now + Settings::default().report_age + Duration::from_millis(1);
+    assert!(choices(&chooser, &mut outlier, "a", later) < 400);
+}
+
+/// Guards against a full load on a cold cache; with the ramp off it gets its whole share.
+#[rstest]
+#[case(Settings::default(), 0..80)]
+#[case(Settings { cold_floor: 1.0, ..Settings::default() }, 200..300)]
+fn cold_start_ramps(#[case] settings: Settings, #[case] expected: std::ops::Range<usize>) {
+    let (mut chooser, mut outlier) = setup(&settings);
+    let now = Instant::now();
+    chooser.insert("a", Some(now));
+    let chosen = choices(&chooser, &mut outlier, "a", now);
+    assert!(expected.contains(&chosen), "{chosen}");
+    let warm = choices(&chooser, &mut outlier, "a", now + settings.cold_ramp);
+    assert!((200..300).contains(&warm), "{warm}");
+}
+
+/// Guards against a server that sheds quickly and so looks idle.
+#[test]
+fn shedding_server_is_avoided_for_a_short_time() {
+    let settings = Settings::default();
+    let (mut chooser, mut outlier) = setup(&settings);
+    let now = Instant::now();
+    chooser.begin("a");
+    chooser.end("a", Reply::Shed, now);
+    assert_eq!(choices(&chooser, &mut outlier, "a", now), 0);
+    let later = now + settings.shed_pause;
+    assert!(choices(&chooser, &mut outlier, "a", later) > 200);
+}
+
+/// Guards against a misleading health endpoint that takes a whole version out of service.
+#[test]
+fn health_is_ignored_when_it_rules_out_all() {
+    let (mut chooser, mut outlier) = setup(&Settings::default());
+    let now = Instant::now();
+    chooser.report_health("a", false, now);
+    assert_eq!(choices(&chooser, &mut outlier, "a", now), 0);
+    for server in SERVERS {
+        chooser.report_health(server, false, now);
+    }
+    assert!(choices(&chooser, &mut outlier, "a", now) > 200);
+}
+
+/// Records 20 answers of each server; those of `slow` take 200 ms instead of 20 ms.
+fn feed(outlier: &mut Outlier, slow: &[&str], now: Instant) {
+    for server in SERVERS.iter().cycle().take(SERVERS.len() * 20) {
+        let millis = if slow.contains(server) { 200 } else { 20 };
+        outlier.record("all", server, Duration::from_millis(millis), now);
+    }
+}
+
+/// Guards against more ejections than stated when servers become slow one after another; with the
+/// cap off, two of four are ejected.
+#[rstest]
+#[case(Settings::default(), 1)]
+#[case(Settings { max_ejected: 1.0, min_peers: 1, ..Settings::default() }, 2)]
+fn ejections_are_capped(#[case] settings: Settings, #[case] expected: usize) {
+    let (_, mut outlier) = setup(&settings);
+    let now = Instant::now();
+    // Peers of other data centres stay fast.
+    let peers = ["p", "q", "r", "s", "t"].map(|server| Summary {
+        server: server.into(),
+        route: "all".into(),
+        median: 0.02,
+    });
+    outlier.learn(peers, now);
+    feed(&mut outlier, &["a"], now);
+    feed(&mut outlier, &["a", "b"], now + Duration::from_millis(1500));
+    assert_eq!(outlier.ejections(), expected);
+    assert!(outlier.ejected("a"));
+}
+
+/// Guards against ejection by too few samples or peers, or because one route is slower.
+#[test]
+fn needs_samples_and_peers_of_the_route() {
+    let settings = Settings::default();
+    let (_, mut outlier) = setup(&settings);
+    let now = Instant::now();
+    for server in &SERVERS[1..] {
+        for _ in 0..20 {
+            outlier.record("fast", server, Duration::from_millis(20), now);
+        }
+    }
+    for _ in 0..20 {
+        outlier.record("slow", "a", Duration::from_millis(200), now);
+    }
+    assert!(!outlier.ejected("a"));
+    for _ in 1..settings.min_samples {
+        outlier.record("fast", "a", Duration::from_millis(200), now);
+    }
+    assert!(!outlier.ejected("a"));
+    outlier.record("fast", "a", Duration::from_millis(200), now);
+    assert!(outlier.ejected("a"));
+}
+
+/// Guards against a server that stays ejected after its recovery, and against a trickle that is
+/// large enough to harm.
+#[test]
+fn trickle_finds_recovery() {
+    let settings = Settings::default();
+    let (chooser, mut outlier) = setup(&settings);
+    let start = Instant::now();
+    feed(&mut outlier, &["a"], start);
+    assert!(outlier.ejected("a"));
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut trickled = 0;
+    let mut back = None;
+    for millis in (10..40_000).step_by(10) {
+        let now = start + Duration::from_millis(millis);
+        let Some(server) = chooser.choose(|_| true, &mut outlier, now, &mut rng) else {
+            continue;
+        };
+        let recovered = millis >= 20_000;
+        let slow = &*server == "a" && !recovered;
+        trickled += usize::from(slow);
+        let took = Duration::from_millis(if slow { 200 } else { 20 });
+        outlier.record("all", &server, took, now);
+        if back.is_none() && outlier.share("a", now) >= 1.0 {
+            back = Some(millis);
+        }
+    }
+    assert!(trickled <= 7, "{trickled}");
+    assert!(back.is_some_and(|at| at <= 30_000), "{back:?}");
+}
+
+const SETTLE: Duration = Duration::from_secs(2);
+const STEP: Duration = Duration::from_millis(50);
+
+/// VMs that contend for one server, with lost, late and reordered notices.
+struct Contention {
+    rng: StdRng,
+    vms: IndexMap<Box<str>, (u64, Slots)>,
+    transit: Vec<(Instant, Notice)>,
+    busy: Vec<(Box<str>, u64, steering::balance::Unit, Instant)>,
+}
+
+impl Contention {
+    fn exchange(&mut self, now: Instant) {
+        for (_, slots) in self.vms.values_mut() {
+            let notice = slots.notice(now);
+            if self.rng.random::<f64>() < 0.8 {
+                let delay = STEP.mul_f64(8.0 * self.rng.random::<f64>());
+                self.transit.push((now + delay, notice));
+            }
+        }
+        let (due, rest) = (std::mem::take(&mut self.transit).into_iter())
+            .partition(|(at, _): &(Instant, Notice)| *at <= now);
+        self.transit = rest;
+        for (_, notice) in due {
+            for (_, slots) in self.vms.values_mut() {
+                slots.hear(notice.clone(), now);
+            }
+        }
+    }
+
+    fn requests(&mut self, now: Instant) {
+        for (name, run, unit, _) in self.busy.extract_if(.., |request| request.3 <= now) {
+            if let Some((current, slots)) = self.vms.get_mut(&name)
+                && *current == run
+            {
+                slots.end("server", unit, now);
+            }
+        }
+        for (name, (run, slots)) in &mut self.vms {
+            while let Some(unit) = slots.take("server") {
+                let until = now + (SETTLE / 2).mul_f64(self.rng.random::<f64>());
+                self.busy.push((name.clone(), *run, unit, until));
+            }
+        }
+    }
+}
+
+/// Guards against two VMs that use the same unit: VMs join, leave and restart, each VM learns the
+/// membership at its own time, and notices are lost, late and reordered.
+#[rstest]
+fn units_never_exceed_the_server(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+    #[values(3, 8)] units: u32,
+) {
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut truth: IndexMap<Box<str>, u64> = IndexMap::new();
+    let mut views: Vec<(Instant, Box<str>, IndexMap<Box<str>, u64>)> = Vec::new();
+    let mut world = Contention {
+        rng: StdRng::seed_from_u64(seed + 100),
+        vms: IndexMap::new(),
+        transit: Vec::new(),
+        busy: Vec::new(),
+    };
+    let mut full = 0;
+    for step in 0..6000_u32 {
+        let now = start + STEP * step;
+        if step % 150 == 0 {
+            let name: Box<str> = format!("vm-{}", rng.random_range(0..4)).into();
+            // A run that ends leaves its requests on the server until they are done.
+            let joins = truth.shift_remove(&name).is_none() || rng.random::<bool>();
+            world.vms.shift_remove(&name);
+            if joins {
+                let run = rng.random();
+                truth.insert(name.clone(), run);
+                let slots = Slots::new(name.clone(), run, SETTLE, now);
+                world.vms.insert(name, (run, slots));
+            }
+            for vm in truth.keys() {
+                let at = now + STEP * rng.random_range(0..40);
+                views.push((at, vm.clone(), truth.clone()));
+            }
+        }
+        for (_, vm, members) in views.extract_if(.., |view| view.0 <= now) {
+            if let Some((_, slots)) = world.vms.get_mut(&vm) {
+                slots.apply(IndexMap::from([("server".into(), units)]), members, now);
+            }
+        }
+        world.exchange(now);
+        world.requests(now);
+        let running = world.busy.len();
+        assert!(running <= units as usize, "{running} at step {step}");
+        full += usize::from(running == units as usize);
+    }
+    assert!(
+        full > 2500,
+        "units were free for too long: full in {full} steps of 6000"
+    );
+}
+
+/// Guards against a lent unit that is used twice or lost.
+#[test]
+fn loans_end() {
+    let now = Instant::now();
+    let mut slots = Slots::new("vm", 1, SETTLE, now);
+    let members = IndexMap::from([("vm".into(), 1)]);
+    slots.apply(IndexMap::from([("server".into(), 3)]), members, now);
+    assert_eq!(slots.free("server"), 0);
+    slots.update(now + SETTLE);
+    let now = now + SETTLE;
+    assert_eq!(slots.free("server"), 3);
+    let loan = slots.lend("server", now).unwrap();
+    assert!(loan.term < SETTLE);
+    let lost = slots.lend("server", now).unwrap();
+    assert_eq!(slots.free("server"), 1);
+    slots.returned(&loan, now);
+    slots.returned(&loan, now);
+    assert_eq!(slots.free("server"), 2);
+    slots.update(now + lost.term);
+    assert_eq!(slots.free("server"), 2);
+    slots.update(now + SETTLE);
+    assert_eq!(slots.free("server"), 3);
+}
--- /dev/null
+++ b/tools/bench/tests/balance.rs
@@ -0,0 +1,67 @@
+//! Targets of backend choice, on the same traces for every method.
+
+use bench::experiment::balance::{METHODS, Method, Sizes, Trace, run};
+use rstest::rstest;
+use std::time::Duration;
+
+/// Share of the former load that a slow server may get from 2 s after onset.
+const SLOW_TARGET: f64 = 0.02;
+/// Share of the former load that counts as normal after recovery.
+const NORMAL: f64 = 0.8;
+/// One of the two servers of a data centre.
+const EJECTED_TARGET: f64 = 0.5;
+
+/// Guards against a slow server that keeps its load, against one that stays out after its recovery
+/// and against requests that reach a server without a free slot.
+#[rstest]
+fn steering_meets_targets(
+    #[values(Sizes::LOOKUP, Sizes::MAP)] sizes: Sizes,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let figures = run(&Trace::new(sizes, seed), Method::Steering, seed);
+    assert!(figures.slow_share <= SLOW_TARGET, "{figures:?}");
+    assert!(figures.recovered_share >= NORMAL, "{figures:?}");
+    assert!(figures.most_ejected <= EJECTED_TARGET, "{figures:?}");
+    assert_eq!(figures.over_slots, 0, "{figures:?}");
+    assert_eq!(figures.failed, 0, "{figures:?}");
+}
+
+/// Guards against targets that any method would meet.
+#[rstest]
+fn baselines_miss_targets(#[values(Sizes::LOOKUP, Sizes::MAP)] sizes: Sizes) {
+    let trace = Trace::new(sizes, 1);
+    let ours = run(&trace, Method::Steering, 1);
+    for method in METHODS.into_iter().skip(1) {
+        let figures = run(&trace, method, 1);
+        let shares = figures.slow_share <= SLOW_TARGET && figures.recovered_share >= NORMAL;
+        assert!(!shares, "{method:?} {figures:?}");
+        assert!(figures.over_slots > 0, "{method:?} {figures:?}");
+        assert!(figures.failed > 0, "{method:?} {figures:?}");
+        // The moving average also ejects quickly; only the others lose latency.
+        if method != Method::MovingAverage {
+            assert!(
+                figures.latency[2] > 2 * ours.latency[2],
+                "{method:?} {figures:?}"
+            );
+        }
+    }
+}
+
+/// Guards against ejecting the fleet when the cause of the slowness is common to all servers.
+#[rstest]
+fn all_slow(#[values(Sizes::LOOKUP, Sizes::MAP)] sizes: Sizes) {
+    let mut trace = Trace::new(sizes, 1);
+    trace.all_slow = true;
+    // Load that the slow servers can carry, so that the queues stay bounded.
+    let keep = |(index, event): (usize, _)| (index % 12 == 0).then_some(event);
+    trace.events = trace
+        .events
+        .into_iter()
+        .enumerate()
+        .filter_map(keep)
+        .collect();
+    let figures = run(&trace, Method::Steering, 1);
+    assert!(figures.most_ejected <= EJECTED_TARGET, "{figures:?}");
+    assert_eq!(figures.over_slots, 0, "{figures:?}");
+    assert!(figures.latency[1] < Duration::from_secs(2), "{figures:?}");
+}
