--- a/crates/steering/src/balance/outlier.rs
+++ b/crates/steering/src/balance/outlier.rs
@@ -12,6 +12,8 @@
 const SPREAD_FLOOR: f64 = 0.1;
 /// Scales the median absolute deviation to the standard deviation of a normal distribution.
 const MAD_SCALE: f64 = 1.4826;
+/// Age up to which a limit is used again for the decision to eject.
+const LIMIT_AGE: Duration = Duration::from_millis(100);
 /// Share at which the ramp of a recovered server starts.
 const RECOVERY_FLOOR: f64 = 0.2;
 
@@ -30,7 +32,7 @@
 #[derive(Debug, Clone)]
 enum Standing {
     Regular,
-    Ejected { due: Instant, good: u32 },
+    Ejected { due: Instant, good: u32, limit: f64 },
     Recovering { since: Instant },
 }
 
@@ -44,6 +46,7 @@
     samples: IndexMap<(Route, Server), VecDeque<(Instant, Duration)>>,
     learned: IndexMap<(Route, Server), (f64, Instant)>,
     standing: IndexMap<Server, Standing>,
+    limits: IndexMap<(Route, Server), (f64, Instant)>,
 }
 
 impl Outlier {
@@ -54,6 +57,7 @@
             samples: IndexMap::new(),
             learned: IndexMap::new(),
             standing: IndexMap::new(),
+            limits: IndexMap::new(),
         }
     }
 
@@ -68,6 +72,7 @@
     pub fn remove(&mut self, server: &str) {
         self.standing.shift_remove(server);
         self.samples.retain(|(_, name), _| &**name != server);
+        self.limits.retain(|(_, name), _| &**name != server);
     }
 
     /// Notes the latency of an answer, and ejects or readmits the server.
@@ -82,8 +87,10 @@
             samples.pop_front();
         }
         match self.standing.get(server).cloned() {
-            Some(Standing::Ejected { good, .. }) => {
-                self.judge_ejected(route, server, latency, good, now);
+            Some(Standing::Ejected { good, limit, .. }) => {
+                // Without traffic there are no peers to compare with; the old limit still holds.
+                let limit = self.limit(route, server, now).unwrap_or(limit);
+                self.judge_ejected(server, latency, good, limit, now);
             }
             Some(_) => self.judge_regular(route, server, now),
             None => {}
@@ -92,6 +99,8 @@
 
     /// Takes in the medians that another VM measured.
     pub fn learn(&mut self, summaries: impl IntoIterator<Item = Summary>, now: Instant) {
+        let window = self.settings.window * 2;
+        self.learned.retain(|_, (_, at)| *at + window >= now);
         for summary in summaries {
             let key = (summary.route, summary.server);
             self.learned.insert(key, (summary.median, now));
@@ -162,36 +171,48 @@
         let Some(median) = self.own_median(route, server, now) else {
             return;
         };
-        if self
-            .limit(route, server, now)
-            .is_some_and(|limit| median > limit)
+        if let Some(limit) = self.recent_limit(route, server, now)
+            && median > limit
         {
             let due = now + self.settings.trickle;
+            let good = 0;
             self.standing
-                .insert(server.into(), Standing::Ejected { due, good: 0 });
+                .insert(server.into(), Standing::Ejected { due, good, limit });
         }
     }
 
+    /// The limit as computed at most `LIMIT_AGE` ago: it costs much more than the other steps.
+    fn recent_limit(&mut self, route: &str, server: &str, now: Instant) -> Option<f64> {
+        let key = (Route::from(route), Server::from(server));
+        if let Some((limit, at)) = self.limits.get(&key)
+            && now.saturating_duration_since(*at) < LIMIT_AGE
+        {
+            return Some(*limit);
+        }
+        let limit = self.limit(route, server, now)?;
+        self.limits.insert(key, (limit, now));
+        Some(limit)
+    }
+
     fn judge_ejected(
         &mut self,
-        route: &str,
         server: &str,
         latency: Duration,
         good: u32,
+        limit: f64,
         now: Instant,
     ) {
-        let Some(limit) = self.limit(route, server, now) else {
-            return;
-        };
         let standing = if latency.as_secs_f64() > limit {
             Standing::Ejected {
                 due: now + self.settings.trickle,
                 good: 0,
+                limit,
             }
         } else if good + 1 < self.settings.good_samples {
             Standing::Ejected {
                 due: now + self.settings.confirm,
                 good: good + 1,
+                limit,
             }
         } else {
             // Samples from before the recovery would eject the server again.
--- a/crates/steering/src/balance/slots.rs
+++ b/crates/steering/src/balance/slots.rs
@@ -64,6 +64,9 @@
     free_from: Instant,
     notices: IndexMap<Vm, Notice>,
     held: IndexMap<(Server, Unit), Use>,
+    /// Units assigned to this VM, and digest of the membership; both change with the epoch.
+    mine: IndexSet<(Server, Unit)>,
+    view: u64,
 }
 
 impl Slots {
@@ -88,6 +91,8 @@
             free_from: now + settle,
             notices: IndexMap::new(),
             held: IndexMap::new(),
+            mine: IndexSet::new(),
+            view: 0,
         }
     }
 
@@ -111,6 +116,8 @@
         self.members = members;
         self.servers = servers;
         self.epoch += 1;
+        self.mine = self.assigned().collect();
+        self.view = self.digest();
         self.update(now);
     }
 
@@ -134,7 +141,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence,
             epoch: self.epoch,
-            view: self.view(),
+            view: self.view,
             held: self.held.keys().cloned().collect(),
             seen: self.notices.iter().map(seen).collect(),
         }
@@ -158,11 +165,13 @@
     }
 
     /// Gives back the unit of a request that ended on the server.
-    pub fn end(&mut self, server: &str, unit: Unit, now: Instant) {
-        if let Some(usage) = self.held.get_mut(&(Server::from(server), unit)) {
-            *usage = Use::Idle;
+    pub fn end(&mut self, server: &str, unit: Unit) {
+        let key = (Server::from(server), unit);
+        if self.mine.contains(&key) {
+            self.held.insert(key, Use::Idle);
+        } else {
+            self.held.shift_remove(&key);
         }
-        self.update(now);
     }
 
     /// Lends an idle unit for one request of another VM, which ends within half of `settle`.
@@ -181,10 +190,10 @@
     }
 
     /// Takes a lent unit back, on the borrower's word that its request has ended.
-    pub fn returned(&mut self, loan: &Loan, now: Instant) {
+    pub fn returned(&mut self, loan: &Loan) {
         let key = (loan.server.clone(), loan.unit);
         if matches!(self.held.get(&key), Some(Use::Lent { .. })) {
-            self.end(&loan.server, loan.unit, now);
+            self.end(&loan.server, loan.unit);
         }
     }
 
@@ -195,26 +204,23 @@
                 *usage = Use::Idle;
             }
         }
-        let mine: IndexSet<(Server, Unit)> = self.assigned().collect();
-        self.held
-            .retain(|key, usage| *usage != Use::Idle || mine.contains(key));
+        (self.held).retain(|key, usage| *usage != Use::Idle || self.mine.contains(key));
         if now < self.free_from || !self.agreed() {
             return;
         }
-        for key in mine {
-            if !self.notices.values().any(|n| n.held.contains(&key)) {
-                self.held.entry(key).or_insert(Use::Idle);
+        for key in &self.mine {
+            if !self.notices.values().any(|n| n.held.contains(key)) {
+                self.held.entry(key.clone()).or_insert(Use::Idle);
             }
         }
     }
 
     /// Whether every other live VM has answered this VM's epoch under the same membership.
     fn agreed(&self) -> bool {
-        let view = self.view();
         let me = Some(&(self.incarnation, self.epoch));
         self.members.keys().filter(|vm| **vm != self.vm).all(|vm| {
             let notice = self.notices.get(vm);
-            notice.is_some_and(|n| n.view == view && n.seen.get(&self.vm) == me)
+            notice.is_some_and(|n| n.view == self.view && n.seen.get(&self.vm) == me)
         })
     }
 
@@ -237,7 +243,7 @@
             .map(|((_, unit), _)| *unit)
     }
 
-    fn view(&self) -> u64 {
+    fn digest(&self) -> u64 {
         let members = self.members.iter();
         let servers = self.servers.iter();
         let parts = members
--- a/crates/steering/tests/balance.rs
+++ b/crates/steering/tests/balance.rs
@@ -168,18 +168,52 @@
     assert!(back.is_some_and(|at| at <= 30_000), "{back:?}");
 }
 
+type Members = IndexMap<Box<str>, u64>;
+
 const SETTLE: Duration = Duration::from_secs(2);
 const STEP: Duration = Duration::from_millis(50);
 
+/// Which part of the hand-over is on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Handover {
+    Full,
+    /// Units of VMs that are gone are used at once.
+    NoSettle,
+    /// Every VM believes that the others agree and hold nothing.
+    NoAgreement,
+}
+
 /// VMs that contend for one server, with lost, late and reordered notices.
 struct Contention {
     rng: StdRng,
     vms: IndexMap<Box<str>, (u64, Slots)>,
+    views: IndexMap<Box<str>, Members>,
     transit: Vec<(Instant, Notice)>,
     busy: Vec<(Box<str>, u64, steering::balance::Unit, Instant)>,
 }
 
 impl Contention {
+    /// Lets every VM hear what it wants to hear from the members of its view.
+    fn forge(&mut self, now: Instant) {
+        let names: Vec<_> = self.views.clone().into_iter().collect();
+        for (name, members) in names {
+            let Some((_, slots)) = self.vms.get_mut(&name) else {
+                continue;
+            };
+            let own = slots.notice(now);
+            for (vm, incarnation) in members.into_iter().filter(|(vm, _)| *vm != name) {
+                let notice = Notice {
+                    vm,
+                    incarnation,
+                    held: Vec::new(),
+                    seen: IndexMap::from([(name.clone(), (own.incarnation, own.epoch))]),
+                    ..own.clone()
+                };
+                slots.hear(notice, now);
+            }
+        }
+    }
+
     fn exchange(&mut self, now: Instant) {
         for (_, slots) in self.vms.values_mut() {
             let notice = slots.notice(now);
@@ -203,7 +237,7 @@
             if let Some((current, slots)) = self.vms.get_mut(&name)
                 && *current == run
             {
-                slots.end("server", unit, now);
+                slots.end("server", unit);
             }
         }
         for (name, (run, slots)) in &mut self.vms {
@@ -222,13 +256,39 @@
     #[values(1, 2, 3, 4, 5, 6)] seed: u64,
     #[values(3, 8)] units: u32,
 ) {
+    let (most, full) = contend(seed, units, Handover::Full);
+    assert!(most <= units as usize, "{most}");
+    assert!(
+        full > 0.4,
+        "units were free for too long: all in use for {full} of the time"
+    );
+}
+
+/// Guards against a hand-over whose steps have no effect: without either one, a unit is used twice.
+#[rstest]
+fn hand_over_is_needed(
+    #[values(Handover::NoSettle, Handover::NoAgreement)] handover: Handover,
+    #[values(3, 8)] units: u32,
+) {
+    let (most, _) = contend(1, units, handover);
+    assert!(most > units as usize, "{most}");
+}
+
+/// Returns the most requests at once on the server and the part of the time at which it is full.
+fn contend(seed: u64, units: u32, handover: Handover) -> (usize, f64) {
+    let settle = match handover {
+        Handover::NoSettle => Duration::ZERO,
+        _ => SETTLE,
+    };
+    let mut most = 0;
     let start = Instant::now();
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut truth: IndexMap<Box<str>, u64> = IndexMap::new();
-    let mut views: Vec<(Instant, Box<str>, IndexMap<Box<str>, u64>)> = Vec::new();
+    let mut truth: Members = IndexMap::new();
+    let mut views: Vec<(Instant, Box<str>, Members)> = Vec::new();
     let mut world = Contention {
         rng: StdRng::seed_from_u64(seed + 100),
         vms: IndexMap::new(),
+        views: IndexMap::new(),
         transit: Vec::new(),
         busy: Vec::new(),
     };
@@ -243,7 +303,7 @@
             if joins {
                 let run = rng.random();
                 truth.insert(name.clone(), run);
-                let slots = Slots::new(name.clone(), run, SETTLE, now);
+                let slots = Slots::new(name.clone(), run, settle, now);
                 world.vms.insert(name, (run, slots));
             }
             for vm in truth.keys() {
@@ -252,20 +312,21 @@
             }
         }
         for (_, vm, members) in views.extract_if(.., |view| view.0 <= now) {
+            world.views.insert(vm.clone(), members.clone());
             if let Some((_, slots)) = world.vms.get_mut(&vm) {
                 slots.apply(IndexMap::from([("server".into(), units)]), members, now);
             }
         }
-        world.exchange(now);
+        match handover {
+            Handover::NoAgreement => world.forge(now),
+            _ => world.exchange(now),
+        }
         world.requests(now);
         let running = world.busy.len();
-        assert!(running <= units as usize, "{running} at step {step}");
-        full += usize::from(running == units as usize);
+        most = most.max(running);
+        full += u32::from(running == units as usize);
     }
-    assert!(
-        full > 2500,
-        "units were free for too long: full in {full} steps of 6000"
-    );
+    (most, f64::from(full) / 6000.0)
 }
 
 /// Guards against a lent unit that is used twice or lost.
@@ -283,8 +344,8 @@
     assert!(loan.term < SETTLE);
     let lost = slots.lend("server", now).unwrap();
     assert_eq!(slots.free("server"), 1);
-    slots.returned(&loan, now);
-    slots.returned(&loan, now);
+    slots.returned(&loan);
+    slots.returned(&loan);
     assert_eq!(slots.free("server"), 2);
     slots.update(now + lost.term);
     assert_eq!(slots.free("server"), 2);
--- /dev/null
+++ b/crates/steering/tests/retry.rs
@@ -0,0 +1,37 @@
+//! Retry budget and admission by deadline.
+
+use std::time::{Duration, Instant};
+use steering::retry::{Admission, Budget, Refusal, Settings};
+
+/// Guards against retries to a service that answers nothing.
+#[test]
+fn starts_empty() {
+    assert!(!Budget::new(Settings::default()).take());
+}
+
+/// Guards against more retries than a tenth of the successes, and against a burst that a long good
+/// period has saved up.
+#[test]
+fn is_a_bounded_fraction_of_successes() {
+    let mut budget = Budget::new(Settings::default());
+    let taken = |budget: &mut Budget| (0..1000).filter(|_| budget.take()).count();
+    (0..100).for_each(|_| budget.succeeded());
+    assert!((9..=10).contains(&taken(&mut budget)));
+    (0..100_000).for_each(|_| budget.succeeded());
+    assert_eq!(taken(&mut budget), Settings::default().most as usize);
+}
+
+/// Guards against starting work that can't finish in time, and against refusing what can.
+#[test]
+fn sheds_by_estimate() {
+    let now = Instant::now();
+    let mut admission = Admission::new(Duration::from_millis(20), 2.0);
+    let deadline = now + Duration::from_millis(100);
+    assert_eq!(admission.admit(deadline, 0, 3, now), Ok(()));
+    assert_eq!(admission.admit(deadline, 30, 3, now), Err(Refusal::Queue));
+    assert_eq!(admission.admit(deadline, 30, 30, now), Ok(()));
+    let late = now + Duration::from_millis(90);
+    assert_eq!(admission.start(deadline, late), Err(Refusal::Late));
+    (0..500).for_each(|_| admission.record(Duration::from_millis(150)));
+    assert_eq!(admission.admit(deadline, 0, 3, now), Err(Refusal::Late));
+}
--- a/tools/bench/src/experiment/balance/fleet.rs
+++ b/tools/bench/src/experiment/balance/fleet.rs
@@ -251,8 +251,8 @@
         }
         if let Some((owner, unit, loan)) = self.requests[index].unit.take() {
             match loan {
-                Some(loan) => self.vms[owner].slots.returned(&loan, now),
-                None => self.vms[owner].slots.end(&name(server), unit, now),
+                Some(loan) => self.vms[owner].slots.returned(&loan),
+                None => self.vms[owner].slots.end(&name(server), unit),
             }
             let reply = if shed { Reply::Shed } else { Reply::Answered };
             self.vms[vm].chooser.end(&name(server), reply, now);
