--- a/crates/steering/src/spill/link.rs
+++ b/crates/steering/src/spill/link.rs
@@ -148,8 +148,9 @@
             Class::Prompt => 0.0,
             Class::Deferrable => self.prompt,
         };
-        (self.settings.bytes_per_second * self.ramped(service, now) - taken).max(0.0)
-            / self.answer(service, now)
+        let share = self.settings.bytes_per_second;
+        let open = (share - taken).min(share * self.ramped(service, now));
+        open.max(0.0) / self.answer(service, now)
     }
 
     fn spend(&mut self, class: Class, bytes: f64) {
--- a/crates/steering/src/spill/planner.rs
+++ b/crates/steering/src/spill/planner.rs
@@ -3,6 +3,7 @@
 use super::Settings;
 use base::id::{DataCentre, Region};
 use indexmap::IndexMap;
+use std::collections::VecDeque;
 use std::time::Instant;
 
 base::value! {
@@ -43,6 +44,8 @@
     settings: Settings,
     weights: IndexMap<DataCentre, f64>,
     planned: Option<Instant>,
+    /// Demand at home by time, over the age of the measurements.
+    past: VecDeque<(Instant, f64)>,
 }
 
 /// Rates in requests per second from the home data centre to one site.
@@ -68,6 +71,7 @@
             spread,
             settings,
             planned: None,
+            past: VecDeque::new(),
         }
     }
 
@@ -99,6 +103,8 @@
             self.weights = IndexMap::from([(self.home.clone(), 1.0)]);
             return &self.weights;
         }
+        self.note(demand, now);
+        let sites = &self.extrapolate(sites, demand);
         let mut flows = self.flows(sites, now);
         self.limit(&mut flows, sites, demand, link);
         let mut weights = IndexMap::new();
@@ -121,6 +127,39 @@
         &self.weights
     }
 
+    fn note(&mut self, demand: f64, now: Instant) {
+        let stale = self.settings.stale;
+        self.past.push_back((now, demand));
+        while self.past.front().is_some_and(|(at, _)| *at + stale < now) {
+            self.past.pop_front();
+        }
+    }
+
+    /// Adds to the demand of other sites what home has gained since they were measured.
+    ///
+    /// The callers of a failed region come to several data centres at once. Without this, each
+    /// of them sees the others as they were before and moves its excess there.
+    fn extrapolate(&self, sites: &[Site], demand: f64) -> Vec<Site> {
+        let home = sites.iter().find(|site| site.data_centre == self.home);
+        let capacity = home.map_or(0.0, |site| site.capacity);
+        let gained = |site: &Site| {
+            let then = self.past.iter().rfind(|(at, _)| *at <= site.measured);
+            let then = then.or(self.past.front()).map_or(demand, |(_, past)| *past);
+            match capacity > 0.0 {
+                true => (demand - then).max(0.0) * site.capacity / capacity,
+                false => 0.0,
+            }
+        };
+        let mut sites = sites.to_vec();
+        for site in sites
+            .iter_mut()
+            .filter(|site| site.data_centre != self.home)
+        {
+            site.demand += gained(site);
+        }
+        sites
+    }
+
     /// Moves one weight towards its target as far as the lag allows.
     fn step(&self, before: f64, flow: &Flow, demand: f64, lags: f64) -> f64 {
         let target = (flow.base + flow.moved) / demand;
@@ -130,7 +169,8 @@
             // Relieving a data centre without room needs no caution.
             return target;
         }
-        if target > 0.0 && change.abs() < self.settings.dead_band {
+        // Small decreases only follow noise; small increases place requests that have no place.
+        if target > 0.0 && change < 0.0 && -change < self.settings.dead_band {
             return before;
         }
         match change < 0.0 {
