feature: warming up of far caches follows the measured use of links

Cause: with caches that warm up half as fast as assumed, fills pushed a link to 1.21 of its bandwidth. Change: the warm-up of a link share holds or goes back while links into the far region are used.

--- a/crates/steering/src/spill/link.rs
+++ b/crates/steering/src/spill/link.rs
@@ -1,7 +1,6 @@
 //! Byte share of one region-to-region link that this VM may spend.
 
 use super::Class;
-use crate::balance::ramp;
 use base::id::Service;
 use indexmap::IndexMap;
 use std::time::{Duration, Instant};
@@ -25,8 +24,17 @@
     pub assumed_answer: f64,
     /// Extra bytes per answer byte while the far cache is cold, for filling it.
     pub cold_cost: f64,
-    /// Time in which the far cache becomes warm.
+    /// Least time in which the far cache becomes warm.
     pub warm_up: Duration,
+    /// Measured use of the links into the far region from which warming up makes no progress.
+    pub hold: f64,
+    /// Measured use of the links into the far region from which warming up goes back.
+    ///
+    /// Cache fills of all callers flow there. With a use of 0.8, what the warm-up adds within a lag
+    /// of 3 s still fits.
+    pub recede: f64,
+    /// Age from which a measured use is ignored; warming up then follows time alone.
+    pub stale: Duration,
     /// Time without a request after which the far cache counts as cold again.
     pub cools: Duration,
     /// Part of the share that the first requests to a cold cache may use.
@@ -41,7 +49,10 @@
             bytes_per_second: 0.0,
             assumed_answer: 65536.0,
             cold_cost: 1.0,
-            warm_up: Duration::from_secs(10),
+            warm_up: Duration::from_secs(20),
+            hold: 0.6,
+            recede: 0.8,
+            stale: Duration::from_secs(15),
             cools: Duration::from_secs(60),
             cold_floor: 0.2,
             reserve: 0.5,
@@ -60,7 +71,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Warmth {
-    since: Instant,
+    /// Seconds by which the far cache has been warmed, up to the whole warm-up.
+    progress: f64,
     last: Instant,
     /// Bytes per second spent lately.
     spending: f64,
@@ -75,6 +87,7 @@
     prompt: f64,
     sizes: IndexMap<Service, f64>,
     warmth: IndexMap<Service, Warmth>,
+    measured: Option<(f64, Instant)>,
 }
 
 impl Link {
@@ -87,9 +100,18 @@
             prompt: 0.0,
             sizes: IndexMap::new(),
             warmth: IndexMap::new(),
+            measured: None,
         }
     }
 
+    /// Notes the use of the busiest link into the far region, from 0 to 1, as measured at `at`.
+    ///
+    /// The fill of a cold cache doesn't show in the bytes of the answers, so warming up slows
+    /// down when the links that carry it are used.
+    pub fn observe(&mut self, used: f64, at: Instant) {
+        self.measured = Some((used, at));
+    }
+
     /// Charges a request of `bytes` and its expected answer, or refuses it; it has not run then.
     ///
     /// Deferrable requests leave a reserve in the bucket, so they yield first.
@@ -101,7 +123,7 @@
         now: Instant,
     ) -> Option<Charge> {
         self.fill(now);
-        let answer = self.answer(service, now);
+        let answer = self.answer(service);
         let kept = match class {
             Class::Prompt => 0.0,
             Class::Deferrable => self.settings.reserve * self.burst(),
@@ -111,16 +133,15 @@
         if self.bytes < needed + kept || self.settings.bytes_per_second <= 0.0 {
             return None;
         }
-        let open = self.settings.bytes_per_second * self.ramped(service, now);
+        let open = self.settings.bytes_per_second * self.ramped(service);
+        let cold = self.cold_spending();
         let warmth = self.warmth.entry(service.into()).or_insert(Warmth {
-            since: now,
+            progress: 0.0,
             last: now,
             spending: 0.0,
         });
-        let elapsed = now.saturating_duration_since(warmth.last);
-        warmth.spending *= decay(elapsed);
         warmth.last = now;
-        if open < self.settings.bytes_per_second && warmth.spending > open {
+        if open < self.settings.bytes_per_second && cold > open {
             return None;
         }
         warmth.spending += (bytes + answer) / SPENDING.as_secs_f64();
@@ -134,7 +155,7 @@
     /// Corrects a charge by the real size of the answer and learns from it.
     pub fn settle(&mut self, charge: &Charge, class: Class, answer: f64, now: Instant) {
         self.fill(now);
-        let cost = answer * self.fill_factor(&charge.service, now);
+        let cost = answer * self.fill_factor(&charge.service);
         self.spend(class, cost - charge.answer);
         let size = self.sizes.entry(charge.service.clone()).or_insert(answer);
         *size += WEIGHT * (answer - *size);
@@ -143,14 +164,15 @@
     /// Returns the requests per second of a service that fit, for the planner.
     ///
     /// For a deferrable service, what prompt services spend is left out.
-    pub fn rate(&self, service: &str, class: Class, now: Instant) -> f64 {
+    pub fn rate(&mut self, service: &str, class: Class, now: Instant) -> f64 {
+        self.fill(now);
         let taken = match class {
             Class::Prompt => 0.0,
             Class::Deferrable => self.prompt,
         };
         let share = self.settings.bytes_per_second;
-        let open = (share - taken).min(share * self.ramped(service, now));
-        open.max(0.0) / self.answer(service, now)
+        let open = (share - taken).min(share * self.ramped(service));
+        open.max(0.0) / self.answer(service)
     }
 
     fn spend(&mut self, class: Class, bytes: f64) {
@@ -166,8 +188,29 @@
         self.bytes =
             (self.bytes + elapsed.as_secs_f64() * self.settings.bytes_per_second).min(self.burst());
         self.filled = now;
-        let cools = self.settings.cools;
-        (self.warmth).retain(|_, warmth| now.saturating_duration_since(warmth.last) < cools);
+        let settings = &self.settings;
+        let pace = match self.measured {
+            Some((_, at)) if now.saturating_duration_since(at) > settings.stale => 1.0,
+            Some((used, _)) if used >= settings.recede => -1.0,
+            Some((used, _)) if used >= settings.hold => 0.0,
+            _ => 1.0,
+        };
+        (self.warmth)
+            .retain(|_, warmth| now.saturating_duration_since(warmth.last) < settings.cools);
+        for warmth in self.warmth.values_mut() {
+            let progress = warmth.progress + pace * elapsed.as_secs_f64();
+            warmth.progress = progress.clamp(0.0, settings.warm_up.as_secs_f64());
+            warmth.spending *= decay(elapsed);
+        }
+    }
+
+    /// Bytes per second lately spent on services whose far caches are cold.
+    fn cold_spending(&self) -> f64 {
+        let whole = self.settings.warm_up.as_secs_f64();
+        let cold = |warmth: &&Warmth| warmth.progress < whole;
+        (self.warmth.values().filter(cold))
+            .map(|warmth| warmth.spending)
+            .sum()
     }
 
     fn burst(&self) -> f64 {
@@ -175,26 +218,28 @@
     }
 
     /// Expected bytes of an answer, cache fill included.
-    fn answer(&self, service: &str, now: Instant) -> f64 {
+    fn answer(&self, service: &str) -> f64 {
         let known = self.sizes.get(service).copied();
-        known.unwrap_or(self.settings.assumed_answer) * self.fill_factor(service, now)
+        known.unwrap_or(self.settings.assumed_answer) * self.fill_factor(service)
     }
 
-    fn fill_factor(&self, service: &str, now: Instant) -> f64 {
-        1.0 + self.settings.cold_cost * (1.0 - self.warm(service, now))
+    fn fill_factor(&self, service: &str) -> f64 {
+        1.0 + self.settings.cold_cost * (1.0 - self.warm(service))
     }
 
     /// Part of the share that is open to a service by the warmth of its far cache.
-    fn ramped(&self, service: &str, now: Instant) -> f64 {
+    fn ramped(&self, service: &str) -> f64 {
         let floor = self.settings.cold_floor;
-        floor + (1.0 - floor) * self.warm(service, now)
+        floor + (1.0 - floor) * self.warm(service)
     }
 
-    fn warm(&self, service: &str, now: Instant) -> f64 {
-        self.warmth.get(service).map_or(0.0, |warmth| {
-            let elapsed = now.saturating_duration_since(warmth.since);
-            ramp(0.0, elapsed, self.settings.warm_up)
-        })
+    fn warm(&self, service: &str) -> f64 {
+        let whole = self.settings.warm_up.as_secs_f64();
+        let progress = self
+            .warmth
+            .get(service)
+            .map_or(0.0, |warmth| warmth.progress);
+        if whole > 0.0 { progress / whole } else { 1.0 }
     }
 }
 
--- a/tools/bench/src/experiment/spill.rs
+++ b/tools/bench/src/experiment/spill.rs
@@ -93,6 +93,19 @@
     Method::Proportional,
 ];
 
+/// What happens to the data centres.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scenario {
+    /// Data centre 0 fails, later region 1.
+    Failures,
+    /// Regions 0 and 1 get twice their load, with answers of twice the size, while region 2 has
+    /// half of it and cold caches, which are filled from the store in region 0.
+    ColdSurge {
+        /// Seconds of a data centre's full load after which a cache misses less by a factor of e.
+        warming: u32,
+    },
+}
+
 /// Measured figures of one run.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Figures {
@@ -106,8 +119,8 @@
     pub waiting: f64,
     /// Requests of the deferrable service that still wait at the end.
     pub unfinished: f64,
-    /// Most direction changes of one weight by 5 points or more.
-    pub turns: usize,
+    /// Most direction changes of one weight by 5 points or more, by service.
+    pub turns: [usize; 3],
 }
 
 /// Runs all methods for both users with one seed.
@@ -115,13 +128,19 @@
     let mut text =
         String::from("user        method        load (by service)  link refused (by service)");
     text += "       waiting left turns\n";
-    for user in [ATLAS, EL_SHERBINY] {
+    for (user, scenario) in [
+        (ATLAS, Scenario::Failures),
+        (EL_SHERBINY, Scenario::Failures),
+        (ATLAS, Scenario::ColdSurge { warming: 6 }),
+        (EL_SHERBINY, Scenario::ColdSurge { warming: 6 }),
+    ] {
+        text += &format!("{scenario:?}\n");
         for method in METHODS {
-            let f = run(&user, method, 1);
+            let f = run(&user, method, scenario, 1);
             let [a, b, c] = f.load;
             let [x, y, z] = f.refused;
             text += &format!(
-                "{:11} {:13} {a:5.2} {b:5.2} {c:5.2} {:5.2} {x:7.4} {y:7.4} {z:7.4} {:7.0} {:4.0} {:5}\n",
+                "{:11} {:13} {a:5.2} {b:5.2} {c:5.2} {:5.2} {x:7.4} {y:7.4} {z:7.4} {:7.0} {:4.0} {:?}\n",
                 user.name,
                 format!("{method:?}"),
                 f.link,
--- a/tools/bench/src/experiment/spill/world.rs
+++ b/tools/bench/src/experiment/spill/world.rs
@@ -1,6 +1,6 @@
 //! Data centres, links and callers of the spill experiment.
 
-use super::{Figures, Method, User};
+use super::{Figures, Method, Scenario, User};
 use indexmap::IndexMap;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -27,8 +27,6 @@
 /// Part of a link for the two data centres of a region; the rest is for requests of the other
 /// direction and cache fills.
 const LINK_PART: f64 = 0.8;
-/// Time in which a far cache becomes warm, in ticks (10 s).
-const WARM_TICKS: f64 = 200.0;
 /// Time over which waiting deferrable requests are planned, in seconds.
 const DRAIN: f64 = 20.0;
 /// Rate at which the last of them are planned, in requests per second.
@@ -44,6 +42,7 @@
 struct World<'a> {
     user: &'a User,
     method: Method,
+    scenario: Scenario,
     start: Instant,
     rng: StdRng,
     planners: Vec<Planner>,
@@ -53,11 +52,13 @@
     fractions: Vec<[f64; SITES]>,
     history: VecDeque<Snapshot>,
     backlog: [f64; SITES],
-    warm: IndexMap<(usize, usize), usize>,
+    warm: IndexMap<(usize, usize), f64>,
     load: [[f64; SITES]; 3],
     /// Load of the last full second.
     measured: [[f64; SITES]; 3],
     bytes: [[f64; REGIONS]; REGIONS],
+    /// Use of the busiest link into each region, by second.
+    used: VecDeque<[f64; REGIONS]>,
     arrived: [f64; 3],
     refused: [f64; 3],
     figures: Figures,
@@ -67,7 +68,10 @@
     format!("dc-{site}").into()
 }
 
-fn alive(site: usize, tick: usize) -> bool {
+fn alive(scenario: Scenario, site: usize, tick: usize) -> bool {
+    if scenario != Scenario::Failures {
+        return true;
+    }
     let second = tick / TICKS_PER_SECOND;
     let centre_down = site == 0 && (20..80).contains(&second);
     let region_down = site / 2 == 1 && (110..170).contains(&second);
@@ -75,8 +79,8 @@
 }
 
 /// Data centre to which the callers of `site` go.
-fn entry(site: usize, tick: usize) -> usize {
-    if alive(site, tick.saturating_sub(CALLER_TICKS)) {
+fn entry(scenario: Scenario, site: usize, tick: usize) -> usize {
+    if alive(scenario, site, tick.saturating_sub(CALLER_TICKS)) {
         return site;
     }
     match site {
@@ -85,8 +89,27 @@
     }
 }
 
+/// Seconds of a data centre's full load after which a far cache misses less by a factor of e.
+fn warming(scenario: Scenario) -> f64 {
+    match scenario {
+        Scenario::Failures => 6.0,
+        Scenario::ColdSurge { warming } => f64::from(warming),
+    }
+}
+
+/// Factor on the load of a data centre.
+fn surge(scenario: Scenario, site: usize, tick: usize) -> f64 {
+    let during = (20..80).contains(&(tick / TICKS_PER_SECOND));
+    match (scenario, site / 2) {
+        (Scenario::Failures, _) => 1.0,
+        (_, 2) => 0.5,
+        (_, _) if during => 2.0,
+        (_, _) => 1.0,
+    }
+}
+
 /// Runs one method for one user.
-pub fn run(user: &User, method: Method, seed: u64) -> Figures {
+pub fn run(user: &User, method: Method, scenario: Scenario, seed: u64) -> Figures {
     let start = Instant::now();
     let share = user.link / 8.0 * LINK_PART / 2.0;
     let settings = match method {
@@ -118,6 +141,7 @@
     let mut world = World {
         user,
         method,
+        scenario,
         start,
         rng: StdRng::seed_from_u64(seed),
         planners: (0..3 * SITES).map(planner).collect(),
@@ -133,6 +157,7 @@
         load: [[0.0; SITES]; 3],
         measured: [[0.0; SITES]; 3],
         bytes: [[0.0; REGIONS]; REGIONS],
+        used: VecDeque::new(),
         arrived: [0.0; 3],
         refused: [0.0; 3],
         figures: Figures {
@@ -141,7 +166,7 @@
             refused: [0.0; 3],
             waiting: 0.0,
             unfinished: 0.0,
-            turns: 0,
+            turns: [0; 3],
         },
     };
     (0..END_TICKS).for_each(|tick| world.tick(tick));
@@ -152,14 +177,14 @@
     fn tick(&mut self, tick: usize) {
         let dt = TICK.as_secs_f64();
         let now = self.start + TICK * tick as u32;
-        let up: [bool; SITES] = std::array::from_fn(|site| alive(site, tick));
+        let up: [bool; SITES] = std::array::from_fn(|site| alive(self.scenario, site, tick));
         let mut demand = [[0.0; SITES]; 3];
         for (kind, rates) in self.user.services.iter().zip(&mut demand) {
             let ended = kind.class == Class::Deferrable && tick > LAST_TICK;
             for site in 0..SITES {
-                let entry = entry(site, tick);
+                let entry = entry(self.scenario, site, tick);
                 if up[entry] && !ended {
-                    rates[entry] += LOAD * kind.capacity;
+                    rates[entry] += LOAD * kind.capacity * surge(self.scenario, site, tick);
                 }
             }
         }
@@ -194,7 +219,7 @@
             }
         }
         if tick % TICKS_PER_SECOND == TICKS_PER_SECOND - 1 {
-            self.measure();
+            self.measure(now);
         }
     }
 
@@ -235,17 +260,18 @@
                 })
                 .collect();
             let class = self.class(service);
-            let links = &self.links[home];
-            let rate = |region: &str| {
-                let region: usize = region.parse().unwrap_or(0);
-                links[region].rate(self.user.services[service].name, class, now)
-            };
+            let kind = self.user.services[service].name;
+            let rates: Vec<f64> = (self.links[home].iter_mut())
+                .map(|link| link.rate(kind, class, now))
+                .collect();
+            let rate = |region: &str| rates[region.parse::<usize>().unwrap_or(0)];
             let planned = self.planners[index].plan(&sites, rate, now);
             std::array::from_fn(|site| planned.get(&name(site)).copied().unwrap_or(0.0))
         };
         for (site, weight) in weights.into_iter().enumerate().filter(|(s, _)| *s != home) {
             self.extremes[index][site] = turn(self.extremes[index][site], weight);
-            self.figures.turns = self.figures.turns.max(self.extremes[index][site].2);
+            let turns = self.extremes[index][site].2;
+            self.figures.turns[service] = self.figures.turns[service].max(turns);
         }
         self.weights[index] = weights;
     }
@@ -296,7 +322,11 @@
         let (from, to) = (home / 2, site / 2);
         let kind = self.user.services[service];
         let exponential = -(1.0 - self.rng.random::<f64>()).ln();
-        let answer = kind.answer * (0.5 + 0.5 * exponential);
+        let size = match self.scenario {
+            Scenario::Failures => kind.answer,
+            Scenario::ColdSurge { .. } => 2.0 * kind.answer,
+        };
+        let answer = size * (0.5 + 0.5 * exponential);
         if from != to {
             if self.method != Method::Proportional {
                 let class = self.class(service);
@@ -308,21 +338,35 @@
             }
             self.bytes[from][to] += REQUEST_BYTES;
             self.bytes[to][from] += answer;
-            let since = *self.warm.entry((service, to)).or_insert(tick);
-            let miss = (1.0 - (tick - since) as f64 / WARM_TICKS).max(0.0);
+            let seen = self.warm.entry((service, to)).or_default();
+            *seen += 1.0;
+            let miss = (-*seen / (kind.capacity * warming(self.scenario))).exp();
             if to != STORE_REGION {
                 self.bytes[STORE_REGION][to] += answer * miss;
             }
         }
-        if !alive(site, tick) {
+        if !alive(self.scenario, site, tick) {
             return false;
         }
         self.load[service][site] += 1.0;
         true
     }
 
-    /// Takes the figures of the last second.
-    fn measure(&mut self) {
+    /// Takes the figures of the last second and reports the use of the links 3 s late.
+    fn measure(&mut self, now: Instant) {
+        let used: [f64; REGIONS] = std::array::from_fn(|to| {
+            let most = self.bytes.iter().map(|row| row[to]).fold(0.0, f64::max);
+            most * 8.0 / self.user.link
+        });
+        self.used.push_back(used);
+        if self.used.len() > LAG_TICKS / TICKS_PER_SECOND {
+            let late = self.used.pop_front().unwrap_or_default();
+            for link in &mut self.links {
+                for (link, used) in link.iter_mut().zip(late) {
+                    link.observe(used, now - TICK * LAG_TICKS as u32);
+                }
+            }
+        }
         for (service, loads) in self.load.iter().enumerate() {
             let most = loads.iter().copied().fold(0.0, f64::max);
             let capacity = self.user.services[service].capacity;
