feature: planner counts forwarded requests and retreats at once

Ruled out: a smaller gain, which only delays the same load. Change: home takes its own requests up to what forwarded ones leave; weights go down at once; the cap holds for the sum of all weights; what prompt services spend on a link is averaged over 5 s.

--- a/crates/steering/src/spill/link.rs
+++ b/crates/steering/src/spill/link.rs
@@ -9,8 +9,13 @@
 const WEIGHT: f64 = 0.05;
 /// Longest time over which unspent bytes are kept.
 const BURST: Duration = Duration::from_millis(200);
+/// Time constant of the spending on cold caches.
+const COLD_MEMORY: Duration = Duration::from_secs(1);
 /// Time constant of the spending of prompt services.
-const SPENDING: Duration = Duration::from_secs(1);
+///
+/// The planner follows what they leave. With 1 s, the weights of deferrable services oscillated; the
+/// bucket itself yields at once.
+const PROMPT_MEMORY: Duration = Duration::from_secs(5);
 
 /// Settings of a link share.
 #[derive(Debug, Clone, PartialEq)]
@@ -144,7 +149,7 @@
         if open < self.settings.bytes_per_second && cold > open {
             return None;
         }
-        warmth.spending += (bytes + answer) / SPENDING.as_secs_f64();
+        warmth.spending += (bytes + answer) / COLD_MEMORY.as_secs_f64();
         self.spend(class, bytes + answer);
         Some(Charge {
             service: service.into(),
@@ -178,13 +183,13 @@
     fn spend(&mut self, class: Class, bytes: f64) {
         self.bytes -= bytes;
         if class == Class::Prompt {
-            self.prompt += bytes / SPENDING.as_secs_f64();
+            self.prompt += bytes / PROMPT_MEMORY.as_secs_f64();
         }
     }
 
     fn fill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.filled);
-        self.prompt *= decay(elapsed);
+        self.prompt *= decay(elapsed, PROMPT_MEMORY);
         self.bytes =
             (self.bytes + elapsed.as_secs_f64() * self.settings.bytes_per_second).min(self.burst());
         self.filled = now;
@@ -200,7 +205,7 @@
         for warmth in self.warmth.values_mut() {
             let progress = warmth.progress + pace * elapsed.as_secs_f64();
             warmth.progress = progress.clamp(0.0, settings.warm_up.as_secs_f64());
-            warmth.spending *= decay(elapsed);
+            warmth.spending *= decay(elapsed, COLD_MEMORY);
         }
     }
 
@@ -243,6 +248,6 @@
     }
 }
 
-fn decay(elapsed: Duration) -> f64 {
-    (-elapsed.as_secs_f64() / SPENDING.as_secs_f64()).exp()
+fn decay(elapsed: Duration, memory: Duration) -> f64 {
+    (-elapsed.as_secs_f64() / memory.as_secs_f64()).exp()
 }
--- a/crates/steering/src/spill/planner.rs
+++ b/crates/steering/src/spill/planner.rs
@@ -86,9 +86,13 @@
     }
 
     /// Plans again; `link` gives the requests per second that fit on the link to a region.
+    ///
+    /// `inbound` is the rate of the requests that other data centres forward to this one now. They
+    /// learn of a surge here one lag later; until then their requests leave less room for its own.
     pub fn plan(
         &mut self,
         sites: &[Site],
+        inbound: f64,
         link: impl Fn(&str) -> f64,
         now: Instant,
     ) -> &IndexMap<DataCentre, f64> {
@@ -106,8 +110,9 @@
         self.note(demand, now);
         let sites = &self.extrapolate(sites, demand);
         let mut flows = self.flows(sites, now);
-        self.limit(&mut flows, sites, demand, link);
+        self.limit(&mut flows, sites, link);
         let mut weights = IndexMap::new();
+        let mut base = IndexMap::new();
         for (site, flow) in sites.iter().zip(&flows) {
             if site.data_centre == self.home {
                 continue;
@@ -116,12 +121,16 @@
             let weight = self.step(before, flow, demand, lags);
             if weight > 0.0 {
                 weights.insert(site.data_centre.clone(), weight);
+                base.insert(site.data_centre.clone(), flow.base / demand);
             }
         }
+        self.cap(&mut weights, &base);
         let away: f64 = weights.values().sum();
         let room = (sites.iter())
             .find(|site| site.data_centre == self.home)
-            .map_or(0.0, |site| self.usable(site, now) / demand);
+            .map_or(0.0, |site| {
+                (self.usable(site, now) - inbound).max(0.0) / demand
+            });
         weights.insert(self.home.clone(), (1.0 - away).min(room).max(0.0));
         self.weights = weights;
         &self.weights
@@ -160,26 +169,37 @@
         sites
     }
 
-    /// Moves one weight towards its target as far as the lag allows.
+    /// Moves one weight towards its target: up as far as the lag allows, down at once.
+    ///
+    /// Moving back needs no caution: home knows its own room without lag. A slow retreat would keep
+    /// headroom in use that other data centres already count as theirs.
     fn step(&self, before: f64, flow: &Flow, demand: f64, lags: f64) -> f64 {
         let target = (flow.base + flow.moved) / demand;
         let pace = self.settings.gain * lags * (flow.base + flow.allotted.max(flow.moved)) / demand;
         let change = target - before;
-        if change < 0.0 && !flow.roomy {
-            // Relieving a data centre without room needs no caution.
-            return target;
-        }
-        // Small decreases only follow noise; small increases place requests that have no place.
-        if target > 0.0 && change < 0.0 && -change < self.settings.dead_band {
-            return before;
-        }
-        match change < 0.0 {
-            true => (before - self.settings.gain * lags * before.max(self.settings.dead_band))
-                .max(target),
+        // Small decreases only follow noise, unless the site has no room.
+        let noise = flow.roomy && target > 0.0 && change < 0.0;
+        match noise && -change < self.settings.dead_band {
+            true => before,
             false => (before + pace).min(target),
         }
     }
 
+    /// Shrinks what is moved beyond the spread to the cap on the traffic shift.
+    fn cap(&self, weights: &mut IndexMap<DataCentre, f64>, base: &IndexMap<DataCentre, f64>) {
+        let configured = |name: &DataCentre| base.get(name).copied().unwrap_or(0.0);
+        let moved: f64 = (weights.iter())
+            .map(|(name, weight)| (weight - configured(name)).max(0.0))
+            .sum();
+        if moved > self.settings.cap {
+            let part = self.settings.cap / moved;
+            for (name, weight) in weights {
+                let configured = configured(name).min(*weight);
+                *weight = configured + (*weight - configured) * part;
+            }
+        }
+    }
+
     /// Capacity that steering may fill; a site that is down or not measured has none.
     fn usable(&self, site: &Site, now: Instant) -> f64 {
         let age = now.saturating_duration_since(site.measured);
@@ -260,8 +280,8 @@
         (sum > 0.0).then(|| live.iter().map(|share| share / sum).collect())
     }
 
-    /// Keeps the flows from home within the links and the cap on the traffic shift.
-    fn limit(&self, flows: &mut [Flow], sites: &[Site], demand: f64, link: impl Fn(&str) -> f64) {
+    /// Keeps the flows from home within the links.
+    fn limit(&self, flows: &mut [Flow], sites: &[Site], link: impl Fn(&str) -> f64) {
         let home = sites.iter().find(|site| site.data_centre == self.home);
         let mut by_region: IndexMap<&str, f64> = IndexMap::new();
         for (site, flow) in sites.iter().zip(flows.iter()) {
@@ -276,11 +296,6 @@
                 flow.moved *= part;
             }
         }
-        let moved: f64 = flows.iter().map(|flow| flow.moved).sum();
-        if moved > self.settings.cap * demand {
-            let part = self.settings.cap * demand / moved;
-            flows.iter_mut().for_each(|flow| flow.moved *= part);
-        }
     }
 }
 
--- a/tools/bench/src/experiment/spill.rs
+++ b/tools/bench/src/experiment/spill.rs
@@ -73,8 +73,9 @@
     Steering,
     /// `steering::spill` with deferrable requests treated as prompt ones on the links.
     NoPriority,
-    /// `steering::spill` that takes measurements for current ones.
-    AgeIgnored,
+    /// `steering::spill` that takes measurements for current ones and doesn't count what other data
+    /// centres forward to it.
+    LagIgnored,
     /// `steering::spill` with moves that are made at once.
     Undamped,
     /// `steering::spill` that takes far caches for warm ones.
@@ -87,7 +88,7 @@
 pub const METHODS: [Method; 6] = [
     Method::Steering,
     Method::NoPriority,
-    Method::AgeIgnored,
+    Method::LagIgnored,
     Method::Undamped,
     Method::ColdIgnored,
     Method::Proportional,
--- a/tools/bench/src/experiment/spill/world.rs
+++ b/tools/bench/src/experiment/spill/world.rs
@@ -33,6 +33,8 @@
 const DRAIN_MIN: f64 = 1.0;
 /// Part of its capacity that a data centre fills with its own requests; its VMs own the slots.
 const OWN_BOUND: f64 = 0.95;
+/// Time constant of the rate of forwarded requests, in seconds.
+const INBOUND_MEMORY: f64 = 0.5;
 /// Retreat of a weight that counts as a change of direction.
 const TURN: f64 = 0.05;
 
@@ -54,6 +56,8 @@
     backlog: [f64; SITES],
     warm: IndexMap<(usize, usize), f64>,
     load: [[f64; SITES]; 3],
+    /// Forwarded requests per second that arrive at each data centre.
+    inbound: [[f64; SITES]; 3],
     /// Load of the last full second.
     measured: [[f64; SITES]; 3],
     bytes: [[f64; REGIONS]; REGIONS],
@@ -155,6 +159,7 @@
         backlog: [0.0; SITES],
         warm: IndexMap::new(),
         load: [[0.0; SITES]; 3],
+        inbound: [[0.0; SITES]; 3],
         measured: [[0.0; SITES]; 3],
         bytes: [[0.0; REGIONS]; REGIONS],
         used: VecDeque::new(),
@@ -201,6 +206,11 @@
                 }
             }
         }
+        let decay = (-dt / INBOUND_MEMORY).exp();
+        self.inbound
+            .iter_mut()
+            .flatten()
+            .for_each(|rate| *rate *= decay);
         self.history.push_back((up, demand, self.measured));
         if self.history.len() > LAG_TICKS {
             self.history.pop_front();
@@ -242,7 +252,7 @@
             })
         } else {
             let age = match self.method {
-                Method::AgeIgnored => Duration::ZERO,
+                Method::LagIgnored => Duration::ZERO,
                 _ => TICK * LAG_TICKS as u32,
             };
             let sites: Vec<Site> = (0..SITES)
@@ -265,7 +275,7 @@
                 .map(|link| link.rate(kind, class, now))
                 .collect();
             let rate = |region: &str| rates[region.parse::<usize>().unwrap_or(0)];
-            let planned = self.planners[index].plan(&sites, rate, now);
+            let planned = self.planners[index].plan(&sites, self.inbound[service][home], rate, now);
             std::array::from_fn(|site| planned.get(&name(site)).copied().unwrap_or(0.0))
         };
         for (site, weight) in weights.into_iter().enumerate().filter(|(s, _)| *s != home) {
@@ -296,6 +306,7 @@
             let share = requests * self.weights[index][site];
             if site == home {
                 let own = OWN_BOUND * self.user.services[service].capacity;
+                let own = (own - self.inbound[service][home]).max(0.0);
                 let share = share.min(own * TICK.as_secs_f64());
                 self.load[service][site] += share;
                 placed += share;
@@ -349,6 +360,9 @@
             return false;
         }
         self.load[service][site] += 1.0;
+        if self.method != Method::LagIgnored {
+            self.inbound[service][site] += 1.0 / INBOUND_MEMORY;
+        }
         true
     }
 
