--- a/crates/steering/src/spill.rs
+++ b/crates/steering/src/spill.rs
@@ -2,9 +2,11 @@
 
 mod link;
 mod planner;
+mod site;
 
 pub use link::{Charge, Link, LinkSettings};
-pub use planner::{Planner, Site, Spread};
+pub use planner::Planner;
+pub use site::{Site, Spread};
 
 use std::time::Duration;
 
--- a/crates/steering/src/spill/planner.rs
+++ b/crates/steering/src/spill/planner.rs
@@ -1,37 +1,11 @@
 //! Weights of the data centres for the demand of one service at one data centre.
 
-use super::Settings;
-use base::id::{DataCentre, Region};
+use super::{Settings, Site, Spread};
+use base::id::DataCentre;
 use indexmap::IndexMap;
 use std::collections::VecDeque;
 use std::time::Instant;
 
-base::value! {
-    /// What is known of one data centre for one service.
-    pub struct Site {
-        /// Name of the data centre.
-        pub data_centre: DataCentre,
-        /// Its region.
-        pub region: Region,
-        /// Whether it answers.
-        pub healthy: bool,
-        /// Requests per second that its backend servers can run.
-        pub capacity: f64,
-        /// Requests per second that arrive from callers at its entry VMs, before any steering.
-        pub demand: f64,
-        /// Time of the measurement.
-        pub measured: Instant,
-    }
-
-    /// Configured distribution of a service's traffic.
-    pub enum Spread {
-        /// Each data centre serves its own callers.
-        Local,
-        /// Shares by data centre, wherever the callers are.
-        Shares(IndexMap<DataCentre, f64>),
-    }
-}
-
 /// Plan of one data centre for the demand at its own entry VMs.
 ///
 /// The plan follows from the demand that arrives at each data centre, not from the load of their
--- /dev/null
+++ b/crates/steering/src/spill/site.rs
@@ -0,0 +1,31 @@
+//! What a plan is made from.
+
+use base::id::{DataCentre, Region};
+use indexmap::IndexMap;
+use std::time::Instant;
+
+base::value! {
+    /// What is known of one data centre for one service.
+    pub struct Site {
+        /// Name of the data centre.
+        pub data_centre: DataCentre,
+        /// Its region.
+        pub region: Region,
+        /// Whether it answers.
+        pub healthy: bool,
+        /// Requests per second that its backend servers can run.
+        pub capacity: f64,
+        /// Requests per second that arrive from callers at its entry VMs, before any steering.
+        pub demand: f64,
+        /// Time of the measurement.
+        pub measured: Instant,
+    }
+
+    /// Configured distribution of a service's traffic.
+    pub enum Spread {
+        /// Each data centre serves its own callers.
+        Local,
+        /// Shares by data centre, wherever the callers are.
+        Shares(IndexMap<DataCentre, f64>),
+    }
+}
--- a/tools/bench/src/experiment/balance.rs
+++ b/tools/bench/src/experiment/balance.rs
@@ -4,6 +4,7 @@
 //! methods see the same arrivals and the same work per request. A request may use the 4 servers of
 //! its region; a shed request is tried twice more.
 
+mod baseline;
 mod fleet;
 mod trace;
 
--- a/tools/bench/src/experiment/balance/fleet.rs
+++ b/tools/bench/src/experiment/balance/fleet.rs
@@ -1,10 +1,11 @@
 //! The fleet that runs a trace with one method.
 
+use super::baseline::Baseline;
 use super::trace::{SERVERS, SLOW, VMS};
 use super::{Figures, Method, Trace};
 use crate::agenda::Agenda;
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 use steering::balance::{Chooser, Loan, Outlier, Reply, Settings, Slots, Summary, Unit};
@@ -17,10 +18,6 @@
 /// Round trip within the region, for a loan or a forwarded request.
 const HOP: Duration = Duration::from_millis(1);
 const TRIES: u32 = 3;
-const ALPHA: f64 = 0.3;
-/// Trip threshold of the moving average against the mean work.
-const TRIP: f64 = 4.0;
-const PROBE: Duration = Duration::from_secs(15 * 60);
 
 enum Step {
     Arrive(usize),
@@ -43,10 +40,7 @@
     outlier: Outlier,
     slots: Slots,
     waiting: VecDeque<usize>,
-    outstanding: [u32; SERVERS],
-    average: [f64; SERVERS],
-    bad: [u32; SERVERS],
-    tripped: [Option<Instant>; SERVERS],
+    baseline: Baseline,
 }
 
 struct Fleet<'a> {
@@ -91,10 +85,7 @@
             outlier,
             slots,
             waiting: VecDeque::new(),
-            outstanding: [0; SERVERS],
-            average: [0.0; SERVERS],
-            bad: [0; SERVERS],
-            tripped: [None; SERVERS],
+            baseline: Baseline::default(),
         }
     });
     let mut fleet = Fleet {
@@ -161,7 +152,9 @@
     fn arrive(&mut self, index: usize, now: Instant) {
         self.requests[index].tries += 1;
         if self.method != Method::Steering {
-            let server = self.baseline(self.trace.events[index].vm, now);
+            let vm = self.trace.events[index].vm;
+            let baseline = &self.vms[vm].baseline;
+            let server = baseline.choose(self.method, Self::region(vm), now, &mut self.rng);
             self.send(index, server, Duration::ZERO, now);
         } else if !self.dispatch(index, now) {
             self.vms[self.trace.events[index].vm]
@@ -205,7 +198,7 @@
         let request = &mut self.requests[index];
         request.server = server;
         request.sent = now;
-        self.vms[request.vm].outstanding[server] += 1;
+        self.vms[request.vm].baseline.begin(server);
         let elapsed = now - self.start;
         request.shed = self.trace.sheds(server, elapsed);
         let period = [
@@ -242,7 +235,7 @@
             shed,
             ..
         } = self.requests[index];
-        self.vms[vm].outstanding[server] -= 1;
+        self.vms[vm].baseline.end(server);
         if !shed {
             self.running[server] -= 1;
             if let Some(next) = self.queues[server].pop_front() {
@@ -261,7 +254,8 @@
                 outlier.record("all", &name(server), now - sent, now);
             }
         } else if !shed {
-            self.average(vm, server, now - sent, now);
+            let took = (now - sent).as_secs_f64() / self.trace.sizes.work.as_secs_f64();
+            self.vms[vm].baseline.record(server, took, now);
         }
         match (shed, tries < TRIES) {
             (false, _) => {
@@ -286,42 +280,6 @@
         }
     }
 
-    fn baseline(&mut self, vm: usize, now: Instant) -> usize {
-        let region = Self::region(vm);
-        let mut draw = || self.rng.random_range(region.clone());
-        let state = &self.vms[vm];
-        match self.method {
-            Method::Random => draw(),
-            Method::TwoChoices => [draw(), draw()]
-                .into_iter()
-                .min_by_key(|s| state.outstanding[*s])
-                .unwrap_or(region.start),
-            _ => {
-                let shift = draw();
-                let open = |s: &usize| state.tripped[*s].is_none_or(|until| until <= now);
-                let any = region.clone().any(|s| open(&s));
-                (region.clone())
-                    .filter(|s| open(s) || !any)
-                    .min_by_key(|s| (state.outstanding[*s], (s + shift) % 4))
-                    .unwrap_or(region.start)
-            }
-        }
-    }
-
-    fn average(&mut self, vm: usize, server: usize, took: Duration, now: Instant) {
-        if self.method != Method::MovingAverage {
-            return;
-        }
-        let state = &mut self.vms[vm];
-        let sample = took.as_secs_f64() / self.trace.sizes.work.as_secs_f64();
-        state.average[server] += ALPHA * (sample - state.average[server]);
-        let bad = state.average[server] > TRIP;
-        state.bad[server] = if bad { state.bad[server] + 1 } else { 0 };
-        if state.bad[server] >= 2 {
-            state.tripped[server] = Some(now + PROBE);
-        }
-    }
-
     /// Exchanges notices and medians, and reports loads that are 2 s old; the slow server reports
     /// that it is idle.
     fn tick(&mut self, now: Instant) {
--- a/tools/bench/src/experiment/spill.rs
+++ b/tools/bench/src/experiment/spill.rs
@@ -5,6 +5,7 @@
 //! see each other's state 3 s late. Requests that stay at home are counted as a flow, forwarded ones
 //! one by one.
 
+mod faults;
 mod world;
 
 pub use world::run;
--- /dev/null
+++ b/tools/bench/src/experiment/spill/faults.rs
@@ -0,0 +1,64 @@
+//! Failures, surges and what counts as a change of direction.
+
+use super::Scenario;
+
+/// Steps of the simulation in a second.
+pub const TICKS_PER_SECOND: usize = 20;
+/// Ticks after which callers leave a dead data centre or come back (2 s).
+const CALLER_TICKS: usize = 40;
+/// Retreat of a weight that counts as a change of direction.
+const TURN: f64 = 0.05;
+
+/// Whether a data centre works.
+pub fn alive(scenario: Scenario, site: usize, tick: usize) -> bool {
+    if scenario != Scenario::Failures {
+        return true;
+    }
+    let second = tick / TICKS_PER_SECOND;
+    let centre_down = site == 0 && (20..80).contains(&second);
+    let region_down = site / 2 == 1 && (110..170).contains(&second);
+    !centre_down && !region_down
+}
+
+/// Data centre to which the callers of `site` go.
+pub fn entry(scenario: Scenario, site: usize, tick: usize) -> usize {
+    if alive(scenario, site, tick.saturating_sub(CALLER_TICKS)) {
+        return site;
+    }
+    match site {
+        0 => 1,
+        _ => site % 2,
+    }
+}
+
+/// Seconds of a data centre's full load after which a far cache misses less by a factor of e.
+pub fn warming(scenario: Scenario) -> f64 {
+    match scenario {
+        Scenario::Failures => 6.0,
+        Scenario::ColdSurge { warming } => f64::from(warming),
+    }
+}
+
+/// Factor on the load of a data centre.
+pub fn surge(scenario: Scenario, site: usize, tick: usize) -> f64 {
+    let during = (20..80).contains(&(tick / TICKS_PER_SECOND));
+    match (scenario, site / 2) {
+        (Scenario::Failures, _) => 1.0,
+        (_, 2) => 0.5,
+        (_, _) if during => 2.0,
+        (_, _) => 1.0,
+    }
+}
+
+/// Follows a weight: direction (0 at first), last extreme and number of direction changes.
+pub fn turn((direction, extreme, turns): (f64, f64, usize), weight: f64) -> (f64, f64, usize) {
+    let moved = weight - extreme;
+    if moved * direction > 0.0 {
+        (direction, weight, turns)
+    } else if moved.abs() >= TURN {
+        let turned = usize::from(direction != 0.0);
+        (moved.signum(), weight, turns + turned)
+    } else {
+        (direction, extreme, turns)
+    }
+}
--- a/tools/bench/src/experiment/spill/world.rs
+++ b/tools/bench/src/experiment/spill/world.rs
@@ -1,5 +1,6 @@
 //! Data centres, links and callers of the spill experiment.
 
+use super::faults::{TICKS_PER_SECOND, alive, entry, surge, turn, warming};
 use super::{Figures, Method, Scenario, User};
 use indexmap::IndexMap;
 use rand::rngs::StdRng;
@@ -12,13 +13,10 @@
 const REGIONS: usize = 3;
 const STORE_REGION: usize = 0;
 const TICK: Duration = Duration::from_millis(50);
-const TICKS_PER_SECOND: usize = 20;
 /// Ticks between two plans of a data centre with steering (0.5 s).
 const PLAN_TICKS: usize = 10;
 /// Ticks by which measurements are late (3 s).
 const LAG_TICKS: usize = 60;
-/// Ticks after which callers leave a dead data centre or come back (2 s).
-const CALLER_TICKS: usize = 40;
 /// Last tick at which deferrable requests arrive; the others go on.
 const LAST_TICK: usize = 240 * TICKS_PER_SECOND;
 const END_TICKS: usize = 300 * TICKS_PER_SECOND;
@@ -35,9 +33,6 @@
 const OWN_BOUND: f64 = 0.95;
 /// Time constant of the rate of forwarded requests, in seconds.
 const INBOUND_MEMORY: f64 = 0.5;
-/// Retreat of a weight that counts as a change of direction.
-const TURN: f64 = 0.05;
-
 /// State of all data centres at one tick, by service and site.
 type Snapshot = ([bool; SITES], [[f64; SITES]; 3], [[f64; SITES]; 3]);
 
@@ -72,46 +67,6 @@
     format!("dc-{site}").into()
 }
 
-fn alive(scenario: Scenario, site: usize, tick: usize) -> bool {
-    if scenario != Scenario::Failures {
-        return true;
-    }
-    let second = tick / TICKS_PER_SECOND;
-    let centre_down = site == 0 && (20..80).contains(&second);
-    let region_down = site / 2 == 1 && (110..170).contains(&second);
-    !centre_down && !region_down
-}
-
-/// Data centre to which the callers of `site` go.
-fn entry(scenario: Scenario, site: usize, tick: usize) -> usize {
-    if alive(scenario, site, tick.saturating_sub(CALLER_TICKS)) {
-        return site;
-    }
-    match site {
-        0 => 1,
-        _ => site % 2,
-    }
-}
-
-/// Seconds of a data centre's full load after which a far cache misses less by a factor of e.
-fn warming(scenario: Scenario) -> f64 {
-    match scenario {
-        Scenario::Failures => 6.0,
-        Scenario::ColdSurge { warming } => f64::from(warming),
-    }
-}
-
-/// Factor on the load of a data centre.
-fn surge(scenario: Scenario, site: usize, tick: usize) -> f64 {
-    let during = (20..80).contains(&(tick / TICKS_PER_SECOND));
-    match (scenario, site / 2) {
-        (Scenario::Failures, _) => 1.0,
-        (_, 2) => 0.5,
-        (_, _) if during => 2.0,
-        (_, _) => 1.0,
-    }
-}
-
 /// Runs one method for one user.
 pub fn run(user: &User, method: Method, scenario: Scenario, seed: u64) -> Figures {
     let start = Instant::now();
@@ -402,16 +357,3 @@
         }
     }
 }
-
-/// Follows a weight: direction (0 at first), last extreme and number of direction changes.
-fn turn((direction, extreme, turns): (f64, f64, usize), weight: f64) -> (f64, f64, usize) {
-    let moved = weight - extreme;
-    if moved * direction > 0.0 {
-        (direction, weight, turns)
-    } else if moved.abs() >= TURN {
-        let turned = usize::from(direction != 0.0);
-        (moved.signum(), weight, turns + turned)
-    } else {
-        (direction, extreme, turns)
-    }
-}
