--- a/crates/steering/src/balance/slots.rs
+++ b/crates/steering/src/balance/slots.rs
@@ -97,6 +97,9 @@
     }
 
     /// Applies the servers with their number of units and the live VMs of the data centre.
+    ///
+    /// A VM that can't be reached stays a member until the platform's list says that it is gone. Two
+    /// VMs that each believe to be alone would both take all units.
     pub fn apply(
         &mut self,
         servers: IndexMap<Server, u32>,
