bug: warm-up of far caches goes on while fills come close to the bound of a link

Ruled out: a longer warm-up, which also slows spill to caches that warm up quickly. Change: warming up holds from 50% and goes back from 70% measured use (before: 60% and 80%).

--- a/crates/steering/src/spill/link.rs
+++ b/crates/steering/src/spill/link.rs
@@ -35,7 +35,7 @@
     pub hold: f64,
     /// Measured use of the links into the far region from which warming up goes back.
     ///
-    /// Cache fills of all callers flow there. With a use of 0.8, what the warm-up adds within a lag
+    /// Cache fills of all callers flow there. With a use of 0.7, what the warm-up adds within a lag
     /// of 3 s still fits.
     pub recede: f64,
     /// Age from which a measured use is ignored; warming up then follows time alone.
@@ -55,8 +55,8 @@
             assumed_answer: 65536.0,
             cold_cost: 1.0,
             warm_up: Duration::from_secs(20),
-            hold: 0.6,
-            recede: 0.8,
+            hold: 0.5,
+            recede: 0.7,
             stale: Duration::from_secs(15),
             cools: Duration::from_secs(60),
             cold_floor: 0.2,
--- a/crates/steering/tests/spill.rs
+++ b/crates/steering/tests/spill.rs
@@ -329,7 +329,7 @@
 /// on while the links that carry the fills are full.
 #[rstest]
 #[case(None, 0.9..1.1)]
-#[case(Some(0.7), 0.0..0.3)]
+#[case(Some(0.6), 0.0..0.3)]
 #[case(Some(0.9), 0.0..0.3)]
 fn cold_cache_ramps(#[case] used: Option<f64>, #[case] expected: std::ops::Range<f64>) {
     let start = Instant::now();
--- a/tools/bench/tests/spill.rs
+++ b/tools/bench/tests/spill.rs
@@ -30,6 +30,7 @@
 #[case(SURGE, 1)]
 #[case(Scenario::ColdSurge { warming: 12 }, 1)]
 #[case(Scenario::ColdSurge { warming: 24 }, 1)]
+#[case(Scenario::ColdSurge { warming: 60 }, 1)]
 fn steering_meets_targets(
     #[case] scenario: Scenario,
     #[case] events: usize,
