--- /dev/null
+++ b/crates/steering/src/release/halt.rs
@@ -0,0 +1,80 @@
+//! Halted releases.
+
+use base::id::{Release, Route};
+use indexmap::IndexMap;
+use indexmap::map::Entry;
+use std::fmt;
+
+base::message! {
+    /// Why a release was halted or rolled back.
+    #[derive(Eq, PartialOrd, Ord)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum Reason {
+        /// Requests of this route fail more often on the new version.
+        Failures(Route),
+        /// Requests of this route take longer than so many milliseconds more often.
+        Latency(Route, u64),
+        /// The remaining steps don't fit before the finish time; names the missing condition.
+        CannotFinish(Box<str>),
+        /// Not every VM confirmed the last step before the finish time.
+        NotConfirmed,
+        /// An operator halted it.
+        Operator(Box<str>),
+    }
+
+    /// Grow-only set of halted releases.
+    ///
+    /// A release that is in the set never leaves it. Copies that name different reasons agree on
+    /// the smallest one, so the result is independent of the order of merging.
+    #[derive(Default)]
+    #[serde(transparent)]
+    pub struct Halt {
+        reasons: IndexMap<Release, Reason>,
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Failures(route) => write!(f, "route `{route}` fails more often"),
+            Self::Latency(route, millis) => {
+                write!(f, "route `{route}` exceeds {millis} ms more often")
+            }
+            Self::CannotFinish(lack) => write!(f, "can't finish in time: {lack}"),
+            Self::NotConfirmed => write!(f, "not every VM confirmed the last step in time"),
+            Self::Operator(text) => write!(f, "halted by an operator: {text}"),
+        }
+    }
+}
+
+impl Halt {
+    /// Adds a release; returns whether the set changed.
+    pub fn add(&mut self, release: &Release, reason: &Reason) -> bool {
+        match self.reasons.entry(release.clone()) {
+            Entry::Vacant(entry) => {
+                entry.insert(reason.clone());
+                true
+            }
+            Entry::Occupied(mut entry) if reason < entry.get() => {
+                entry.insert(reason.clone());
+                true
+            }
+            Entry::Occupied(_) => false,
+        }
+    }
+
+    /// Takes over what `other` knows; returns whether the set changed.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        other
+            .reasons
+            .iter()
+            .fold(false, |changed, (release, reason)| {
+                self.add(release, reason) || changed
+            })
+    }
+
+    /// Returns why a release is halted, if it is.
+    pub fn reason(&self, release: &str) -> Option<&Reason> {
+        self.reasons.get(release)
+    }
+}
--- /dev/null
+++ b/crates/steering/src/release/verdict.rs
@@ -0,0 +1,192 @@
+//! Sequential test of the new version against the old one that serves at the same time.
+
+use super::{Cap, Cell, EDGES, Evidence, Pair, Reason};
+use base::id::Route;
+use std::time::{Duration, Instant};
+
+/// Ratios of event rates that the test bets on. The smallest sets the tolerance: a version that is
+/// less than about a quarter worse is not rejected.
+const RATIOS: [f64; 5] = [1.5, 2.0, 4.0, 16.0, 256.0];
+
+/// A kind of event is examined only if it is this much more frequent on the new version. Leaving
+/// out the others only lowers the test value.
+const EXAMINED_RATIO: f64 = 1.2;
+
+/// Kinds of events: failures, and latencies above each edge.
+const KINDS: usize = EDGES.len() + 1;
+
+base::value! {
+    /// Settings of the test.
+    #[derive(Copy)]
+    pub struct Settings {
+        /// Probability that a good version is rejected, over all steps, routes and observers.
+        pub alpha: f64,
+        /// Number of VMs that run the test on their own view of the evidence. Their views differ,
+        /// so each gets an equal part of `alpha`.
+        pub observers: u32,
+        /// Interval after which the test also starts afresh, to find a fault that begins late.
+        pub restart_every: Duration,
+        /// Requests on the new version that each route needs before a step to 100%; a smaller
+        /// next step needs proportionally fewer.
+        pub requests: u64,
+        /// Test value above which a step is not called good. A good version exceeds it at one
+        /// given moment with a probability of at most its inverse.
+        pub suspicion: f64,
+    }
+
+    /// What the evidence says.
+    pub enum Verdict {
+        /// Enough evidence on each route, none of it suspicious.
+        Good,
+        /// The new version is worse.
+        Bad(Reason),
+        /// This route lacks evidence or is suspicious.
+        Undecided(Route),
+    }
+
+    /// One observer's test of one release.
+    ///
+    /// Given an event (a failure, or a latency above an edge), it happened on the new version
+    /// with the probability of the new version's share of the requests if both versions are
+    /// alike. The likelihood ratio of a larger probability is a nonnegative martingale, and so is
+    /// an average of such ratios over event kinds, sizes of the difference and starting times. By
+    /// Ville's inequality it ever exceeds `1 / alpha` with a probability of at most `alpha`,
+    /// however often the test looks.
+    pub struct Test {
+        settings: Settings,
+        routes: Box<[Route]>,
+        steps: usize,
+        step: usize,
+        starts: Vec<Box<[Pair]>>,
+        restart_at: Option<Instant>,
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            alpha: 0.005,
+            observers: 11,
+            restart_every: Duration::from_secs(10),
+            requests: 400,
+            suspicion: 20.0,
+        }
+    }
+}
+
+impl Settings {
+    /// Returns the requests on the new version that each route needs before a step to `next`.
+    pub fn needed(&self, next: Cap) -> u64 {
+        (self.requests as f64 * next.fraction()).ceil() as u64
+    }
+}
+
+impl Test {
+    /// Starts the test of a release with so many steps and these routes.
+    pub fn new(settings: Settings, steps: usize, routes: impl IntoIterator<Item = Route>) -> Self {
+        Self {
+            settings,
+            routes: routes.into_iter().collect(),
+            steps: steps.max(1),
+            step: usize::MAX,
+            starts: Vec::new(),
+            restart_at: None,
+        }
+    }
+
+    /// Judges the evidence of `step`, after which the cap becomes `next`.
+    pub fn judge(
+        &mut self,
+        now: Instant,
+        (step, next): (usize, Cap),
+        evidence: &Evidence,
+    ) -> Verdict {
+        let totals: Box<[Pair]> = self
+            .routes
+            .iter()
+            .map(|route| evidence.total(route, step))
+            .collect();
+        self.restart(now, step, &totals);
+        let parts = self.steps as f64 * self.routes.len().max(1) as f64;
+        let limit = parts * f64::from(self.settings.observers.max(1)) / self.settings.alpha;
+        let needed = self.settings.needed(next);
+        let mut lacking = None;
+        for (index, route) in self.routes.iter().enumerate() {
+            let (value, kind) = self.value(index, &totals[index]);
+            if value >= limit {
+                return Verdict::Bad(match kind {
+                    0 => Reason::Failures(route.clone()),
+                    edge => Reason::Latency(route.clone(), EDGES[edge - 1]),
+                });
+            }
+            if totals[index].new.requests < needed || value > self.settings.suspicion {
+                lacking.get_or_insert(route);
+            }
+        }
+        lacking.map_or(Verdict::Good, |route| Verdict::Undecided(route.clone()))
+    }
+
+    fn restart(&mut self, now: Instant, step: usize, totals: &[Pair]) {
+        if step != self.step {
+            // The first start of a step counts all of its evidence, also what came before this
+            // observer learned of the step.
+            self.step = step;
+            self.starts = vec![vec![Pair::default(); totals.len()].into()];
+            self.restart_at = Some(now + self.settings.restart_every);
+        } else if self.restart_at.is_some_and(|at| at <= now) {
+            self.starts.push(totals.into());
+            self.restart_at = Some(now + self.settings.restart_every);
+        }
+    }
+
+    /// Returns the test value of a route and the event kind that contributes most.
+    fn value(&self, route: usize, total: &Pair) -> (f64, usize) {
+        let mut by_kind = [0.0; KINDS];
+        for (index, start) in self.starts.iter().enumerate() {
+            // These weights sum to one over any number of starts.
+            let weight = 1.0 / ((index + 1) * (index + 2)) as f64;
+            add_ratios(&mut by_kind, weight, &total.since(&start[route]));
+        }
+        let kind = (0..KINDS)
+            .max_by(|a, b| by_kind[*a].total_cmp(&by_kind[*b]))
+            .unwrap_or(0);
+        (by_kind.iter().sum(), kind)
+    }
+}
+
+/// Adds the weighted likelihood ratios of each event kind.
+fn add_ratios(by_kind: &mut [f64; KINDS], weight: f64, pair: &Pair) {
+    let (new, old) = (pair.new.requests as f64, pair.old.requests as f64);
+    if new == 0.0 || old == 0.0 {
+        return;
+    }
+    // Adding one request to the new side keeps the first few requests from overstating the test.
+    let share = (new + 1.0) / (new + old + 1.0);
+    let logs = RATIOS.map(|ratio| {
+        let norm = (ratio * share + 1.0 - share).ln();
+        (ratio.ln() - norm, -norm)
+    });
+    let events = counts(&pair.new).into_iter().zip(counts(&pair.old));
+    for (sum, (on_new, on_old)) in by_kind.iter_mut().zip(events) {
+        if on_new * old <= EXAMINED_RATIO * on_old * new {
+            continue;
+        }
+        let ratios: f64 = logs
+            .iter()
+            .map(|(log_new, log_old)| (on_new * log_new + on_old * log_old).exp())
+            .sum();
+        *sum += weight * ratios / (RATIOS.len() * KINDS) as f64;
+    }
+}
+
+/// Returns the number of events of each kind: failures, then latencies above each edge.
+fn counts(cell: &Cell) -> [f64; KINDS] {
+    let mut counts = [0.0; KINDS];
+    let mut above = 0;
+    for edge in (0..EDGES.len()).rev() {
+        above += cell.latency[edge + 1];
+        counts[edge + 1] = above as f64;
+    }
+    counts[0] = cell.failures as f64;
+    counts
+}
