feature: experiment on generated good and bad versions

Cause: the targets of releases need figures beside a fixed timer and a plain threshold. Change: simulated VMs with delayed evidence; record and watch in files of their own.

--- a/crates/steering/src/release/evidence.rs
+++ b/crates/steering/src/release/evidence.rs
@@ -98,12 +98,10 @@
         latency: Duration,
     ) {
         let routes = self.counts.entry(incarnation).or_default();
-        if !routes.contains_key(route) {
-            routes.insert(route.into(), Vec::new());
-        }
-        let Some(steps) = routes.get_mut(route) else {
-            return;
-        };
+        let index = routes
+            .get_index_of(route)
+            .unwrap_or_else(|| routes.insert_full(route.into(), Vec::new()).0);
+        let steps = &mut routes[index];
         if steps.len() <= step {
             steps.resize(step + 1, Pair::default());
         }
--- a/crates/steering/src/release/plan.rs
+++ b/crates/steering/src/release/plan.rs
@@ -1,12 +1,8 @@
 //! Typestate of the owner of a release.
-//!
-//! Times are wall-clock milliseconds, because the record outlives its owner and a monotonic clock
-//! has no meaning on another VM. Clock differences affect the pace only; safety rests on the row
-//! version that each write expects.
 
-use super::{Cap, Halt, Reason, Verdict};
+use super::{Halt, Put, Reason, Record, State, Verdict};
 use base::clock::Millis;
-use base::id::{Incarnation, Label, Operation, Release, Service};
+use base::id::Operation;
 
 /// Part of the time that the steps are spread over; the rest is kept for missing evidence and
 /// changes of the owner.
@@ -17,76 +13,12 @@
 const LOAD_PART: f64 = 0.9;
 
 /// Shortest time in a step, so that the results of its first requests are known everywhere.
-const SOAK_MILLIS: Millis = 5_000;
+pub(super) const SOAK_MILLIS: Millis = 5_000;
 
 /// Time for which the owner may act without renewal before another may take over.
 const LEASE_MILLIS: Millis = 3_000;
 
-base::message! {
-    /// State of a release.
-    #[serde(rename_all = "kebab-case")]
-    pub enum State {
-        /// Not started.
-        Planned,
-        /// In a step since this time.
-        Stepping {
-            /// Index into the steps.
-            step: usize,
-            /// Time of the write that began the step.
-            since: Millis,
-        },
-        /// Taken back; final.
-        RolledBack(Reason),
-        /// The new version has taken over; final.
-        Complete,
-    }
-
-    /// Content of the table row `release/<id>`.
-    pub struct Record {
-        /// Id of the release.
-        pub id: Release,
-        /// Service whose version is replaced.
-        pub service: Service,
-        /// Version that is replaced.
-        pub old: Label,
-        /// Version that takes over.
-        pub new: Label,
-        /// Time of the first step.
-        pub start: Millis,
-        /// Time by which the new version must have taken over.
-        pub finish_by: Millis,
-        /// Caps of the steps; they rise and end with 100%.
-        pub steps: Box<[Cap]>,
-        /// Incarnation of the owner.
-        pub owner: Incarnation,
-        /// End of the owner's lease.
-        pub leased_until: Millis,
-        /// State.
-        pub state: State,
-    }
-
-    /// A compare-and-set write of the record; nothing changes if the row has another version.
-    pub struct Put {
-        /// Version that the row must have.
-        pub expected: u64,
-        /// Unique id of this write.
-        pub operation: Operation,
-        /// New content.
-        pub record: Record,
-    }
-}
-
 base::value! {
-    /// Why a release is not accepted.
-    pub enum Refusal {
-        /// One server can't be tested at the load of the next step.
-        TooFewServers,
-        /// The caps don't rise, are zero or don't end with 100%.
-        Steps,
-        /// The steps don't fit before the finish time.
-        TooLittleTime,
-    }
-
     /// Load per server of the new version, in requests per second.
     #[derive(Copy)]
     pub struct Load {
@@ -181,94 +113,6 @@
     }
 }
 
-impl Record {
-    /// Plans a release over `servers` backend servers of the new version.
-    ///
-    /// Inserts caps where one server would not be enough to see the load of the next step.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the release is not accepted.
-    pub fn plan(mut self, servers: u32) -> Result<Self, Refusal> {
-        let rising = self.steps.is_sorted_by(|a, b| a < b);
-        if !rising || self.steps.first() <= Some(&Cap::NONE) || self.steps.last() != Some(&Cap::ALL)
-        {
-            return Err(Refusal::Steps);
-        }
-        if servers < 2 {
-            return Err(Refusal::TooFewServers);
-        }
-        let mut steps: Vec<Cap> = Vec::new();
-        for cap in &self.steps {
-            while let Some(last) = steps.last().copied()
-                && u64::from(last.parts()) * u64::from(servers) < u64::from(cap.parts())
-            {
-                steps.push(Cap::millionths(last.parts().saturating_mul(servers)));
-            }
-            steps.push(*cap);
-        }
-        self.steps = steps.into();
-        let shortest = SOAK_MILLIS * self.steps.len() as Millis;
-        if self.finish_by < self.start + shortest {
-            return Err(Refusal::TooLittleTime);
-        }
-        self.state = State::Planned;
-        Ok(self)
-    }
-
-    /// Returns the cap that a VM with this view enforces; none once it knows of a halt.
-    pub fn cap(&self, halt: &Halt) -> Cap {
-        match &self.state {
-            State::Complete => Cap::ALL,
-            State::Stepping { step, .. } if halt.reason(&self.id).is_none() => self.steps[*step],
-            _ => Cap::NONE,
-        }
-    }
-
-    /// Returns the current step and the cap after it.
-    pub fn step(&self) -> Option<(usize, Cap)> {
-        let State::Stepping { step, .. } = self.state else {
-            return None;
-        };
-        Some((step, self.steps.get(step + 1).copied().unwrap_or(Cap::ALL)))
-    }
-
-    /// Returns whether old and new version serve side by side, so that a VM may halt on evidence.
-    pub fn comparable(&self) -> bool {
-        self.step()
-            .is_some_and(|(step, _)| step + 1 < self.steps.len())
-    }
-
-    /// Returns how many of `servers` servers of the new version are used in this step.
-    ///
-    /// The others stay idle, so that each server in use has the load that the next step brings.
-    pub fn width(&self, servers: u32) -> u32 {
-        let Some((step, next)) = self.step() else {
-            return servers;
-        };
-        let scaled = u64::from(servers) * u64::from(self.steps[step].parts());
-        let width = scaled / u64::from(next.parts().max(1));
-        u32::try_from(width).unwrap_or(servers).clamp(1, servers)
-    }
-
-    /// Returns whether another VM may take over.
-    pub fn expired(&self, now: Millis) -> bool {
-        self.leased_until <= now
-    }
-
-    /// Makes the write by which `owner` takes the release over from row version `version`.
-    pub fn take(
-        mut self,
-        version: u64,
-        owner: Incarnation,
-        now: Millis,
-        operation: Operation,
-    ) -> Pending {
-        self.owner = owner;
-        Pending::new(self, version, now, operation)
-    }
-}
-
 impl<S> Plan<S> {
     /// Returns the record as last written.
     pub fn record(&self) -> &Record {
@@ -382,7 +226,12 @@
 }
 
 impl Pending {
-    fn new(mut record: Record, expected: u64, now: Millis, operation: Operation) -> Self {
+    pub(super) fn new(
+        mut record: Record,
+        expected: u64,
+        now: Millis,
+        operation: Operation,
+    ) -> Self {
         record.leased_until = now + LEASE_MILLIS;
         Self {
             put: Put {
--- /dev/null
+++ b/crates/steering/src/release/watch.rs
@@ -0,0 +1,66 @@
+//! One VM's view of a release: its verdict, its halt and its confirmation.
+
+use super::{Evidence, Halt, Reason, Record, Settings, Test, Verdict};
+use base::id::Route;
+use std::time::Instant;
+
+base::value! {
+    /// Watches one release on one VM.
+    ///
+    /// A VM either halts a release or confirms its last step, never both. The owner completes the
+    /// release only after every VM has confirmed, so a completed release can't be halted.
+    pub struct Watch {
+        test: Test,
+        confirmed: bool,
+    }
+}
+
+impl Watch {
+    /// Starts to watch a release on these routes.
+    pub fn new(
+        settings: Settings,
+        record: &Record,
+        routes: impl IntoIterator<Item = Route>,
+    ) -> Self {
+        let judged = record.steps.len().saturating_sub(1);
+        Self {
+            test: Test::new(settings, judged, routes),
+            confirmed: false,
+        }
+    }
+
+    /// Judges the current step, and halts the release if the new version is worse.
+    ///
+    /// Returns no verdict while the versions don't serve side by side.
+    pub fn look(
+        &mut self,
+        now: Instant,
+        record: &Record,
+        evidence: &Evidence,
+        halt: &mut Halt,
+    ) -> Option<Verdict> {
+        let step = record.step().filter(|_| record.comparable())?;
+        let verdict = self.test.judge(now, step, evidence);
+        if let Verdict::Bad(reason) = &verdict {
+            self.halt(record, reason, halt);
+        }
+        Some(verdict)
+    }
+
+    /// Halts the release unless this VM has confirmed its last step; returns whether it is halted.
+    ///
+    /// An operator's halt that comes later is a new release of the old version.
+    pub fn halt(&self, record: &Record, reason: &Reason, halt: &mut Halt) -> bool {
+        if !self.confirmed {
+            halt.add(&record.id, reason);
+        }
+        halt.reason(&record.id).is_some()
+    }
+
+    /// Confirms the last step if this VM knows of no halt; returns whether it is confirmed.
+    pub fn confirm(&mut self, record: &Record, halt: &Halt) -> bool {
+        let last = record.step().is_some() && !record.comparable();
+        self.confirmed |= last && halt.reason(&record.id).is_none();
+        self.confirmed
+    }
+}
--- a/tools/bench/src/experiment/release.rs
+++ b/tools/bench/src/experiment/release.rs
@@ -1,1 +1,289 @@
-//! Generated good and bad versions.
+//! Releases of generated good and bad versions, with evidence that VMs learn with a delay.
+//!
+//! A fault is visible at the moment at which an observer with the same test and undelayed evidence
+//! of all VMs decides.
+
+mod world;
+
+pub use world::{ATLAS, EL_SHERBINY, Fault, Method, ROUTES, Scale, World, fault};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::VecDeque;
+use std::fmt::Write as _;
+use std::time::{Duration, Instant};
+use steering::release::{
+    Answer, Cap, Evidence, Halt, Input, Load, Next, Owned, Pending, Quota, Reason, Record,
+    Settings, Settled, State, Verdict, Watch,
+};
+
+/// Simulated time between two rounds of arrivals.
+const TICK: u64 = 100;
+/// Rounds between two looks of one VM at its evidence.
+const LOOK_EVERY: u64 = 5;
+/// Largest and smallest delay of a message between VMs, in milliseconds; 500 on average.
+const DELAY: std::ops::Range<u64> = 400..600;
+/// How one release ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Outcome {
+    /// Whether it completed by the finish time.
+    pub complete: bool,
+    /// Time at which the fault was visible, in milliseconds from the start.
+    pub visible: Option<u64>,
+    /// Time of the last start on the new version, in milliseconds from the start.
+    pub last: u64,
+    /// Whether the starts on the new version ever exceeded the cap.
+    pub exceeded: bool,
+}
+
+impl Outcome {
+    /// Returns the time for which the new version got traffic after its fault was visible.
+    pub fn exposed(&self) -> u64 {
+        self.visible.map_or(0, |at| self.last.saturating_sub(at))
+    }
+}
+
+fn planned(scale: Scale) -> Record {
+    let record = Record {
+        id: "r1".into(),
+        service: "lookup".into(),
+        old: "v1".into(),
+        new: "v2".into(),
+        start: 0,
+        finish_by: scale.time * 1000,
+        steps: [1, 5, 25, 50, 100].map(Cap::percent).into(),
+        owner: 0,
+        leased_until: 0,
+        state: State::Planned,
+    };
+    record.plan(scale.servers).expect("the plan is valid")
+}
+
+/// Runs one release; the same seed gives the same version and traffic for each method.
+pub fn run(scale: Scale, method: Method, bad: Option<usize>, seed: u64) -> Outcome {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let fault = bad.map(|kind| fault(kind, &mut rng));
+    let begin = rng.random_range(0..scale.time * 1000);
+    let long = if rng.random::<f64>() < 0.3 { 10_000 } else { 0 };
+    let mut world = World {
+        scale,
+        method,
+        fault,
+        incident: (begin, begin + long),
+        noise: 0.9 + 0.15 * rng.random::<f64>(),
+        latencies: world::latencies(&mut rng),
+        quotas: vec![Quota::default(); scale.vms],
+        own: vec![Evidence::default(); scale.vms],
+        recent: VecDeque::new(),
+        rng,
+    };
+    drive(&mut world)
+}
+
+fn drive(world: &mut World) -> Outcome {
+    let (scale, vms) = (world.scale, world.scale.vms);
+    let origin = Instant::now();
+    let settings = Settings {
+        observers: vms as u32,
+        ..Settings::default()
+    };
+    let plan = planned(scale);
+    let watch = Watch::new(settings, &plan, ROUTES.map(|(name, _)| name.into()));
+    let (mut watches, mut ideal) = (vec![watch.clone(); vms], watch);
+    let mut halts = vec![Halt::default(); vms];
+    let mut records = vec![plan.clone(); vms];
+    let mut table = (1, plan.clone());
+    let mut owned = settle(plan.take(1, 0, 0, "take".into()), &mut table);
+    let mut mail: Vec<(u64, usize, Option<Record>, Halt)> = Vec::new();
+    let mut past: VecDeque<Evidence> = VecDeque::new();
+    let (mut all, mut new, mut highest) = (0, 0, Cap::NONE);
+    let mut outcome = Outcome {
+        complete: false,
+        visible: None,
+        last: 0,
+        exceeded: false,
+    };
+    for tick in 0..=scale.time * 1000 / TICK + 50 {
+        let (at, now) = (tick * TICK, origin + Duration::from_millis(tick * TICK));
+        mail.retain(|(due, vm, record, halt)| {
+            if *due <= at {
+                records[*vm] = record.clone().unwrap_or_else(|| records[*vm].clone());
+                halts[*vm].merge(halt);
+            }
+            *due > at
+        });
+        for vm in 0..vms {
+            world.quotas[vm].set(records[vm].cap(&halts[vm]));
+        }
+        let before: u64 = all;
+        let starts = world.arrivals(at, &records);
+        all = world.quotas.iter().map(|quota| quota.starts().0).sum();
+        new += starts;
+        if starts > 0 {
+            outcome.last = at;
+        }
+        outcome.exceeded |= all > before && new > highest.of(all);
+        past.push_back(world.own.iter().fold(Evidence::default(), |mut sum, own| {
+            sum.merge(own);
+            sum
+        }));
+        if past.len() > (DELAY.end / TICK) as usize + 1 {
+            past.pop_front();
+        }
+        let steered = matches!(world.method, Method::Evidence | Method::FullWidth);
+        if outcome.visible.is_none() && halts.iter().all(|halt| halt.reason("r1").is_none()) {
+            let sight = ideal.look(now, &table.1, &past[past.len() - 1], &mut Halt::default());
+            if matches!(sight, Some(Verdict::Bad(_))) {
+                outcome.visible = Some(at);
+            }
+        }
+        let mut verdict = Verdict::Good;
+        for vm in 0..vms {
+            if !(tick + vm as u64).is_multiple_of(LOOK_EVERY) {
+                continue;
+            }
+            let known = halts[vm].clone();
+            if steered {
+                let delay = (world.rng.random_range(DELAY) / TICK) as usize;
+                let mut view = past[past.len().saturating_sub(delay + 1)].clone();
+                view.merge(&world.own[vm]);
+                let seen = watches[vm].look(now, &records[vm], &view, &mut halts[vm]);
+                if vm == 0 {
+                    verdict = seen.unwrap_or(Verdict::Good);
+                }
+            } else if world.method == Method::Threshold && vm == 0 && world.over_threshold() {
+                halts[vm].add(&"r1".into(), &Reason::Failures("any".into()));
+            }
+            if known != halts[vm] {
+                for other in 0..vms {
+                    let due = at + world.rng.random_range(DELAY);
+                    mail.push((due, other, None, halts[vm].clone()));
+                }
+            }
+        }
+        if !tick.is_multiple_of(LOOK_EVERY) {
+            continue;
+        }
+        let confirmed = (0..vms)
+            .map(|vm| watches[vm].confirm(&records[vm], &halts[vm]))
+            .fold(true, |every, one| every && one);
+        let operation: Box<str> = format!("op{tick}").into();
+        let load = match world.method {
+            Method::Evidence => world.load(&table.1),
+            _ => Load {
+                seen: 1.0,
+                next: 1.0,
+            },
+        };
+        let pending = match owned {
+            Owned::Planned(plan) => plan.start(at, &halts[0], operation),
+            Owned::Stepping(plan) => {
+                let input = Input {
+                    now: at,
+                    verdict: &verdict,
+                    halt: &halts[0],
+                    load,
+                    confirmed,
+                };
+                match plan.next(&input, operation) {
+                    Next::Wait(plan, _) => {
+                        owned = Owned::Stepping(plan);
+                        continue;
+                    }
+                    Next::Write(pending) => pending,
+                }
+            }
+            Owned::Ended(state) => {
+                outcome.complete = state == State::Complete;
+                if outcome.complete || records.iter().all(|record| record.state == state) {
+                    break;
+                }
+                owned = Owned::Ended(state);
+                continue;
+            }
+        };
+        owned = settle(pending, &mut table);
+        highest = highest.max(table.1.cap(&Halt::default()));
+        for vm in 0..vms {
+            let due = at + world.rng.random_range(DELAY);
+            mail.push((due, vm, Some(table.1.clone()), Halt::default()));
+        }
+    }
+    outcome
+}
+
+/// Applies a write to the table and settles it.
+fn settle(pending: Pending, table: &mut (u64, Record)) -> Owned {
+    let put = pending.put().clone();
+    *table = (put.expected + 1, put.record);
+    match pending.settle(&Answer::Row(table.0, put.operation)) {
+        Settled::Done(owned) => owned,
+        Settled::Again(_) | Settled::Lost => Owned::Ended(State::Complete),
+    }
+}
+
+/// Figures over many releases.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Summary {
+    /// Releases.
+    pub runs: usize,
+    /// Releases that completed by the finish time.
+    pub complete: usize,
+    /// Longest traffic to a new version after its fault was visible, in milliseconds.
+    pub exposed: u64,
+    /// Releases with traffic of more than 2 s after the fault was visible.
+    pub late: usize,
+    /// Releases whose starts exceeded the cap.
+    pub exceeded: usize,
+}
+
+impl Summary {
+    /// Returns the figures over the releases of both.
+    pub fn add(self, other: Self) -> Self {
+        Self {
+            runs: self.runs + other.runs,
+            complete: self.complete + other.complete,
+            exposed: self.exposed.max(other.exposed),
+            late: self.late + other.late,
+            exceeded: self.exceeded + other.exceeded,
+        }
+    }
+}
+
+/// Runs releases with the given seeds; bad ones take the kinds in turn.
+pub fn series(scale: Scale, method: Method, bad: bool, seeds: std::ops::Range<u64>) -> Summary {
+    seeds
+        .map(|seed| {
+            let outcome = run(scale, method, bad.then_some(seed as usize), seed);
+            Summary {
+                runs: 1,
+                complete: usize::from(outcome.complete),
+                exposed: outcome.exposed(),
+                late: usize::from(outcome.exposed() > 2000),
+                exceeded: usize::from(outcome.exceeded),
+            }
+        })
+        .fold(Summary::default(), Summary::add)
+}
+
+/// Runs 20 good and 20 bad versions for each user and method.
+pub fn report() -> Box<str> {
+    let mut text = String::from("release: completed good and bad versions, longest exposure\n");
+    for (name, scale) in [("atlas", ATLAS), ("el-sherbiny", EL_SHERBINY)] {
+        for method in [
+            Method::Evidence,
+            Method::FullWidth,
+            Method::Timer,
+            Method::Threshold,
+        ] {
+            let good = series(scale, method, false, 0..20);
+            let bad = series(scale, method, true, 0..20);
+            let _ = writeln!(
+                text,
+                "{name:12} {method:10?} good {}/{} bad {}/{} exposure {} ms",
+                good.complete, good.runs, bad.complete, bad.runs, bad.exposed
+            );
+        }
+    }
+    text.into()
+}
--- /dev/null
+++ b/tools/bench/src/experiment/release/world.rs
@@ -0,0 +1,215 @@
+//! Generated versions, arrivals and results of the release experiment.
+
+use super::TICK;
+use rand::rngs::StdRng;
+use rand::{Rng, RngExt};
+use std::collections::VecDeque;
+use std::time::Duration;
+use steering::release::{Cap, Evidence, Halt, Load, Quota, Record, Side};
+
+/// Share of the requests of each route; the last is a rare one.
+pub const ROUTES: [(&str, f64); 3] = [("read", 0.6), ("search", 0.3), ("submit", 0.1)];
+/// Failures of a healthy version.
+const FAILURES: f64 = 0.001;
+/// Median latency in milliseconds, and the spread of its logarithm.
+const LATENCY: (f64, f64) = (20.0, 0.5);
+/// Baseline: share of failures in the last minute at which it rolls back.
+const THRESHOLD: f64 = 0.05;
+
+/// Sizes of a user's service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Scale {
+    /// Entry VMs.
+    pub vms: usize,
+    /// Requests per second of the service.
+    pub rate: f64,
+    /// Backend servers of the new version.
+    pub servers: u32,
+    /// Time from the first step to the finish time, in seconds.
+    pub time: u64,
+}
+
+/// Atlas' `lookup`: 36 slots, about 60% busy at 36 ms per request.
+pub const ATLAS: Scale = Scale {
+    vms: 9,
+    rate: 600.0,
+    servers: 12,
+    time: 240,
+};
+
+/// El-Sherbiny's `map`: 96 slots, about 45% busy at 36 ms per request.
+pub const EL_SHERBINY: Scale = Scale {
+    vms: 11,
+    rate: 1200.0,
+    servers: 12,
+    time: 180,
+};
+
+/// How a new version is decided on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Method {
+    /// The steering decisions.
+    Evidence,
+    /// The same, without using fewer servers to reach the next step's load.
+    FullWidth,
+    /// Steps at fixed times.
+    Timer,
+    /// Steps at fixed times; roll-back at 5% failures in the last minute.
+    Threshold,
+}
+
+/// What is wrong with a generated version.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Fault {
+    /// Part of the time after which the fault begins.
+    pub from: f64,
+    /// Load per server from which it shows, as a part of the load after the release.
+    pub load: f64,
+    /// Affected route, or all.
+    pub route: Option<usize>,
+    /// Failures that it adds.
+    pub failures: f64,
+    /// Factor on latency.
+    pub slower: f64,
+}
+
+/// Generates a bad version of one of five kinds.
+pub fn fault(kind: usize, rng: &mut impl Rng) -> Fault {
+    let failures = 0.02 * 40f64.powf(rng.random());
+    let plain = Fault {
+        from: 0.0,
+        load: 0.0,
+        route: None,
+        failures,
+        slower: 1.0,
+    };
+    match kind % 5 {
+        0 => plain,
+        1 => Fault {
+            from: 0.1 + 0.6 * rng.random::<f64>(),
+            ..plain
+        },
+        2 => Fault {
+            load: 0.5 + 0.45 * rng.random::<f64>(),
+            ..plain
+        },
+        3 => Fault {
+            route: Some(rng.random_range(0..ROUTES.len())),
+            ..plain
+        },
+        _ => Fault {
+            failures: 0.0,
+            slower: 1.6 + 2.4 * rng.random::<f64>(),
+            from: (0.6 * rng.random::<f64>() - 0.2).max(0.0),
+            ..plain
+        },
+    }
+}
+
+/// Draws latencies of a healthy version once, so that a request costs one draw.
+pub fn latencies(rng: &mut impl Rng) -> Vec<f64> {
+    let normal = |rng: &mut dyn FnMut() -> f64| (0..12).map(|_| rng()).sum::<f64>() - 6.0;
+    (0..512)
+        .map(|_| LATENCY.0 * (LATENCY.1 * normal(&mut || rng.random())).exp())
+        .collect()
+}
+
+/// One release's service.
+pub struct World {
+    /// Sizes.
+    pub scale: Scale,
+    /// Method.
+    pub method: Method,
+    /// Fault of the new version.
+    pub fault: Option<Fault>,
+    /// Start and end of a failure of a shared dependency that affects both versions.
+    pub incident: (u64, u64),
+    /// Factor on latency by which a good version differs.
+    pub noise: f64,
+    /// Latencies to draw from.
+    pub latencies: Vec<f64>,
+    /// Quota of each VM.
+    pub quotas: Vec<Quota>,
+    /// Evidence of each VM.
+    pub own: Vec<Evidence>,
+    /// Requests and failures on the new version per round, for the baseline.
+    pub recent: VecDeque<(u64, u64)>,
+    /// Source of randomness.
+    pub rng: StdRng,
+}
+
+impl World {
+    /// Runs the arrivals of a round; returns the number of starts on the new version.
+    pub fn arrivals(&mut self, at: u64, records: &[Record]) -> u64 {
+        let mean = self.scale.rate * TICK as f64 / 1e3;
+        let count = (mean * (0.8 + 0.4 * self.rng.random::<f64>())).round() as u64;
+        let (mut starts, mut failures) = (0, 0);
+        for _ in 0..count {
+            let place: f64 = self.rng.random();
+            let vm = ((place.powf(1.3) * self.scale.vms as f64) as usize).min(self.scale.vms - 1);
+            let draw: f64 = self.rng.random();
+            let route = usize::from(draw > ROUTES[0].1) + usize::from(draw > 1.0 - ROUTES[2].1);
+            let side = self.quotas[vm].start();
+            let (failed, latency) = self.request(at, side, route, &records[vm]);
+            if side == Side::New {
+                starts += 1;
+                failures += u64::from(failed);
+            }
+            if let Some((step, _)) = records[vm].step() {
+                let key = (vm as u64, step);
+                self.own[vm].record(key, ROUTES[route].0, side, failed, latency);
+            }
+        }
+        self.recent.push_back((starts, failures));
+        if self.recent.len() > (60_000 / TICK) as usize {
+            self.recent.pop_front();
+        }
+        starts
+    }
+
+    fn request(&mut self, at: u64, side: Side, route: usize, record: &Record) -> (bool, Duration) {
+        let mut failures = FAILURES;
+        if (self.incident.0..self.incident.1).contains(&at) {
+            failures += 0.08;
+        }
+        let mut millis = self.latencies[self.rng.random_range(0..self.latencies.len())];
+        if side == Side::New {
+            millis *= self.noise;
+            let load = self.load(record).seen * f64::from(self.scale.servers) / self.scale.rate;
+            if let Some(fault) = self.fault
+                && at as f64 >= fault.from * self.scale.time as f64 * 1e3
+                && load >= fault.load
+                && fault.route.is_none_or(|only| only == route)
+            {
+                failures += fault.failures;
+                millis *= fault.slower;
+            }
+        }
+        let failed = self.rng.random::<f64>() < failures;
+        (failed, Duration::from_secs_f64(millis / 1e3))
+    }
+
+    /// Returns the new version's load per server, by the cap and the servers in use.
+    pub fn load(&self, record: &Record) -> Load {
+        let servers = self.scale.servers;
+        let width = match self.method {
+            Method::Evidence => record.width(servers),
+            _ => servers,
+        };
+        let cap = record.cap(&Halt::default());
+        let next = record.step().map_or(Cap::ALL, |(_, next)| next);
+        Load {
+            seen: cap.fraction() * self.scale.rate / f64::from(width),
+            next: next.fraction() * self.scale.rate / f64::from(servers),
+        }
+    }
+
+    /// Returns whether the plain threshold is exceeded.
+    pub fn over_threshold(&self) -> bool {
+        let sums = self
+            .recent
+            .iter()
+            .fold((0, 0), |sum, round| (sum.0 + round.0, sum.1 + round.1));
+        sums.0 >= 20 && sums.1 as f64 >= THRESHOLD * sums.0 as f64
+    }
+}
