feature: drains, leaving servers and a VM's stop; confirmations and differences of evidence

Cause: the last step needs a promise of every VM not to halt, or a release could be completed and halted; gossip needs only the counts that a peer lacks.

--- a/crates/steering/src/release/evidence.rs
+++ b/crates/steering/src/release/evidence.rs
@@ -52,7 +52,7 @@
     #[derive(Default)]
     #[serde(transparent)]
     pub struct Evidence {
-        counts: IndexMap<Incarnation, IndexMap<Route, Vec<Pair>>>,
+        counts: IndexMap<Incarnation, IndexMap<Route, IndexMap<usize, Pair>>>,
     }
 }
 
@@ -88,7 +88,9 @@
 }
 
 impl Evidence {
-    /// Records a finished request of this VM.
+    /// Records a finished request of this VM under the step in which it started.
+    ///
+    /// A request without an answer is recorded as failed when its deadline passes.
     pub fn record(
         &mut self,
         (incarnation, step): (Incarnation, usize),
@@ -100,12 +102,8 @@
         let routes = self.counts.entry(incarnation).or_default();
         let index = routes
             .get_index_of(route)
-            .unwrap_or_else(|| routes.insert_full(route.into(), Vec::new()).0);
-        let steps = &mut routes[index];
-        if steps.len() <= step {
-            steps.resize(step + 1, Pair::default());
-        }
-        let pair = &mut steps[step];
+            .unwrap_or_else(|| routes.insert_full(route.into(), IndexMap::new()).0);
+        let pair = routes[index].entry(step).or_default();
         match side {
             Side::Old => pair.old.record(failed, latency),
             Side::New => pair.new.record(failed, latency),
@@ -114,18 +112,23 @@
 
     /// Takes over what `other` knows.
     pub fn merge(&mut self, other: &Self) {
-        for (incarnation, routes) in &other.counts {
-            let mine = self.counts.entry(*incarnation).or_default();
-            for (route, steps) in routes {
-                let known = mine.entry(route.clone()).or_default();
-                if known.len() < steps.len() {
-                    known.resize(steps.len(), Pair::default());
-                }
-                for (pair, theirs) in known.iter_mut().zip(steps) {
-                    pair.combine(theirs, u64::max);
-                }
+        for (incarnation, route, step, pair) in other.pairs() {
+            self.entry(incarnation, route, step).combine(pair, u64::max);
+        }
+    }
+
+    /// Returns the counts that `known` lacks, as a message to a peer that has `known`.
+    pub fn beyond(&self, known: &Self) -> Self {
+        let mut rest = Self::default();
+        for (incarnation, route, step, pair) in self.pairs() {
+            let mut joined = known.get(incarnation, route, step).unwrap_or_default();
+            let before = joined;
+            joined.combine(pair, u64::max);
+            if joined != before {
+                *rest.entry(incarnation, route, step) = joined;
             }
         }
+        rest
     }
 
     /// Returns the counts of a route in a step, summed over all incarnations.
@@ -133,8 +136,28 @@
         let mut sum = Pair::default();
         self.counts
             .values()
-            .filter_map(|routes| routes.get(route)?.get(step))
+            .filter_map(|routes| routes.get(route)?.get(&step))
             .for_each(|pair| sum.combine(pair, u64::saturating_add));
         sum
     }
+
+    fn pairs(&self) -> impl Iterator<Item = (Incarnation, &Route, usize, &Pair)> {
+        self.counts.iter().flat_map(|(incarnation, routes)| {
+            routes.iter().flat_map(move |(route, steps)| {
+                let steps = steps.iter();
+                steps.map(move |(step, pair)| (*incarnation, route, *step, pair))
+            })
+        })
+    }
+
+    fn get(&self, incarnation: Incarnation, route: &str, step: usize) -> Option<Pair> {
+        let steps = self.counts.get(&incarnation)?.get(route)?;
+        steps.get(&step).copied()
+    }
+
+    fn entry(&mut self, incarnation: Incarnation, route: &Route, step: usize) -> &mut Pair {
+        let routes = self.counts.entry(incarnation).or_default();
+        let steps = routes.entry(route.clone()).or_default();
+        steps.entry(step).or_default()
+    }
 }
--- a/crates/steering/src/release/plan.rs
+++ b/crates/steering/src/release/plan.rs
@@ -90,9 +90,9 @@
     }
 
     /// What the owner does next.
-    pub enum Next {
+    pub enum Next<S> {
         /// Wait.
-        Wait(Plan<Stepping>, Hold),
+        Wait(Plan<S>, Hold),
         /// Write.
         Write(Pending),
     }
@@ -131,22 +131,33 @@
 }
 
 impl Plan<Planned> {
-    /// Makes the write that begins the first step, or that rolls a halted release back.
-    pub fn start(self, now: Millis, halt: &Halt, operation: Operation) -> Pending {
+    /// Begins the first step when its time has come, or rolls back a release that is halted or
+    /// can't finish any more.
+    pub fn start(self, now: Millis, halt: &Halt, operation: Operation) -> Next<Planned> {
+        if now < self.record.start {
+            return Next::Wait(self, Hold::Pace);
+        }
+        let shortest = SOAK_MILLIS * self.record.steps.len() as Millis;
         let state = match halt.reason(&self.record.id) {
             Some(reason) => State::RolledBack(reason.clone()),
+            None if now + shortest > self.record.finish_by => {
+                State::RolledBack(Reason::CannotFinish("the first step is too late".into()))
+            }
             None => State::Stepping {
                 step: 0,
                 since: now,
             },
         };
-        self.enter(state, now, operation)
+        Next::Write(self.enter(state, now, operation))
     }
 }
 
 impl Plan<Stepping> {
     /// Decides whether to wait, to advance, to complete or to roll back.
-    pub fn next(self, input: &Input<'_>, operation: Operation) -> Next {
+    ///
+    /// A roll-back for another reason than a halt takes effect with its write only. Otherwise an
+    /// owner that was paused could halt a release that its successor has completed.
+    pub fn next(self, input: &Input<'_>, operation: Operation) -> Next<Stepping> {
         let now = input.now;
         let state = match self.decide(input) {
             Ok(state) => state,
--- a/crates/steering/src/release/verdict.rs
+++ b/crates/steering/src/release/verdict.rs
@@ -17,6 +17,12 @@
 /// Kinds of events: failures, and latencies above each edge.
 const KINDS: usize = EDGES.len() + 1;
 
+/// Weight of failures in the average over kinds; the latency edges share the rest.
+const FAILURE_WEIGHT: f64 = 0.5;
+
+/// Weight of each latency edge.
+const LATENCY_WEIGHT: f64 = (1.0 - FAILURE_WEIGHT) / EDGES.len() as f64;
+
 base::value! {
     /// Settings of the test.
     #[derive(Copy)]
@@ -168,9 +174,9 @@
     let latencies = log_ratios(share, TOLERATED_LATENCIES);
     let events = counts(&pair.new).into_iter().zip(counts(&pair.old));
     for (kind, (on_new, on_old)) in events.enumerate() {
-        let (tolerated, logs) = match kind {
-            0 => (TOLERATED_FAILURES, &failures),
-            _ => (TOLERATED_LATENCIES, &latencies),
+        let (tolerated, logs, part) = match kind {
+            0 => (TOLERATED_FAILURES, &failures, FAILURE_WEIGHT),
+            _ => (TOLERATED_LATENCIES, &latencies, LATENCY_WEIGHT),
         };
         // Leaving out the kinds within the tolerance only lowers the test value.
         if on_new * old <= tolerated * on_old * new {
@@ -180,7 +186,7 @@
             .iter()
             .map(|(log_new, log_old)| (on_new * log_new + on_old * log_old).exp())
             .sum();
-        by_kind[kind] += weight * ratios / (RATIOS.len() * KINDS) as f64;
+        by_kind[kind] += weight * part * ratios / RATIOS.len() as f64;
     }
 }
 
--- a/crates/steering/src/release/watch.rs
+++ b/crates/steering/src/release/watch.rs
@@ -1,7 +1,8 @@
 //! One VM's view of a release: its verdict, its halt and its confirmation.
 
 use super::{Evidence, Halt, Reason, Record, Settings, Test, Verdict};
-use base::id::Route;
+use base::id::{Incarnation, Release, Route};
+use indexmap::{IndexMap, IndexSet};
 use std::time::Instant;
 
 base::value! {
@@ -15,6 +16,38 @@
     }
 }
 
+base::message! {
+    /// Grow-only set of the incarnations that confirmed the last step of each release.
+    #[derive(Default)]
+    #[serde(transparent)]
+    pub struct Confirmed {
+        by: IndexMap<Release, IndexSet<Incarnation>>,
+    }
+}
+
+impl Confirmed {
+    /// Adds a confirmation; returns whether the set changed.
+    pub fn add(&mut self, release: &Release, by: Incarnation) -> bool {
+        self.by.entry(release.clone()).or_default().insert(by)
+    }
+
+    /// Takes over what `other` knows; returns whether the set changed.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        let all = other.by.iter();
+        all.flat_map(|(release, by)| by.iter().map(move |one| (release, *one)))
+            .fold(false, |changed, (release, by)| {
+                self.add(release, by) || changed
+            })
+    }
+
+    /// Returns whether all these incarnations confirmed; they are those of all VMs except the ones
+    /// that the platform's list confirms as gone.
+    pub fn all(&self, release: &str, mut of: impl Iterator<Item = Incarnation>) -> bool {
+        let by = self.by.get(release);
+        of.all(|one| by.is_some_and(|by| by.contains(&one)))
+    }
+}
+
 impl Watch {
     /// Starts to watch a release on these routes.
     pub fn new(
--- /dev/null
+++ b/crates/steering/tests/drain.rs
@@ -0,0 +1,324 @@
+//! Tests of drains, leaving backend servers and a VM's own stop.
+
+use indexmap::IndexSet;
+use proptest::prelude::*;
+use rstest::rstest;
+use std::time::{Duration, Instant};
+use steering::drain::{
+    Fleet, Leaving, Plan, Refusal, Rollout, Settings, Spec, Stop, Target, Times,
+};
+use steering::release::Cap;
+
+const REGIONS: [&str; 3] = ["north", "south", "west"];
+
+/// Atlas' services over 3 regions of 2 data centres; `busy` is the share of slots in use.
+fn fleet(busy: f64, spill: f64) -> Fleet {
+    let mut fleet = Fleet::default();
+    for (service, servers) in [("lookup", 12), ("booking", 12)] {
+        for index in 0..servers {
+            let region = REGIONS[index % 3];
+            let spec = Spec {
+                service: service.into(),
+                region: region.into(),
+                data_centre: format!("{region}{}", index / 3 % 2).into(),
+                slots: 3,
+            };
+            fleet
+                .servers
+                .insert(format!("{service}{index}").into(), spec);
+        }
+        for region in REGIONS {
+            let demand = f64::from(servers as u32) * busy;
+            fleet.demand.insert((service.into(), region.into()), demand);
+        }
+    }
+    for region in REGIONS {
+        fleet.spill.insert(region.into(), spill);
+    }
+    fleet
+}
+
+fn centre(name: &str) -> Target {
+    Target::DataCentre(name.into())
+}
+
+/// Guards against drains that together, or during a release, leave too little capacity. Without
+/// headroom or without counting drains under way, the second drain would be accepted.
+#[rstest]
+#[case(0.6, 99.0, 0.2, None, 1)]
+#[case(0.6, 99.0, 0.0, None, 2)]
+#[case(0.4, 99.0, 0.2, None, 3)]
+#[case(0.4, 99.0, 0.2, Some(25), 1)]
+#[case(0.6, 2.0, 0.2, None, 0)]
+fn drains_keep_headroom(
+    #[case] busy: f64,
+    #[case] spill: f64,
+    #[case] headroom: f64,
+    #[case] release: Option<u32>,
+    #[case] accepted: usize,
+) {
+    let mut fleet = fleet(busy, spill);
+    if let Some(percent) = release {
+        let new: IndexSet<Box<str>> = [0, 1, 2, 3].map(|n| format!("booking{n}").into()).into();
+        let rollout = Rollout {
+            new,
+            next: Cap::percent(percent),
+        };
+        fleet.rollouts.insert("booking".into(), rollout);
+    }
+    let settings = Settings {
+        headroom,
+        ..Settings::default()
+    };
+    let mut plan = Plan::default();
+    let answers: Vec<Result<(), Refusal>> = ["north1", "south1", "west1", "north0"]
+        .iter()
+        .map(|name| plan.accept(0, (*name).into(), &[centre(name)], &fleet, &settings))
+        .collect();
+    assert_eq!(
+        answers.iter().take_while(|answer| answer.is_ok()).count(),
+        accepted,
+        "{answers:?}"
+    );
+    let refusal = answers[accepted].clone().unwrap_err();
+    assert_eq!(
+        matches!(refusal, Refusal::Spill { .. }),
+        spill < 9.0,
+        "{refusal}"
+    );
+    let alone = Plan::default().accept(0, "a".into(), &[centre("north0")], &fleet, &settings);
+    assert_eq!(
+        alone.is_ok(),
+        accepted > 0,
+        "the last drain alone is accepted: {alone:?}"
+    );
+}
+
+proptest! {
+    /// Guards against any order of drains, steps and endings that leaves less than the headroom.
+    #[test]
+    fn many_drains_keep_headroom(actions in prop::collection::vec((0u8..4, 0usize..24, 0u32..3), 1..80)) {
+        let (fleet, settings) = (fleet(0.5, 99.0), Settings::default());
+        let mut plan = Plan::default();
+        for (now, (action, index, load)) in actions.into_iter().enumerate() {
+            let name = fleet.servers.get_index(index).unwrap().0.clone();
+            match action {
+                0 | 1 => {
+                    let target = [Target::Server(name.clone())];
+                    let _ = plan.accept(now as u64, name, &target, &fleet, &settings);
+                }
+                2 => {
+                    let begun = plan.advance(now as u64, &settings, |_| Some(load));
+                    prop_assert!(begun.len() <= settings.parallel);
+                }
+                _ => {
+                    plan.end(&name);
+                }
+            }
+            for service in ["lookup", "booking"] {
+                let left = fleet.servers.iter().filter(|(name, spec)| &*spec.service == service && plan.may_start(name));
+                prop_assert!(left.count() * 3 >= 22, "50% of 36 slots and 20% headroom");
+            }
+        }
+    }
+}
+
+/// Guards against a drain without order, end or drain time, and one that is applied twice.
+#[test]
+fn drain_reports_progress_and_time() {
+    let (fleet, settings) = (fleet(0.4, 99.0), Settings::default());
+    let mut plan = Plan::default();
+    let targets = [centre("north1")];
+    assert_eq!(
+        plan.accept(1000, "d".into(), &targets, &fleet, &settings),
+        Ok(())
+    );
+    assert_eq!(
+        plan.accept(9000, "d".into(), &targets, &fleet, &settings),
+        Ok(())
+    );
+    let unknown = [centre("east0")];
+    let refused = plan.accept(1000, "e".into(), &unknown, &fleet, &settings);
+    assert_eq!(refused, Err(Refusal::Unknown(centre("east0"))));
+    let first = plan.advance(1000, &settings, |_| Some(1));
+    assert_eq!(
+        first,
+        ["lookup3".into(), "booking3".into()],
+        "services take turns"
+    );
+    assert!(plan.advance(2000, &settings, |_| Some(1)).is_empty());
+    assert_eq!(plan.report("d", 200_000).unwrap().overdue.len(), 2);
+    assert_eq!(plan.advance(5000, &settings, |_| Some(0)).len(), 2);
+    plan.advance(7000, &settings, |_| None);
+    let report = plan.report("d", 7000).unwrap();
+    assert_eq!(
+        (report.servers, report.done, report.took),
+        (4, 4, Some(6000))
+    );
+    assert!(report.overdue.is_empty());
+    let text = serde_json::to_string(&plan).unwrap();
+    assert_eq!(serde_json::from_str::<Plan>(&text).unwrap(), plan);
+}
+
+/// Returns the time of the last new work in milliseconds after a server begins to leave, within
+/// 10 s. Requests come every 100 ms, health is asked for every second and the list lags.
+fn last_work(refuses: bool, health: bool, list_lag: Option<u64>) -> u64 {
+    let origin = Instant::now();
+    let mut leaving = Leaving::default();
+    let mut last = 0;
+    for millis in (0..10_000).step_by(100) {
+        let now = origin + Duration::from_millis(millis);
+        if millis % 1000 == 900 {
+            leaving.health("s", 1, now, now, health);
+        }
+        if millis % 500 == 0 {
+            leaving.listed("s", now, list_lag.is_some_and(|lag| lag <= millis));
+        }
+        if leaving.may_start("s") {
+            last = millis;
+            if refuses {
+                leaving.refused("s", 1, now, now);
+            }
+        }
+    }
+    last
+}
+
+/// Guards against new work after 3 s when all signs but one are missing, or when the list lags.
+/// With no sign, the server gets work until the end.
+#[rstest]
+fn one_sign_suffices(
+    #[values(true, false)] refuses: bool,
+    #[values(true, false)] health: bool,
+    #[values(None, Some(2000), Some(9000))] list_lag: Option<u64>,
+) {
+    let last = last_work(refuses, health, list_lag);
+    if refuses && !health && list_lag != Some(2000) {
+        // The health endpoint calls the server fit, so each return costs one refused attempt.
+        assert!(tries(list_lag) <= 2, "refused attempts only");
+    } else if refuses || health || list_lag == Some(2000) {
+        assert!(last <= 3000, "last new work after {last} ms");
+    } else {
+        assert!(last > 3000, "no sign within 3 s");
+    }
+}
+
+/// Returns how often a server that refuses, and whose health is wrong, is tried in 10 s.
+fn tries(list_lag: Option<u64>) -> usize {
+    let origin = Instant::now();
+    let mut leaving = Leaving::default();
+    let mut tried = 0;
+    for millis in (0..10_000).step_by(100) {
+        let now = origin + Duration::from_millis(millis);
+        if millis % 1000 == 900 {
+            leaving.health("s", 1, now, now, false);
+        }
+        leaving.listed("s", now, list_lag.is_some_and(|lag| lag <= millis));
+        if leaving.may_start("s") {
+            tried += 1;
+            leaving.refused("s", 1, now, now);
+        }
+    }
+    tried
+}
+
+/// Guards against a return on a list entry, on a late health answer, or while the list still says
+/// that the server leaves; and against a restarted server kept out by a late refusal.
+#[test]
+fn server_returns_on_fresh_health_only() {
+    let origin = Instant::now();
+    let at = |seconds| origin + Duration::from_secs(seconds);
+    let mut leaving = Leaving::default();
+    leaving.refused("s", 1, at(0), at(10));
+    leaving.listed("s", at(11), false);
+    assert!(!leaving.may_start("s"), "the list alone");
+    leaving.health("s", 1, at(9), at(30), false);
+    assert!(!leaving.may_start("s"), "asked before the sign");
+    leaving.health("s", 1, at(12), at(30), false);
+    assert!(!leaving.may_start("s"), "asked within the health lag");
+    leaving.listed("s", at(13), true);
+    leaving.health("s", 2, at(30), at(30), false);
+    assert!(!leaving.may_start("s"), "listed as leaving");
+    leaving.listed("s", at(31), false);
+    assert!(!leaving.may_start("s"), "no health answer since");
+    leaving.health("s", 2, at(32), at(32), false);
+    assert!(leaving.may_start("s"));
+    leaving.refused("s", 1, at(20), at(33));
+    assert!(
+        leaving.may_start("s"),
+        "late refusal of the earlier incarnation"
+    );
+    leaving.refused("s", 2, at(33), at(33));
+    assert!(!leaving.may_start("s"));
+}
+
+/// Returns the requests that a stop refuses or cuts off. Callers look up every 5 s, other VMs'
+/// lookup answers leave this VM out after 3 s, and a request takes 2 s.
+fn harmed(times: Times, wait: bool, finish: bool) -> u32 {
+    let origin = Instant::now();
+    let mut stop = Stop::begin(origin, times);
+    let (mut cached, mut refusing) = (None, None);
+    let (mut harmed, mut in_flight) = (0, Vec::<u64>::new());
+    for millis in (0..60_000u64).step_by(100) {
+        let now = origin + Duration::from_millis(millis);
+        // Callers asked at different times; the last answer that names this VM is from 2.9 s.
+        let named = millis < 2900 + 5000;
+        in_flight.retain(|end| *end > millis);
+        if refusing.is_none() {
+            in_flight.extend(named.then_some(millis + 2000));
+        } else if named {
+            harmed += 1;
+        }
+        if cached.is_none() {
+            match stop.withdrawn(now, false) {
+                Ok(next) => cached = Some(next),
+                Err(same) => stop = same,
+            }
+        }
+        if refusing.is_none() {
+            let due = cached.and_then(|cached| cached.refuse(now).ok());
+            let none = Duration::ZERO;
+            let early = Times {
+                spread: none,
+                cached: none,
+                ..times
+            };
+            let at_once = Stop::begin(now, early)
+                .withdrawn(now, true)
+                .expect("confirmed");
+            refusing = if wait { due } else { at_once.refuse(now).ok() };
+        }
+        if let Some(refusing) = refusing {
+            let running = in_flight.len() as u32;
+            let seen = if finish { running } else { 0 };
+            if let Ok(done) = refusing.finish(now, seen) {
+                return harmed + done.state().unfinished + running - seen;
+            }
+        }
+    }
+    panic!("the stop never ends");
+}
+
+/// Guards against a stop that refuses or cuts off a request. Without the wait for cached answers,
+/// for the spread of lookup answers, or for requests in flight, it does.
+#[rstest]
+#[case(4, 5, true, true, true)]
+#[case(4, 5, false, true, false)]
+#[case(4, 5, true, false, false)]
+#[case(4, 0, true, true, false)]
+#[case(0, 5, true, true, false)]
+fn stop_harms_no_request(
+    #[case] spread: u64,
+    #[case] cached: u64,
+    #[case] wait: bool,
+    #[case] finish: bool,
+    #[case] harmless: bool,
+) {
+    let (spread, cached) = (Duration::from_secs(spread), Duration::from_secs(cached));
+    let times = Times {
+        spread,
+        cached,
+        ..Times::default()
+    };
+    assert_eq!(harmed(times, wait, finish) == 0, harmless);
+}
--- a/crates/steering/tests/release.rs
+++ b/crates/steering/tests/release.rs
@@ -6,8 +6,8 @@
 use rstest::rstest;
 use std::time::{Duration, Instant};
 use steering::release::{
-    Answer, Cap, Evidence, Halt, Input, Load, Next, Owned, Put, Quota, Reason, Record, Refusal,
-    Settings, Settled, Side, State, Test, Verdict, Watch,
+    Answer, Cap, Confirmed, Evidence, Halt, Input, Load, Next, Owned, Put, Quota, Reason, Record,
+    Refusal, Settings, Settled, Side, State, Test, Verdict, Watch,
 };
 
 const FAST: Duration = Duration::from_millis(20);
@@ -83,6 +83,12 @@
         let mut again = seen.clone();
         sent.iter().rev().for_each(|old| again.merge(old));
         prop_assert_eq!(&again, &seen);
+        let mut peer = Evidence::default();
+        sent.iter().step_by(3).for_each(|old| peer.merge(old));
+        let missing = seen.beyond(&peer);
+        peer.merge(&missing);
+        prop_assert_eq!(seen.beyond(&peer), Evidence::default());
+        prop_assert_eq!(peer.beyond(&seen), Evidence::default());
         for step in 0..3 {
             let sum: u64 = own.iter().map(|one| one.total("read", step).new.requests).sum();
             prop_assert_eq!(seen.total("read", step).new.requests, sum);
@@ -177,6 +183,82 @@
     assert!(naive > 4, "{naive} of 400 rejected by repeated comparison");
 }
 
+/// Returns the seconds after which a fault that begins at 300 s is found: 3% failures instead of
+/// 1%, at 20 requests per second on the new version.
+fn late_fault_found(restart_every: Duration) -> u64 {
+    let mut rng = StdRng::seed_from_u64(2);
+    let settings = Settings {
+        restart_every,
+        ..Settings::default()
+    };
+    let mut test = Test::new(settings, 4, ["read".into()]);
+    let (mut evidence, origin) = (Evidence::default(), Instant::now());
+    for second in 0..3000 {
+        for request in 0..100 {
+            let (side, bad) = match request % 5 {
+                4 => (Side::New, second >= 300),
+                _ => (Side::Old, false),
+            };
+            let failures = if bad { 0.03 } else { 0.01 };
+            evidence.record((1, 0), "read", side, rng.random::<f64>() < failures, FAST);
+        }
+        let now = origin + Duration::from_secs(second);
+        if matches!(test.judge(now, (0, Cap::ALL), &evidence), Verdict::Bad(_)) {
+            return second.checked_sub(300).expect("no false alarm");
+        }
+    }
+    panic!("never found")
+}
+
+/// Guards against good early evidence that hides a late fault. Without restarts it takes longer.
+#[test]
+fn restarts_find_late_fault() {
+    let with = late_fault_found(Duration::from_secs(10));
+    let without = late_fault_found(Duration::from_secs(1_000_000));
+    println!("late fault found after {with} s, without restarts after {without} s");
+    assert!(with < without, "{with} s, without restarts {without} s");
+}
+
+/// Guards against a release that begins before its time, or too late to finish.
+#[test]
+fn release_starts_in_time_only() {
+    let mut planned = record(300_000);
+    planned.start = 1000;
+    let (halt, answer) = (Halt::default(), Answer::Row(2, "a".into()));
+    let pending = planned.plan(12).unwrap().take(1, 1, 0, "a".into());
+    let Settled::Done(Owned::Planned(plan)) = pending.settle(&answer) else {
+        panic!("taken")
+    };
+    let Next::Wait(plan, _) = plan.start(999, &halt, "b".into()) else {
+        panic!("early")
+    };
+    let Next::Write(late) = plan.clone().start(290_000, &halt, "b".into()) else {
+        panic!("late")
+    };
+    assert!(matches!(
+        late.put().record.state,
+        State::RolledBack(Reason::CannotFinish(_))
+    ));
+    let Next::Write(due) = plan.start(1000, &halt, "b".into()) else {
+        panic!("due")
+    };
+    assert_eq!(due.put().record.step(), Some((0, Cap::percent(5))));
+}
+
+/// Guards against a completion before each VM's current incarnation has confirmed.
+#[test]
+fn each_incarnation_confirms() {
+    let (mut here, mut there) = (Confirmed::default(), Confirmed::default());
+    assert!(here.add(&"r1".into(), 1) && there.add(&"r1".into(), 2));
+    assert!(here.merge(&there) && !here.merge(&there));
+    assert!(here.all("r1", [1, 2].into_iter()));
+    assert!(
+        !here.all("r1", [1, 2, 3].into_iter()),
+        "a restarted VM confirms again"
+    );
+    assert!(!here.all("r2", [1].into_iter()));
+}
+
 /// Guards against each kind of fault that the test must name, and against a verdict without
 /// enough requests on a route.
 #[rstest]
@@ -257,7 +339,7 @@
 /// Drives a release with owners in turn until it ends. The owner stops at write `at`; a paused
 /// owner sends its write again after the next owner has taken over.
 fn drive(at: usize, stop: Stop, paused: bool, bad_from: usize) -> Vec<State> {
-    let plan = record(300_000).plan(12).unwrap();
+    let plan = record(300_000).plan(12).expect("valid");
     let mut table = Table {
         row: (1, "plan".into(), plan),
         history: vec![State::Planned],
@@ -317,7 +399,10 @@
                     confirmed: true,
                 };
                 match owned {
-                    Owned::Planned(plan) => break plan.start(now, &halt, id),
+                    Owned::Planned(plan) => match plan.start(now, &halt, id) {
+                        Next::Write(pending) => break pending,
+                        Next::Wait(plan, _) => owned = Owned::Planned(plan),
+                    },
                     Owned::Stepping(plan) => match plan.next(&input, id) {
                         Next::Write(pending) => break pending,
                         Next::Wait(plan, _) => owned = Owned::Stepping(plan),
--- a/tools/bench/src/experiment/release.rs
+++ b/tools/bench/src/experiment/release.rs
@@ -13,8 +13,8 @@
 use std::fmt::Write as _;
 use std::time::{Duration, Instant};
 use steering::release::{
-    Answer, Cap, Evidence, Halt, Input, Load, Next, Owned, Pending, Quota, Reason, Record,
-    Settings, Settled, State, Verdict, Watch,
+    Answer, Cap, Confirmed, Evidence, Halt, Input, Load, Next, Owned, Pending, Quota, Reason,
+    Record, Settings, Settled, State, Verdict, Watch,
 };
 
 /// Share of releases during which a dependency of both versions fails for 5 to 25 s.
@@ -82,6 +82,7 @@
         latencies: world::quantiles(&mut rng),
         quotas: vec![Quota::default(); scale.vms],
         own: vec![Evidence::default(); scale.vms],
+        all: Evidence::default(),
         recent: VecDeque::new(),
         rng,
     };
@@ -102,6 +103,7 @@
     let mut records = vec![plan.clone(); vms];
     let mut table = (1, plan.clone());
     let mut owned = settle(plan.take(1, 0, 0, "take".into()), &mut table);
+    let mut confirmed = Confirmed::default();
     let mut mail: Vec<(u64, usize, Option<Record>, Halt)> = Vec::new();
     let mut past: VecDeque<Evidence> = VecDeque::new();
     let (mut all, mut new, mut highest) = (0, 0, Cap::NONE);
@@ -132,10 +134,7 @@
             outcome.last = at;
         }
         outcome.exceeded |= all > before && new > highest.of(all);
-        past.push_back(world.own.iter().fold(Evidence::default(), |mut sum, own| {
-            sum.merge(own);
-            sum
-        }));
+        past.push_back(world.all.clone());
         if past.len() > (DELAY.end / TICK) as usize + 1 {
             past.pop_front();
         }
@@ -175,9 +174,11 @@
         if !tick.is_multiple_of(LOOK_EVERY) {
             continue;
         }
-        let confirmed = (0..vms)
-            .map(|vm| watches[vm].confirm(&records[vm], &halts[vm]))
-            .fold(true, |every, one| every && one);
+        for vm in 0..vms {
+            if watches[vm].confirm(&records[vm], &halts[vm]) {
+                confirmed.add(&table.1.id, vm as u64);
+            }
+        }
         let operation: Box<str> = format!("op{tick}").into();
         let load = match world.method {
             Method::Evidence => world.load(&table.1),
@@ -187,14 +188,20 @@
             },
         };
         let pending = match owned {
-            Owned::Planned(plan) => plan.start(at, &halts[0], operation),
+            Owned::Planned(plan) => match plan.start(at, &halts[0], operation) {
+                Next::Write(pending) => pending,
+                Next::Wait(plan, _) => {
+                    owned = Owned::Planned(plan);
+                    continue;
+                }
+            },
             Owned::Stepping(plan) => {
                 let input = Input {
                     now: at,
                     verdict: &verdict,
                     halt: &halts[0],
                     load,
-                    confirmed,
+                    confirmed: confirmed.all(&table.1.id, 0..vms as u64),
                 };
                 match plan.next(&input, operation) {
                     Next::Wait(plan, _) => {
@@ -251,7 +258,7 @@
 
 impl Summary {
     /// Returns the figures over the releases of both.
-    pub fn add(self, other: Self) -> Self {
+    pub fn plus(self, other: Self) -> Self {
         Self {
             runs: self.runs + other.runs,
             complete: self.complete + other.complete,
@@ -275,7 +282,7 @@
                 exceeded: usize::from(outcome.exceeded),
             }
         })
-        .fold(Summary::default(), Summary::add)
+        .fold(Summary::default(), Summary::plus)
 }
 
 /// Runs 20 good and 20 bad versions for each user and method.
--- a/tools/bench/src/experiment/release/world.rs
+++ b/tools/bench/src/experiment/release/world.rs
@@ -137,6 +137,8 @@
     pub quotas: Vec<Quota>,
     /// Evidence of each VM.
     pub own: Vec<Evidence>,
+    /// Evidence of all VMs.
+    pub all: Evidence,
     /// Requests and failures on the new version per round, for the baseline.
     pub recent: VecDeque<(u64, u64)>,
     /// Source of randomness.
@@ -163,6 +165,7 @@
             if let Some((step, _)) = records[vm].step() {
                 let key = (vm as u64, step);
                 self.own[vm].record(key, ROUTES[route].0, side, failed, latency);
+                self.all.record(key, ROUTES[route].0, side, failed, latency);
             }
         }
         self.recent.push_back((starts, failures));
--- a/tools/bench/tests/release.rs
+++ b/tools/bench/tests/release.rs
@@ -12,10 +12,10 @@
         });
         threads
             .into_iter()
-            .map(|thread| thread.join().unwrap())
+            .map(|thread| thread.join().expect("no panic"))
             .collect()
     });
-    let sum = sums.into_iter().fold(Summary::default(), Summary::add);
+    let sum = sums.into_iter().fold(Summary::default(), Summary::plus);
     println!("{method:?} bad={bad} {sum:?}");
     sum
 }
