--- a/crates/steering/src/release/evidence.rs
+++ b/crates/steering/src/release/evidence.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// Drops the counts of the steps before `step`, which no test reads any more.
+    ///
+    /// A peer that has not dropped them may send them again, which does no harm.
+    pub fn forget_before(&mut self, step: usize) {
+        let routes = self.counts.values_mut().flat_map(IndexMap::values_mut);
+        routes.for_each(|steps| steps.retain(|known, _| *known >= step));
+    }
+
     /// Returns the counts that `known` lacks, as a message to a peer that has `known`.
     pub fn beyond(&self, known: &Self) -> Self {
         let mut rest = Self::default();
--- a/tools/bench/src/experiment/release.rs
+++ b/tools/bench/src/experiment/release.rs
@@ -134,6 +134,8 @@
             outcome.last = at;
         }
         outcome.exceeded |= all > before && new > highest.of(all);
+        let oldest = records.iter().filter_map(|record| Some(record.step()?.0));
+        world.forget_before(oldest.min().unwrap_or(0));
         past.push_back(world.all.clone());
         if past.len() > (DELAY.end / TICK) as usize + 1 {
             past.pop_front();
--- a/tools/bench/src/experiment/release/world.rs
+++ b/tools/bench/src/experiment/release/world.rs
@@ -214,6 +214,12 @@
         }
     }
 
+    /// Drops evidence that no VM reads any more.
+    pub fn forget_before(&mut self, step: usize) {
+        self.all.forget_before(step);
+        self.own.iter_mut().for_each(|own| own.forget_before(step));
+    }
+
     /// Returns whether the plain threshold is exceeded.
     pub fn over_threshold(&self) -> bool {
         let sums = self
