feature: a VM without contact to the owner stops using the new version

Cause: a VM that was cut off went on with a bad version for up to 133 s after the fault was visible. Change: the owner's beats are gossiped; after 5 s without one the cap is zero until the next.

--- a/crates/steering/src/release.rs
+++ b/crates/steering/src/release.rs
@@ -14,4 +14,4 @@
 pub use quota::{Cap, Quota};
 pub use record::{Put, Record, Refusal, State};
 pub use verdict::{Settings, Test, Verdict};
-pub use watch::{Confirmed, Watch};
+pub use watch::{Beat, Confirmed, Watch};
--- a/crates/steering/src/release/record.rs
+++ b/crates/steering/src/release/record.rs
@@ -110,7 +110,9 @@
         Ok(self)
     }
 
-    /// Returns the cap that a VM with this view enforces; none once it knows of a halt.
+    /// Returns the cap of this view; none once it knows of a halt.
+    ///
+    /// A VM enforces [`super::Watch::cap`], which also depends on its contact to the owner.
     pub fn cap(&self, halt: &Halt) -> Cap {
         match &self.state {
             State::Complete => Cap::ALL,
--- a/crates/steering/src/release/watch.rs
+++ b/crates/steering/src/release/watch.rs
@@ -1,9 +1,25 @@
 //! One VM's view of a release: its verdict, its halt and its confirmation.
 
-use super::{Evidence, Halt, Reason, Record, Settings, Test, Verdict};
+use super::{Cap, Evidence, Halt, Reason, Record, Settings, Test, Verdict};
 use base::id::{Incarnation, Release, Route};
 use indexmap::{IndexMap, IndexSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Time without a beat of the owner after which a VM stops using the new version, because it may
+/// have missed a halt. It is longer than the owner's lease, so that a change of the owner does not
+/// move the traffic.
+const CONTACT: Duration = Duration::from_secs(5);
+
+base::label! {
+    /// Sign of life of a release's owner. Copies are merged by maximum.
+    #[derive(Default)]
+    pub struct Beat {
+        /// Version of the row that the owner wrote last.
+        pub version: u64,
+        /// Number of beats since that write.
+        pub count: u64,
+    }
+}
 
 base::value! {
     /// Watches one release on one VM.
@@ -13,6 +29,8 @@
     pub struct Watch {
         test: Test,
         confirmed: bool,
+        beat: Beat,
+        fresh_until: Option<Instant>,
     }
 }
 
@@ -59,7 +77,29 @@
         Self {
             test: Test::new(settings, judged, routes),
             confirmed: false,
+            beat: Beat::default(),
+            fresh_until: None,
+        }
+    }
+
+    /// Notes a beat of the owner that arrived by gossip.
+    pub fn hear(&mut self, now: Instant, beat: Beat) {
+        if beat > self.beat {
+            self.beat = beat;
+            self.fresh_until = Some(now + CONTACT);
+        }
+    }
+
+    /// Returns the cap that this VM enforces: none without contact to the owner.
+    ///
+    /// A VM that has confirmed the last step keeps its cap, because the release may be complete
+    /// and the old version gone.
+    pub fn cap(&self, now: Instant, record: &Record, halt: &Halt) -> Cap {
+        let stepping = record.step().is_some() && !self.confirmed;
+        if stepping && self.fresh_until.is_none_or(|until| until <= now) {
+            return Cap::NONE;
         }
+        record.cap(halt)
     }
 
     /// Judges the current step, and halts the release if the new version is worse.
--- a/crates/steering/tests/release.rs
+++ b/crates/steering/tests/release.rs
@@ -6,8 +6,8 @@
 use rstest::rstest;
 use std::time::{Duration, Instant};
 use steering::release::{
-    Answer, Cap, Confirmed, Evidence, Halt, Input, Load, Next, Owned, Put, Quota, Reason, Record,
-    Refusal, Settings, Settled, Side, State, Test, Verdict, Watch,
+    Answer, Beat, Cap, Confirmed, Evidence, Halt, Input, Load, Next, Owned, Put, Quota, Reason,
+    Record, Refusal, Settings, Settled, Side, State, Test, Verdict, Watch,
 };
 
 const FAST: Duration = Duration::from_millis(20);
@@ -259,6 +259,44 @@
     assert!(!here.all("r2", [1].into_iter()));
 }
 
+/// Guards against a VM that uses the new version although it can't hear of a halt, and against a
+/// confirmed VM that gives up a version that may be the only one left.
+#[rstest]
+#[case(3, false, Cap::percent(50))]
+#[case(6, false, Cap::NONE)]
+#[case(60, true, Cap::ALL)]
+fn cap_needs_contact(#[case] seconds: u64, #[case] confirmed: bool, #[case] cap: Cap) {
+    let (start, halt) = (Instant::now(), Halt::default());
+    let mut plan = record(300_000).plan(12).unwrap();
+    plan.state = State::Stepping {
+        step: if confirmed { 4 } else { 3 },
+        since: 0,
+    };
+    let mut watch = Watch::new(Settings::default(), &plan, ["read".into()]);
+    assert_eq!(watch.cap(start, &plan, &halt), Cap::NONE, "no beat yet");
+    watch.hear(
+        start,
+        Beat {
+            version: 4,
+            count: 9,
+        },
+    );
+    assert_eq!(watch.confirm(&plan, &halt), confirmed);
+    let later = start + Duration::from_secs(seconds);
+    watch.hear(
+        later,
+        Beat {
+            version: 4,
+            count: 8,
+        },
+    );
+    assert_eq!(
+        watch.cap(later, &plan, &halt),
+        cap,
+        "an old beat is no contact"
+    );
+}
+
 /// Guards against each kind of fault that the test must name, and against a verdict without
 /// enough requests on a route.
 #[rstest]
--- a/tools/bench/src/experiment/release.rs
+++ b/tools/bench/src/experiment/release.rs
@@ -13,7 +13,7 @@
 use std::fmt::Write as _;
 use std::time::{Duration, Instant};
 use steering::release::{
-    Answer, Cap, Confirmed, Evidence, Halt, Input, Load, Next, Owned, Pending, Quota, Reason,
+    Answer, Beat, Cap, Confirmed, Evidence, Halt, Input, Load, Next, Owned, Pending, Quota, Reason,
     Record, Settings, Settled, State, Verdict, Watch,
 };
 
@@ -47,6 +47,13 @@
     }
 }
 
+/// Content of a message between VMs.
+enum Mail {
+    Record(Record),
+    Halt(Halt),
+    Beat(Beat),
+}
+
 fn planned(scale: Scale) -> Record {
     let record = Record {
         id: "r1".into(),
@@ -104,7 +111,7 @@
     let mut table = (1, plan.clone());
     let mut owned = settle(plan.take(1, 0, 0, "take".into()), &mut table);
     let mut confirmed = Confirmed::default();
-    let mut mail: Vec<(u64, usize, Option<Record>, Halt)> = Vec::new();
+    let mut mail: Vec<(u64, usize, Mail)> = Vec::new();
     let mut past: VecDeque<Evidence> = VecDeque::new();
     let (mut all, mut new, mut highest) = (0, 0, Cap::NONE);
     let mut outcome = Outcome {
@@ -116,15 +123,20 @@
     };
     for tick in 0..=scale.time * 1000 / TICK + 50 {
         let (at, now) = (tick * TICK, origin + Duration::from_millis(tick * TICK));
-        mail.retain(|(due, vm, record, halt)| {
+        mail.retain(|(due, vm, message)| {
             if *due <= at && scale.reaches(*vm, at) {
-                records[*vm] = record.clone().unwrap_or_else(|| records[*vm].clone());
-                halts[*vm].merge(halt);
+                match message {
+                    Mail::Record(record) => records[*vm] = record.clone(),
+                    Mail::Halt(halt) => {
+                        halts[*vm].merge(halt);
+                    }
+                    Mail::Beat(beat) => watches[*vm].hear(now, *beat),
+                }
             }
             *due > at
         });
         for vm in 0..vms {
-            world.quotas[vm].set(records[vm].cap(&halts[vm]));
+            world.quotas[vm].set(watches[vm].cap(now, &records[vm], &halts[vm]));
         }
         let before: u64 = all;
         let starts = world.arrivals(at, &records);
@@ -169,7 +181,7 @@
             if known != halts[vm] && scale.reaches(vm, at) {
                 for other in 0..vms {
                     let due = at + world.rng.random_range(DELAY);
-                    mail.push((due, other, None, halts[vm].clone()));
+                    mail.push((due, other, Mail::Halt(halts[vm].clone())));
                 }
             }
         }
@@ -177,6 +189,9 @@
             continue;
         }
         for vm in 0..vms {
+            let (version, count) = (table.0, tick);
+            let due = at + world.rng.random_range(DELAY);
+            mail.push((due, vm, Mail::Beat(Beat { version, count })));
             if watches[vm].confirm(&records[vm], &halts[vm]) && scale.reaches(vm, at) {
                 confirmed.add(&table.1.id, vm as u64);
             }
@@ -226,7 +241,7 @@
         highest = highest.max(table.1.cap(&Halt::default()));
         for vm in 0..vms {
             let due = at + world.rng.random_range(DELAY);
-            mail.push((due, vm, Some(table.1.clone()), Halt::default()));
+            mail.push((due, vm, Mail::Record(table.1.clone())));
         }
     }
     outcome.state = table.1.state;
--- a/tools/bench/tests/release.rs
+++ b/tools/bench/tests/release.rs
@@ -53,6 +53,8 @@
     };
     let sum = many(&[scale], Method::Evidence, bad, 5);
     assert_eq!((sum.complete, sum.exceeded), (0, 0), "{sum:?}");
+    // A VM gives the new version up after 5 s without contact; a beat takes up to 1.1 s.
+    assert!(sum.exposed <= 6_100, "{sum:?}");
 }
 
 /// Shows that the targets are missed without the mechanism: a fixed timer completes bad versions.
