--- a/crates/steering/src/release/verdict.rs
+++ b/crates/steering/src/release/verdict.rs
@@ -40,6 +40,10 @@
         /// Test value above which a step is not called good. A good version exceeds it at one
         /// given moment with a probability of at most its inverse.
         pub suspicion: f64,
+        /// Excess of the failure rate that must be ruled out before a step to 100%; a smaller next
+        /// step may leave a proportionally larger one. While a dependency of both versions fails,
+        /// the failures that it causes hide those of the new version.
+        pub excess: f64,
     }
 
     /// What the evidence says.
@@ -78,6 +82,7 @@
             restart_every: Duration::from_secs(10),
             requests: 400,
             suspicion: 20.0,
+            excess: 0.02,
         }
     }
 }
@@ -127,7 +132,10 @@
                     edge => Reason::Latency(route.clone(), EDGES[edge - 1]),
                 });
             }
-            if totals[index].new.requests < needed || value > self.settings.suspicion {
+            let enough = totals[index].new.requests >= needed
+                && value <= self.settings.suspicion
+                && possible_excess(&totals[index]) * next.fraction() <= self.settings.excess;
+            if !enough {
                 lacking.get_or_insert(route);
             }
         }
@@ -162,6 +170,18 @@
     }
 }
 
+/// Returns the measured excess of the new version's failure rate plus its standard error.
+fn possible_excess(pair: &Pair) -> f64 {
+    let (new, old) = (pair.new.requests as f64, pair.old.requests as f64);
+    let (on_new, on_old) = (pair.new.failures as f64, pair.old.failures as f64);
+    if new == 0.0 || old == 0.0 {
+        return 1.0;
+    }
+    let rate = (on_new + on_old) / (new + old);
+    let error = (rate * (1.0 - rate) * (1.0 / new + 1.0 / old)).sqrt();
+    on_new / new - on_old / old + error
+}
+
 /// Adds the weighted likelihood ratios of each event kind.
 fn add_ratios(by_kind: &mut [f64; KINDS], weight: f64, pair: &Pair) {
     let (new, old) = (pair.new.requests as f64, pair.old.requests as f64);
--- a/crates/steering/tests/release.rs
+++ b/crates/steering/tests/release.rs
@@ -297,6 +297,28 @@
     );
 }
 
+/// Guards against a fault that is hidden by the failures of a dependency that both versions use.
+/// Without the bound on the possible excess, the version would be called good.
+#[rstest]
+#[case(0.02, Verdict::Undecided("read".into()))]
+#[case(1.0, Verdict::Good)]
+fn shared_failures_hide_no_fault(#[case] excess: f64, #[case] expected: Verdict) {
+    let settings = Settings {
+        excess,
+        ..Settings::default()
+    };
+    let mut test = Test::new(settings, 4, ["read".into()]);
+    let mut evidence = Evidence::default();
+    for request in 0..1000 {
+        evidence.record((1, 3), "read", Side::Old, request % 100 < 35, FAST);
+        evidence.record((1, 3), "read", Side::New, request % 100 < 37, FAST);
+    }
+    assert_eq!(
+        test.judge(Instant::now(), (3, Cap::ALL), &evidence),
+        expected
+    );
+}
+
 /// Guards against each kind of fault that the test must name, and against a verdict without
 /// enough requests on a route.
 #[rstest]
