--- /dev/null
+++ b/crates/steering/src/release/evidence.rs
@@ -0,0 +1,171 @@
+//! Results of requests per VM incarnation, route, step and version.
+
+use base::id::{Incarnation, Route};
+use indexmap::IndexMap;
+use std::time::Duration;
+
+/// Number of latency buckets.
+pub const BUCKETS: usize = 12;
+
+/// Upper edges of the latency buckets in milliseconds; the last bucket has none.
+///
+/// A slow-down by half moves a large part of any usual distribution across an edge when
+/// neighbouring edges differ by a factor of two.
+pub const EDGES: [u64; BUCKETS - 1] = [2, 4, 8, 16, 32, 64, 128, 256, 512, 1024, 4096];
+
+base::label! {
+    /// Version of the software that a request runs on.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Side {
+        /// The version that is replaced.
+        Old,
+        /// The version that is released.
+        New,
+    }
+}
+
+base::message! {
+    /// Counts of finished requests; they only grow.
+    #[derive(Copy, Eq, Default)]
+    pub struct Cell {
+        /// Finished requests.
+        pub requests: u64,
+        /// Requests among them that failed.
+        pub failures: u64,
+        /// Latencies of all finished requests by bucket.
+        pub latency: [u64; BUCKETS],
+    }
+
+    /// Counts of both versions in the same step.
+    #[derive(Copy, Eq, Default)]
+    pub struct Pair {
+        /// Requests on the old version.
+        pub old: Cell,
+        /// Requests on the new version.
+        pub new: Cell,
+    }
+
+    /// What is known of the requests of one release, by incarnation, route and step.
+    ///
+    /// Each incarnation writes only its own counts. They never decrease, so the maximum of two
+    /// copies is the later one, and reordered or duplicated messages have no effect.
+    #[derive(Default)]
+    #[serde(transparent)]
+    pub struct Evidence {
+        counts: IndexMap<Incarnation, IndexMap<Route, IndexMap<usize, Pair>>>,
+    }
+}
+
+impl Cell {
+    fn record(&mut self, failed: bool, latency: Duration) {
+        let bucket = EDGES.partition_point(|edge| Duration::from_millis(*edge) < latency);
+        self.requests += 1;
+        self.failures += u64::from(failed);
+        self.latency[bucket] += 1;
+    }
+
+    fn combine(&mut self, other: &Self, with: impl Fn(u64, u64) -> u64) {
+        self.requests = with(self.requests, other.requests);
+        self.failures = with(self.failures, other.failures);
+        for (mine, theirs) in self.latency.iter_mut().zip(&other.latency) {
+            *mine = with(*mine, *theirs);
+        }
+    }
+}
+
+impl Pair {
+    fn combine(&mut self, other: &Self, with: impl Fn(u64, u64) -> u64 + Copy) {
+        self.old.combine(&other.old, with);
+        self.new.combine(&other.new, with);
+    }
+
+    /// Returns the counts that were added since `earlier`.
+    pub fn since(&self, earlier: &Self) -> Self {
+        let mut rest = *self;
+        rest.combine(earlier, u64::saturating_sub);
+        rest
+    }
+}
+
+impl Evidence {
+    /// Records a finished request of this VM under the step in which it started.
+    ///
+    /// A request without an answer is recorded as failed when its deadline passes.
+    pub fn record(
+        &mut self,
+        (incarnation, step): (Incarnation, usize),
+        route: &str,
+        side: Side,
+        failed: bool,
+        latency: Duration,
+    ) {
+        let routes = self.counts.entry(incarnation).or_default();
+        let index = routes
+            .get_index_of(route)
+            .unwrap_or_else(|| routes.insert_full(route.into(), IndexMap::new()).0);
+        let pair = routes[index].entry(step).or_default();
+        match side {
+            Side::Old => pair.old.record(failed, latency),
+            Side::New => pair.new.record(failed, latency),
+        }
+    }
+
+    /// Takes over what `other` knows.
+    pub fn merge(&mut self, other: &Self) {
+        for (incarnation, route, step, pair) in other.pairs() {
+            self.entry(incarnation, route, step).combine(pair, u64::max);
+        }
+    }
+
+    /// Drops the counts of the steps before `step`, which no test reads any more.
+    ///
+    /// A peer that has not dropped them may send them again, which does no harm.
+    pub fn forget_before(&mut self, step: usize) {
+        let routes = self.counts.values_mut().flat_map(IndexMap::values_mut);
+        routes.for_each(|steps| steps.retain(|known, _| *known >= step));
+    }
+
+    /// Returns the counts that `known` lacks, as a message to a peer that has `known`.
+    pub fn beyond(&self, known: &Self) -> Self {
+        let mut rest = Self::default();
+        for (incarnation, route, step, pair) in self.pairs() {
+            let mut joined = known.get(incarnation, route, step).unwrap_or_default();
+            let before = joined;
+            joined.combine(pair, u64::max);
+            if joined != before {
+                *rest.entry(incarnation, route, step) = joined;
+            }
+        }
+        rest
+    }
+
+    /// Returns the counts of a route in a step, summed over all incarnations.
+    pub fn total(&self, route: &str, step: usize) -> Pair {
+        let mut sum = Pair::default();
+        self.counts
+            .values()
+            .filter_map(|routes| routes.get(route)?.get(&step))
+            .for_each(|pair| sum.combine(pair, u64::saturating_add));
+        sum
+    }
+
+    fn pairs(&self) -> impl Iterator<Item = (Incarnation, &Route, usize, &Pair)> {
+        self.counts.iter().flat_map(|(incarnation, routes)| {
+            routes.iter().flat_map(move |(route, steps)| {
+                let steps = steps.iter();
+                steps.map(move |(step, pair)| (*incarnation, route, *step, pair))
+            })
+        })
+    }
+
+    fn get(&self, incarnation: Incarnation, route: &str, step: usize) -> Option<Pair> {
+        let steps = self.counts.get(&incarnation)?.get(route)?;
+        steps.get(&step).copied()
+    }
+
+    fn entry(&mut self, incarnation: Incarnation, route: &Route, step: usize) -> &mut Pair {
+        let routes = self.counts.entry(incarnation).or_default();
+        let steps = routes.entry(route.clone()).or_default();
+        steps.entry(step).or_default()
+    }
+}
--- /dev/null
+++ b/crates/steering/src/release/plan.rs
@@ -0,0 +1,271 @@
+//! Typestate of the owner of a release.
+
+use super::{Halt, Put, Reason, Record, State, Verdict};
+use base::clock::Millis;
+use base::id::Operation;
+
+/// Part of the time that the steps are spread over; the rest is kept for missing evidence and
+/// changes of the owner.
+const PACED_PART: f64 = 0.75;
+
+/// Part of the next step's load per server that must have been seen. Arrivals vary, so the exact
+/// load is reached only half of the time.
+const LOAD_PART: f64 = 0.9;
+
+/// Shortest time in a step, so that the results of its first requests are known everywhere.
+pub(super) const SOAK_MILLIS: Millis = 5_000;
+
+/// Time for which the owner may act without renewal before another may take over.
+const LEASE_MILLIS: Millis = 3_000;
+
+base::value! {
+    /// Load per server of the new version, in requests per second.
+    #[derive(Copy)]
+    pub struct Load {
+        /// Measured in the current step.
+        pub seen: f64,
+        /// Expected in the next step.
+        pub next: f64,
+    }
+
+    /// What the owner knows when it decides.
+    pub struct Input<'a> {
+        /// Time.
+        pub now: Millis,
+        /// Verdict on the current step.
+        pub verdict: &'a Verdict,
+        /// Halted releases.
+        pub halt: &'a Halt,
+        /// Load per server.
+        pub load: Load,
+        /// Whether each VM that the list does not confirm as gone has confirmed the last step.
+        /// A VM that confirmed it never halts the release, and a VM that halted it never confirms.
+        pub confirmed: bool,
+    }
+
+    /// Why the release stays in its step.
+    pub enum Hold {
+        /// The pace allows the next step later.
+        Pace,
+        /// The verdict is not good.
+        Evidence(Box<str>),
+        /// The load of the next step has not been seen.
+        Load,
+        /// Some VMs have not confirmed the last step.
+        Confirmation,
+    }
+
+    /// Answer of the table to a write, or what a later read of the row shows.
+    pub enum Answer {
+        /// The row has this version, written by this operation.
+        Row(u64, Operation),
+        /// No answer; the write may have taken effect.
+        Unknown,
+    }
+
+    /// State of a plan that has not started.
+    pub struct Planned;
+
+    /// State of a plan whose steps are under way.
+    pub struct Stepping {
+        step: usize,
+        since: Millis,
+    }
+
+    /// A release as its owner holds it at one version of the row.
+    pub struct Plan<S> {
+        record: Record,
+        version: u64,
+        state: S,
+    }
+
+    /// A release by its state.
+    pub enum Owned {
+        /// Not started.
+        Planned(Plan<Planned>),
+        /// Steps under way.
+        Stepping(Plan<Stepping>),
+        /// Complete or rolled back.
+        Ended(State),
+    }
+
+    /// What the owner does next.
+    pub enum Next<S> {
+        /// Wait.
+        Wait(Plan<S>, Hold),
+        /// Write.
+        Write(Pending),
+    }
+
+    /// A write whose outcome is not known yet.
+    pub struct Pending {
+        put: Put,
+    }
+
+    /// Outcome of a write.
+    pub enum Settled {
+        /// It took effect.
+        Done(Owned),
+        /// It did not take effect and may be sent again, unchanged.
+        Again(Pending),
+        /// Another owner wrote the row; this one must stop.
+        Lost,
+    }
+}
+
+impl<S> Plan<S> {
+    /// Returns the record as last written.
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Makes the write that renews the lease without any other change.
+    pub fn renew(self, now: Millis, operation: Operation) -> Pending {
+        Pending::new(self.record, self.version, now, operation)
+    }
+
+    fn enter(mut self, state: State, now: Millis, operation: Operation) -> Pending {
+        self.record.state = state;
+        Pending::new(self.record, self.version, now, operation)
+    }
+}
+
+impl Plan<Planned> {
+    /// Begins the first step when its time has come, or rolls back a release that is halted or
+    /// can't finish any more.
+    pub fn start(self, now: Millis, halt: &Halt, operation: Operation) -> Next<Planned> {
+        if now < self.record.start {
+            return Next::Wait(self, Hold::Pace);
+        }
+        let shortest = SOAK_MILLIS * self.record.steps.len() as Millis;
+        let state = match halt.reason(&self.record.id) {
+            Some(reason) => State::RolledBack(reason.clone()),
+            None if now + shortest > self.record.finish_by => {
+                State::RolledBack(Reason::CannotFinish("the first step is too late".into()))
+            }
+            None => State::Stepping {
+                step: 0,
+                since: now,
+            },
+        };
+        Next::Write(self.enter(state, now, operation))
+    }
+}
+
+impl Plan<Stepping> {
+    /// Decides whether to wait, to advance, to complete or to roll back.
+    ///
+    /// A roll-back for another reason than a halt takes effect with its write only. Otherwise an
+    /// owner that was paused could halt a release that its successor has completed.
+    pub fn next(self, input: &Input<'_>, operation: Operation) -> Next<Stepping> {
+        let now = input.now;
+        let state = match self.decide(input) {
+            Ok(state) => state,
+            Err(hold) => return Next::Wait(self, hold),
+        };
+        Next::Write(self.enter(state, now, operation))
+    }
+
+    fn decide(&self, input: &Input<'_>) -> Result<State, Hold> {
+        let judged = self.record.steps.len() - 1;
+        if let Some(reason) = input.halt.reason(&self.record.id) {
+            return Ok(State::RolledBack(reason.clone()));
+        }
+        if self.state.step == judged {
+            return match (input.confirmed, input.now >= self.record.finish_by) {
+                (true, false) => Ok(State::Complete),
+                (_, true) => Ok(State::RolledBack(Reason::NotConfirmed)),
+                (false, false) => Err(Hold::Confirmation),
+            };
+        }
+        if let Verdict::Bad(reason) = input.verdict {
+            return Ok(State::RolledBack(reason.clone()));
+        }
+        let left = (judged - self.state.step) as Millis;
+        let latest = self.record.finish_by.saturating_sub(SOAK_MILLIS * left);
+        let Err(hold) = self.may_advance(input, judged) else {
+            return Ok(State::Stepping {
+                step: self.state.step + 1,
+                since: input.now,
+            });
+        };
+        if input.now < latest {
+            return Err(hold);
+        }
+        let lack = match hold {
+            Hold::Evidence(route) => format!("route `{route}` lacks good evidence"),
+            Hold::Load => "the load of the next step was not reached".into(),
+            Hold::Pace | Hold::Confirmation => "steps began too late".into(),
+        };
+        Ok(State::RolledBack(Reason::CannotFinish(lack.into())))
+    }
+
+    fn may_advance(&self, input: &Input<'_>, judged: usize) -> Result<(), Hold> {
+        let time = self.record.finish_by.saturating_sub(self.record.start) as f64;
+        let part = (self.state.step + 1) as f64 / judged as f64;
+        let planned = self.record.start + (time * PACED_PART * part) as Millis;
+        if input.now < planned.max(self.state.since + SOAK_MILLIS) {
+            return Err(Hold::Pace);
+        }
+        if let Verdict::Undecided(route) = input.verdict {
+            return Err(Hold::Evidence(route.clone()));
+        }
+        if input.load.seen < LOAD_PART * input.load.next {
+            return Err(Hold::Load);
+        }
+        Ok(())
+    }
+}
+
+impl Owned {
+    /// Returns the plan of a row that this owner wrote.
+    fn of(record: Record, version: u64) -> Self {
+        match record.state.clone() {
+            State::Planned => Self::Planned(Plan {
+                record,
+                version,
+                state: Planned,
+            }),
+            State::Stepping { step, since } => Self::Stepping(Plan {
+                record,
+                version,
+                state: Stepping { step, since },
+            }),
+            ended => Self::Ended(ended),
+        }
+    }
+}
+
+impl Pending {
+    pub(super) fn new(
+        mut record: Record,
+        expected: u64,
+        now: Millis,
+        operation: Operation,
+    ) -> Self {
+        record.leased_until = now + LEASE_MILLIS;
+        Self {
+            put: Put {
+                expected,
+                operation,
+                record,
+            },
+        }
+    }
+
+    /// Returns the write to send.
+    pub fn put(&self) -> &Put {
+        &self.put
+    }
+
+    /// Settles the outcome by the table's answer or by a read of the row.
+    pub fn settle(self, answer: &Answer) -> Settled {
+        match answer {
+            Answer::Row(version, operation) if *operation == self.put.operation => {
+                Settled::Done(Owned::of(self.put.record, *version))
+            }
+            Answer::Row(version, _) if *version != self.put.expected => Settled::Lost,
+            Answer::Row(..) | Answer::Unknown => Settled::Again(self),
+        }
+    }
+}
