--- /dev/null
+++ b/crates/steering/src/config/tracker.rs
@@ -0,0 +1,302 @@
+//! The configuration that one VM holds, and the newer one that it is fetching.
+
+use super::head::{self, Files, Hash, Head, Manifest};
+use base::id::Version;
+use indexmap::IndexMap;
+use std::sync::Arc;
+
+/// Steps between versions that are kept to compute deltas for peers. At 8,500 changes a day this
+/// covers the last ten minutes; a peer that lags further gets a full copy.
+const KEPT_STEPS: usize = 64;
+
+base::label! {
+    /// Where a VM learns of versions.
+    pub enum Source {
+        /// The platform's table.
+        Store,
+        /// Another VM.
+        Peer,
+    }
+}
+
+base::value! {
+    /// Whether a VM may serve.
+    pub enum Readiness {
+        /// The store or the peers have not all answered or failed yet.
+        Asking,
+        /// Neither the store nor a peer has any configuration, or none could be reached.
+        Unknown,
+        /// A version is known whose objects are still missing.
+        Fetching(Version),
+        /// The version in force.
+        Ready(Version),
+    }
+
+    /// What became of an offered head.
+    pub enum Offer {
+        /// Lower than the version in force or being fetched; refused.
+        Stale,
+        /// Already in force or being fetched.
+        Known,
+        /// Same version as a known head from another operation. The table rules this out, so
+        /// one of the two does not come from it; the first one is kept.
+        Contradiction,
+        /// Accepted; objects are still missing.
+        Fetching,
+        /// Accepted and in force at once, because all objects were there.
+        InForce,
+    }
+
+    /// What became of an object.
+    pub enum Receipt {
+        /// Not needed.
+        Unneeded,
+        /// Content and hash differ; dropped.
+        Corrupt,
+        /// Kept; other objects are still missing.
+        Kept,
+        /// The last missing object: the version is in force.
+        InForce,
+    }
+
+    /// A configuration that is complete.
+    pub struct Held {
+        /// Head row.
+        pub head: Head,
+        /// All files.
+        pub manifest: Manifest,
+    }
+
+    struct Candidate {
+        head: Head,
+        manifest: Option<Manifest>,
+    }
+
+    struct Step {
+        from: Version,
+        names: Box<[Box<str>]>,
+    }
+
+    /// Configuration of one VM.
+    pub struct Tracker {
+        held: Option<Arc<Held>>,
+        candidate: Option<Candidate>,
+        objects: IndexMap<Hash, Arc<[u8]>>,
+        steps: Vec<Step>,
+        highest: Version,
+        store_heard: bool,
+        peers_awaited: usize,
+        started: bool,
+    }
+}
+
+impl Tracker {
+    /// Starts with empty memory. The VM is not ready until the store and `peers` peers have each
+    /// answered or failed, and the highest version among the answers is in force.
+    pub fn new(peers: usize) -> Self {
+        Self {
+            held: None,
+            candidate: None,
+            objects: IndexMap::new(),
+            steps: Vec::new(),
+            highest: 0,
+            store_heard: false,
+            peers_awaited: peers,
+            started: false,
+        }
+    }
+
+    /// Notes that `source` answered with `version` (0 for none), or failed if `None`.
+    pub fn heard(&mut self, source: Source, version: Option<Version>) {
+        match source {
+            Source::Store => self.store_heard = true,
+            Source::Peer => self.peers_awaited = self.peers_awaited.saturating_sub(1),
+        }
+        self.highest = self.highest.max(version.unwrap_or(0));
+        self.start();
+    }
+
+    /// Returns the version in force; 0 if none.
+    pub fn version(&self) -> Version {
+        self.held.as_ref().map_or(0, |held| held.head.version)
+    }
+
+    /// Returns the version being fetched; 0 if none.
+    pub fn fetching(&self) -> Version {
+        self.candidate
+            .as_ref()
+            .map_or(0, |candidate| candidate.head.version)
+    }
+
+    /// Returns the configuration in force.
+    pub fn held(&self) -> Option<&Arc<Held>> {
+        self.held.as_ref()
+    }
+
+    /// Returns the content of a file in force.
+    pub fn file(&self, name: &str) -> Option<&Arc<[u8]>> {
+        let hash = self.held.as_ref()?.manifest.files.get(name)?;
+        self.objects.get(hash)
+    }
+
+    /// Returns a held object.
+    pub fn object(&self, hash: &str) -> Option<&Arc<[u8]>> {
+        self.objects.get(hash)
+    }
+
+    /// Returns whether the VM may serve. A VM that was ready stays ready: later versions replace
+    /// the one in force only when they are complete.
+    pub fn readiness(&self) -> Readiness {
+        match &self.candidate {
+            _ if self.started => Readiness::Ready(self.version()),
+            Some(candidate) => Readiness::Fetching(candidate.head.version),
+            None if !self.store_heard || self.peers_awaited > 0 => Readiness::Asking,
+            None if self.highest > self.version() => Readiness::Fetching(self.highest),
+            None => Readiness::Unknown,
+        }
+    }
+
+    /// Takes a head from the store or from a peer. `since` and `files` hold what differs from an
+    /// older version, if the sender knows it; a head from the store has its own base for that.
+    pub fn offer(&mut self, head: Head, since: Version, files: &Files) -> Offer {
+        self.highest = self.highest.max(head.version);
+        let known = match &self.candidate {
+            Some(candidate) => Some(&candidate.head),
+            None => self.held.as_ref().map(|held| &held.head),
+        };
+        match known {
+            Some(known) if known.version > head.version => return Offer::Stale,
+            Some(known) if known.version == head.version && known.operation != head.operation => {
+                return Offer::Contradiction;
+            }
+            Some(known) if known.version == head.version => {
+                let lacking = self
+                    .candidate
+                    .as_ref()
+                    .is_some_and(|c| c.manifest.is_none());
+                if !lacking {
+                    return Offer::Known;
+                }
+            }
+            _ => {}
+        }
+        let manifest = self
+            .derive(since, files, &head.manifest)
+            .or_else(|| self.derive(head.base, &head.changed, &head.manifest))
+            .or_else(|| Manifest::parse(self.objects.get(&head.manifest)?));
+        self.candidate = Some(Candidate { head, manifest });
+        if self.promote() {
+            Offer::InForce
+        } else {
+            Offer::Fetching
+        }
+    }
+
+    /// Applies `files` to the manifest of version `since` and checks the result.
+    fn derive(&self, since: Version, files: &Files, root: &Hash) -> Option<Manifest> {
+        let manifest = match &self.held {
+            _ if since == 0 => Manifest::default().with(files),
+            Some(held) if held.head.version == since => held.manifest.with(files),
+            _ => return None,
+        };
+        (manifest.root() == *root).then_some(manifest)
+    }
+
+    /// Returns the hashes of the objects that the version being fetched still needs.
+    pub fn missing(&self) -> Vec<Hash> {
+        match &self.candidate {
+            None => Vec::new(),
+            Some(Candidate {
+                head,
+                manifest: None,
+            }) => vec![head.manifest.clone()],
+            Some(Candidate {
+                manifest: Some(manifest),
+                ..
+            }) => manifest
+                .files
+                .values()
+                .filter(|hash| !self.objects.contains_key(*hash))
+                .cloned()
+                .collect(),
+        }
+    }
+
+    /// Takes an object from the store or from a peer.
+    pub fn receive(&mut self, hash: &str, content: &[u8]) -> Receipt {
+        if *head::hash(content) != *hash {
+            return Receipt::Corrupt;
+        }
+        let Some(candidate) = &mut self.candidate else {
+            return Receipt::Unneeded;
+        };
+        match &candidate.manifest {
+            None if *candidate.head.manifest == *hash => {
+                candidate.manifest = Manifest::parse(content);
+                if candidate.manifest.is_none() {
+                    return Receipt::Corrupt;
+                }
+            }
+            Some(manifest) if manifest.files.values().any(|needed| **needed == *hash) => {
+                self.objects.insert(hash.into(), content.into());
+            }
+            _ => return Receipt::Unneeded,
+        }
+        if self.promote() {
+            Receipt::InForce
+        } else {
+            Receipt::Kept
+        }
+    }
+
+    /// Puts the candidate in force if nothing is missing, and drops objects of older versions.
+    fn promote(&mut self) -> bool {
+        if self.candidate.is_none() || !self.missing().is_empty() {
+            return false;
+        }
+        let Some(Candidate {
+            head,
+            manifest: Some(manifest),
+        }) = self.candidate.take()
+        else {
+            return false;
+        };
+        if let Some(old) = &self.held {
+            let names = manifest.changes_from(&old.manifest).into_keys().collect();
+            if self.steps.len() == KEPT_STEPS {
+                self.steps.remove(0);
+            }
+            self.steps.push(Step {
+                from: old.head.version,
+                names,
+            });
+        }
+        let needed: indexmap::IndexSet<&Hash> = manifest.files.values().collect();
+        self.objects.retain(|hash, _| needed.contains(hash));
+        self.held = Some(Arc::new(Held { head, manifest }));
+        self.start();
+        true
+    }
+
+    fn start(&mut self) {
+        let answered = self.store_heard && self.peers_awaited == 0;
+        self.started |= answered && self.held.is_some() && self.version() >= self.highest;
+    }
+
+    /// Returns the files that changed since `version`, with the version that they apply to: the
+    /// same one, or 0 with all files if the steps from there are no longer known.
+    pub fn changes_since(&self, version: Version) -> (Version, Files) {
+        let Some(held) = &self.held else {
+            return (0, Files::new());
+        };
+        let Some(first) = self.steps.iter().position(|step| step.from == version) else {
+            return (0, held.manifest.changes_from(&Manifest::default()));
+        };
+        let files = self.steps[first..]
+            .iter()
+            .flat_map(|step| step.names.iter())
+            .map(|name| (name.clone(), held.manifest.files.get(name).cloned()))
+            .collect();
+        (version, files)
+    }
+}
--- /dev/null
+++ b/crates/steering/src/keys/isolation.rs
@@ -0,0 +1,91 @@
+//! What a VM does about keys while it can't learn of withdrawals.
+
+use std::time::{Duration, Instant};
+
+/// Time without confirmation that is normal between two polls or exchanges. It equals the time
+/// within which a withdrawal has to reach every VM.
+const CONFIRMED_FOR: Duration = Duration::from_secs(4);
+
+base::label! {
+    /// What an isolated VM does about keys.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Isolated {
+        /// Goes on accepting keys. A refused permit look-up at dawn harms more callers than a
+        /// withdrawal that arrives late.
+        Accept,
+        /// Refuses all keys once they have not been confirmed for `key_staleness`.
+        Refuse,
+    }
+}
+
+base::value! {
+    /// Settings `isolated_keys` and `key_staleness`.
+    #[derive(Copy)]
+    pub struct Policy {
+        /// What an isolated VM does.
+        pub isolated_keys: Isolated,
+        /// Time without confirmation after which a VM counts as isolated.
+        pub key_staleness: Duration,
+    }
+
+    /// State of the keys, shown in status.
+    #[derive(Copy)]
+    pub enum Standing {
+        /// Withdrawals arrive.
+        Confirmed,
+        /// Keys are accepted, not confirmed since this time.
+        NotConfirmed(Instant),
+        /// Keys are refused, not confirmed since this time.
+        Refused(Instant),
+    }
+
+    /// When the withdrawn keys were last confirmed.
+    #[derive(Copy)]
+    pub struct Confirmation {
+        policy: Policy,
+        at: Instant,
+    }
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            isolated_keys: Isolated::Accept,
+            key_staleness: Duration::from_mins(10),
+        }
+    }
+}
+
+impl Confirmation {
+    /// Starts with the time at which the VM became ready.
+    pub fn new(policy: Policy, now: Instant) -> Self {
+        Self { policy, at: now }
+    }
+
+    /// Notes that the store answered at `at`, or that a peer's confirmation from that time
+    /// arrived. The time counts from before the request to the store was sent.
+    pub fn confirm(&mut self, at: Instant) {
+        self.at = self.at.max(at);
+    }
+
+    /// Returns the age of the confirmation, which a VM passes on to its peers: a peer that is
+    /// itself cut off from the store confirms nothing.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.at)
+    }
+
+    /// Returns the state of the keys.
+    pub fn standing(&self, now: Instant) -> Standing {
+        let age = self.age(now);
+        match self.policy.isolated_keys {
+            _ if age <= CONFIRMED_FOR => Standing::Confirmed,
+            Isolated::Refuse if age > self.policy.key_staleness => Standing::Refused(self.at),
+            _ => Standing::NotConfirmed(self.at),
+        }
+    }
+
+    /// Returns whether keys authorise.
+    pub fn accepts(&self, now: Instant) -> bool {
+        !matches!(self.standing(now), Standing::Refused(_))
+    }
+}
--- /dev/null
+++ b/crates/steering/src/keys/ring.rs
@@ -0,0 +1,163 @@
+//! Which workspace a key belongs to.
+
+use super::digest::Digest;
+use base::clock::Millis;
+use base::id::Workspace;
+use indexmap::{IndexMap, IndexSet};
+use subtle::ConstantTimeEq;
+
+base::label! {
+    /// Why a key doesn't authorise.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Refusal {
+        /// No workspace has this key.
+        Unknown,
+        /// The key was withdrawn.
+        Withdrawn,
+        /// The key was rotated out and its overlap is over.
+        Expired,
+        /// The VM has been cut off for too long to know whether the key was withdrawn.
+        NotConfirmed,
+    }
+}
+
+base::message! {
+    /// A key in the steering files.
+    #[serde(deny_unknown_fields)]
+    pub struct Entry {
+        /// Digest of the key.
+        pub digest: Digest,
+        /// Workspace that it authorises.
+        pub workspace: Workspace,
+        /// Time from which it no longer authorises, Unix milliseconds by wall clock.
+        #[serde(default)]
+        pub until: Option<Millis>,
+    }
+}
+
+base::value! {
+    /// All issued keys. They are grouped by the first byte of their digests; which group is
+    /// searched tells nothing about a key, because the digests depend on a secret.
+    #[derive(Default)]
+    pub struct Ring {
+        groups: IndexMap<u8, Vec<Entry>>,
+    }
+
+    /// Withdrawn keys; the set only grows.
+    #[derive(Default)]
+    pub struct Withdrawn {
+        digests: IndexSet<Digest>,
+    }
+}
+
+impl FromIterator<Entry> for Ring {
+    fn from_iter<I: IntoIterator<Item = Entry>>(entries: I) -> Self {
+        let mut ring = Self::default();
+        for entry in entries {
+            ring.insert(entry);
+        }
+        ring
+    }
+}
+
+impl FromIterator<Digest> for Withdrawn {
+    fn from_iter<I: IntoIterator<Item = Digest>>(digests: I) -> Self {
+        Self {
+            digests: digests.into_iter().collect(),
+        }
+    }
+}
+
+impl Withdrawn {
+    /// Withdraws a key; returns whether it was not withdrawn before.
+    pub fn add(&mut self, digest: Digest) -> bool {
+        self.digests.insert(digest)
+    }
+
+    /// Adds all keys of `other`.
+    pub fn merge(&mut self, other: &Self) {
+        self.digests.extend(&other.digests);
+    }
+
+    /// Returns whether a key is withdrawn.
+    pub fn contains(&self, digest: &Digest) -> bool {
+        self.digests.contains(digest)
+    }
+
+    /// Returns the number of withdrawn keys.
+    pub fn len(&self) -> usize {
+        self.digests.len()
+    }
+
+    /// Returns whether no key is withdrawn.
+    pub fn is_empty(&self) -> bool {
+        self.digests.is_empty()
+    }
+}
+
+impl Ring {
+    fn insert(&mut self, entry: Entry) {
+        let group = self.groups.entry(entry.digest.first()).or_default();
+        // A digest belongs to the workspace that got it first: a later steering file can't take
+        // over another workspace's key.
+        if group.iter().all(|known| known.digest != entry.digest) {
+            group.push(entry);
+        }
+    }
+
+    /// Returns all keys.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.groups.values().flatten()
+    }
+
+    /// Issues a further key to a workspace.
+    pub fn issue(&mut self, workspace: impl Into<Workspace>, digest: Digest) {
+        self.insert(Entry {
+            digest,
+            workspace: workspace.into(),
+            until: None,
+        });
+    }
+
+    /// Issues a key to a workspace and lets its other keys end at `until`, unless they end
+    /// earlier.
+    pub fn rotate(&mut self, workspace: &str, digest: Digest, until: Millis) {
+        let entries = self.groups.values_mut().flatten();
+        for entry in
+            entries.filter(|entry| *entry.workspace == *workspace && entry.digest != digest)
+        {
+            entry.until = Some(entry.until.map_or(until, |earlier| earlier.min(until)));
+        }
+        self.issue(workspace, digest);
+    }
+
+    /// Returns the workspace that a key authorises at `now`, Unix milliseconds by wall clock.
+    ///
+    /// # Errors
+    ///
+    /// The key is unknown, withdrawn or expired.
+    pub fn authorise(
+        &self,
+        digest: &Digest,
+        withdrawn: &Withdrawn,
+        now: Millis,
+    ) -> Result<&Workspace, Refusal> {
+        let group = self
+            .groups
+            .get(&digest.first())
+            .map_or(&[][..], Vec::as_slice);
+        // Every entry of the group is compared, also after a match.
+        let found = group.iter().fold(None, |found, entry| {
+            let matches: bool = entry.digest.ct_eq(digest).into();
+            if matches { Some(entry) } else { found }
+        });
+        let entry = found.ok_or(Refusal::Unknown)?;
+        if withdrawn.contains(digest) {
+            return Err(Refusal::Withdrawn);
+        }
+        match entry.until {
+            Some(until) if now >= until => Err(Refusal::Expired),
+            _ => Ok(&entry.workspace),
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/membership/member.rs
@@ -0,0 +1,120 @@
+//! What is known about one VM.
+
+use base::id::{DataCentre, Incarnation, Region, Vm};
+use std::time::{Duration, Instant};
+
+base::label! {
+    /// State of a VM as another VM sees it.
+    #[serde(rename_all = "kebab-case")]
+    pub enum State {
+        /// Its heartbeats arrive.
+        Live,
+        /// It said, or the list says, that it is about to stop.
+        Leaving,
+        /// No heartbeat arrived for a while, or none ever did.
+        Suspected,
+        /// The list no longer names it.
+        Gone,
+    }
+}
+
+base::message! {
+    /// Heartbeat of a VM, passed on by others.
+    pub struct Beat {
+        /// VM.
+        pub vm: Vm,
+        /// Run of its control process.
+        pub incarnation: Incarnation,
+        /// Grows while the process runs.
+        pub counter: u64,
+        /// The VM is stopping.
+        pub leaving: bool,
+    }
+
+    /// A VM on the platform's list.
+    pub struct Listed {
+        /// VM.
+        pub vm: Vm,
+        /// Its data centre.
+        pub data_centre: DataCentre,
+        /// Region of the data centre.
+        pub region: Region,
+        /// The list says that it is about to be stopped.
+        pub leaving: bool,
+    }
+}
+
+base::value! {
+    /// A VM of the own data centre.
+    pub(super) struct Member {
+        pub incarnation: Option<Incarnation>,
+        pub counter: u64,
+        /// Incarnations that were replaced by a later one; their late heartbeats are dropped.
+        pub replaced: Vec<Incarnation>,
+        pub leaving: bool,
+        /// The list named the VM at some time.
+        pub listed: bool,
+        pub gone: Option<Instant>,
+        pub advanced: Option<Instant>,
+        /// The order in which heartbeats advanced, latest highest.
+        pub news: u64,
+    }
+}
+
+/// Incarnations of a VM that are remembered as replaced.
+const REPLACED: usize = 4;
+
+impl Member {
+    pub(super) fn new() -> Self {
+        Self {
+            incarnation: None,
+            counter: 0,
+            replaced: Vec::new(),
+            leaving: false,
+            listed: false,
+            gone: None,
+            advanced: None,
+            news: 0,
+        }
+    }
+
+    /// Takes a heartbeat; returns whether it is news.
+    pub(super) fn beat(&mut self, beat: &Beat, now: Instant) -> bool {
+        let same = self.incarnation == Some(beat.incarnation);
+        if self.replaced.contains(&beat.incarnation) || (same && beat.counter <= self.counter) {
+            return false;
+        }
+        // What was reclaimed from a gone incarnation can't be given back to it.
+        if same && self.gone.is_some() {
+            return false;
+        }
+        if !same {
+            if let Some(old) = self.incarnation.replace(beat.incarnation) {
+                if self.replaced.len() == REPLACED {
+                    self.replaced.remove(0);
+                }
+                self.replaced.push(old);
+            }
+            // The list has not spoken about this run of the VM yet.
+            self.gone = None;
+            self.listed = false;
+            self.leaving = false;
+        }
+        self.counter = beat.counter;
+        self.leaving |= beat.leaving;
+        self.advanced = Some(now);
+        true
+    }
+
+    pub(super) fn state(&self, now: Instant, silence: Duration) -> State {
+        let silent = self
+            .advanced
+            .is_none_or(|at| now.saturating_duration_since(at) > silence);
+        match self {
+            _ if self.gone.is_some() => State::Gone,
+            _ if silent => State::Suspected,
+            _ if self.leaving => State::Leaving,
+            _ => State::Live,
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/membership/view.rs
@@ -0,0 +1,347 @@
+//! The VMs as one VM sees them.
+
+use super::member::{Beat, Listed, Member, State};
+use super::rendezvous;
+use base::id::{DataCentre, Incarnation, Region, Vm};
+use indexmap::IndexMap;
+use rand::{Rng, RngExt};
+use std::time::{Duration, Instant};
+
+base::label! {
+    /// Part of a VM in reading the store for its data centre.
+    pub enum Role {
+        /// Reads.
+        Reader,
+        /// Reads less often, and becomes the reader when that one falls silent.
+        Standby,
+        /// Leaves reading to the others.
+        Member,
+    }
+}
+
+base::value! {
+    /// Settings of a view.
+    #[derive(Copy)]
+    pub struct Settings {
+        /// Time without a new heartbeat after which a VM is suspected. Heartbeats take up to
+        /// about 3 s through a data centre of 38 VMs.
+        pub silence: Duration,
+        /// Time for which gone VMs are remembered, so that late heartbeats don't bring them back.
+        pub kept: Duration,
+        /// Heartbeats passed on in one message, next to the own one.
+        pub passed_on: usize,
+        /// Share of exchanges across data centres that go to the own region.
+        pub near: f64,
+        /// Bytes per second that a VM may spend on reading the platform's list.
+        pub list_budget: f64,
+    }
+
+    /// The VM itself.
+    pub struct Place {
+        /// Name.
+        pub vm: Vm,
+        /// Data centre.
+        pub data_centre: DataCentre,
+        /// Region.
+        pub region: Region,
+        /// This run of the control process.
+        pub incarnation: Incarnation,
+    }
+
+    /// The VM through which another data centre is reached.
+    pub struct Contact {
+        /// VM.
+        pub vm: Vm,
+        /// Region of the data centre.
+        pub region: Region,
+        /// Times that a contact in this data centre didn't answer, since one last did. It
+        /// selects the next candidate from the list.
+        pub failures: usize,
+    }
+
+    /// View of one VM.
+    pub struct View {
+        place: Place,
+        settings: Settings,
+        counter: u64,
+        leaving: bool,
+        members: IndexMap<Vm, Member>,
+        contacts: IndexMap<DataCentre, Contact>,
+        news: u64,
+    }
+}
+
+/// Shortest time between two reads of the list.
+const LIST_INTERVAL: Duration = Duration::from_secs(5);
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            silence: Duration::from_secs(6),
+            kept: Duration::from_hours(2),
+            passed_on: 6,
+            near: 0.5,
+            list_budget: 2_000.0,
+        }
+    }
+}
+
+impl View {
+    /// Starts with nothing known but the VM itself.
+    pub fn new(place: Place, settings: Settings) -> Self {
+        Self {
+            place,
+            settings,
+            counter: 0,
+            leaving: false,
+            members: IndexMap::new(),
+            contacts: IndexMap::new(),
+            news: 0,
+        }
+    }
+
+    /// Returns the VM itself.
+    pub fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Announces that the VM itself is stopping.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Takes the platform's list. Absence means gone, for a VM that was listed before; a VM that
+    /// was never listed may have started after the lagging list was made. Presence proves
+    /// nothing. A list without any VM is refused, because at least the reader itself runs.
+    ///
+    /// Returns the VMs of the own data centre that are gone since.
+    pub fn list(&mut self, list: &[Listed], now: Instant) -> Vec<Vm> {
+        if list.is_empty() {
+            return Vec::new();
+        }
+        let own = &self.place.data_centre;
+        for listed in list
+            .iter()
+            .filter(|listed| listed.data_centre == *own && listed.vm != self.place.vm)
+        {
+            let member = self
+                .members
+                .entry(listed.vm.clone())
+                .or_insert_with(Member::new);
+            member.listed = true;
+            member.leaving |= listed.leaving;
+        }
+        let named: indexmap::IndexSet<&Vm> = list.iter().map(|listed| &listed.vm).collect();
+        let mut gone = Vec::new();
+        for (vm, member) in &mut self.members {
+            if member.listed && member.gone.is_none() && !named.contains(vm) {
+                member.gone = Some(now);
+                gone.push(vm.clone());
+            }
+        }
+        let kept = self.settings.kept;
+        self.members.retain(|_, member| {
+            member
+                .gone
+                .is_none_or(|at| now.saturating_duration_since(at) < kept)
+        });
+        self.choose_contacts(list, &named);
+        gone
+    }
+
+    /// Chooses a contact for each other data centre. VMs of one data centre choose different
+    /// ones, so that no VM serves all of them.
+    fn choose_contacts(&mut self, list: &[Listed], named: &indexmap::IndexSet<&Vm>) {
+        let mut centres: IndexMap<&DataCentre, (&Region, Vec<&Vm>)> = IndexMap::new();
+        for listed in list
+            .iter()
+            .filter(|listed| listed.data_centre != self.place.data_centre)
+        {
+            let centre = centres
+                .entry(&listed.data_centre)
+                .or_insert_with(|| (&listed.region, Vec::new()));
+            centre.1.push(&listed.vm);
+        }
+        self.contacts
+            .retain(|centre, _| centres.contains_key(centre));
+        for (centre, (region, vms)) in centres {
+            let failures = self
+                .contacts
+                .get(centre)
+                .map_or(0, |contact| contact.failures);
+            let kept = self
+                .contacts
+                .get(centre)
+                .filter(|contact| contact.failures == 0 && named.contains(&contact.vm));
+            if kept.is_none() {
+                let order = rendezvous::order(&self.place.vm, vms);
+                let vm = order[failures % order.len()].clone();
+                let contact = Contact {
+                    vm,
+                    region: region.clone(),
+                    failures,
+                };
+                self.contacts.insert(centre.clone(), contact);
+            }
+        }
+    }
+
+    /// Takes heartbeats of VMs of the own data centre.
+    pub fn hear(&mut self, beats: &[Beat], now: Instant) {
+        for beat in beats.iter().filter(|beat| beat.vm != self.place.vm) {
+            let member = self
+                .members
+                .entry(beat.vm.clone())
+                .or_insert_with(Member::new);
+            if member.beat(beat, now) {
+                self.news += 1;
+                member.news = self.news;
+            }
+        }
+    }
+
+    /// Notes whether the contact in another data centre answered.
+    pub fn reached(&mut self, centre: &str, answered: bool) {
+        if let Some(contact) = self.contacts.get_mut(centre) {
+            contact.failures = if answered { 0 } else { contact.failures + 1 };
+        }
+    }
+
+    /// Returns the heartbeats to send along with an exchange inside the data centre: the own one
+    /// and the latest news.
+    pub fn beats(&mut self) -> Vec<Beat> {
+        self.counter += 1;
+        let own = Beat {
+            vm: self.place.vm.clone(),
+            incarnation: self.place.incarnation,
+            counter: self.counter,
+            leaving: self.leaving,
+        };
+        let mut news: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.gone.is_none())
+            .filter_map(|(vm, member)| Some((member.news, vm, member, member.incarnation?)))
+            .collect();
+        news.sort_unstable_by_key(|(news, ..)| std::cmp::Reverse(*news));
+        let passed_on = news.into_iter().take(self.settings.passed_on);
+        std::iter::once(own)
+            .chain(passed_on.map(|(_, vm, member, incarnation)| Beat {
+                vm: vm.clone(),
+                incarnation,
+                counter: member.counter,
+                leaving: member.leaving,
+            }))
+            .collect()
+    }
+
+    /// Returns the state of a VM of the own data centre; `None` if nothing is known about it.
+    pub fn state(&self, vm: &str, now: Instant) -> Option<State> {
+        if *vm == *self.place.vm {
+            return Some(if self.leaving {
+                State::Leaving
+            } else {
+                State::Live
+            });
+        }
+        Some(self.members.get(vm)?.state(now, self.settings.silence))
+    }
+
+    /// Returns the incarnation of a VM of the own data centre, if a heartbeat arrived.
+    pub fn incarnation(&self, vm: &str) -> Option<Incarnation> {
+        self.members.get(vm)?.incarnation
+    }
+
+    /// Returns the VMs of the own data centre, this one included, that are in `state`.
+    pub fn members(&self, state: State, now: Instant) -> impl Iterator<Item = &Vm> {
+        std::iter::once(&self.place.vm)
+            .chain(self.members.keys())
+            .filter(move |vm| self.state(vm, now) == Some(state))
+    }
+
+    /// Returns the contacts in the other data centres.
+    pub fn contacts(&self) -> &IndexMap<DataCentre, Contact> {
+        &self.contacts
+    }
+
+    /// Returns the VM's part in reading the store. VMs whose views differ may both read, which
+    /// only costs reads.
+    pub fn role(&self, now: Instant) -> Role {
+        let live = self.members(State::Live, now);
+        match rendezvous::rank(&self.place.data_centre, &self.place.vm, live) {
+            0 => Role::Reader,
+            1 => Role::Standby,
+            _ => Role::Member,
+        }
+    }
+
+    /// Returns up to `count` random VMs of the own data centre to exchange with. Suspected VMs
+    /// are among them: that's how a VM that was cut off comes back.
+    pub fn near(&self, count: usize, rng: &mut impl Rng) -> Vec<&Vm> {
+        let known = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.gone.is_none());
+        draw(known.map(|(vm, _)| vm).collect(), count, rng)
+    }
+
+    /// Returns up to `count` data centres to exchange with, a share of them in the own region.
+    pub fn far(&self, count: usize, rng: &mut impl Rng) -> Vec<(&DataCentre, &Contact)> {
+        let (near, far): (Vec<_>, Vec<_>) = self
+            .contacts
+            .iter()
+            .partition(|(_, contact)| contact.region == self.place.region);
+        let local = (0..count)
+            .filter(|_| rng.random_bool(self.settings.near))
+            .count();
+        let local = if far.is_empty() { count } else { local };
+        let mut chosen = draw(near, local, rng);
+        let rest = count - chosen.len();
+        chosen.extend(draw(far, rest, rng));
+        chosen
+    }
+
+    /// Returns the time until this VM reads the platform's list again, given the size of the last
+    /// one. The VMs of a data centre share the reading and tell each other what is gone, because
+    /// a list of 5,400 VMs is larger than what one VM may spend in minutes.
+    pub fn next_list(&self, bytes: usize, now: Instant, rng: &mut impl Rng) -> Duration {
+        let live = self.members(State::Live, now).count().max(1);
+        let shared = LIST_INTERVAL * u32::try_from(live).unwrap_or(u32::MAX);
+        let afforded = Duration::from_secs_f64(bytes as f64 / self.settings.list_budget);
+        shared
+            .max(afforded)
+            .mul_f64(0.75 + 0.5 * rng.random::<f64>())
+    }
+
+    /// Returns the gone incarnations of the own data centre, to tell the other VMs of it.
+    pub fn gone(&self) -> Vec<(Vm, Incarnation)> {
+        let gone = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.gone.is_some());
+        gone.filter_map(|(vm, member)| Some((vm.clone(), member.incarnation?)))
+            .collect()
+    }
+
+    /// Takes from another VM of the data centre that an incarnation is gone.
+    pub fn hear_gone(&mut self, vm: &str, incarnation: Incarnation, now: Instant) {
+        if let Some(member) = self.members.get_mut(vm)
+            && member.incarnation == Some(incarnation)
+        {
+            member.gone.get_or_insert(now);
+        }
+    }
+
+    /// Returns the number of VMs about which state is kept.
+    pub fn kept(&self) -> usize {
+        self.members.len() + self.contacts.len()
+    }
+}
+
+/// Draws up to `count` different items.
+fn draw<T>(mut items: Vec<T>, count: usize, rng: &mut impl Rng) -> Vec<T> {
+    let count = count.min(items.len());
+    (0..count)
+        .map(|_| items.swap_remove(rng.random_range(0..items.len())))
+        .collect()
+}
