--- a/crates/steering/src/lease/state.rs
+++ b/crates/steering/src/lease/state.rs
@@ -128,12 +128,14 @@
         &self.state.permit
     }
 
-    /// Takes the answer to the write.
-    pub fn answered(self, answer: Answer, now: Instant) -> Outcome {
+    /// Takes the answer to the write `operation`; an answer to another write is ignored.
+    pub fn answered(self, operation: &str, answer: Answer, now: Instant) -> Outcome {
         match answer {
-            Answer::Written(version) => self.taken(version, now),
+            Answer::Written(version) if *self.state.permit.operation == *operation => {
+                self.taken(version, now)
+            }
             // The conflict may be with an earlier copy of this very write.
-            Answer::Conflict | Answer::Lost => Outcome::ReadBack(self),
+            _ => Outcome::ReadBack(self),
         }
     }
 
@@ -212,11 +214,15 @@
         self.state.pending.as_ref().map(|(permit, _)| permit)
     }
 
-    /// Takes the answer to a write. After a conflict or a lost answer the write stays pending
-    /// until the row is read back.
-    pub fn answered(mut self, answer: Answer, now: Instant) -> Outcome {
+    /// Takes the answer to the write `operation`. After a conflict or a lost answer the write
+    /// stays pending until the row is read back. An answer to an earlier write, which was settled
+    /// in the meantime, is ignored: it says nothing about the pending one.
+    pub fn answered(mut self, operation: &str, answer: Answer, now: Instant) -> Outcome {
         if let Answer::Written(version) = answer
-            && let Some((_, sent)) = self.state.pending.take()
+            && let Some((_, sent)) = self
+                .state
+                .pending
+                .take_if(|(permit, _)| *permit.operation == *operation)
         {
             self.renew(version, sent);
         }
--- a/crates/steering/tests/lease.rs
+++ b/crates/steering/tests/lease.rs
@@ -30,7 +30,7 @@
     lease.observe(&row(0, "", None), now);
     let (asked, permit) = lease.ask(0, "take".into(), now).expect("free");
     assert_eq!(permit.expected, 0);
-    match asked.answered(Answer::Written(1), now + 5 * MS) {
+    match asked.answered("take", Answer::Written(1), now + 5 * MS) {
         Outcome::Held(held) => held,
         other => panic!("{other:?}"),
     }
@@ -46,7 +46,7 @@
     lease.observe(&row(0, "", None), now);
     let (asked, _) = lease.ask(0, "take".into(), now).unwrap();
     assert!(matches!(
-        asked.answered(Answer::Written(1), now + term),
+        asked.answered("take", Answer::Written(1), now + term),
         Outcome::Lapsed(_)
     ));
 }
@@ -70,7 +70,7 @@
     let sent = now + 1_000 * MS;
     assert_eq!(lease.write("w1".into(), sent).unwrap().expected, 1);
     assert_eq!(lease.write("w2".into(), sent), Err(Refusal::Pending));
-    let Outcome::Held(mut lease) = lease.answered(Answer::Written(2), sent + 100 * MS) else {
+    let Outcome::Held(mut lease) = lease.answered("w1", Answer::Written(2), sent + 100 * MS) else {
         panic!("lost the lease");
     };
     assert_eq!(lease.deadline(), sent + Terms::default().term);
@@ -89,7 +89,7 @@
     let now = Instant::now();
     let mut lease = held(now);
     lease.write("w".into(), now + 10 * MS).unwrap();
-    let Outcome::Held(lease) = lease.answered(Answer::Lost, now + 20 * MS) else {
+    let Outcome::Held(lease) = lease.answered("w", Answer::Lost, now + 20 * MS) else {
         panic!("lost the lease");
     };
     let Outcome::Held(mut lease) = lease.read_back(&read, now + 30 * MS) else {
@@ -108,7 +108,7 @@
     let now = Instant::now();
     let mut lease = held(now);
     lease.write("w".into(), now).unwrap();
-    let Outcome::Held(lease) = lease.answered(Answer::Conflict, now) else {
+    let Outcome::Held(lease) = lease.answered("w", Answer::Conflict, now) else {
         panic!("early")
     };
     assert!(matches!(
@@ -147,3 +147,21 @@
     other.observe(&row(2, "bye", None), now);
     assert!(other.ask(0, "t".into(), now).is_ok());
 }
+
+/// Guards against a late answer to a settled write that renews the lease for a pending one which
+/// may never take effect.
+#[test]
+fn a_late_answer_to_another_write_is_ignored() {
+    let now = Instant::now();
+    let mut lease = held(now);
+    lease.write("w1".into(), now).unwrap();
+    let Outcome::Held(mut lease) = lease.read_back(&row(2, "w1", Some("a")), now) else {
+        panic!("lost the lease");
+    };
+    lease.write("w2".into(), now + 1_000 * MS).unwrap();
+    let Outcome::Held(lease) = lease.answered("w1", Answer::Written(2), now + 1_100 * MS) else {
+        panic!("lost the lease");
+    };
+    assert_eq!(lease.deadline(), now + Terms::default().term);
+    assert_eq!(lease.pending().map(|permit| &*permit.operation), Some("w2"));
+}
