--- a/crates/steering/src/config.rs
+++ b/crates/steering/src/config.rs
@@ -12,4 +12,4 @@
 pub use publication::{Force, Publication, Stage};
 pub use replica::{Delta, Digest, Replica};
 pub use sets::{Mark, Sets};
-pub use tracker::{Readiness, Source, Tracker};
+pub use tracker::{Readiness, Tracker};
--- a/crates/steering/src/config/poll.rs
+++ b/crates/steering/src/config/poll.rs
@@ -25,7 +25,7 @@
 impl Default for Poll {
     fn default() -> Self {
         Self {
-            reader: Duration::from_millis(750),
+            reader: Duration::from_secs(1),
             standby: Duration::from_secs(2),
             patience: Duration::from_secs(1),
         }
--- a/crates/steering/src/config/replica.rs
+++ b/crates/steering/src/config/replica.rs
@@ -2,15 +2,19 @@
 
 use super::head::{Files, Hash, Head};
 use super::sets::{Mark, Sets, Summary};
-use super::tracker::{Offer, Receipt, Source, Tracker};
-use base::id::Version;
-use std::time::Duration;
+use super::tracker::{Offer, Readiness, Receipt, Tracker};
+use base::id::{Version, Vm};
+use std::time::{Duration, Instant};
 
 /// Largest total of object bytes in one message; the receiver asks again for the rest.
 const MESSAGE_BYTES: usize = 256 * 1024;
 /// Largest number of objects that one message asks for.
 const WANTED: usize = 64;
 
+/// Shortest time between two digests sent because of a peer's. A round trip between regions takes
+/// about 25 ms; what is lost in between comes with the next regular exchange.
+const ASK_BACK: Duration = Duration::from_millis(200);
+
 base::message! {
     /// What a VM has; sent to a peer to get what it lacks. Equal VMs exchange about 20 bytes.
     #[derive(Default)]
@@ -42,6 +46,8 @@
     pub struct Delta {
         /// Version in force at the sender of the delta.
         pub version: Version,
+        /// The sender is ready.
+        pub ready: bool,
         /// Newer configuration.
         pub change: Option<Change>,
         /// Objects with their hashes.
@@ -64,7 +70,9 @@
         pub in_force: bool,
         /// Marks that were new.
         pub marks: Vec<Mark>,
-        /// Something is still missing; ask this peer again at once.
+        /// The delta brought something and more is missing; ask this peer again at once. Without
+        /// the first condition two VMs would exchange at the rate of their round trip for as
+        /// long as the peer can't help.
         pub incomplete: bool,
     }
 
@@ -75,16 +83,18 @@
         /// Safe changes.
         pub sets: Sets,
         differs: bool,
+        asked: Option<Instant>,
     }
 }
 
 impl Replica {
     /// Starts with empty memory; see [`Tracker::new`].
-    pub fn new(peers: usize) -> Self {
+    pub fn new(peers: impl IntoIterator<Item = Vm>, now: Instant) -> Self {
         Self {
-            tracker: Tracker::new(peers),
+            tracker: Tracker::new(peers, now),
             sets: Sets::default(),
             differs: false,
+            asked: None,
         }
     }
 
@@ -105,9 +115,18 @@
     }
 
     /// Returns whether the sender of `digest` has something that this VM lacks, so that this VM
-    /// should send its own digest to that peer at once.
-    pub fn lags(&self, digest: &Digest) -> bool {
-        digest.version > self.tracker.version() || digest.marks != self.sets.summary()
+    /// should send its own digest to that peer at once. It says so once per [`ASK_BACK`]: several
+    /// peers announce the same news, and each would send all of it.
+    pub fn asks_back(&mut self, digest: &Digest, now: Instant) -> bool {
+        let lags = digest.version > self.tracker.version() || digest.marks != self.sets.summary();
+        let quiet = self
+            .asked
+            .is_none_or(|at| now.saturating_duration_since(at) >= ASK_BACK);
+        let asks = lags && quiet;
+        if asks {
+            self.asked = Some(now);
+        }
+        asks
     }
 
     /// Answers a peer's digest.
@@ -136,10 +155,11 @@
                 break;
             }
             room = room.saturating_sub(content.len());
-            objects.push((hash.clone(), content.to_vec()));
+            objects.push((hash.clone(), content));
         }
         Delta {
             version: self.tracker.version(),
+            ready: matches!(self.tracker.readiness(), Readiness::Ready(_)),
             change,
             objects,
             marks: self.sets.lacking(digest.marks, &digest.sums),
@@ -148,15 +168,20 @@
         }
     }
 
-    /// Takes a peer's answer.
-    pub fn apply(&mut self, delta: Delta) -> Applied {
-        self.tracker.heard(Source::Peer, Some(delta.version));
+    /// Takes the answer of `peer`.
+    pub fn apply(&mut self, peer: &str, delta: Delta) -> Applied {
+        if delta.ready {
+            self.tracker.heard_peer(peer, Some(delta.version));
+        }
         let mut in_force = false;
+        let mut useful = delta.change.is_some();
         if let Some(Change { head, since, files }) = delta.change {
             in_force |= self.tracker.offer(head, since, &files) == Offer::InForce;
         }
         for (hash, content) in &delta.objects {
-            in_force |= self.tracker.receive(hash, content) == Receipt::InForce;
+            let receipt = self.tracker.receive(hash, content);
+            in_force |= receipt == Receipt::InForce;
+            useful |= receipt == Receipt::Kept;
         }
         let marks: Vec<Mark> = delta
             .marks
@@ -164,9 +189,12 @@
             .filter(|mark| self.sets.add(mark.clone()))
             .collect();
         let own = self.sets.summary();
+        // The sums of the parts are sent for the first time after this.
+        useful |= !marks.is_empty() || (!self.differs && own != delta.summary);
         self.differs = own != delta.summary;
-        let incomplete = delta.version > self.tracker.version()
+        let lacks = delta.version > self.tracker.version()
             || (self.differs && own.count < delta.summary.count);
+        let incomplete = useful && lacks;
         Applied {
             in_force,
             marks,
--- a/crates/steering/src/config/sets.rs
+++ b/crates/steering/src/config/sets.rs
@@ -116,7 +116,14 @@
             return Vec::new();
         }
         if sums.len() != BUCKETS {
-            return self.marks.iter().rev().take(LATEST).cloned().collect();
+            // A peer that has as many marks or more lacks none in the usual case; if it does, it
+            // notices by the summary and sends the sums of its parts.
+            let more = self
+                .marks
+                .len()
+                .saturating_sub(summary.count as usize)
+                .min(LATEST);
+            return self.marks.iter().rev().take(more).cloned().collect();
         }
         let differs = |mark: &&Mark| {
             let bucket = bucket(mark.hash());
--- a/crates/steering/src/config/tracker.rs
+++ b/crates/steering/src/config/tracker.rs
@@ -1,28 +1,24 @@
 //! The configuration that one VM holds, and the newer one that it is fetching.
 
 use super::head::{self, Files, Hash, Head, Manifest};
-use base::id::Version;
-use indexmap::IndexMap;
+use base::id::{Version, Vm};
+use indexmap::{IndexMap, IndexSet};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Steps between versions that are kept to compute deltas for peers. At 8,500 changes a day this
 /// covers the last ten minutes; a peer that lags further gets a full copy.
 const KEPT_STEPS: usize = 64;
 
-base::label! {
-    /// Where a VM learns of versions.
-    pub enum Source {
-        /// The platform's table.
-        Store,
-        /// Another VM.
-        Peer,
-    }
-}
+/// Time for which a VM with empty memory listens before it is ready. It exceeds the time in which
+/// a new version spreads (1.3 s over 144 data centres): a VM that served a new version, restarted
+/// at once and asked peers that the version had not reached yet would serve the older one.
+pub const LISTEN: Duration = Duration::from_secs(2);
 
 base::value! {
     /// Whether a VM may serve.
     pub enum Readiness {
-        /// The store or the peers have not all answered or failed yet.
+        /// The store or the peers have not all answered or failed yet, or [`LISTEN`] isn't over.
         Asking,
         /// Neither the store nor a peer has any configuration, or none could be reached.
         Unknown,
@@ -85,15 +81,19 @@
         steps: Vec<Step>,
         highest: Version,
         store_heard: bool,
-        peers_awaited: usize,
+        awaited: IndexSet<Vm>,
+        peer_answered: bool,
+        listen_until: Instant,
+        listened: bool,
         started: bool,
     }
 }
 
 impl Tracker {
-    /// Starts with empty memory. The VM is not ready until the store and `peers` peers have each
-    /// answered or failed, and the highest version among the answers is in force.
-    pub fn new(peers: usize) -> Self {
+    /// Starts with empty memory. The VM is not ready until the store and each of `peers` have
+    /// answered or failed, [`LISTEN`] is over, and the highest version among the answers is in
+    /// force.
+    pub fn new(peers: impl IntoIterator<Item = Vm>, now: Instant) -> Self {
         Self {
             held: None,
             candidate: None,
@@ -101,17 +101,48 @@
             steps: Vec::new(),
             highest: 0,
             store_heard: false,
-            peers_awaited: peers,
+            awaited: peers.into_iter().collect(),
+            peer_answered: false,
+            listen_until: now + LISTEN,
+            listened: false,
             started: false,
         }
     }
 
-    /// Notes that `source` answered with `version` (0 for none), or failed if `None`.
-    pub fn heard(&mut self, source: Source, version: Option<Version>) {
-        match source {
-            Source::Store => self.store_heard = true,
-            Source::Peer => self.peers_awaited = self.peers_awaited.saturating_sub(1),
-        }
+    /// Notes that the store answered with `version` (0 for none), or failed if `None`.
+    pub fn heard_store(&mut self, version: Option<Version>) {
+        self.store_heard = true;
+        self.learn(version);
+    }
+
+    /// Notes that a peer answered with `version`, or failed if `None`. A peer that is not ready
+    /// itself counts as neither: it may have started at the same time and know less than others.
+    pub fn heard_peer(&mut self, peer: &str, version: Option<Version>) {
+        self.awaited.swap_remove(peer);
+        self.peer_answered |= version.is_some();
+        self.learn(version);
+    }
+
+    /// Notes that all peers that have not answered yet failed, and that `others` are asked
+    /// instead; with none, the VM relies on the answers that it has.
+    pub fn peers_failed(&mut self, others: impl IntoIterator<Item = Vm>) {
+        self.awaited = others.into_iter().collect();
+        self.learn(None);
+    }
+
+    /// Returns whether a ready peer has answered. Until one has, a fresh VM should ask others:
+    /// a read of the store alone may be stale.
+    pub fn peer_answered(&self) -> bool {
+        self.peer_answered
+    }
+
+    /// Notes that time passes; to be called several times a second until the VM is ready.
+    pub fn elapse(&mut self, now: Instant) {
+        self.listened |= now >= self.listen_until;
+        self.start();
+    }
+
+    fn learn(&mut self, version: Option<Version>) {
         self.highest = self.highest.max(version.unwrap_or(0));
         self.start();
     }
@@ -139,9 +170,11 @@
         self.objects.get(hash)
     }
 
-    /// Returns a held object.
-    pub fn object(&self, hash: &str) -> Option<&Arc<[u8]>> {
-        self.objects.get(hash)
+    /// Returns a held object: a file or the manifest in force.
+    pub fn object(&self, hash: &str) -> Option<Vec<u8>> {
+        let file = self.objects.get(hash).map(|content| content.to_vec());
+        let held = self.held.iter().find(|held| *held.head.manifest == *hash);
+        file.or_else(|| Some(held?.manifest.object().into()))
     }
 
     /// Returns whether the VM may serve. A VM that was ready stays ready: later versions replace
@@ -150,7 +183,9 @@
         match &self.candidate {
             _ if self.started => Readiness::Ready(self.version()),
             Some(candidate) => Readiness::Fetching(candidate.head.version),
-            None if !self.store_heard || self.peers_awaited > 0 => Readiness::Asking,
+            None if !self.listened || !self.store_heard || !self.awaited.is_empty() => {
+                Readiness::Asking
+            }
             None if self.highest > self.version() => Readiness::Fetching(self.highest),
             None => Readiness::Unknown,
         }
@@ -271,7 +306,7 @@
                 names,
             });
         }
-        let needed: indexmap::IndexSet<&Hash> = manifest.files.values().collect();
+        let needed: IndexSet<&Hash> = manifest.files.values().collect();
         self.objects.retain(|hash, _| needed.contains(hash));
         self.held = Some(Arc::new(Held { head, manifest }));
         self.start();
@@ -279,7 +314,7 @@
     }
 
     fn start(&mut self) {
-        let answered = self.store_heard && self.peers_awaited == 0;
+        let answered = self.listened && self.store_heard && self.awaited.is_empty();
         self.started |= answered && self.held.is_some() && self.version() >= self.highest;
     }
 
--- a/crates/steering/src/membership/view.rs
+++ b/crates/steering/src/membership/view.rs
@@ -82,7 +82,7 @@
             silence: Duration::from_secs(6),
             kept: Duration::from_hours(2),
             passed_on: 40,
-            near: 0.5,
+            near: 0.25,
             list_budget: 1_500.0,
         }
     }
--- a/crates/steering/tests/config.rs
+++ b/crates/steering/tests/config.rs
@@ -3,12 +3,11 @@
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use steering::config::publication::Answer;
-use steering::config::tracker::{Offer, Receipt};
+use steering::config::tracker::{LISTEN, Offer, Receipt};
 use steering::config::{
-    Files, Force, Head, Manifest, Mark, Poll, Publication, Readiness, Replica, Sets, Source, Stage,
-    head,
+    Files, Force, Head, Manifest, Mark, Poll, Publication, Readiness, Replica, Sets, Stage, head,
 };
 use steering::membership::Role;
 
@@ -40,6 +39,14 @@
     versions
 }
 
+/// A VM whose time to listen is over.
+fn replica<const N: usize>(peers: [&str; N]) -> Replica {
+    let start = Instant::now();
+    let mut replica = Replica::new(peers.map(Into::into), start);
+    replica.tracker.elapse(start + LISTEN);
+    replica
+}
+
 fn fetch(replica: &mut Replica, head: &Head, last: usize) {
     replica
         .tracker
@@ -64,7 +71,7 @@
 #[test]
 fn a_version_is_in_force_only_when_complete_and_never_reverts() {
     let versions = history(3);
-    let mut replica = Replica::new(0);
+    let mut replica = replica([]);
     let (head, _) = &versions[0];
     assert_eq!(
         replica.tracker.offer(head.clone(), 0, &head.changed),
@@ -116,22 +123,50 @@
 #[test]
 fn a_fresh_vm_waits_for_the_highest_version_it_can_learn() {
     let versions = history(2);
-    let mut fresh = Replica::new(2);
+    let mut fresh = replica(["a", "b"]);
     assert_eq!(fresh.tracker.readiness(), Readiness::Asking);
-    fresh.tracker.heard(Source::Store, Some(1));
+    fresh.tracker.heard_store(Some(1));
     fetch(&mut fresh, &versions[0].0, 1);
     assert_eq!(
         (fresh.tracker.version(), fresh.tracker.readiness()),
         (1, Readiness::Asking)
     );
-    fresh.tracker.heard(Source::Peer, Some(2));
-    fresh.tracker.heard(Source::Peer, None);
+    fresh.tracker.heard_peer("a", Some(2));
+    fresh.tracker.heard_peer("b", None);
     assert_eq!(fresh.tracker.readiness(), Readiness::Fetching(2));
+    let mut beside = replica(["a"]);
+    beside.tracker.heard_store(Some(1));
+    fetch(&mut beside, &versions[0].0, 1);
+    beside.apply("a", replica([]).answer(&beside.digest()));
+    assert_eq!(
+        beside.tracker.readiness(),
+        Readiness::Asking,
+        "a peer that just started"
+    );
+    assert!(!beside.tracker.peer_answered());
+    beside.tracker.peers_failed(["b".into()]);
+    assert_eq!(
+        beside.tracker.readiness(),
+        Readiness::Asking,
+        "another one is asked"
+    );
+    beside.tracker.heard_peer("b", Some(1));
+    assert_eq!(beside.tracker.readiness(), Readiness::Ready(1));
     fetch(&mut fresh, &versions[1].0, 2);
     assert_eq!(fresh.tracker.readiness(), Readiness::Ready(2));
-    let mut alone = Replica::new(1);
-    alone.tracker.heard(Source::Store, None);
-    alone.tracker.heard(Source::Peer, None);
+    let start = Instant::now();
+    let mut early = Replica::new([], start);
+    early.tracker.heard_store(Some(1));
+    fetch(&mut early, &versions[0].0, 1);
+    early
+        .tracker
+        .elapse(start + LISTEN - Duration::from_millis(1));
+    assert_eq!(early.tracker.readiness(), Readiness::Asking);
+    early.tracker.elapse(start + LISTEN);
+    assert_eq!(early.tracker.readiness(), Readiness::Ready(1));
+    let mut alone = replica(["a"]);
+    alone.tracker.heard_store(None);
+    alone.tracker.peers_failed([]);
     assert_eq!(alone.tracker.readiness(), Readiness::Unknown);
 }
 
@@ -140,17 +175,17 @@
 #[test]
 fn peers_get_deltas_and_a_full_copy_as_fallback() {
     let versions = history(90);
-    let mut source = Replica::new(0);
+    let mut source = replica([]);
     follow(&mut source, &versions);
     assert_eq!(source.tracker.version(), 90);
     for (known, files) in [(89, 1), (88, 2), (80, 5), (3, 5), (0, 5)] {
-        let mut peer = Replica::new(0);
+        let mut peer = replica([]);
         follow(&mut peer, &versions[..known]);
         let delta = source.answer(&peer.digest());
         let change = delta.change.clone().unwrap();
         assert_eq!(change.files.len(), files, "peer at {known}");
         assert_eq!(change.since, if known < 26 { 0 } else { known as u64 });
-        let applied = peer.apply(delta);
+        let applied = peer.apply("peer", delta);
         assert!(applied.in_force && !applied.incomplete);
         assert_eq!(peer.tracker.held(), source.tracker.held());
         assert_eq!(source.answer(&peer.digest()).objects, []);
@@ -167,7 +202,7 @@
         .zip(contents.iter().map(String::as_str))
         .collect();
     let (head, _) = publish(None, &manifest(&files), "op");
-    let (mut source, mut peer) = (Replica::new(0), Replica::new(0));
+    let (mut source, mut peer) = (replica([]), replica([]));
     source.tracker.offer(head.clone(), 0, &head.changed);
     for content in &contents {
         source
@@ -176,7 +211,7 @@
     }
     let rounds = (1..10).find(|_| {
         let delta = source.answer(&peer.digest());
-        peer.apply(delta).in_force
+        peer.apply("peer", delta).in_force
     });
     assert_eq!(rounds, Some(5));
 }
@@ -282,13 +317,13 @@
     /// Guards against exchanges that never make two VMs equal.
     #[test]
     fn exchanges_reconcile_in_three_rounds(a: Vec<u8>, b: Vec<u8>) {
-        let (mut one, mut two) = (Replica::new(0), Replica::new(0));
+        let (mut one, mut two) = (replica([]), replica([]));
         (one.sets, two.sets) = (sets(&a), sets(&b));
         for _ in 0..3 {
             let delta = two.answer(&one.digest());
-            one.apply(delta);
+            one.apply("peer", delta);
             let delta = one.answer(&two.digest());
-            two.apply(delta);
+            two.apply("peer", delta);
         }
         prop_assert_eq!(one.sets.summary(), two.sets.summary());
         prop_assert_eq!(one.digest().sums.len(), 0);
