feature: experiment on configuration with combined faults

Cause: restarts, partition and store outage had only been run one at a time. Ruled out: nothing. Change: fault All, and the version that a restarted VM has to serve under partition.

--- a/tools/bench/src/experiment/config.rs
+++ b/tools/bench/src/experiment/config.rs
@@ -26,6 +26,8 @@
         Outage,
         /// Every VM restarts with empty memory once, half of them from 10 s to 20 s.
         Restarts,
+        /// Restarts, a partition as above, and a store that is down for all in its second half.
+        All,
     }
 }
 
@@ -119,6 +121,7 @@
         Fault::Partition,
         Fault::Outage,
         Fault::Restarts,
+        Fault::All,
     ];
     let small = faults.into_iter().map(|fault| Setup { fault, ..SMALL });
     let polls = small.clone().map(|setup| Setup {
--- a/tools/bench/src/experiment/config/fleet.rs
+++ b/tools/bench/src/experiment/config/fleet.rs
@@ -143,7 +143,7 @@
         }
         for vm in 0..setup.vms {
             fleet.begin(vm);
-            if setup.fault == Fault::Restarts {
+            if matches!(setup.fault, Fault::Restarts | Fault::All) {
                 let at = FAULT.0 / 2 + FAULT.1.mul_f64(fleet.rng.random::<f64>());
                 fleet.agenda.after(at, Event::Restart(vm));
             }
@@ -199,7 +199,7 @@
             for peer in peers {
                 self.ask(vm, peer, true);
             }
-            let version = self.heads.len() as u64;
+            let version = self.learnable(vm, self.agenda.now());
             self.agenda.after(TARGET, Event::Awake(vm, run, version));
             self.agenda.after(ANSWER, Event::Silence(vm, run));
         }
@@ -329,7 +329,7 @@
             }
             Event::Publish => {
                 self.agenda.after(self.setup.interval, Event::Publish);
-                if !(self.setup.fault == Fault::Outage && self.failing(now)) {
+                if !self.outage(now) {
                     self.publish(1, now);
                     let version = self.heads.len() as u64;
                     self.agenda.after(
--- a/tools/bench/src/experiment/config/fleet/check.rs
+++ b/tools/bench/src/experiment/config/fleet/check.rs
@@ -55,13 +55,38 @@
         let cut = match self.setup.fault {
             Fault::None | Fault::Restarts => false,
             Fault::StoreCut | Fault::Partition => self.nodes[vm].centre % 2 == 1,
+            Fault::All => self.nodes[vm].centre % 2 == 1 || self.outage(now),
             Fault::Outage => true,
         };
         !(cut && self.failing(now))
     }
 
+    /// Returns whether the store is down for all.
+    pub(super) fn outage(&self, now: Instant) -> bool {
+        let half = now >= self.start + (FAULT.0 + FAULT.1) / 2;
+        match self.setup.fault {
+            Fault::Outage => self.failing(now),
+            Fault::All => self.failing(now) && half,
+            _ => false,
+        }
+    }
+
+    /// Returns the version that a VM which starts now has to serve: the last one if it reaches
+    /// the store, else the highest of the VMs in reach.
+    pub(super) fn learnable(&self, vm: usize, now: Instant) -> u64 {
+        if self.reaches_store(vm, now) && self.reaches_store(vm, now + TARGET) {
+            return self.heads.len() as u64;
+        }
+        let peers =
+            (0..self.nodes.len()).filter(|peer| *peer != vm && self.reaches(vm, *peer, now));
+        peers
+            .map(|peer| self.nodes[peer].replica.tracker.version())
+            .max()
+            .unwrap_or(0)
+    }
+
     pub(super) fn reaches(&self, one: usize, two: usize, now: Instant) -> bool {
         let apart = self.nodes[one].centre % 2 != self.nodes[two].centre % 2;
-        !(apart && self.setup.fault == Fault::Partition && self.failing(now))
+        !(apart && matches!(self.setup.fault, Fault::Partition | Fault::All) && self.failing(now))
     }
 }
--- a/tools/bench/tests/config.rs
+++ b/tools/bench/tests/config.rs
@@ -14,7 +14,8 @@
         Fault::StoreCut,
         Fault::Partition,
         Fault::Outage,
-        Fault::Restarts
+        Fault::Restarts,
+        Fault::All
     )]
     fault: Fault,
     #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64,
@@ -35,7 +36,7 @@
     );
     // Every VM restarts within 20 s here, where the target size has one in ten restart a day.
     assert!(
-        fault == Fault::Restarts || tally.bytes.1 <= 6_000.0,
+        matches!(fault, Fault::Restarts | Fault::All) || tally.bytes.1 <= 6_000.0,
         "{tally:?}"
     );
     let baseline = run(Setup {
@@ -66,7 +67,7 @@
         "{tally:?}"
     );
     assert!(
-        fault == Fault::Restarts || tally.bytes.1 <= 6_000.0,
+        matches!(fault, Fault::Restarts | Fault::All) || tally.bytes.1 <= 6_000.0,
         "{tally:?}"
     );
     assert!(tally.reads <= 2_000, "{tally:?}");
@@ -97,5 +98,5 @@
 fn the_report_has_a_row_per_case() {
     let report = report();
     println!("{report}");
-    assert_eq!(report.lines().count(), 14);
+    assert_eq!(report.lines().count(), 16);
 }
