--- a/crates/steering/src/config/poll.rs
+++ b/crates/steering/src/config/poll.rs
@@ -9,7 +9,8 @@
     ///
     /// The store handles about two thousand reads a second. With a reader every 500 ms and a
     /// stand-by every second that also fetched all objects, 144 data centres with one reader too
-    /// many came to 2,227 reads in a second at one change of three files a second.
+    /// many came to 2,227 reads in a second at one change of three files a second. With a reader
+    /// every second, one of 8 runs with 38 VMs in a data centre took more than 6 KB/s.
     #[derive(Copy)]
     pub struct Poll {
         /// Interval of the reader of a data centre.
@@ -25,8 +26,8 @@
 impl Default for Poll {
     fn default() -> Self {
         Self {
-            reader: Duration::from_secs(1),
-            standby: Duration::from_secs(2),
+            reader: Duration::from_millis(1_250),
+            standby: Duration::from_millis(2_500),
             patience: Duration::from_secs(1),
         }
     }
--- a/crates/steering/src/config/tracker.rs
+++ b/crates/steering/src/config/tracker.rs
@@ -11,7 +11,7 @@
 const KEPT_STEPS: usize = 64;
 
 /// Time for which a VM with empty memory listens before it is ready. It exceeds the time in which
-/// a new version spreads (1.3 s over 144 data centres): a VM that served a new version, restarted
+/// a new version spreads (at most 1.4 s in all runs): a VM that served a new version, restarted
 /// at once and asked peers that the version had not reached yet would serve the older one.
 pub const LISTEN: Duration = Duration::from_secs(2);
 
--- a/tools/bench/tests/config.rs
+++ b/tools/bench/tests/config.rs
@@ -76,9 +76,9 @@
 /// Guards against heartbeats of a whole data centre that break the budget of 6 KB/s per VM. The
 /// list of VMs isn't read in the experiment; its share is in the settings, and the reader and its
 /// stand-by don't read it.
-#[test]
-fn the_bytes_hold_with_38_vms_in_a_data_centre() {
-    let tally = run(DENSE);
+#[rstest]
+fn the_bytes_hold_with_38_vms_in_a_data_centre(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let tally = run(Setup { seed, ..DENSE });
     assert!(tally.spread < LISTEN, "{tally:?}");
     assert_eq!(
         (tally.late, tally.marks_late, tally.reverts),
