bug: a fresh VM could serve before it knew the withdrawn keys

Cause: readiness looked at the configuration only. Ruled out: waiting for equal sets, which never end to differ while marks are added. Change: a peer counts as heard once the VM has as many marks as that peer. Conclusion: the test of a peer with 100 marks passes.

--- a/crates/steering/src/config/replica.rs
+++ b/crates/steering/src/config/replica.rs
@@ -176,9 +176,7 @@
 
     /// Takes the answer of `peer`.
     pub fn apply(&mut self, peer: &str, delta: Delta) -> Applied {
-        if delta.ready {
-            self.tracker.heard_peer(peer, Some(delta.version));
-        }
+        self.tracker.learn(Some(delta.version));
         let mut in_force = false;
         let mut useful = delta.change.is_some();
         if let Some(Change { head, since, files }) = delta.change {
@@ -201,6 +199,10 @@
         let lacks = delta.version > self.tracker.version()
             || (self.differs && own.count < delta.summary.count);
         let incomplete = useful && lacks;
+        // A fresh VM that lacks marks of the peer would accept withdrawn keys.
+        if delta.ready && (!self.differs || own.count >= delta.summary.count) {
+            self.tracker.heard_peer(peer, Some(delta.version));
+        }
         Applied {
             equal: own == delta.summary,
             in_force,
--- a/crates/steering/src/config/tracker.rs
+++ b/crates/steering/src/config/tracker.rs
@@ -142,7 +142,8 @@
         self.start();
     }
 
-    fn learn(&mut self, version: Option<Version>) {
+    /// Notes that `version` exists somewhere, which a fresh VM then waits for.
+    pub fn learn(&mut self, version: Option<Version>) {
         self.highest = self.highest.max(version.unwrap_or(0));
         self.start();
     }
--- a/crates/steering/tests/config.rs
+++ b/crates/steering/tests/config.rs
@@ -170,6 +170,23 @@
     assert_eq!(alone.tracker.readiness(), Readiness::Unknown);
 }
 
+/// Guards against a fresh VM that serves before it knows the withdrawn keys of its peers.
+#[test]
+fn a_fresh_vm_waits_for_the_marks_of_its_peers() {
+    let versions = history(1);
+    let (mut source, mut fresh) = (replica([]), replica(["a"]));
+    source.sets = sets(&(0..100).collect::<Vec<u8>>());
+    for vm in [&mut source, &mut fresh] {
+        vm.tracker.heard_store(Some(1));
+        fetch(vm, &versions[0].0, 1);
+    }
+    assert!(fresh.apply("a", source.answer(&fresh.digest())).incomplete);
+    assert_eq!(fresh.tracker.readiness(), Readiness::Asking);
+    assert!(!fresh.apply("a", source.answer(&fresh.digest())).incomplete);
+    assert_eq!(fresh.sets.summary(), source.sets.summary());
+    assert_eq!(fresh.tracker.readiness(), Readiness::Ready(1));
+}
+
 /// Guards against full copies where a delta does, and against deltas that a lagging peer can't
 /// use.
 #[test]
