--- a/tests/integration/tests/input.rs
+++ b/tests/integration/tests/input.rs
@@ -96,9 +96,13 @@
 async fn control_survives_bad_frames(#[case] bytes: &[u8], #[case] port: u16) {
     let fleet = start(port).await;
     let local = fleet.address("vm-01-control", "local");
-    assert_eq!(
-        exchange(local, bytes).await,
-        "",
+    let mut stream = TcpStream::connect(local).await.expect("a connection");
+    stream.write_all(bytes).await.expect("bytes sent");
+    stream.shutdown().await.expect("sending side closed");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    assert!(
+        answer.is_empty(),
         "the connection is closed without an answer"
     );
     let status = fleet
