bug: overdue trials and hop-by-hop headers

Cause: after an overdue trial the next one could run beside it and be convicted for its crash; fields named by the connection header were forwarded. Change: an overdue trial starts the settle time again, only a lone trial convicts, and fields of one connection are removed in both directions. Pool tests with short real timeouts use paused time, so that a busy machine can't fail them.

--- a/crates/backends/src/client.rs
+++ b/crates/backends/src/client.rs
@@ -9,8 +9,11 @@
 
 use base::http::Body;
 use connection::{Connection, Lease};
-use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderName, HeaderValue, UPGRADE};
-use hyper::{Request, Response, Uri};
+use hyper::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING,
+    UPGRADE,
+};
+use hyper::{HeaderMap, Request, Response, Uri};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -75,6 +78,24 @@
     pub interrupted: AtomicU64,
 }
 
+/// Removes the header fields that concern one connection only (RFC 9110, section 7.6.1).
+fn remove_hop_headers(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| *name != CONTENT_LENGTH && *name != TRANSFER_ENCODING)
+        .collect();
+    for name in listed {
+        headers.remove(name);
+    }
+    headers.remove(CONNECTION);
+    headers.remove(UPGRADE);
+    headers.remove("keep-alive");
+}
+
 fn count(counter: &AtomicU64) {
     counter.fetch_add(1, Ordering::Relaxed);
 }
@@ -199,8 +220,7 @@
         let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         let headers = request.headers_mut();
         headers.remove(AUTHORIZATION);
-        headers.remove(CONNECTION);
-        headers.remove(UPGRADE);
+        remove_hop_headers(headers);
         headers.insert(HeaderName::from_static(DEADLINE), HeaderValue::from(millis));
         if !headers.contains_key(HOST)
             && let Ok(host) = HeaderValue::from_str(&self.0.address.to_string())
--- a/crates/backends/src/client/answer.rs
+++ b/crates/backends/src/client/answer.rs
@@ -1,7 +1,7 @@
 //! Exchange of one request and its streamed answer.
 
 use super::connection::Lease;
-use super::{After, Before, Failure, NOT_RUN, NotRun, REQUEST_ID, count};
+use super::{After, Before, Failure, NOT_RUN, NotRun, REQUEST_ID, count, remove_hop_headers};
 use base::http::{Body, BodyError};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -81,7 +81,7 @@
 /// Checks the head of an answer and wraps its body.
 async fn accept(
     lease: Lease,
-    response: Response<Incoming>,
+    mut response: Response<Incoming>,
     id: Option<&HeaderValue>,
     deadline: Instant,
 ) -> Result<Response<Body>, Failure> {
@@ -94,8 +94,14 @@
         let text = value.to_str().unwrap_or_default();
         NotRun::parse(text)
     });
-    let marked = response.headers().contains_key(TRANSFER_ENCODING)
-        || response.body().size_hint().exact().is_some();
+    let coding = response
+        .headers()
+        .get_all(TRANSFER_ENCODING)
+        .iter()
+        .next_back();
+    let chunked = coding.is_some_and(|c| c.as_bytes().to_ascii_lowercase().ends_with(b"chunked"));
+    let marked = chunked || response.body().size_hint().exact().is_some();
+    remove_hop_headers(response.headers_mut());
     let response = response.map(|body| Answer::new(body, lease, deadline, marked).boxed_unsync());
     match not_run {
         None => Ok(response),
--- a/crates/backends/tests/client.rs
+++ b/crates/backends/tests/client.rs
@@ -83,6 +83,8 @@
     Request::get("http://service.example/path?q=1")
         .header("x-request-id", id)
         .header("authorization", "Bearer secret")
+        .header("connection", "keep-alive, x-hop")
+        .header("x-hop", "1")
         .body(full(""))
         .unwrap()
 }
@@ -114,7 +116,10 @@
         let (number, head) = heads.recv().await.unwrap();
         assert_eq!(number, 0);
         assert!(head.starts_with("GET /path?q=1 HTTP/1.1"), "{head}");
-        assert!(!head.contains("secret"), "{head}");
+        assert!(
+            !head.contains("secret") && !head.contains("x-hop"),
+            "{head}"
+        );
         assert!(head.contains("x-deadline-ms: "), "{head}");
     }
     assert_eq!(pool.counts().reused.load(Ordering::Relaxed), 2);
@@ -231,22 +236,20 @@
     let (address, mut heads) = server(scripts).await;
     let settings = Settings {
         connections: 2,
-        read_timeout: Duration::from_millis(50),
-        probe_timeout: Duration::from_millis(50),
         ..Settings::default()
     };
     let pool = Pool::new(address, settings);
     let both = tokio::join!(send(&pool, "a"), send(&pool, "b"));
     assert_eq!(both, (Ok("ok".into()), Ok("ok".into())));
     assert_eq!(pool.idle(), 2);
+    // Paused time moves to the read deadline as soon as nothing else is to be done.
+    tokio::time::pause();
     let result = send(&pool, "c").await;
+    tokio::time::resume();
     assert_eq!(result, Err(Failure::After(After::Silent)));
     let mut closed = 0;
     while closed < 2 {
-        let (_, head) = tokio::time::timeout(GUARD, heads.recv())
-            .await
-            .unwrap()
-            .unwrap();
+        let (_, head) = heads.recv().await.unwrap();
         closed += usize::from(&*head == "closed");
     }
     assert_eq!(pool.idle(), 0);
@@ -256,16 +259,20 @@
 /// Guards against more open connections than the VM's part of the server's limit.
 #[tokio::test]
 async fn connections_are_bounded() {
-    let (address, _heads) = server(vec![vec![Act::Silent]]).await;
-    let pool = Pool::new(address, one_connection());
+    let (address, mut heads) = server(vec![vec![Act::Silent]]).await;
+    let settings = Settings {
+        read_timeout: GUARD,
+        ..one_connection()
+    };
+    let pool = Pool::new(address, settings);
     let holder = pool.clone();
     let task = tokio::spawn(async move { send(&holder, "a").await });
-    while pool.in_use() == 0 {
-        tokio::task::yield_now().await;
-    }
-    let deadline = Instant::now() + Duration::from_millis(20);
+    assert_eq!(heads.recv().await.unwrap().0, 0);
+    tokio::time::pause();
+    let deadline = Instant::now() + GUARD / 2;
     let result = pool.send(request("b"), deadline).await.map(drop);
     assert_eq!(result, Err(Failure::Before(Before::Busy)));
+    assert_eq!(pool.counts().opened.load(Ordering::Relaxed), 1);
     task.abort();
 }
 
@@ -274,10 +281,34 @@
 async fn deadline_cuts_a_body() {
     const HALF: &str = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok";
     let (address, _heads) = server(vec![vec![Act::Say(HALF), Act::Silent]]).await;
-    let pool = Pool::new(address, one_connection());
-    let deadline = Instant::now() + Duration::from_millis(200);
+    let settings = Settings {
+        read_timeout: GUARD * 2,
+        ..one_connection()
+    };
+    let pool = Pool::new(address, settings);
+    let deadline = Instant::now() + GUARD;
     let answer = pool.send(request("a"), deadline).await.unwrap();
+    tokio::time::pause();
     let error = answer.into_body().collect().await.unwrap_err();
     assert!(error.to_string().contains("deadline"), "{error}");
     assert_eq!((pool.idle(), pool.in_use()), (0, 0));
 }
+
+/// Guards against a probe that takes any answer for health, or reads one without bound.
+#[rstest::rstest]
+#[case(
+    "HTTP/1.1 200 OK\r\ncontent-length: 45\r\n\r\n{\"state\":\"leaving\",\"in_flight\":2,\"slots\": 3 }",
+    true
+)]
+#[case(OK, false)]
+#[case("HTTP/1.1 200 OK\r\ncontent-length: 9999\r\n\r\n", false)]
+#[tokio::test]
+async fn probe_reads_health(#[case] text: &'static str, #[case] valid: bool) {
+    let (address, _heads) = server(vec![vec![Act::SayClose(text)]]).await;
+    let health = backends::probe::check(address, GUARD).await;
+    assert_eq!(health.is_ok(), valid, "{health:?}");
+    if let Ok(health) = health {
+        assert_eq!(health.state, backends::probe::State::Leaving);
+        assert_eq!((health.in_flight, health.slots), (2, 3));
+    }
+}
--- a/crates/steering/src/quarantine.rs
+++ b/crates/steering/src/quarantine.rs
@@ -28,7 +28,8 @@
         /// Time from the last suspicion, or change of the trial server, to the next trial, in
         /// which all VMs of the data centre leave the trial server.
         pub settle: Duration,
-        /// Time after which a trial that did not end no longer blocks the next one.
+        /// Time after which a trial that did not end no longer blocks the next one. The shell cancels the request
+        /// by then and takes another trial server.
         pub trial: Duration,
     }
 
@@ -146,8 +147,13 @@
         if !keeper || suspect.origin != self.data_centre {
             return Admit::Refer(suspect.origin.clone());
         }
-        let running = self.trial.is_some_and(|(_, limit)| now < limit);
-        if running || self.settled.is_none_or(|at| now < at) {
+        if self.trial.is_some_and(|(_, limit)| now >= limit) {
+            // The overdue request may still run on its server, so the next trial waits until
+            // another server is empty.
+            self.trial = None;
+            self.moved(now);
+        }
+        if self.trial.is_some() || self.settled.is_none_or(|at| now < at) {
             return Admit::Refuse(Refusal::Suspected);
         }
         self.trial = Some((*digest, now + self.settings.trial));
@@ -158,7 +164,8 @@
     /// when the replies to them are held.
     pub fn crashed(&mut self, in_flight: &[Digest], now: Instant) -> Instant {
         for digest in in_flight {
-            if self.trial.is_some_and(|(running, _)| running == *digest) {
+            let trial = self.trial.is_some_and(|(running, _)| running == *digest);
+            if trial && in_flight.len() == 1 {
                 self.trial = None;
                 self.known.quarantined.insert(*digest);
                 // The trial server is gone; the next one is not empty yet.
@@ -193,14 +200,19 @@
 
     /// Records that a backend server answered the request, which clears a suspicion.
     pub fn completed(&mut self, digest: &Digest) {
-        if self.trial.is_some_and(|(running, _)| running == *digest) {
-            self.trial = None;
-        }
+        self.release(digest);
         if let Some(suspect) = self.known.suspects.get_mut(digest) {
             suspect.cleared = true;
         }
     }
 
+    /// Ends a trial of which it is not known whether the request completed: it stays suspected.
+    pub fn release(&mut self, digest: &Digest) {
+        if self.trial.is_some_and(|(running, _)| running == *digest) {
+            self.trial = None;
+        }
+    }
+
     /// Returns what to push to other VMs.
     pub fn delta(&self) -> &Delta {
         &self.known
--- a/crates/steering/tests/quarantine.rs
+++ b/crates/steering/tests/quarantine.rs
@@ -45,16 +45,34 @@
     );
 }
 
-/// Guards against a trial that never ends and blocks the others.
+/// Guards against a trial that never ends and blocks the others, and against a next trial on the
+/// server that the overdue request may still crash.
 #[test]
-fn overdue_trial_makes_room() {
+fn overdue_trial_makes_room_after_another_settle_time() {
     let start = Instant::now();
     let mut keeper = register("dc-1");
     keeper.crashed(&[A, B], start);
     let settled = start + Settings::default().settle;
     assert_eq!(keeper.admit(&A, true, settled), Admit::Trial);
-    let overdue = settled + Settings::default().trial + Duration::from_millis(1);
-    assert_eq!(keeper.admit(&B, true, overdue), Admit::Trial);
+    let overdue = settled + Settings::default().trial;
+    let suspected = Admit::Refuse(Refusal::Suspected);
+    let before = overdue - Duration::from_millis(1);
+    assert_eq!(keeper.admit(&B, true, before), suspected);
+    assert_eq!(keeper.admit(&B, true, overdue), suspected);
+    let settled = overdue + Settings::default().settle;
+    assert_eq!(keeper.admit(&B, true, settled), Admit::Trial);
+}
+
+/// Guards against conviction of a trial that was not alone.
+#[test]
+fn crash_with_company_convicts_nobody() {
+    let start = Instant::now();
+    let mut keeper = register("dc-1");
+    keeper.crashed(&[A], start);
+    let settled = start + Settings::default().settle;
+    assert_eq!(keeper.admit(&A, true, settled), Admit::Trial);
+    keeper.crashed(&[A, B], settled);
+    assert!(!keeper.quarantined(&A) && !keeper.quarantined(&B));
 }
 
 /// Guards against VMs that disagree after gossip in another order, and quarantine undone by it.
