bug: answers of the table are matched to their write

Cause: a late answer to one write could confirm the claims of the next write of the same row; a conflict with an earlier copy of the same write ended as unknown although nothing had run. Change: Batch::answered takes the operation id, and a conflict is settled by reading the row.

--- a/crates/steering/src/claims/table.rs
+++ b/crates/steering/src/claims/table.rs
@@ -54,7 +54,7 @@
     pub enum Answer {
         /// The row was written.
         Written,
-        /// Another write came first: read the row and start again.
+        /// The row had another version: read it and settle.
         Conflict,
         /// The write had no effect and the table is out of service.
         Unavailable,
@@ -145,19 +145,23 @@
         (Some(write), verdicts)
     }
 
-    /// Takes the answer to the write.
-    pub fn answered(&mut self, answer: &Answer) -> Verdicts {
-        let Some(write) = self.sent.take() else {
+    /// Takes the answer to the write `operation`; an answer to an earlier write changes nothing.
+    ///
+    /// After a conflict the row must be read and passed to [`Batch::settle`]: the conflict may be
+    /// with an earlier copy of the same write.
+    pub fn answered(&mut self, operation: &str, answer: &Answer) -> Verdicts {
+        let current = |write: &mut Write| *write.operation == *operation;
+        if *answer == Answer::Conflict {
             return Vec::new();
-        };
-        match answer {
-            Answer::Written => self.run(&write),
-            Answer::Conflict => Vec::new(),
-            Answer::Unavailable => self.refuse(&write),
+        }
+        match (self.sent.take_if(current), answer) {
+            (Some(write), Answer::Written) => self.run(&write),
+            (Some(write), _) => self.refuse(&write),
+            (None, _) => Vec::new(),
         }
     }
 
-    /// Settles a write whose answer was lost, by the row read back.
+    /// Settles a write whose answer was lost or a conflict, by the row read back.
     ///
     /// If the row is as before, the write may still take effect; sending the same write again is
     /// safe, because only one write can follow a version. Returns the write to send again.
--- a/crates/steering/tests/claims.rs
+++ b/crates/steering/tests/claims.rs
@@ -112,7 +112,7 @@
     let (again, verdicts) = batch.settle(&write.row, 1);
     assert_eq!((again, verdicts), (None, vec![("d".into(), Verdict::Run)]));
     assert!(
-        batch.answered(&Answer::Written).is_empty(),
+        batch.answered("op-1", &Answer::Written).is_empty(),
         "a late answer runs nothing"
     );
 
@@ -132,7 +132,7 @@
     batch.add("resend".into(), NOW + 10, true);
     batch.start(Row::default(), 0, "op-1".into(), NOW);
     batch.add("later".into(), NOW + 10, false);
-    let verdicts = batch.answered(&Answer::Unavailable);
+    let verdicts = batch.answered("op-1", &Answer::Unavailable);
     let refused = Attempt::new(false).give_up(Refusal::ClaimsUnavailable);
     let unknown = Outcome::Unknown(Uncertainty::ClaimsUnavailable);
     let expected = vec![
@@ -143,3 +143,18 @@
     let copy = batch.add("first".into(), NOW + 10, false);
     assert!(matches!(copy, Some(Outcome::NotRun(_))));
 }
+
+/// Guards against a late answer to one write that confirms the claims of the next, and against
+/// "unknown" after a conflict with an earlier copy of the same write.
+#[test]
+fn answers_count_for_their_own_write() {
+    let mut batch = Batch::default();
+    batch.add("d".into(), NOW + 10, false);
+    batch.start(Row::default(), 0, "op-1".into(), NOW);
+    assert_eq!(batch.settle(&Row::default(), 1), (None, Vec::new()));
+    let (write, _) = batch.start(Row::default(), 1, "op-2".into(), NOW);
+    assert!(batch.answered("op-1", &Answer::Written).is_empty());
+    assert!(batch.answered("op-2", &Answer::Conflict).is_empty());
+    let (_, verdicts) = batch.settle(&write.unwrap().row, 2);
+    assert_eq!(verdicts, vec![("d".into(), Verdict::Run)]);
+}
--- a/tools/bench/src/experiment/answers.rs
+++ b/tools/bench/src/experiment/answers.rs
@@ -53,7 +53,7 @@
     Answered(usize, u64, u32),
     Crash(usize),
     Store(usize, u64, Write),
-    Written(usize, u64, Answer),
+    Written(usize, u64, Box<str>, Answer),
     ReadBack(usize, u64),
 }
 
@@ -248,21 +248,21 @@
                 self.vms[index] = vm(index, self.vms[index].incarnation + 1);
             }
             Event::Store(vm, incarnation, write) => {
+                let operation = write.operation.clone();
                 let answer = if write.expected == self.row.1 {
                     self.row = (write.row, write.expected + 1);
                     Answer::Written
                 } else {
                     Answer::Conflict
                 };
-                // Only an answer that says "written" is trusted: a copy of a write that took
-                // effect meets its own conflict.
-                if answer == Answer::Written {
-                    self.deliver(&Event::Written(vm, incarnation, answer));
-                }
+                self.deliver(&Event::Written(vm, incarnation, operation, answer));
             }
-            Event::Written(vm, incarnation, answer) if alive(vm, incarnation) => {
-                let verdicts = self.vms[vm].batch.answered(&answer);
+            Event::Written(vm, incarnation, operation, answer) if alive(vm, incarnation) => {
+                let verdicts = self.vms[vm].batch.answered(&operation, &answer);
                 self.decide(vm, verdicts);
+                if answer == Answer::Conflict {
+                    self.read_back(vm);
+                }
             }
             Event::ReadBack(vm, incarnation) if alive(vm, incarnation) => self.read_back(vm),
             _ => {}
