feature: services between control processes and between entries

Cause: the decisions on limits, releases, claims, quarantine and servers need messages between VMs. Ruled out: one service for all (control and entry have different callers and ports). Change: tarpc services `gossip` and `share` with typed frames, cached connections in `peers::link`, servers in control and entry that answer nothing yet. Conclusion: each decision can now be wired in on its own.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,4 +1,7 @@
 //! Messages between the system's own processes, over tarpc.
 
+pub mod gossip;
+pub mod link;
 pub mod local;
+pub mod share;
 pub mod wire;
--- a/programs/control/src/lib.rs
+++ b/programs/control/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod args;
+pub mod gossip;
 pub mod local;
 pub mod reader;
 pub mod record;
--- a/programs/control/src/run.rs
+++ b/programs/control/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::settings::Settings;
 use crate::state::Shared;
-use crate::{admin, local, reader};
+use crate::{admin, gossip, local, reader};
 use base::http::client::Target;
 use std::io;
 use tokio::net::TcpListener;
@@ -15,6 +15,7 @@
 /// Fails if an address can't be bound.
 pub async fn run(settings: Settings, stop: CancellationToken) -> io::Result<()> {
     let local = TcpListener::bind(settings.local).await?;
+    let gossip = TcpListener::bind(settings.gossip).await?;
     let admin = TcpListener::bind(settings.admin).await?;
     log::info!("vm {} of {} started", settings.vm, settings.data_centre);
     let client = platform::Client::new(Target {
@@ -25,6 +26,7 @@
     let shared = Shared::new(settings);
     tokio::join!(
         reader::run(shared.clone(), client.clone(), stop.clone()),
+        gossip::run(gossip, shared.clone(), stop.clone()),
         local::run(local, shared.clone(), stop.clone()),
         admin::run(admin, shared, client, stop),
     );
--- a/programs/entry/src/lib.rs
+++ b/programs/entry/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod run;
 pub mod server;
 pub mod settings;
+pub mod share;
 pub mod snapshot;
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -3,6 +3,7 @@
 use crate::metrics::Metrics;
 use crate::pipeline::Pipeline;
 use crate::settings::Settings;
+use crate::share;
 use crate::snapshot::Snapshot;
 use backends::client;
 use base::http::server::Limits;
@@ -21,6 +22,7 @@
 /// Fails if an address can't be bound.
 pub async fn run(settings: Settings, stop: CancellationToken) -> io::Result<()> {
     let listener = TcpListener::bind(settings.listen).await?;
+    let share = TcpListener::bind(settings.share).await?;
     let exposed = TcpListener::bind(settings.metrics).await?;
     let metrics = Arc::new(Metrics::default());
     let mut registry = Registry::with_prefix("cardamomhall");
@@ -43,6 +45,7 @@
         drain_timeout: settings.drain_timeout.0,
         ..Limits::default()
     };
+    let served = pipeline.clone();
     let handler = move |request, _| {
         let pipeline = pipeline.clone();
         async move { pipeline.handle(request).await }
@@ -51,6 +54,7 @@
     tokio::join!(
         local::follow(settings.control, stop.clone(), update),
         base::http::server::serve(listener, limits, stop.clone(), handler),
+        share::run(share, served, stop.clone()),
         base::metrics::serve(exposed, registry, stop),
     );
     log::info!("stopped");
--- /dev/null
+++ b/programs/entry/src/share.rs
@@ -0,0 +1,45 @@
+//! Serves the entries of other VMs.
+
+use crate::pipeline::Pipeline;
+use peers::share::{Answer, Question, Servers, Share, Suspects};
+use peers::wire::{self, Frame};
+use std::sync::Arc;
+use steering::limits::{Borrow, Lent};
+use tarpc::context::Context;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+#[derive(Clone)]
+struct Server {
+    // TODO: the calls below answer from it.
+    _pipeline: Arc<Pipeline>,
+}
+
+impl Share for Server {
+    async fn borrow(self, _: Context, _borrow: Frame<Borrow>) -> Frame<Option<Lent>> {
+        Frame::new(None)
+    }
+
+    async fn claim(self, _: Context, _question: Frame<Question>) -> Frame<Option<Answer>> {
+        Frame::new(None)
+    }
+
+    async fn servers(self, _: Context, _news: Frame<Servers>) -> Frame<Servers> {
+        Frame::new(Servers::default())
+    }
+
+    async fn suspects(self, _: Context, news: Frame<Suspects>) -> Frame<Suspects> {
+        news
+    }
+}
+
+/// Serves until `stop` is cancelled.
+pub async fn run(listener: TcpListener, pipeline: Arc<Pipeline>, stop: CancellationToken) {
+    let server = Server {
+        _pipeline: pipeline,
+    };
+    wire::accept(listener, stop, |stream| {
+        wire::serve(stream, server.clone().serve())
+    })
+    .await;
+}
