feature: capacity measurement with slopes over three sizes

Cause: docs/CAPACITY.md needs slopes of memory, bytes and time per unit of state. Ruled out: one process for all measurements (memory freed by one hides the growth of the next: keys showed 0 KB); fixed-width bincode sizes (tarpc's frames use variable-width integers: evidence 4,748 against 618 bytes a VM). Change: `bench capacity NAME` for client blocks, configuration, holders, granter, keys and node state, with a least-squares fit; `bench experiment` runs every experiment.

--- a/tools/bench/src/args.rs
+++ b/tools/bench/src/args.rs
@@ -19,6 +19,11 @@
     },
     /// Sends requests through the system or straight to a server.
     Load(Load),
+    /// Measures the cost per unit of each kind of state.
+    Capacity {
+        /// Kind of state.
+        name: Box<str>,
+    },
     /// Runs experiments in simulated time.
     Experiment {
         /// Name, or `all`.
@@ -64,7 +69,15 @@
         .to_options()
         .descr("Run an experiment")
         .command("experiment");
-    construct!([topology, load, experiment])
+    let capacity = positional::<String>("NAME")
+        .help("Kind of state")
+        .map(Into::into);
+    let capacity = capacity.map(|name| Command::Capacity { name });
+    let capacity = capacity
+        .to_options()
+        .descr("Measure cost per unit of state")
+        .command("capacity");
+    construct!([topology, load, capacity, experiment])
         .to_options()
         .descr("Load, experiments, capacity")
 }
--- /dev/null
+++ b/tools/bench/src/capacity/config.rs
@@ -0,0 +1,117 @@
+//! Cost of one configuration change on one VM.
+
+use super::{Point, Slope, wire_size};
+use base::id::Version;
+use indexmap::IndexMap;
+use std::time::Instant;
+use steering::config::head::hash;
+use steering::config::{Files, Head, Manifest, Replica};
+
+/// Numbers of steering files; the last one is one file for each site.
+const FILES: [usize; 3] = [575, 1_150, 2_300];
+
+/// Bytes of a steering file.
+const FILE_BYTES: usize = 600;
+
+/// Changes per measurement.
+const CHANGES: u64 = 20;
+
+pub fn measure() -> Vec<Slope> {
+    let (mut millis, mut bytes) = (Vec::new(), Vec::new());
+    for size in FILES {
+        let (time, sent) = change(size);
+        millis.push(Point { size, value: time });
+        bytes.push(Point { size, value: sent });
+    }
+    let slope = |what, points| Slope {
+        what,
+        per: "steering file",
+        points,
+    };
+    vec![
+        slope(
+            "configuration change by gossip, ms on sender and receiver",
+            millis,
+        ),
+        slope("configuration change by gossip, bytes", bytes),
+    ]
+}
+
+fn content(file: usize, version: Version) -> Vec<u8> {
+    let mut text = format!("service: s{file}\nversion: {version}\n").into_bytes();
+    text.resize(FILE_BYTES, b'#');
+    text
+}
+
+/// Returns the milliseconds and bytes of one change among `size` files between two VMs.
+fn change(size: usize) -> (f64, f64) {
+    let now = Instant::now();
+    let (mut sender, mut receiver) = (Replica::new([], now), Replica::new([], now));
+    let mut manifest = Manifest::default();
+    let mut objects = IndexMap::new();
+    let mut version = 1;
+    let all: Vec<usize> = (0..size).collect();
+    let head = publish(&mut manifest, &mut objects, version, &all);
+    for replica in [&mut sender, &mut receiver] {
+        take(replica, head.clone(), &objects);
+    }
+    let (mut seconds, mut bytes) = (0.0, 0.0);
+    for _ in 0..CHANGES {
+        version += 1;
+        let changed = [version as usize % size];
+        let head = publish(&mut manifest, &mut objects, version, &changed);
+        take(&mut sender, head, &objects);
+        let begin = Instant::now();
+        loop {
+            let digest = receiver.digest();
+            let delta = sender.answer(&digest);
+            bytes += wire_size(&digest) + wire_size(&delta);
+            if receiver.apply("peer", delta).in_force {
+                break;
+            }
+        }
+        seconds += begin.elapsed().as_secs_f64();
+    }
+    (seconds * 1e3 / CHANGES as f64, bytes / CHANGES as f64)
+}
+
+fn publish(
+    manifest: &mut Manifest,
+    objects: &mut IndexMap<Box<str>, Vec<u8>>,
+    version: Version,
+    files: &[usize],
+) -> Head {
+    let mut changed = Files::new();
+    for file in files {
+        let text = content(*file, version);
+        changed.insert(format!("s{file}.yaml").into(), Some(hash(&text)));
+        objects.insert(hash(&text), text);
+    }
+    *manifest = manifest.with(&changed);
+    objects.insert(manifest.root(), manifest.object().into());
+    let changed = if version == 1 { Files::new() } else { changed };
+    Head {
+        version,
+        operation: format!("operation-{version}").into(),
+        author: "bench".into(),
+        base: version - 1,
+        manifest: manifest.root(),
+        changed,
+        earlier: Box::default(),
+    }
+}
+
+fn take(replica: &mut Replica, head: Head, objects: &IndexMap<Box<str>, Vec<u8>>) {
+    replica.tracker.offer(head, 0, &Files::new());
+    loop {
+        let missing = replica.tracker.missing();
+        if missing.is_empty() {
+            return;
+        }
+        for hash in missing {
+            if let Some(object) = objects.get(&hash) {
+                replica.tracker.receive(&hash, object);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tools/bench/src/capacity/limits.rs
@@ -0,0 +1,177 @@
+//! Workspaces, keys and shares of limits.
+
+use super::{Point, Slope, memory, wire_size};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+use steering::keys::{Key, Pepper, Ring, Withdrawn};
+use steering::limits::{Granter, Holder, Identity, Part, Settings, TOKEN};
+
+/// Numbers of workspaces on one VM.
+const WORKSPACES: [usize; 3] = [20_000, 40_000, 80_000];
+
+/// Numbers of holders of one workspace's limit.
+const HOLDERS: [usize; 3] = [10, 20, 40];
+
+/// Numbers of keys.
+const KEYS: [usize; 3] = [10_000, 20_000, 40_000];
+
+/// Operations per measurement.
+const OPERATIONS: usize = 100_000;
+
+fn identity(n: usize, incarnation: u64) -> Identity {
+    let (workspace, vm) = (
+        format!("workspace-{n}").into(),
+        format!("vm-{incarnation}").into(),
+    );
+    Identity {
+        workspace,
+        vm,
+        incarnation,
+    }
+}
+
+pub fn holders() -> Vec<Slope> {
+    let now = Instant::now();
+    let (mut bytes, mut nanos) = (Vec::new(), Vec::new());
+    let mut all = Vec::new();
+    let mut resident = 0.0;
+    for size in WORKSPACES {
+        let (_, grown) = memory::growth(|| {
+            for n in all.len()..size {
+                let mut holder = Holder::new(Settings::default(), identity(n, 1), now);
+                holder.set_floor(Part::tokens(1_000_000, 1_000_000), 1, now);
+                all.push(holder);
+            }
+        });
+        resident += grown;
+        bytes.push(Point {
+            size,
+            value: resident / 1e3,
+        });
+        nanos.push(Point {
+            size,
+            value: spend(&mut all, now + Duration::from_secs(60)),
+        });
+    }
+    vec![
+        Slope {
+            what: "holder of shares, resident KB",
+            per: "workspace",
+            points: bytes,
+        },
+        Slope {
+            what: "offer and spend of one token, ns",
+            per: "workspace",
+            points: nanos,
+        },
+    ]
+}
+
+fn spend(holders: &mut [Holder], now: Instant) -> f64 {
+    let begin = Instant::now();
+    for n in 0..OPERATIONS {
+        let index = n * 7_919 % holders.len();
+        holders[index].offer(TOKEN, now);
+        black_box(holders[index].spend(TOKEN, now));
+    }
+    begin.elapsed().as_secs_f64() * 1e9 / OPERATIONS as f64
+}
+
+pub fn granter() -> Vec<Slope> {
+    let settings = Settings::default();
+    let (mut micros, mut bytes) = (Vec::new(), Vec::new());
+    for size in HOLDERS {
+        let mut now = Instant::now();
+        let limit = Part::tokens(10_000, 10_000);
+        let until = now + Duration::from_secs(3_600);
+        let mut granter = Granter::new(settings, limit, 1, until, now);
+        let mut holders: Vec<Holder> = (0..size)
+            .map(|n| Holder::new(settings, identity(0, n as u64), now))
+            .collect();
+        let (mut seconds, mut renewals, mut sent) = (0.0, 0, 0.0);
+        for _ in 0..200 {
+            now += settings.term / 2;
+            for holder in &mut holders {
+                holder.offer(TOKEN, now);
+                let Some(renew) = holder.renew(now) else {
+                    continue;
+                };
+                sent += wire_size(&renew);
+                let begin = Instant::now();
+                let grant = granter.renew(&renew, now);
+                seconds += begin.elapsed().as_secs_f64();
+                renewals += 1;
+                if let Some(grant) = grant {
+                    sent += wire_size(&grant);
+                    holder.grant(&grant, now);
+                }
+            }
+        }
+        let count = f64::from(renewals.max(1));
+        micros.push(Point {
+            size,
+            value: seconds * 1e6 / count,
+        });
+        bytes.push(Point {
+            size,
+            value: sent / count,
+        });
+    }
+    vec![
+        Slope {
+            what: "renewal at the granter, us",
+            per: "holder",
+            points: micros,
+        },
+        Slope {
+            what: "renewal and grant, bytes",
+            per: "holder",
+            points: bytes,
+        },
+    ]
+}
+
+pub fn keys() -> Vec<Slope> {
+    let pepper = Pepper::derive("capacity-measurement");
+    let mut rng = StdRng::seed_from_u64(1);
+    let withdrawn = Withdrawn::default();
+    let (mut bytes, mut nanos) = (Vec::new(), Vec::new());
+    let (mut ring, mut keys, mut resident) = (Ring::default(), Vec::new(), 0.0);
+    for size in KEYS {
+        let fresh: Vec<Key> = (keys.len()..size)
+            .map(|_| Key::generate(&mut rng))
+            .collect();
+        let (_, grown) = memory::growth(|| {
+            for (n, key) in fresh.iter().enumerate() {
+                ring.issue(format!("workspace-{}", n % 1_000), key.digest(&pepper));
+            }
+        });
+        keys.extend(fresh);
+        resident += grown;
+        bytes.push(Point {
+            size,
+            value: resident / 1e3,
+        });
+        let begin = Instant::now();
+        for n in 0..OPERATIONS {
+            let digest = keys[n * 7_919 % keys.len()].digest(&pepper);
+            let _ = black_box(ring.authorise(&digest, &withdrawn, 0));
+        }
+        let value = begin.elapsed().as_secs_f64() * 1e9 / OPERATIONS as f64;
+        nanos.push(Point { size, value });
+    }
+    vec![
+        Slope {
+            what: "key ring, resident KB",
+            per: "key",
+            points: bytes,
+        },
+        Slope {
+            what: "digest and authorisation of a key, ns",
+            per: "key",
+            points: nanos,
+        },
+    ]
+}
--- a/tools/bench/src/experiment.rs
+++ b/tools/bench/src/experiment.rs
@@ -11,11 +11,36 @@
 pub mod release;
 pub mod spill;
 
+/// An experiment by its name.
+type Experiment = (&'static str, fn() -> Box<str>);
+
+const EXPERIMENTS: [Experiment; 10] = [
+    ("answers", answers::report),
+    ("balance", balance::report),
+    ("config", config::report),
+    ("fairness", fairness::report),
+    ("lease", lease::report),
+    ("limits", limits::report),
+    ("overload", overload::report),
+    ("quarantine", quarantine::report),
+    ("release", release::report),
+    ("spill", spill::report),
+];
+
 /// Runs an experiment, or all of them, and returns its report.
 ///
 /// # Errors
 ///
 /// Fails if there is no experiment of this name.
 pub fn report(name: &str) -> Result<Box<str>, Box<str>> {
-    Err(format!("no experiment `{name}`").into())
+    let chosen = EXPERIMENTS
+        .iter()
+        .filter(|(known, _)| name == "all" || name == *known);
+    let reports: Vec<Box<str>> = chosen.map(|(_, report)| report()).collect();
+    if reports.is_empty() {
+        let names: Vec<&str> = EXPERIMENTS.iter().map(|(known, _)| *known).collect();
+        let names = names.join(", ");
+        return Err(format!("no experiment `{name}`, expected `all` or one of {names}").into());
+    }
+    Ok(reports.join("\n").into())
 }
--- a/tools/bench/src/lib.rs
+++ b/tools/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod agenda;
 pub mod args;
+pub mod capacity;
 pub mod experiment;
 pub mod load;
 pub mod topology;
--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -17,6 +17,9 @@
         Command::Load(load) => {
             println!("{}", serde_json::to_string_pretty(&load::run(load).await?)?);
         }
+        Command::Capacity { name } => {
+            print!("{}", bench::capacity::report(&name).map_err(String::from)?);
+        }
         Command::Experiment { name } => {
             println!("{}", experiment::report(&name).map_err(String::from)?);
         }
