feature: key ring groups keys by two bytes of their digests

Cause: authorisation compares with every key of a group, and 256 groups of 40,000 keys hold 156 keys each. Ruled out: a plain map look-up by digest (its comparison ends at the first different byte); one more level of groups (not needed at this size). Change: the first two bytes of the digest select the group.

--- a/crates/steering/src/keys/digest.rs
+++ b/crates/steering/src/keys/digest.rs
@@ -62,9 +62,9 @@
 }
 
 impl Digest {
-    /// Returns the first byte, by which a ring finds the entries to compare with.
-    pub(super) fn first(&self) -> u8 {
-        self.0[0]
+    /// Returns the first two bytes, by which a ring finds the entries to compare with.
+    pub(super) fn prefix(&self) -> u16 {
+        u16::from_be_bytes([self.0[0], self.0[1]])
     }
 
     fn parse(text: &str) -> Option<Self> {
--- a/crates/steering/src/keys/ring.rs
+++ b/crates/steering/src/keys/ring.rs
@@ -36,11 +36,12 @@
 }
 
 base::value! {
-    /// All issued keys. They are grouped by the first byte of their digests; which group is
-    /// searched tells nothing about a key, because the digests depend on a secret.
+    /// All issued keys. They are grouped by the first two bytes of their digests, so that a look-up
+    /// compares with about one of 40,000 keys. Which group is searched tells nothing about a key,
+    /// because the digests depend on a secret.
     #[derive(Default)]
     pub struct Ring {
-        groups: IndexMap<u8, Vec<Entry>>,
+        groups: IndexMap<u16, Vec<Entry>>,
     }
 
     /// Withdrawn keys; the set only grows.
@@ -97,7 +98,7 @@
 
 impl Ring {
     fn insert(&mut self, entry: Entry) {
-        let group = self.groups.entry(entry.digest.first()).or_default();
+        let group = self.groups.entry(entry.digest.prefix()).or_default();
         // A digest belongs to the workspace that got it first: a later steering file can't take
         // over another workspace's key.
         if group.iter().all(|known| known.digest != entry.digest) {
@@ -144,7 +145,7 @@
     ) -> Result<&Workspace, Refusal> {
         let group = self
             .groups
-            .get(&digest.first())
+            .get(&digest.prefix())
             .map_or(&[][..], Vec::as_slice);
         // Every entry of the group is compared, also after a match.
         let found = group.iter().fold(None, |found, entry| {
