--- a/tools/bench/src/topology.rs
+++ b/tools/bench/src/topology.rs
@@ -75,6 +75,15 @@
     ],
 };
 
+/// One VM and one server without delay, to measure speed.
+pub const SPEED: Deployment = Deployment {
+    name: "speed",
+    regions: ["north", "centre", "south"],
+    nodes: 1,
+    connections: 2_000,
+    services: &[service("echo", 1, 2_000, 0)],
+};
+
 /// Data centres of a region.
 const CENTRES_PER_REGION: usize = 2;
 
@@ -82,10 +91,10 @@
     type Err = Box<str>;
 
     fn from_str(name: &str) -> Result<Self, Self::Err> {
-        [ATLAS, ELSHERBINY]
+        [ATLAS, ELSHERBINY, SPEED]
             .into_iter()
             .find(|deployment| deployment.name == name)
-            .ok_or_else(|| "expected `atlas` or `elsherbiny`".into())
+            .ok_or_else(|| "expected `atlas`, `elsherbiny` or `speed`".into())
     }
 }
 
