feature: fault matrix over all operations

Cause: each fault has to be tried at each step of each operation, alone and in pairs that change what the other one meets. Ruled out: real processes for every cell (minutes, and not repeatable to the step); they run for chosen cells in tests/integration.

--- a/tools/bench/src/args.rs
+++ b/tools/bench/src/args.rs
@@ -24,6 +24,8 @@
         /// Kind of state.
         name: Box<str>,
     },
+    /// Runs the fault matrix.
+    Matrix,
     /// Runs experiments in simulated time.
     Experiment {
         /// Name, or `all`.
@@ -77,7 +79,12 @@
         .to_options()
         .descr("Measure cost per unit of state")
         .command("capacity");
-    construct!([topology, load, capacity, experiment])
+    let matrix = bpaf::pure(Command::Matrix);
+    let matrix = matrix
+        .to_options()
+        .descr("Run the fault matrix")
+        .command("matrix");
+    construct!([topology, load, capacity, matrix, experiment])
         .to_options()
         .descr("Load, experiments, capacity")
 }
--- a/tools/bench/src/lib.rs
+++ b/tools/bench/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod capacity;
 pub mod experiment;
 pub mod load;
+pub mod matrix;
 pub mod topology;
--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -20,6 +20,7 @@
         Command::Capacity { name } => {
             print!("{}", bench::capacity::report(&name).map_err(String::from)?);
         }
+        Command::Matrix => print!("{}", bench::matrix::report()),
         Command::Experiment { name } => {
             println!("{}", experiment::report(&name).map_err(String::from)?);
         }
--- /dev/null
+++ b/tools/bench/src/matrix/publish.rs
@@ -0,0 +1,194 @@
+//! Publication of a configuration by one control process, with a rival at another.
+
+use super::{Fault, Trouble, require};
+use std::time::Instant;
+use steering::config::publication::Answer;
+use steering::config::{Files, Head, Manifest, Publication, Replica, Stage, head};
+
+pub const STEPS: [&str; 5] = [
+    "propose",
+    "store-objects",
+    "write-head",
+    "read-answer",
+    "spread",
+];
+
+/// Writes that one publication tries while the store can't be reached.
+const TRIES: usize = 4;
+
+pub fn excludes(fault: Fault) -> Option<&'static str> {
+    match fault {
+        Fault::KeyWithdrawn => Some("a publication carries no key"),
+        Fault::BadVersion => Some("no request runs on a version"),
+        Fault::HolderPaused => Some("a publication needs no lease; the row version fences it"),
+        Fault::CrashingRequest | Fault::SilentConnection => Some("no backend server takes part"),
+        _ => None,
+    }
+}
+
+/// The row `head` and its objects.
+#[derive(Default)]
+struct Table {
+    row: Option<Head>,
+}
+
+impl Table {
+    fn write(&mut self, head: &Head) -> Answer {
+        let version = self.row.as_ref().map_or(0, |row| row.version);
+        if version != head.base {
+            return Answer::Conflict;
+        }
+        self.row = Some(head.clone());
+        Answer::Written
+    }
+}
+
+fn manifest(text: &str) -> (Manifest, Vec<u8>) {
+    let content = text.as_bytes().to_vec();
+    let files = Files::from([("fleet.yaml".into(), Some(head::hash(&content)))]);
+    (Manifest::default().with(&files), content)
+}
+
+fn propose(text: &str, operation: &str) -> Publication {
+    Publication::propose(
+        None,
+        &Manifest::default(),
+        &manifest(text).0,
+        "operator",
+        operation.into(),
+    )
+}
+
+pub fn run(trouble: &Trouble) -> Result<(), Box<str>> {
+    let mut table = Table::default();
+    let mut publication = propose("ours", "operation-1");
+    let mut dead = false;
+    for step in 0..=3 {
+        dead |= trouble.dies(step);
+        if trouble.at(step, Fault::OperatorRace) {
+            table.write(propose("theirs", "operation-2").head());
+        }
+        if step == 2 && !dead {
+            write(&mut table, &mut publication, trouble);
+        }
+    }
+    let ours = table
+        .row
+        .as_ref()
+        .is_some_and(|row| &*row.operation == "operation-1");
+    if !dead {
+        settle(&table, &mut publication, trouble);
+        let accepted = *publication.stage() == Stage::Accepted;
+        require(!accepted || ours, "an accepted publication is in the table")?;
+        let conflict = matches!(publication.stage(), Stage::Conflict { .. });
+        require(
+            !conflict || !ours,
+            "a conflict means that the other one took effect",
+        )?;
+        require(
+            accepted || conflict,
+            "the outcome is settled once the store answers",
+        )?;
+    }
+    let version = table.row.as_ref().map_or(0, |row| row.version);
+    require(
+        version <= 1,
+        "of two publications against one base at most one takes effect",
+    )?;
+    match table.row {
+        Some(row) => spread(&row, if ours { "ours" } else { "theirs" }, trouble),
+        None => Ok(()),
+    }
+}
+
+/// Writes the head row; a store that can't be reached is tried again with the same operation.
+fn write(table: &mut Table, publication: &mut Publication, trouble: &Trouble) {
+    let head = publication.head().clone();
+    for attempt in 0..TRIES {
+        let fails = attempt == 0;
+        let answer = match () {
+            // Down: no effect. The caller can't tell this from a lost answer.
+            () if fails && trouble.at(2, Fault::StoreDown) => Answer::Lost,
+            () if fails
+                && (trouble.at(2, Fault::StoreSlow) || trouble.at(2, Fault::AnswerLost)) =>
+            {
+                table.write(&head);
+                Answer::Lost
+            }
+            () => table.write(&head),
+        };
+        publication.answered(&answer);
+        settle(table, publication, trouble);
+        if *publication.stage() != Stage::Proposed {
+            return;
+        }
+    }
+}
+
+/// Reads the row back, also when the answer to the first read is lost.
+fn settle(table: &Table, publication: &mut Publication, trouble: &Trouble) {
+    let unreachable = usize::from(trouble.no_store(3) || trouble.at(3, Fault::AnswerLost));
+    for _ in unreachable..=1 {
+        publication.read_back(table.row.as_ref());
+    }
+}
+
+/// Spreads the head from a VM that has it to one that lags and to one that restarts.
+fn spread(row: &Head, text: &str, trouble: &Trouble) -> Result<(), Box<str>> {
+    let now = Instant::now();
+    let (manifest, content) = manifest(text);
+    let mut source = Replica::new([], now);
+    take(&mut source, row, &manifest, &content);
+    require(
+        source.tracker.version() == row.version,
+        "the VM that published has the version",
+    )?;
+    let mut others = [Replica::new([], now), Replica::new([], now)];
+    let cut = trouble.at(4, Fault::Partition);
+    for round in 0..4 {
+        for (index, other) in others.iter_mut().enumerate() {
+            // The second VM is in the other data centre; the partition heals after two rounds.
+            if cut && index == 1 && round < 2 {
+                require(
+                    other.tracker.version() == 0,
+                    "a VM that is cut off has no version",
+                )?;
+                continue;
+            }
+            exchange(&source, other);
+        }
+    }
+    if trouble.dies(4) {
+        others[0] = Replica::new([], now);
+        exchange(&source, &mut others[0]);
+    }
+    let in_force = others
+        .iter()
+        .all(|other| other.tracker.version() == row.version);
+    require(
+        in_force,
+        "the version is in force on all VMs once they are reachable",
+    )?;
+    // A stale peer with nothing must not take it back.
+    let stale = Replica::new([], now);
+    exchange(&stale, &mut others[0]);
+    require(
+        others[0].tracker.version() == row.version,
+        "a version never reverts",
+    )
+}
+
+fn take(replica: &mut Replica, row: &Head, manifest: &Manifest, content: &[u8]) {
+    replica.tracker.offer(row.clone(), 0, &Files::new());
+    replica
+        .tracker
+        .receive(&manifest.root(), &manifest.object());
+    replica.tracker.receive(&head::hash(content), content);
+}
+
+fn exchange(from: &Replica, to: &mut Replica) {
+    for _ in 0..3 {
+        let delta = from.answer(&to.digest());
+        to.apply("peer", delta);
+    }
+}
--- /dev/null
+++ b/tools/bench/src/matrix/release.rs
@@ -0,0 +1,246 @@
+//! One step of a release by its owner, with a second VM that may take over.
+
+use super::{Fault, Trouble, require};
+use base::clock::Millis;
+use steering::release::{
+    Answer, Cap, Halt, Input, Load, Next, Owned, Pending, Plan, Planned, Put, Reason, Record,
+    Settled, State, Verdict,
+};
+
+pub const STEPS: [&str; 4] = ["judge", "write", "read-answer", "apply"];
+
+/// Time between two steps of the run, long enough for every soak time.
+const TICK: Millis = 120_000;
+/// Time by which the release must have finished.
+const FINISH: Millis = 40 * TICK;
+
+pub fn excludes(fault: Fault) -> Option<&'static str> {
+    match fault {
+        Fault::KeyWithdrawn => Some("a release step carries no key"),
+        _ => None,
+    }
+}
+
+/// The row `release/r1`, and every state that it had.
+struct Table {
+    version: u64,
+    operation: Box<str>,
+    record: Record,
+    history: Vec<State>,
+}
+
+impl Table {
+    fn write(&mut self, put: &Put) {
+        if put.expected == self.version {
+            self.version += 1;
+            self.operation = put.operation.clone();
+            self.record = put.record.clone();
+            self.history.push(put.record.state.clone());
+        }
+    }
+
+    fn answer(&self) -> Answer {
+        Answer::Row(self.version, self.operation.clone())
+    }
+}
+
+pub fn run(trouble: &Trouble) -> Result<(), Box<str>> {
+    let mut table = Table {
+        version: 1,
+        operation: "planned".into(),
+        record: record()?,
+        history: Vec::new(),
+    };
+    let mut halt = Halt::default();
+    let mut now = 0;
+    let mut owner = take(&mut table, 1, now).ok_or("the first owner takes the release")?;
+    let mut writes = 0;
+    while now < 2 * FINISH {
+        now += TICK;
+        let ended = matches!(table.record.state, State::Complete | State::RolledBack(_));
+        if ended {
+            break;
+        }
+        // The faults hit the second write, with which the release enters its second step.
+        let struck = writes == 2;
+        let hit = |step, fault| struck && trouble.at(step, fault);
+        let bad = trouble.faults.contains(&Fault::BadVersion) && writes >= 2;
+        if bad {
+            halt.add(&table.record.id, &Reason::Failures("book".into()));
+        }
+        let blind = hit(0, Fault::MeasurementsStop);
+        let pending = match decide(owner, now, &halt, writes, blind) {
+            Decision::Write(pending) => pending,
+            Decision::Wait(waiting) => {
+                owner = waiting;
+                writes += usize::from(struck);
+                continue;
+            }
+            Decision::Ended => break,
+        };
+        writes += 1;
+        let raced =
+            (1..=2).any(|step| hit(step, Fault::OperatorRace) || hit(step, Fault::HolderPaused));
+        let dies = struck && (0..4).any(|step| trouble.dies(step));
+        if raced || (dies && trouble.step <= 1) {
+            // Another VM takes over before the write of the paused or dead owner arrives.
+            now += TICK;
+            owner = take(&mut table, 2, now).ok_or("another owner takes over")?;
+            table.write(pending.put());
+            let late = pending.settle(&table.answer());
+            require(
+                matches!(late, Settled::Lost),
+                "a former owner's write has no effect",
+            )?;
+            continue;
+        }
+        owner = send(&mut table, pending, hit, now)?;
+        if dies {
+            now += TICK;
+            owner = take(&mut table, 2, now).ok_or("another owner takes over")?;
+        }
+    }
+    check(&table, &halt, trouble)
+}
+
+/// Sends a write until its outcome is known.
+fn send(
+    table: &mut Table,
+    mut pending: Pending,
+    hit: impl Fn(usize, Fault) -> bool,
+    now: Millis,
+) -> Result<Owned, Box<str>> {
+    let down = hit(1, Fault::StoreDown) || hit(1, Fault::Partition);
+    let lost = [1, 2].iter().any(|step| {
+        hit(*step, Fault::StoreSlow)
+            || hit(*step, Fault::AnswerLost)
+            || hit(*step, Fault::StoreDown)
+    });
+    for attempt in 0..4 {
+        if !(down && attempt == 0) {
+            table.write(pending.put());
+        }
+        let unknown = attempt == 0 && (down || lost);
+        let answer = if unknown {
+            Answer::Unknown
+        } else {
+            table.answer()
+        };
+        match pending.settle(&answer) {
+            Settled::Done(owned) => return Ok(owned),
+            Settled::Again(same) => pending = same,
+            Settled::Lost => return take(table, 3, now + TICK).ok_or("a new owner".into()),
+        }
+    }
+    Err("the outcome of a write is settled once the store answers".into())
+}
+
+/// What an owner does.
+enum Decision {
+    Write(Pending),
+    Wait(Owned),
+    Ended,
+}
+
+/// Lets the owner decide.
+fn decide(owner: Owned, now: Millis, halt: &Halt, writes: usize, blind: bool) -> Decision {
+    let operation: Box<str> = format!("write-{writes}-{now}").into();
+    let verdict = if blind {
+        Verdict::Undecided("no measurements".into())
+    } else {
+        Verdict::Good
+    };
+    let load = Load {
+        seen: 10.0,
+        next: 10.0,
+    };
+    match owner {
+        Owned::Planned(plan) => start(plan, now, halt, operation),
+        Owned::Stepping(plan) => {
+            let input = Input {
+                now,
+                verdict: &verdict,
+                halt,
+                load,
+                confirmed: true,
+            };
+            match plan.next(&input, operation) {
+                Next::Write(pending) => Decision::Write(pending),
+                Next::Wait(plan, _) => Decision::Wait(Owned::Stepping(plan)),
+            }
+        }
+        Owned::Ended(_) => Decision::Ended,
+    }
+}
+
+fn start(plan: Plan<Planned>, now: Millis, halt: &Halt, operation: Box<str>) -> Decision {
+    match plan.start(now, halt, operation) {
+        Next::Write(pending) => Decision::Write(pending),
+        Next::Wait(plan, _) => Decision::Wait(Owned::Planned(plan)),
+    }
+}
+
+/// Takes the release over for an incarnation once the former owner's lease is over.
+fn take(table: &mut Table, owner: u64, now: Millis) -> Option<Owned> {
+    let at = now.max(table.record.leased_until);
+    let operation = format!("take-{owner}-{at}").into();
+    let pending = table
+        .record
+        .clone()
+        .take(table.version, owner, at, operation);
+    table.write(pending.put());
+    match pending.settle(&table.answer()) {
+        Settled::Done(owned) => Some(owned),
+        _ => None,
+    }
+}
+
+fn record() -> Result<Record, Box<str>> {
+    let record = Record {
+        id: "r1".into(),
+        service: "booking".into(),
+        old: "v1".into(),
+        new: "v2".into(),
+        start: 0,
+        finish_by: FINISH,
+        steps: [1, 5, 25, 50, 100].map(Cap::percent).into(),
+        owner: 0,
+        leased_until: 0,
+        state: State::Planned,
+    };
+    record
+        .plan(12)
+        .map_err(|refusal| format!("planned: {refusal:?}").into())
+}
+
+fn check(table: &Table, halt: &Halt, trouble: &Trouble) -> Result<(), Box<str>> {
+    let ends: Vec<&State> = table
+        .history
+        .iter()
+        .filter(|state| matches!(state, State::Complete | State::RolledBack(_)))
+        .collect();
+    require(!ends.is_empty(), "the release is completed or rolled back")?;
+    require(
+        ends.windows(2).all(|pair| pair[0] == pair[1]),
+        "it ends in one way only",
+    )?;
+    let steps: Vec<usize> = table
+        .history
+        .iter()
+        .filter_map(|state| match state {
+            State::Stepping { step, .. } => Some(*step),
+            _ => None,
+        })
+        .collect();
+    let by_one = steps
+        .windows(2)
+        .all(|pair| pair[1] <= pair[0] + 1 && pair[1] >= pair[0]);
+    require(by_one, "steps are taken one after the other")?;
+    let bad = trouble.faults.contains(&Fault::BadVersion);
+    let rolled_back = matches!(ends[0], State::RolledBack(_));
+    require(!bad || rolled_back, "a bad version is rolled back")?;
+    require(
+        !bad || table.record.cap(halt) == Cap::NONE,
+        "a halted version gets no request",
+    )
+}
--- /dev/null
+++ b/tools/bench/src/matrix/start.rs
@@ -0,0 +1,92 @@
+//! Start of a VM with empty memory beside a ready VM.
+
+use super::{Fault, Trouble, require};
+use std::time::{Duration, Instant};
+use steering::config::{Files, Head, Manifest, Mark, Readiness, Replica, head};
+
+pub const STEPS: [&str; 4] = ["begin", "hear-store", "hear-peers", "serve"];
+
+/// Version in force in the fleet.
+const VERSION: u64 = 7;
+/// Version that a stale read of the store shows.
+const STALE: u64 = 5;
+/// Period in which the VM asks.
+const PERIOD: Duration = Duration::from_millis(500);
+
+pub fn excludes(fault: Fault) -> Option<&'static str> {
+    match fault {
+        Fault::BadVersion => Some("no request runs on a version"),
+        Fault::OperatorRace => Some("operators take no part in a start"),
+        Fault::CrashingRequest | Fault::SilentConnection => Some("no backend server takes part"),
+        Fault::AnswerLost => Some("a start writes nothing that its readiness waits for"),
+        _ => None,
+    }
+}
+
+pub fn run(trouble: &Trouble) -> Result<(), Box<str>> {
+    let begin = Instant::now();
+    let mut peer = ready_peer(begin);
+    if trouble.faults.contains(&Fault::KeyWithdrawn) {
+        peer.sets.add(Mark::Halted("withdrawn-meanwhile".into()));
+    }
+    let mut vm = Replica::new(["peer".into()], begin);
+    let mut served_at = None;
+    for period in 0..24_u32 {
+        let now = begin + PERIOD * period;
+        let step = usize::try_from(period).unwrap_or(0);
+        if trouble.dies(step) {
+            vm = Replica::new(["peer".into()], now);
+            served_at = None;
+        }
+        let ongoing = step >= trouble.step && step < trouble.step + 6;
+        let faulty = |fault| ongoing && trouble.faults.contains(&fault);
+        let store =
+            !(faulty(Fault::StoreDown) || faulty(Fault::StoreSlow) || faulty(Fault::Partition));
+        // The read is stale; the VM must not serve by it alone.
+        vm.tracker.heard_store(store.then_some(STALE));
+        // A partition cuts this VM off from the platform, not from its own data centre.
+        if period > 0 {
+            let delta = peer.answer(&vm.digest());
+            vm.apply("peer", delta);
+        }
+        vm.tracker.elapse(now);
+        if let Readiness::Ready(version) = vm.tracker.readiness() {
+            require(
+                version >= VERSION,
+                "a VM serves no lower version than a peer has",
+            )?;
+            require(
+                vm.sets.summary() == peer.sets.summary(),
+                "a VM serves only once it knows the withdrawals of its peers",
+            )?;
+            served_at = served_at.or(Some(now));
+        }
+    }
+    require(
+        served_at.is_some(),
+        "the VM serves, with the store up and with the store down",
+    )
+}
+
+/// Makes a VM that has the version in force.
+fn ready_peer(now: Instant) -> Replica {
+    let mut peer = Replica::new([], now);
+    let content = b"fleet: test\n".to_vec();
+    let files = Files::from([("fleet.yaml".into(), Some(head::hash(&content)))]);
+    let manifest = Manifest::default().with(&files);
+    let head = Head {
+        version: VERSION,
+        operation: "operation-7".into(),
+        author: "operator".into(),
+        base: VERSION - 1,
+        manifest: manifest.root(),
+        changed: files,
+        earlier: Box::default(),
+    };
+    peer.tracker.heard_store(Some(VERSION));
+    peer.tracker.offer(head, 0, &Files::new());
+    peer.tracker.receive(&manifest.root(), &manifest.object());
+    peer.tracker.receive(&head::hash(&content), &content);
+    peer.tracker.elapse(now + Duration::from_secs(60));
+    peer
+}
--- /dev/null
+++ b/tools/bench/src/matrix/stop.rs
@@ -0,0 +1,84 @@
+//! Planned stop of a VM.
+
+use super::{Fault, Trouble, require};
+use std::time::{Duration, Instant};
+use steering::drain::{Stop, Times};
+
+pub const STEPS: [&str; 4] = ["withdraw", "wait-for-caches", "refuse", "finish"];
+
+pub fn excludes(fault: Fault) -> Option<&'static str> {
+    match fault {
+        Fault::ProcessDies | Fault::VmDies | Fault::DataCentreDies | Fault::RegionDies => {
+            Some("a process that dies ends its planned stop")
+        }
+        Fault::KeyWithdrawn | Fault::BadVersion => Some("a stop carries neither key nor version"),
+        Fault::OperatorRace => Some("a second stop of the same VM is the same stop"),
+        Fault::MeasurementsStop => Some("a stop follows no measurement"),
+        Fault::AnswerLost => Some("a stop writes nothing to the store"),
+        Fault::CrashingRequest => Some("a request that ends, ends the wait for it as well"),
+        _ => None,
+    }
+}
+
+pub fn run(trouble: &Trouble) -> Result<(), Box<str>> {
+    let times = Times::default();
+    let begin = Instant::now();
+    let mut now = begin;
+    let mut stop = Stop::begin(now, times);
+    // Without contact to the other VMs nobody confirms; the stop then waits for the spread time.
+    let reachable = !trouble.at(0, Fault::Partition) && !trouble.no_store(0);
+    let cached = loop {
+        now += pause(0, trouble);
+        match stop.withdrawn(now, reachable) {
+            Ok(next) => break next,
+            Err(same) => stop = same,
+        }
+    };
+    let spread = now;
+    require(
+        reachable || now >= begin + times.spread,
+        "unconfirmed look-ups get time to change",
+    )?;
+    let mut cached = cached;
+    let refusing = loop {
+        now += pause(1, trouble);
+        match cached.refuse(now) {
+            Ok(next) => break next,
+            Err(same) => cached = same,
+        }
+    };
+    require(
+        now >= spread + times.cached,
+        "connections are accepted while callers may cache",
+    )?;
+    let refused = now;
+    // One request is silent until its deadline if its connection went silent.
+    let silent = (2..4).any(|step| trouble.at(step, Fault::SilentConnection));
+    let ends = refused
+        + if silent {
+            times.request
+        } else {
+            Duration::from_secs(2)
+        };
+    let mut refusing = refusing;
+    loop {
+        now += pause(2, trouble) + pause(3, trouble);
+        let in_flight = u32::from(now < ends);
+        match refusing.finish(now, in_flight) {
+            Ok(_) => {
+                let deadline = refused + times.request;
+                return require(in_flight == 0 || now >= deadline, "a stop cuts no request");
+            }
+            Err(same) => refusing = same,
+        }
+    }
+}
+
+/// Time between two looks at a step; a paused process looks late.
+fn pause(step: usize, trouble: &Trouble) -> Duration {
+    if trouble.at(step, Fault::HolderPaused) {
+        Duration::from_secs(20)
+    } else {
+        Duration::from_millis(250)
+    }
+}
