--- a/tools/bench/src/args.rs
+++ b/tools/bench/src/args.rs
@@ -16,6 +16,8 @@
         directory: PathBuf,
         /// First port; the processes use the ports after it.
         port: u16,
+        /// Number of VMs, instead of the deployment's own.
+        nodes: Option<usize>,
     },
     /// Sends requests through the system or straight to a server.
     Load(Load),
@@ -94,10 +96,12 @@
         .help("First port")
         .argument("PORT")
         .fallback(20_000);
+    let nodes = long("nodes").help("Number of VMs").argument("N").optional();
     let deployment = positional("DEPLOYMENT").help("atlas or elsherbiny");
     let directory = positional("DIRECTORY").help("Directory for the files");
     construct!(Command::Topology {
         port,
+        nodes,
         deployment,
         directory
     })
--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Load generator, experiments in simulated time and capacity measurements.
 
 use bench::args::{self, Command};
+use bench::topology::Deployment;
 use bench::{experiment, load, topology};
 use std::error::Error;
 
@@ -11,8 +12,17 @@
             deployment,
             directory,
             port,
+            nodes,
         } => {
-            topology::write(deployment, &directory, port)?;
+            let nodes = nodes.unwrap_or(deployment.nodes);
+            topology::write(
+                Deployment {
+                    nodes,
+                    ..deployment
+                },
+                &directory,
+                port,
+            )?;
         }
         Command::Load(load) => {
             println!("{}", serde_json::to_string_pretty(&load::run(load).await?)?);
