feature: claims and quarantine in the entry

Cause: the entry forwarded without claims and without regard to requests that crash servers. Change: claims by VM incarnation and in rows of the table; suspicions, incarnations and reserved trial servers are exchanged between entries; the look-up hands out id prefixes; an interrupted answer is held while its server is looked at.

--- a/crates/peers/src/local.rs
+++ b/crates/peers/src/local.rs
@@ -2,13 +2,16 @@
 
 use crate::wire::{self, Error, Frame};
 use base::clock::Millis;
-use base::id::{Label, Release, Version, Workspace};
+use base::id::{Incarnation, Label, Release, Version, Vm, Workspace};
 use indexmap::{IndexMap, IndexSet};
 use platform::list::List;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
+/// Incarnations of entries by VM.
+pub type Runs = IndexMap<Vm, Incarnation>;
+
 base::message! {
     /// A key as the entry knows it.
     pub struct Key {
@@ -49,6 +52,8 @@
         pub list: List,
         /// Time of the last confirmation of keys by the store or a peer.
         pub confirmed: Millis,
+        /// Live incarnations of entries as this VM's entry knows them.
+        pub runs: Runs,
     }
 }
 
@@ -60,6 +65,9 @@
 pub trait Local {
     /// Returns the state as soon as its generation differs from `have`, or after [`SYNC_WAIT`].
     async fn sync(have: u64) -> Frame<State>;
+
+    /// Reports the live incarnations of entries, the caller's own among them.
+    async fn runs(runs: Frame<Runs>);
 }
 
 /// Connects to the control process.
--- a/crates/peers/src/share.rs
+++ b/crates/peers/src/share.rs
@@ -1,7 +1,7 @@
 //! Messages between entries.
 
 use crate::wire::{self, Error, Frame};
-use base::id::{Request, Vm, Workspace};
+use base::id::{Incarnation, Request, Server, Vm, Workspace};
 use std::net::SocketAddr;
 use steering::balance::{Notice, Summary};
 use steering::limits::{Borrow, Lent};
@@ -37,7 +37,11 @@
     pub struct Suspects {
         /// Sender.
         pub vm: Vm,
-        /// What it knows.
+        /// Incarnation of its entry, which its request ids name.
+        pub incarnation: Incarnation,
+        /// Backend servers that all VMs leave free for its trial runs.
+        pub reserved: Vec<Server>,
+        /// What it knows; empty if the receiver has it already.
         pub delta: Delta,
     }
 }
--- a/crates/steering/src/quarantine.rs
+++ b/crates/steering/src/quarantine.rs
@@ -18,6 +18,9 @@
 /// Digest of workspace, method, path and body.
 pub type Digest = [u8; 16];
 
+/// Most suspicions, and most quarantined digests, that are kept; each stands for a crash.
+pub const KNOWN: usize = 4096;
+
 base::value! {
     /// Time bounds of a register.
     #[derive(Copy)]
@@ -174,6 +177,7 @@
                 self.suspect(*digest, now);
             }
         }
+        self.bound();
         now + self.settings.hold
     }
 
@@ -192,6 +196,17 @@
         self.moved(now);
     }
 
+    /// Drops cleared suspicions first, then the oldest ones, and the oldest quarantined digests.
+    fn bound(&mut self) {
+        let suspects = &mut self.known.suspects;
+        while suspects.len() > KNOWN {
+            let cleared = suspects.values().position(|suspect| suspect.cleared);
+            suspects.shift_remove_index(cleared.unwrap_or(0));
+        }
+        let excess = self.known.quarantined.len().saturating_sub(KNOWN);
+        self.known.quarantined.drain(..excess);
+    }
+
     /// Starts the settle time again. The shell calls it when the trial server changes, because
     /// other VMs may still have requests on the new one.
     pub fn moved(&mut self, now: Instant) {
@@ -231,5 +246,6 @@
                 self.moved(now);
             }
         }
+        self.bound();
     }
 }
--- a/programs/control/src/local.rs
+++ b/programs/control/src/local.rs
@@ -1,7 +1,7 @@
 //! Serves the processes of this VM.
 
 use crate::state::Shared;
-use peers::local::{Local, SYNC_WAIT, State};
+use peers::local::{Local, Runs, SYNC_WAIT, State};
 use peers::wire::{self, Frame};
 use tarpc::context::Context;
 use tokio::net::TcpListener;
@@ -20,6 +20,12 @@
         let state = State::clone(&states.borrow());
         Frame::new(state)
     }
+
+    async fn runs(self, _: Context, runs: Frame<Runs>) {
+        if let Ok(runs) = runs.open() {
+            self.shared.change(|known| known.runs = runs);
+        }
+    }
 }
 
 /// Serves until `stop` is cancelled.
--- a/programs/control/src/state.rs
+++ b/programs/control/src/state.rs
@@ -37,6 +37,8 @@
     pub list: List,
     /// Time of the last successful read of the table.
     pub confirmed: Millis,
+    /// Live incarnations of entries, reported by this VM's entry.
+    pub runs: local::Runs,
 }
 
 /// Knowledge shared by the tasks of the process.
@@ -116,6 +118,7 @@
         halted: known.growing.halted.keys().cloned().collect(),
         draining: known.growing.draining.clone(),
         list: known.list.clone(),
+        runs: known.runs.clone(),
         ..State::default()
     }
 }
--- a/programs/entry/src/forward.rs
+++ b/programs/entry/src/forward.rs
@@ -2,6 +2,7 @@
 
 use crate::authorise::Grant;
 use crate::metrics::Metrics;
+use crate::quarantine::track::Track;
 use crate::receive::Call;
 use crate::route;
 use crate::server::Flight;
@@ -38,22 +39,37 @@
     snapshot: &Snapshot,
     settings: &Settings,
     metrics: &Metrics,
+    track: &Track,
 ) -> Forwarded {
     let mut attempt = Attempt::new(grant.path.idempotent);
     let mut tried = Vec::new();
     for _ in 0..ATTEMPTS {
         let label = &grant.service.current;
-        let chosen = route::choose(snapshot, grant.service, label, settings, &tried);
+        let chosen = match track.trial() {
+            Some(server) => Some(server).filter(|_| tried.is_empty()),
+            None => route::choose(snapshot, grant.service, label, settings, &tried),
+        };
         let Some(server) = chosen else {
             break;
         };
         tried.push(server.listed.name.clone());
-        let flight = server.start();
+        let flight = server.start(track.digest());
         let sent = attempt.send();
-        match server.pool.send(call.request(), call.deadline).await {
+        track.sent(true);
+        let deadline = track.deadline(call.deadline);
+        let answer = server.pool.send(call.request(), deadline).await;
+        let crashed = match &answer {
+            Err(Failure::After(After::Interrupted)) => track.interrupted(&flight).await,
+            _ => false,
+        };
+        match answer {
             Ok(response) => return Ok(Answer { response, flight }),
             Err(failure) => match sent.fail(classify(failure)) {
+                // Another server would crash, too.
+                Step::Retry(next, _) if crashed => return Err(next.give_up(Refusal::Suspected)),
                 Step::Retry(next, retry) => {
+                    // Only an idempotent route, which has no claim, goes on after it may have run.
+                    track.sent(false);
                     log::debug!("request {}: {retry} on {}", call.id, server.listed.name);
                     metrics.retry(retry);
                     attempt = next;
--- a/programs/entry/src/lib.rs
+++ b/programs/entry/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod admission;
 pub mod args;
 pub mod authorise;
+pub mod claims;
 pub mod forward;
 pub mod metrics;
 pub mod pipeline;
+pub mod quarantine;
 pub mod receive;
 pub mod reply;
 pub mod route;
--- a/programs/entry/src/metrics.rs
+++ b/programs/entry/src/metrics.rs
@@ -19,6 +19,9 @@
     not_run: Family<Reason, Counter>,
     unknown: Family<Reason, Counter>,
     retries: Family<Reason, Counter>,
+    asked: Counter,
+    crashes: Counter,
+    trials: Counter,
 }
 
 impl Metrics {
@@ -47,6 +50,27 @@
             self.unknown.clone(),
         );
         registry.register("retries", "Requests sent again", self.retries.clone());
+        let asked = self.asked.clone();
+        registry.register("claims_asked", "Request ids asked of other VMs", asked);
+        let crashes = self.crashes.clone();
+        registry.register("crashes_seen", "Requests interrupted by a crash", crashes);
+        let trials = self.trials.clone();
+        registry.register("trials", "Trial runs of suspected requests", trials);
+    }
+
+    /// Counts a request id that another VM is asked about.
+    pub fn asked(&self) {
+        self.asked.inc();
+    }
+
+    /// Counts a request that was interrupted by a crash of its server.
+    pub fn crash(&self) {
+        self.crashes.inc();
+    }
+
+    /// Counts a trial run.
+    pub fn trial(&self) {
+        self.trials.inc();
     }
 
     /// Counts a retry.
--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -1,8 +1,12 @@
 //! Path of a request through the entry.
 
 use crate::admission::Admission;
-use crate::forward::{Forwarded, forward};
+use crate::authorise::Grant;
+use crate::claims::Claims;
+use crate::forward::{Answer, Forwarded, forward};
 use crate::metrics::Metrics;
+use crate::quarantine::Quarantine;
+use crate::quarantine::track::Track;
 use crate::receive::{Call, receive};
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
@@ -19,6 +23,8 @@
 pub struct Pipeline {
     settings: Settings,
     snapshot: watch::Receiver<Arc<Snapshot>>,
+    quarantine: Arc<Quarantine>,
+    claims: Claims,
     admission: Admission,
     metrics: Arc<Metrics>,
 }
@@ -30,7 +36,10 @@
         snapshot: watch::Receiver<Arc<Snapshot>>,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let incarnation = rand::random();
         Self {
+            quarantine: Arc::new(Quarantine::new(&settings, incarnation, metrics.clone())),
+            claims: Claims::new(&settings, incarnation, metrics.clone()),
             settings,
             snapshot,
             admission: Admission::default(),
@@ -38,6 +47,16 @@
         }
     }
 
+    /// Returns what is known of requests that crash servers.
+    pub fn quarantine(&self) -> &Arc<Quarantine> {
+        &self.quarantine
+    }
+
+    /// Returns the claims on request ids.
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
     /// Answers one request.
     pub async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
         let (id, forwarded) = match receive(request, &self.settings).await {
@@ -57,15 +76,51 @@
         reply::reply(&id, forwarded)
     }
 
-    async fn run(&self, call: &Call) -> Forwarded {
+    async fn run(&self, call: &Call) -> Result<(Answer, Track), Outcome> {
         let snapshot = self.snapshot.borrow().clone();
         let secret = &self.settings.key_secret;
         let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
-        self.admission.admit(call, &grant).await.map_err(refused)?;
+        let mut track = self.track(call, &grant, &snapshot).await?;
+        match self.proceed(call, &grant, &track).await {
+            Ok(answer) => Ok((answer, track)),
+            Err(outcome) => {
+                track.end(&outcome);
+                Err(outcome)
+            }
+        }
+    }
+
+    async fn track(
+        &self,
+        call: &Call,
+        grant: &Grant<'_>,
+        snapshot: &Snapshot,
+    ) -> Result<Track, Outcome> {
+        let workspace = grant.workspace.as_deref().unwrap_or_default();
+        let admitted = self
+            .quarantine
+            .admit(call, workspace, grant.service, snapshot);
+        let admitted = admitted.await.map_err(refused)?;
+        let mut track = Track::new(self.quarantine.clone(), admitted);
+        track.claimed(self.claims.claim(call, grant, snapshot).await?);
+        Ok(track)
+    }
+
+    async fn proceed(&self, call: &Call, grant: &Grant<'_>, track: &Track) -> Forwarded {
+        self.admission.admit(call, grant).await.map_err(refused)?;
         // The key may have been withdrawn, and servers may have left, while the request waited.
         let snapshot = self.snapshot.borrow().clone();
+        let secret = &self.settings.key_secret;
         let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
-        forward(call, &grant, &snapshot, &self.settings, &self.metrics).await
+        forward(
+            call,
+            &grant,
+            &snapshot,
+            &self.settings,
+            &self.metrics,
+            track,
+        )
+        .await
     }
 }
 
--- /dev/null
+++ b/programs/entry/src/quarantine/track.rs
@@ -0,0 +1,94 @@
+//! What must be recorded of one request, however it ends.
+
+use super::{Admitted, Quarantine};
+use crate::claims::Claimed;
+use crate::server::{Flight, Server};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+use steering::attempt::Outcome;
+use steering::quarantine::Digest;
+
+/// Claim and trial of one request; both end when it is dropped.
+#[derive(Debug)]
+pub struct Track {
+    quarantine: Arc<Quarantine>,
+    admitted: Admitted,
+    claimed: Option<Claimed>,
+    interrupted: AtomicBool,
+}
+
+impl Track {
+    /// Starts to track an admitted request.
+    pub fn new(quarantine: Arc<Quarantine>, admitted: Admitted) -> Self {
+        Self {
+            quarantine,
+            admitted,
+            claimed: None,
+            interrupted: AtomicBool::new(false),
+        }
+    }
+
+    /// Adds the claim.
+    pub fn claimed(&mut self, claimed: Claimed) {
+        self.claimed = Some(claimed);
+    }
+
+    /// Returns the digest of the request.
+    pub fn digest(&self) -> Digest {
+        self.admitted.digest
+    }
+
+    /// Returns the only server that the request may run on, if it is a trial.
+    pub fn trial(&self) -> Option<&Arc<Server>> {
+        self.admitted.trial.as_ref()
+    }
+
+    /// Returns the time by which the request must end.
+    pub fn deadline(&self, deadline: Instant) -> Instant {
+        match self.trial() {
+            Some(_) => deadline.min(Instant::now() + self.quarantine.settings.trial),
+            None => deadline,
+        }
+    }
+
+    /// Records whether a backend server may run the request from now on.
+    pub fn sent(&self, sent: bool) {
+        if let Some(claimed) = &self.claimed {
+            claimed.sent(sent);
+        }
+    }
+
+    /// Finds out whether a server crashed under the request, and holds the reply in that case.
+    pub async fn interrupted(&self, flight: &Flight) -> bool {
+        let again = self.interrupted.swap(true, Ordering::AcqRel);
+        let Some(hold) = self.quarantine.interrupted(flight, again).await else {
+            return false;
+        };
+        tokio::time::sleep_until(hold.into()).await;
+        true
+    }
+
+    /// Records the outcome of a request that got no whole answer.
+    pub fn end(&mut self, outcome: &Outcome) {
+        if let Some(mut claimed) = self.claimed.take() {
+            claimed.end(outcome);
+        }
+    }
+
+    /// Records that the caller got the whole answer of a backend server.
+    pub fn served(&mut self) {
+        self.end(&Outcome::Served);
+        if self.admitted.trial.take().is_some() {
+            self.quarantine.completed(&self.admitted.digest);
+        }
+    }
+}
+
+impl Drop for Track {
+    fn drop(&mut self) {
+        if self.admitted.trial.is_some() {
+            self.quarantine.release(&self.admitted.digest);
+        }
+    }
+}
--- a/programs/entry/src/reply.rs
+++ b/programs/entry/src/reply.rs
@@ -1,6 +1,7 @@
 //! Answers the caller.
 
-use crate::forward::{Answer, Forwarded};
+use crate::forward::Answer;
+use crate::quarantine::track::Track;
 use crate::server::Flight;
 use base::http::{Body, BodyError};
 use bytes::Bytes;
@@ -10,11 +11,11 @@
 use hyper::body::{Frame, SizeHint};
 use hyper::header::{HeaderName, HeaderValue};
 use std::pin::Pin;
-use std::task::{Context, Poll};
-use steering::attempt::Outcome;
+use std::task::{Context, Poll, ready};
+use steering::attempt::{Outcome, Uncertainty};
 
 /// Builds the answer to the caller from what became of its request.
-pub fn reply(id: &str, forwarded: Forwarded) -> Response<Body> {
+pub fn reply(id: &str, forwarded: Result<(Answer, Track), Outcome>) -> Response<Body> {
     let mut response = match forwarded {
         Ok(answer) => served(answer),
         Err(outcome) => outcome::response(&outcome),
@@ -27,14 +28,16 @@
     response
 }
 
-fn served(answer: Answer) -> Response<Body> {
+fn served((answer, track): (Answer, Track)) -> Response<Body> {
     let Answer { response, flight } = answer;
     let mut response = response.map(|body| {
-        Streamed {
+        let mut streamed = Streamed {
             body,
-            _flight: flight,
-        }
-        .boxed_unsync()
+            open: Some((flight, track)),
+            cut: None,
+        };
+        streamed.close_at_end();
+        streamed.boxed_unsync()
     });
     outcome::mark(response.headers_mut(), &Outcome::Served);
     response
@@ -43,7 +46,33 @@
 /// Body that keeps its request counted as in flight until it ends.
 struct Streamed {
     body: Body,
-    _flight: Flight,
+    open: Option<(Flight, Track)>,
+    /// Set once the answer was interrupted; ends with the error for the caller.
+    cut: Option<Pin<Box<dyn Future<Output = BodyError> + Send>>>,
+}
+
+impl Streamed {
+    fn close_at_end(&mut self) {
+        if hyper::body::Body::is_end_stream(&self.body) {
+            self.close();
+        }
+    }
+
+    /// Records that the answer was whole.
+    fn close(&mut self) {
+        if let Some((_flight, mut track)) = self.open.take() {
+            track.served();
+        }
+    }
+}
+
+/// Records that the answer was interrupted; the end is held if the server crashed.
+async fn cut(open: Option<(Flight, Track)>, error: BodyError) -> BodyError {
+    if let Some((flight, mut track)) = open {
+        track.end(&Outcome::Unknown(Uncertainty::Interrupted));
+        track.interrupted(&flight).await;
+    }
+    error
 }
 
 impl hyper::body::Body for Streamed {
@@ -54,11 +83,33 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        if self.cut.is_none() {
+            match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                Some(Err(error)) => {
+                    let open = self.open.take();
+                    self.cut = Some(Box::pin(cut(open, error)));
+                }
+                Some(frame) => {
+                    self.close_at_end();
+                    return Poll::Ready(Some(frame));
+                }
+                None => {
+                    self.close();
+                    return Poll::Ready(None);
+                }
+            }
+        }
+        match &mut self.cut {
+            Some(cut) => {
+                let error = ready!(cut.as_mut().poll(cx));
+                Poll::Ready(Some(Err(error)))
+            }
+            None => Poll::Ready(None),
+        }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.cut.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::metrics::Metrics;
 use crate::pipeline::Pipeline;
+use crate::quarantine::exchange;
 use crate::settings::Settings;
 use crate::share;
 use crate::snapshot::Snapshot;
@@ -28,6 +29,7 @@
     let mut registry = Registry::with_prefix("cardamomhall");
     metrics.register(&mut registry);
     let snapshot = watch::Sender::new(Arc::new(Snapshot::default()));
+    let followed = snapshot.subscribe();
     let pipeline = Arc::new(Pipeline::new(
         settings.clone(),
         snapshot.subscribe(),
@@ -46,6 +48,7 @@
         ..Limits::default()
     };
     let served = pipeline.clone();
+    let quarantine = pipeline.quarantine().clone();
     let handler = move |request, _| {
         let pipeline = pipeline.clone();
         async move { pipeline.handle(request).await }
@@ -54,6 +57,7 @@
     tokio::join!(
         local::follow(settings.control, stop.clone(), update),
         base::http::server::serve(listener, limits, stop.clone(), handler),
+        exchange::run(quarantine, followed, settings.control, stop.clone()),
         share::run(share, served, stop.clone()),
         base::metrics::serve(exposed, registry, stop),
     );
--- a/programs/entry/src/settings.rs
+++ b/programs/entry/src/settings.rs
@@ -25,6 +25,10 @@
     pub metrics: SocketAddr,
     /// Address of this VM's control process.
     pub control: SocketAddr,
+    /// Address of the platform's service, whose table holds claims on ids that name no VM.
+    pub platform: SocketAddr,
+    /// Longest time for one call to the platform.
+    pub platform_timeout: Span,
     /// Secret under which key digests are computed; the same on all VMs.
     pub key_secret: Box<str>,
     /// Largest request body, in bytes.
@@ -52,6 +56,8 @@
             share: loopback(7301),
             metrics: loopback(7302),
             control: loopback(7100),
+            platform: loopback(7000),
+            platform_timeout: Span(Duration::from_secs(2)),
             key_secret: "".into(),
             body_bytes: 1024 * 1024,
             body_timeout: Span(Duration::from_secs(10)),
@@ -89,6 +95,7 @@
             .field("listen", &self.listen)
             .field("share", &self.share)
             .field("control", &self.control)
+            .field("platform", &self.platform)
             .finish_non_exhaustive()
     }
 }
--- a/programs/entry/src/share.rs
+++ b/programs/entry/src/share.rs
@@ -11,8 +11,7 @@
 
 #[derive(Clone)]
 struct Server {
-    // TODO: the calls below answer from it.
-    _pipeline: Arc<Pipeline>,
+    pipeline: Arc<Pipeline>,
 }
 
 impl Share for Server {
@@ -20,8 +19,9 @@
         Frame::new(None)
     }
 
-    async fn claim(self, _: Context, _question: Frame<Question>) -> Frame<Option<Answer>> {
-        Frame::new(None)
+    async fn claim(self, _: Context, question: Frame<Question>) -> Frame<Option<Answer>> {
+        let question = question.open().ok();
+        Frame::new(question.map(|question| self.pipeline.claims().settle(&question)))
     }
 
     async fn servers(self, _: Context, _news: Frame<Servers>) -> Frame<Servers> {
@@ -29,15 +29,17 @@
     }
 
     async fn suspects(self, _: Context, news: Frame<Suspects>) -> Frame<Suspects> {
-        news
+        let quarantine = self.pipeline.quarantine();
+        if let Ok(news) = news.open() {
+            quarantine.take(&news);
+        }
+        Frame::new(quarantine.hello())
     }
 }
 
 /// Serves until `stop` is cancelled.
 pub async fn run(listener: TcpListener, pipeline: Arc<Pipeline>, stop: CancellationToken) {
-    let server = Server {
-        _pipeline: pipeline,
-    };
+    let server = Server { pipeline };
     wire::accept(listener, stop, |stream| {
         wire::serve(stream, server.clone().serve())
     })
--- a/programs/entry/src/snapshot.rs
+++ b/programs/entry/src/snapshot.rs
@@ -22,6 +22,7 @@
     steps: IndexMap<Box<str>, Step>,
     draining: IndexSet<Box<str>>,
     servers: IndexMap<Box<str>, Arc<Server>>,
+    nodes: Vec<list::Node>,
 }
 
 impl Snapshot {
@@ -44,6 +45,11 @@
             steps: state.steps.clone(),
             draining: &self.draining | &state.draining,
             servers: self.connected(&state.list, pool),
+            nodes: if state.list.nodes.is_empty() {
+                self.nodes.clone()
+            } else {
+                state.list.nodes.clone()
+            },
         }
     }
 
@@ -103,6 +109,16 @@
         self.steps.get(release)
     }
 
+    /// Returns the VMs of the system.
+    pub fn nodes(&self) -> &[list::Node] {
+        &self.nodes
+    }
+
+    /// Returns all backend servers.
+    pub fn all_servers(&self) -> impl Iterator<Item = &Arc<Server>> {
+        self.servers.values()
+    }
+
     /// Returns the servers of a service and version that may get new work.
     pub fn servers<'a>(
         &'a self,
@@ -115,6 +131,7 @@
                 && listed.label == *label
                 && listed.state == list::State::Live
                 && !self.draining.contains(&listed.name)
+                && !server.reserved()
         })
     }
 }
--- a/programs/lookup/src/index.rs
+++ b/programs/lookup/src/index.rs
@@ -1,6 +1,6 @@
 //! Prepared answers for every data centre.
 
-use base::id::DataCentre;
+use base::id::{DataCentre, Incarnation, Vm};
 use bytes::Bytes;
 use callers::answer;
 use indexmap::IndexMap;
@@ -8,6 +8,8 @@
 use peers::local::State;
 use platform::list;
 use std::net::IpAddr;
+use std::time::Duration;
+use steering::claims;
 use steering::lookup::{Answer, Entry, Map, map};
 
 /// Time for which callers may use an answer, in milliseconds.
@@ -15,6 +17,16 @@
 /// A stopping VM outlives the answers that name it, so this bounds the time of a planned stop.
 pub const TTL_MS: u64 = 5_000;
 
+/// Time for which request ids under a prefix stay valid, in seconds.
+///
+/// Entries keep claims for 900 s; the difference covers clocks that differ between VMs.
+const ID_SECONDS: u64 = 600;
+
+/// Time after which answers are prepared anew, so that their prefixes stay fresh.
+pub const REFRESH: Duration = Duration::from_secs(60);
+
+type Prefixes = IndexMap<Vm, Box<str>>;
+
 /// Prepared answers; replaced whole when the configuration or the list changes.
 #[derive(Debug, Default)]
 pub struct Index {
@@ -31,18 +43,24 @@
 
 impl Index {
     /// Prepares all answers.
-    pub fn build(state: &State, home: &str) -> Self {
+    pub fn build(state: &State, home: &str, unix_seconds: u64) -> Self {
         let Ok(bundle) = Bundle::parse(&state.files) else {
             return Self::default();
         };
         let entries: Vec<Entry> = live(&state.list.nodes).collect();
+        let expires = unix_seconds + ID_SECONDS;
+        let prefix =
+            |(vm, run): (&Vm, &Incarnation)| (vm.clone(), claims::prefix(vm, *run, expires));
+        let prefixes: Prefixes = state.runs.iter().map(prefix).collect();
         let fleet = &bundle.fleet;
         let mut index = Self::default();
         let mut numbers: IndexMap<&DataCentre, map::Site> = IndexMap::new();
         for centre in fleet.data_centres() {
             let region = fleet.region(centre).map_or("", |region| region);
             numbers.insert(centre, index.sites.len() as map::Site);
-            index.sites.push(Site::build(&entries, centre, region));
+            index
+                .sites
+                .push(Site::build(&entries, &prefixes, centre, region));
         }
         for block in &fleet.clients {
             if let Some(site) = numbers.get(&block.value.data_centre) {
@@ -64,10 +82,11 @@
 }
 
 impl Site {
-    fn build(entries: &[Entry], centre: &str, region: &str) -> Self {
+    fn build(entries: &[Entry], prefixes: &Prefixes, centre: &str, region: &str) -> Self {
         let local = entries.iter().filter(|e| &*e.data_centre == centre).count();
         let turns = if entries.is_empty() { 0 } else { local.max(1) };
-        let answers = (0..turns).map(|turn| encode(Answer::rank(entries, centre, region, turn)));
+        let answers =
+            (0..turns).map(|turn| encode(Answer::rank(entries, centre, region, turn), prefixes));
         Self {
             answers: answers.collect(),
         }
@@ -95,11 +114,11 @@
         })
 }
 
-fn encode(ranked: Answer) -> Bytes {
+fn encode(ranked: Answer, prefixes: &Prefixes) -> Bytes {
     let entries = ranked.entries.into_iter().map(|entry| answer::Entry {
+        id_prefix: prefixes.get(&entry.vm).cloned(),
         vm: entry.vm,
         address: entry.address,
-        id_prefix: None,
     });
     let answer = answer::Answer {
         entries: entries.collect(),
--- a/programs/lookup/src/run.rs
+++ b/programs/lookup/src/run.rs
@@ -1,13 +1,13 @@
 //! Starts the tasks of the look-up.
 
-use crate::index::Index;
+use crate::index::{Index, REFRESH};
 use crate::metrics::Metrics;
 use crate::server;
 use crate::settings::Settings;
 use peers::local;
 use prometheus_client::registry::Registry;
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -26,12 +26,27 @@
     let index = watch::Sender::new(Arc::new(Index::default()));
     let receiver = index.subscribe();
     let home = settings.data_centre.clone();
-    let update = move |state: &local::State| {
-        index.send_replace(Arc::new(Index::build(state, &home)));
+    let build = |state: &local::State| {
+        let seconds = base::clock::unix_millis() / 1000;
+        index.send_replace(Arc::new(Index::build(state, &home, seconds)));
     };
+    let last = Mutex::new(None);
+    let update = |state: &local::State| {
+        build(state);
+        *last.lock().unwrap_or_else(PoisonError::into_inner) = Some(state.clone());
+    };
+    let refresh = async {
+        loop {
+            tokio::time::sleep(REFRESH).await;
+            let state = last.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            state.iter().for_each(build);
+        }
+    };
+    let refreshing = stop.clone();
     log::info!("answering on {}", settings.listen);
     tokio::join!(
         local::follow(settings.control, stop.clone(), update),
+        refreshing.run_until_cancelled(refresh),
         server::run(listener, receiver, metrics, stop.clone()),
         base::metrics::serve(exposed, registry, stop),
     );
--- a/tests/integration/src/lib.rs
+++ b/tests/integration/src/lib.rs
@@ -1,5 +1,7 @@
 //! Starts deployments of real processes on loopback for the tests of this package.
 
+pub mod call;
+
 use base::http::client::{Answer, Target};
 use bench::args::Load;
 use bench::load::Summary;
@@ -7,6 +9,7 @@
 use hyper::Method;
 use operators::admin::{Client, Issue, Issued, Proposal, Verdict};
 use operators::bundle::Files;
+use platform::list::{Backend, List};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -36,6 +39,15 @@
     ///
     /// Panics if a file can't be written or a program can't be started.
     pub fn start(deployment: Deployment, port: u16) -> Self {
+        Self::start_with(deployment, port, "")
+    }
+
+    /// Starts all processes of a deployment with further settings of the entries, in YAML.
+    ///
+    /// # Panics
+    ///
+    /// Panics as [`Fleet::start`] does.
+    pub fn start_with(deployment: Deployment, port: u16, entry_settings: &str) -> Self {
         let directory = std::env::temp_dir().join(format!("cardamomhall-{port}"));
         topology::write(deployment, &directory, port).expect("files of the deployment");
         let lines = std::fs::read_to_string(directory.join("processes")).expect("process list");
@@ -44,11 +56,67 @@
             processes: Vec::new(),
         };
         for line in lines.lines() {
+            if let Some((_, file)) = line.split_once(" entry --settings ") {
+                let settings = std::fs::read_to_string(file).expect("settings");
+                std::fs::write(file, settings + entry_settings).expect("settings");
+            }
             fleet.spawn(line);
         }
         fleet
     }
 
+    /// Returns the names of the processes that ended by themselves or were killed.
+    pub fn ended(&mut self) -> Vec<Box<str>> {
+        let ended = |child: &mut Child| !matches!(child.try_wait(), Ok(None));
+        let processes = self.processes.iter_mut();
+        let names = processes.filter_map(|(name, child)| ended(child).then(|| name.clone()));
+        names.collect()
+    }
+
+    /// Returns the backend servers of a service by name, with their addresses.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the platform's stand-in does not answer.
+    pub async fn backends(&self, service: &str) -> Vec<Backend> {
+        let answer = self
+            .platform(Method::GET, "/vms", &serde_json::Value::Null)
+            .await;
+        let list: List = answer.decode().expect("the list");
+        let mut backends = list.backends;
+        backends.retain(|backend| &*backend.service == service);
+        backends
+    }
+
+    /// Changes the behaviour of a backend server.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not answer.
+    pub async fn switch(&self, backend: &Backend, behaviour: &serde_json::Value) {
+        backend_target(backend)
+            .call_json(Method::PUT, "/switch", behaviour)
+            .await
+            .expect("the stand-in answers");
+    }
+
+    /// Returns the sum of a count, such as `served`, or of `in_flight` over backend servers; one
+    /// that does not answer counts as 0.
+    pub async fn sum(&self, backends: &[Backend], count: &str) -> u64 {
+        let path = if count == "in_flight" {
+            "/health"
+        } else {
+            "/counts"
+        };
+        let mut sum = 0;
+        for backend in backends {
+            let answer = backend_target(backend).call(Method::GET, path, "").await;
+            let value = answer.and_then(|answer| answer.decode::<serde_json::Value>());
+            sum += value.map_or(0, |value| value[count].as_u64().unwrap_or(0));
+        }
+        sum
+    }
+
     fn spawn(&mut self, line: &str) {
         let (name, command) = line.split_once(' ').expect("name and command");
         let mut words = command.split(' ');
@@ -213,6 +281,14 @@
     }
 }
 
+fn backend_target(backend: &Backend) -> Target {
+    Target {
+        address: backend.address,
+        timeout: CALL_TIMEOUT,
+        authorization: None,
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for (_, child) in &mut self.processes {
--- /dev/null
+++ b/tests/integration/tests/answers.rs
@@ -0,0 +1,275 @@
+//! Definite outcomes and at-most-once execution through separate processes.
+
+use bench::topology::{ATLAS, Deployment, Service};
+use callers::answer::Answer;
+use hyper::Method;
+use integration::call::{Call, Reply};
+use integration::{Fleet, until};
+use serde_json::json;
+use std::net::SocketAddr;
+use tokio::io::AsyncReadExt;
+
+const fn service(name: &'static str) -> Service {
+    Service {
+        name,
+        servers: 4,
+        slots: 3,
+        service_ms: 8,
+    }
+}
+
+const SMALL: Deployment = Deployment {
+    nodes: 3,
+    services: &[service("booking"), service("lookup")],
+    ..ATLAS
+};
+
+/// A fleet with a key that all its entries know.
+async fn start(port: u16, settings: &str) -> (Fleet, String) {
+    let fleet = Fleet::start_with(SMALL, port, settings);
+    fleet.publish("vm-01", "atlas").await;
+    let key = String::from(fleet.issue("vm-01", "toubkal").await.key);
+    for vm in ["vm-01", "vm-02", "vm-03"] {
+        until("the entry serves the key", async || {
+            let call = Call::new("GET /lookup/permits", &key);
+            call.send(entry(&fleet, vm)).await.outcome() == "served"
+        })
+        .await;
+    }
+    (fleet, key)
+}
+
+fn entry(fleet: &Fleet, vm: &str) -> SocketAddr {
+    fleet.address(&format!("{vm}-entry"), "listen")
+}
+
+/// Returns the id prefix of `vm` from the look-up of `asked`.
+async fn prefix(fleet: &Fleet, asked: &str, vm: &str) -> Option<String> {
+    let address = fleet.address(&format!("{asked}-lookup"), "listen");
+    let reply = Call::new("GET /v1/entries", "").send(address).await;
+    let answer: Answer = serde_json::from_slice(&reply.body).ok()?;
+    let entry = answer.entries.into_iter().find(|entry| &*entry.vm == vm)?;
+    entry.id_prefix.map(Into::into)
+}
+
+async fn id(fleet: &Fleet, vm: &str, random: &str) -> String {
+    until("the look-up hands out the prefix", async || {
+        prefix(fleet, "vm-02", vm).await.is_some()
+    })
+    .await;
+    prefix(fleet, "vm-02", vm).await.expect("a prefix") + random
+}
+
+fn book(key: &str, id: &str) -> Call {
+    Call::new("POST /booking/bookings", key)
+        .with("x-request-id", id)
+        .body("permit")
+}
+
+/// Makes each booking take seconds.
+async fn slow_down(fleet: &Fleet, service: &str) {
+    for backend in fleet.backends(service).await {
+        fleet.switch(&backend, &json!({ "slowdown": 250.0 })).await;
+    }
+}
+
+/// Guards against a second run of a finished id, on the same VM and on another.
+#[tokio::test(flavor = "multi_thread")]
+async fn finished_id_is_never_run_again() {
+    let (fleet, key) = start(27_000, "").await;
+    let backends = fleet.backends("booking").await;
+    let call = book(&key, &id(&fleet, "vm-01", "a1").await);
+
+    let first = call.send(entry(&fleet, "vm-01")).await;
+    assert_eq!(first.outcome(), "served");
+    for vm in ["vm-01", "vm-02", "vm-03"] {
+        let resend = call.send(entry(&fleet, vm)).await;
+        assert_eq!(resend.outcome(), "served: served-before", "through {vm}");
+    }
+    assert_eq!(fleet.sum(&backends, "served").await, 1);
+
+    // An id that was asked about before it came is closed.
+    let late = book(&key, &id(&fleet, "vm-01", "a2").await);
+    let asked = late.send(entry(&fleet, "vm-03")).await;
+    assert_eq!(asked.outcome(), "not-run: claim-expired");
+    let arrived = late.send(entry(&fleet, "vm-01")).await;
+    assert_eq!(arrived.outcome(), "not-run: claim-expired");
+    assert_eq!(fleet.sum(&backends, "served").await, 1);
+}
+
+/// Guards the claims of ids that name no VM: one run over all VMs, definite refusal in an outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn id_without_vm_is_claimed_in_the_table() {
+    let (fleet, key) = start(27_100, "").await;
+    let backends = fleet.backends("booking").await;
+    let calls: Vec<_> = (0..20).map(|n| book(&key, &format!("plain-{n}"))).collect();
+    let sends = calls.iter().flat_map(|call| {
+        let addresses = ["vm-01", "vm-02", "vm-03"].map(|vm| entry(&fleet, vm));
+        addresses.map(|address| {
+            let call = call.clone();
+            tokio::spawn(async move { call.send(address).await })
+        })
+    });
+    let sends: Vec<_> = sends.collect();
+    let mut served = 0;
+    for send in sends {
+        let outcome = send.await.expect("a reply").outcome();
+        served += usize::from(outcome == "served");
+        assert!(!outcome.starts_with("not-run"), "{outcome}");
+    }
+    assert_eq!(served, 20, "each id is served once over three copies");
+    assert_eq!(fleet.sum(&backends, "served").await, 20);
+
+    fleet
+        .platform(Method::PUT, "/switch", &json!({ "outage": true }))
+        .await;
+    let refused = book(&key, "plain-x").send(entry(&fleet, "vm-01")).await;
+    assert_eq!(refused.outcome(), "not-run: claims-unavailable");
+    let resend = book(&key, "plain-1").with("x-resend", "1");
+    let resend = resend.send(entry(&fleet, "vm-02")).await;
+    assert_eq!(resend.outcome(), "unknown: claims-unavailable");
+    assert_eq!(fleet.sum(&backends, "served").await, 20);
+}
+
+/// Guards at-most-once across the death of the entry that has the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_survives_kill_of_its_entry_at_most_once() {
+    let (mut fleet, key) = start(27_200, "").await;
+    let backends = fleet.backends("booking").await;
+    slow_down(&fleet, "booking").await;
+    let call = book(&key, &id(&fleet, "vm-01", "k1").await);
+    let first = tokio::spawn({
+        let (call, address) = (call.clone(), entry(&fleet, "vm-01"));
+        async move { call.send(address).await }
+    });
+    until("a server runs the booking", async || {
+        fleet.sum(&backends, "in_flight").await == 1
+    })
+    .await;
+    let resend = call.send(entry(&fleet, "vm-02")).await;
+    assert_eq!(resend.outcome(), "unknown: in-flight");
+    fleet.signal("vm-01-entry", "KILL");
+    fleet.wait("vm-01-entry");
+    assert_eq!(first.await.expect("ends"), Reply::default());
+
+    let resend = call.send(entry(&fleet, "vm-02")).await;
+    assert_eq!(resend.outcome(), "unknown: vm-unreachable");
+    fleet.restart("vm-01-entry");
+    for vm in ["vm-01", "vm-03"] {
+        until("the dead incarnation is known", async || {
+            let outcome = call.send(entry(&fleet, vm)).await.outcome();
+            assert!(
+                outcome.is_empty()
+                    || !outcome.starts_with("not-run")
+                    || outcome == "not-run: no-route",
+                "{outcome}"
+            );
+            outcome == "unknown: incarnation-dead"
+        })
+        .await;
+    }
+    until("no server runs the booking", async || {
+        fleet.sum(&backends, "in_flight").await == 0
+    })
+    .await;
+    assert!(fleet.sum(&backends, "served").await <= 1);
+}
+
+/// Guards against a cut answer that looks whole, and against a false "not run" for a silent server.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_server_gives_a_visible_interruption() {
+    let (fleet, key) = start(27_300, "read_timeout: 500ms\n").await;
+    let call = Call::new("GET /lookup/permits", &key).with("x-answer-bytes", "33554432");
+    let stream = call.open(entry(&fleet, "vm-01")).await;
+    let mut stream = stream.expect("a connection");
+    let mut start = vec![0; 4096];
+    let count = stream.read(&mut start).await.expect("the head");
+    start.truncate(count);
+    let head = String::from_utf8_lossy(&start).into_owned();
+    let server = head
+        .lines()
+        .find_map(|line| line.strip_prefix("x-server: "));
+    let server = server.expect("name of the server").to_owned();
+    fleet.signal(&server, "STOP");
+    let reply = Reply::read(&mut stream, start).await;
+    fleet.signal(&server, "CONT");
+    assert_eq!(reply.header("content-length"), "33554432");
+    assert!(!reply.whole(), "{} bytes", reply.body.len());
+
+    slow_down(&fleet, "booking").await;
+    let backends = fleet.backends("booking").await;
+    let send = tokio::spawn({
+        let call = book(&key, &id(&fleet, "vm-01", "s1").await);
+        let address = entry(&fleet, "vm-01");
+        async move { call.send(address).await }
+    });
+    let reply = send.await.expect("a reply");
+    assert_eq!(reply.outcome(), "unknown: silent");
+    until("the silent request is cancelled", async || {
+        fleet.sum(&backends, "in_flight").await == 0
+    })
+    .await;
+}
+
+/// Guards against work for callers that left, and against a claim that stays in flight for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_caller_frees_the_server() {
+    let (fleet, key) = start(27_400, "").await;
+    slow_down(&fleet, "booking").await;
+    let backends = fleet.backends("booking").await;
+    let call = book(&key, &id(&fleet, "vm-01", "l1").await);
+    let stream = call.open(entry(&fleet, "vm-01")).await;
+    until("a server runs the booking", async || {
+        fleet.sum(&backends, "in_flight").await == 1
+    })
+    .await;
+    drop(stream);
+    until("the server gave the booking up", async || {
+        fleet.sum(&backends, "cancelled").await == 1
+    })
+    .await;
+    let resend = call.send(entry(&fleet, "vm-02")).await;
+    assert_eq!(resend.outcome(), "unknown: cancelled");
+    assert_eq!(fleet.sum(&backends, "served").await, 0);
+}
+
+/// Guards against answers of another request: callers leave at any time, and each answer reports
+/// the length of the body that it belongs to.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_caller_gets_its_own_answer() {
+    let (fleet, key) = start(27_500, "").await;
+    let address = entry(&fleet, "vm-01");
+    let callers: Vec<_> = (0..8_usize)
+        .map(|caller| {
+            let key = key.clone();
+            tokio::spawn(async move {
+                let mut served = 0;
+                for turn in 0..40_usize {
+                    let length = 1 + caller * 40 + turn;
+                    let call = Call::new("POST /booking/bookings", &key).body("b".repeat(length));
+                    if turn % 3 == 0 {
+                        let stream = call.open(address).await;
+                        tokio::time::sleep(std::time::Duration::from_millis(turn as u64)).await;
+                        drop(stream);
+                        continue;
+                    }
+                    let reply = call.send(address).await;
+                    if reply.outcome() != "served" {
+                        continue;
+                    }
+                    assert!(reply.whole());
+                    let body: serde_json::Value =
+                        serde_json::from_slice(&reply.body).expect("an answer");
+                    assert_eq!(body["received"], length);
+                    served += 1;
+                }
+                served
+            })
+        })
+        .collect();
+    let mut served = 0;
+    for caller in callers {
+        served += caller.await.expect("no wrong answer");
+    }
+    assert!(served > 0);
+}
--- /dev/null
+++ b/tests/integration/tests/quarantine.rs
@@ -0,0 +1,120 @@
+//! A request that crashes backend servers, through separate processes.
+
+use bench::topology::{ATLAS, Deployment, Service};
+use integration::call::Call;
+use integration::{Fleet, until};
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+const fn service(name: &'static str) -> Service {
+    Service {
+        name,
+        servers: 12,
+        slots: 3,
+        service_ms: 5,
+    }
+}
+
+/// Two VMs in each of the first two data centres, one in the others.
+const LOOKUP: Deployment = Deployment {
+    nodes: 8,
+    services: &[service("lookup")],
+    ..ATLAS
+};
+const BOOKING: Deployment = Deployment {
+    services: &[service("booking")],
+    ..LOOKUP
+};
+
+/// Sends other requests through all VMs until `stop`; returns the outcomes.
+async fn others(
+    line: &'static str,
+    key: String,
+    entries: Vec<SocketAddr>,
+    stop: Arc<AtomicBool>,
+) -> BTreeMap<String, usize> {
+    let mut outcomes = BTreeMap::new();
+    for (number, address) in (0..).zip(entries.iter().cycle()) {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let call = Call::new(format!("{line}?other={number}"), &key);
+        *outcomes
+            .entry(call.send(*address).await.outcome())
+            .or_default() += 1;
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    outcomes
+}
+
+/// Guards the bound on the servers that one request takes down: at most 2 in a data centre and 3
+/// in all, also on an idempotent route, whose requests are retried; other requests go on.
+#[rstest]
+#[case::idempotent(LOOKUP, "GET /lookup/permits", 27_600)]
+#[case::once(BOOKING, "POST /booking/bookings", 27_700)]
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request_kills_few_servers(
+    #[case] deployment: Deployment,
+    #[case] line: &'static str,
+    #[case] port: u16,
+) {
+    let mut fleet = Fleet::start(deployment, port);
+    fleet.publish("vm-01", "atlas").await;
+    let key = String::from(fleet.issue("vm-01", "toubkal").await.key);
+    let vms: Vec<_> = (1..=8).map(|n| format!("vm-{n:02}-entry")).collect();
+    let entries: Vec<_> = vms.iter().map(|vm| fleet.address(vm, "listen")).collect();
+    for entry in &entries {
+        until("the entry serves the key", async || {
+            Call::new(line, &key).send(*entry).await.outcome() == "served"
+        })
+        .await;
+    }
+    let centres: BTreeMap<Box<str>, Box<str>> = fleet
+        .backends(deployment.services[0].name)
+        .await
+        .into_iter()
+        .map(|backend| (backend.name, backend.data_centre))
+        .collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let background = others(line, key.clone(), entries.clone(), stop.clone());
+    let background = tokio::spawn(background);
+
+    let crash = Call::new(format!("{line}?crash"), &key).with("x-crash", "1");
+    let mut killed: BTreeMap<Box<str>, usize> = BTreeMap::new();
+    let mut refused = 0;
+    let mut told = BTreeMap::new();
+    // All VMs refuse it for good after as many sends as VMs in a row were refused.
+    for entry in entries.iter().cycle().take(2000) {
+        let outcome = crash.send(*entry).await.outcome();
+        refused = if outcome == "not-run: quarantined" {
+            refused + 1
+        } else {
+            0
+        };
+        *told.entry(outcome).or_insert(0) += 1;
+        for name in fleet.ended() {
+            *killed.entry(centres[&name].clone()).or_default() += 1;
+            fleet.restart(&name);
+        }
+        if refused > 2 * entries.len() {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    let outcomes = background.await.expect("outcomes");
+    println!("killed {killed:?}, crashing request {told:?}, others {outcomes:?}");
+    assert!(refused > 2 * entries.len(), "not quarantined: {told:?}");
+    assert!(killed.values().all(|count| *count <= 2), "{killed:?}");
+    assert!(killed.values().sum::<usize>() <= 3, "{killed:?}");
+    // At each crash, at most the other two slots of the server had other requests.
+    let total: usize = outcomes.values().sum();
+    assert!(outcomes["served"] + 2 * 3 >= total, "{outcomes:?}");
+    for entry in &entries {
+        let after = Call::new(line, &key).send(*entry).await;
+        assert_eq!(after.outcome(), "served");
+    }
+}
--- a/tools/bench/src/topology.rs
+++ b/tools/bench/src/topology.rs
@@ -206,7 +206,7 @@
         );
         let entry_settings = format!(
             "{place}listen: {entry}\nshare: {share}\nmetrics: {entry_metrics}\n\
-             control: {local}\nkey_secret: {KEY_SECRET}\n"
+             control: {local}\nplatform: {platform}\nkey_secret: {KEY_SECRET}\n"
         );
         let lookup_settings = format!(
             "data_centre: {data_centre}\nlisten: {lookup}\nmetrics: {lookup_metrics}\n\
