--- a/crates/peers/src/share.rs
+++ b/crates/peers/src/share.rs
@@ -1,12 +1,18 @@
 //! Messages between entries.
 
 use crate::wire::{self, Error, Frame};
-use base::id::{Incarnation, Request, Server, Vm, Workspace};
+use base::id::{Incarnation, Request, Server, Service, Vm, Workspace};
 use std::net::SocketAddr;
 use steering::balance::{Notice, Summary};
 use steering::limits::{Borrow, Lent};
 use steering::quarantine::Delta;
 
+/// Largest body of an answer to a passed request, in bytes; half of the largest frame.
+pub const REPLY_BYTES: usize = wire::FRAME_BYTES / 2;
+
+/// Name and value of a header.
+pub type Header = (Box<str>, Vec<u8>);
+
 base::message! {
     /// Question to the VM that a request id names.
     pub struct Question {
@@ -33,6 +39,36 @@
         pub notices: Vec<Notice>,
     }
 
+    /// A suspected request, passed to the VM that runs the trials.
+    pub struct Passed {
+        /// Request id.
+        pub request: Request,
+        /// Key of the caller; never logged.
+        pub key: Option<Box<str>>,
+        /// Service.
+        pub service: Service,
+        /// Method.
+        pub method: Box<str>,
+        /// Path and query for the backend server.
+        pub target: Box<str>,
+        /// Headers without the key.
+        pub headers: Vec<Header>,
+        /// Whole body.
+        pub body: Vec<u8>,
+        /// Time left until the deadline, in milliseconds.
+        pub left_ms: u64,
+    }
+
+    /// Answer to a passed request, as its caller gets it.
+    pub struct Reply {
+        /// Status code.
+        pub status: u16,
+        /// Headers; they name the outcome.
+        pub headers: Vec<Header>,
+        /// Whole body; none if it was interrupted or is larger than [`REPLY_BYTES`].
+        pub body: Option<Vec<u8>>,
+    }
+
     /// News on requests that crash backend servers.
     pub struct Suspects {
         /// Sender.
@@ -58,6 +94,9 @@
     /// Exchanges news on backend servers.
     async fn servers(news: Frame<Servers>) -> Frame<Servers>;
 
+    /// Runs a suspected request; none if the request does not parse.
+    async fn pass(passed: Frame<Passed>) -> Frame<Option<Reply>>;
+
     /// Exchanges news on requests that crash backend servers.
     async fn suspects(news: Frame<Suspects>) -> Frame<Suspects>;
 }
--- a/programs/entry/src/claims.rs
+++ b/programs/entry/src/claims.rs
@@ -111,7 +111,9 @@
             |client: ShareClient, context| async move { client.claim(context, question).await };
         match self.links.call(node.share, limit, ask).await {
             Ok(frame) => match frame.open() {
-                Ok(Some(answer)) => parse(&answer).unwrap_or(unreachable),
+                Ok(Some(answer)) => {
+                    outcome_of(&answer.outcome, &answer.reason).unwrap_or(unreachable)
+                }
                 _ => unreachable,
             },
             Err(error) => {
@@ -177,18 +179,18 @@
     }
 }
 
-/// Reads another VM's answer.
-fn parse(answer: &Answer) -> Option<Outcome> {
-    match &*answer.outcome {
+/// Reads an outcome as another VM told it.
+pub fn outcome_of(outcome: &str, reason: &str) -> Option<Outcome> {
+    match outcome {
         outcome::SERVED => Some(Outcome::ServedBefore),
         outcome::NOT_RUN => Refusal::ALL
             .iter()
-            .find(|reason| reason.text() == &*answer.reason)
-            .map(|reason| Attempt::new(false).give_up(*reason)),
+            .find(|known| known.text() == reason)
+            .map(|known| Attempt::new(false).give_up(*known)),
         outcome::UNKNOWN => Uncertainty::ALL
             .iter()
-            .find(|cause| cause.text() == &*answer.reason)
-            .map(|cause| Outcome::Unknown(*cause)),
+            .find(|known| known.text() == reason)
+            .map(|known| Outcome::Unknown(*known)),
         _ => None,
     }
 }
--- a/programs/entry/src/metrics.rs
+++ b/programs/entry/src/metrics.rs
@@ -22,6 +22,7 @@
     asked: Counter,
     crashes: Counter,
     trials: Counter,
+    passed: Counter,
 }
 
 impl Metrics {
@@ -55,6 +56,12 @@
         let crashes = self.crashes.clone();
         registry.register("crashes_seen", "Requests interrupted by a crash", crashes);
         let trials = self.trials.clone();
+        let passed = self.passed.clone();
+        registry.register(
+            "passed",
+            "Suspected requests passed to their keeper",
+            passed,
+        );
         registry.register("trials", "Trial runs of suspected requests", trials);
     }
 
@@ -68,6 +75,11 @@
         self.crashes.inc();
     }
 
+    /// Counts a suspected request that is passed on.
+    pub fn pass(&self) {
+        self.passed.inc();
+    }
+
     /// Counts a trial run.
     pub fn trial(&self) {
         self.trials.inc();
--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -1,19 +1,23 @@
 //! Path of a request through the entry.
 
 use crate::admission::Admission;
+use crate::authorise;
 use crate::authorise::Grant;
 use crate::claims::Claims;
-use crate::forward::{Answer, Forwarded, forward};
+use crate::forward::{Forwarded, forward};
 use crate::metrics::Metrics;
-use crate::quarantine::Quarantine;
 use crate::quarantine::track::Track;
+use crate::quarantine::{Quarantine, pass};
 use crate::receive::{Call, receive};
+use crate::reply::{self, Ended};
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
-use crate::{authorise, reply};
 use base::http::Body;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use peers::link::Links;
+use peers::share::ShareClient;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use steering::attempt::{Attempt, Outcome, Refusal};
 use tokio::sync::watch;
@@ -25,6 +29,7 @@
     snapshot: watch::Receiver<Arc<Snapshot>>,
     quarantine: Arc<Quarantine>,
     claims: Claims,
+    links: Links<ShareClient>,
     admission: Admission,
     metrics: Arc<Metrics>,
 }
@@ -40,6 +45,7 @@
         Self {
             quarantine: Arc::new(Quarantine::new(&settings, incarnation, metrics.clone())),
             claims: Claims::new(&settings, incarnation, metrics.clone()),
+            links: Links::default(),
             settings,
             snapshot,
             admission: Admission::default(),
@@ -76,18 +82,59 @@
         reply::reply(&id, forwarded)
     }
 
-    async fn run(&self, call: &Call) -> Result<(Answer, Track), Outcome> {
+    /// Answers a suspected request that another entry passed on; the other one keeps its claim
+    /// and has counted it against its limits.
+    pub async fn passed(&self, call: &Call) -> Response<Body> {
+        let snapshot = self.snapshot.borrow().clone();
+        let ended = async {
+            let secret = &self.settings.key_secret;
+            let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
+            let track = self.admitted(call, &grant, &snapshot).await?;
+            if track.keeper().is_some() {
+                // The two entries disagree on the keeper for a moment.
+                return Err(refused(Refusal::Suspected));
+            }
+            let forwarded = forward(
+                call,
+                &grant,
+                &snapshot,
+                &self.settings,
+                &self.metrics,
+                &track,
+            );
+            let answer = forwarded.await?;
+            Ok(Ended::Streamed(answer, track))
+        };
+        reply::reply(&call.id, ended.await)
+    }
+
+    async fn run(&self, call: &Call) -> Result<Ended, Outcome> {
         let snapshot = self.snapshot.borrow().clone();
         let secret = &self.settings.key_secret;
         let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
         let mut track = self.track(call, &grant, &snapshot).await?;
-        match self.proceed(call, &grant, &track).await {
-            Ok(answer) => Ok((answer, track)),
-            Err(outcome) => {
-                track.end(&outcome);
-                Err(outcome)
-            }
-        }
+        let result = match track.keeper() {
+            None => match self.proceed(call, &grant, &track).await {
+                Ok(answer) => return Ok(Ended::Streamed(answer, track)),
+                Err(outcome) => Err(outcome),
+            },
+            Some(keeper) => self.pass(call, &grant, &track, keeper).await,
+        };
+        track.end(result.as_ref().err().unwrap_or(&Outcome::Served));
+        result.map(Ended::Whole)
+    }
+
+    async fn pass(
+        &self,
+        call: &Call,
+        grant: &Grant<'_>,
+        track: &Track,
+        keeper: SocketAddr,
+    ) -> Result<Response<Body>, Outcome> {
+        self.admission.admit(call, grant).await.map_err(refused)?;
+        track.sent(true);
+        self.metrics.pass();
+        pass::send(&self.links, keeper, call).await
     }
 
     async fn track(
@@ -95,15 +142,24 @@
         call: &Call,
         grant: &Grant<'_>,
         snapshot: &Snapshot,
+    ) -> Result<Track, Outcome> {
+        let mut track = self.admitted(call, grant, snapshot).await?;
+        track.claimed(self.claims.claim(call, grant, snapshot).await?);
+        Ok(track)
+    }
+
+    async fn admitted(
+        &self,
+        call: &Call,
+        grant: &Grant<'_>,
+        snapshot: &Snapshot,
     ) -> Result<Track, Outcome> {
         let workspace = grant.workspace.as_deref().unwrap_or_default();
         let admitted = self
             .quarantine
             .admit(call, workspace, grant.service, snapshot);
         let admitted = admitted.await.map_err(refused)?;
-        let mut track = Track::new(self.quarantine.clone(), admitted);
-        track.claimed(self.claims.claim(call, grant, snapshot).await?);
-        Ok(track)
+        Ok(Track::new(self.quarantine.clone(), admitted))
     }
 
     async fn proceed(&self, call: &Call, grant: &Grant<'_>, track: &Track) -> Forwarded {
--- a/programs/entry/src/quarantine.rs
+++ b/programs/entry/src/quarantine.rs
@@ -5,6 +5,7 @@
 //! A paused or unreachable server does not refuse connections, so it is not taken for crashed.
 
 pub mod exchange;
+pub mod pass;
 pub mod track;
 
 use crate::metrics::Metrics;
@@ -12,11 +13,12 @@
 use crate::server::{Flight, Server};
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
-use base::id::{self, Incarnation, Service, Vm};
+use base::id::{self, DataCentre, Incarnation, Service, Vm};
 use indexmap::{IndexMap, IndexSet};
 use operators::service;
 use peers::local::Runs;
 use peers::share::Suspects;
+use platform::list::Node;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -73,13 +75,24 @@
     until: Instant,
 }
 
-/// A request that may run, and the only server that it may run on if it is a trial.
+/// A request that may run.
 #[derive(Debug)]
 pub struct Admitted {
     /// Digest of the request.
     pub digest: Digest,
-    /// Server of the trial.
-    pub trial: Option<Arc<Server>>,
+    /// Where it runs.
+    pub place: Place,
+}
+
+/// Where a request runs.
+#[derive(Debug, Clone)]
+pub enum Place {
+    /// On any server.
+    Any,
+    /// Alone on this server, as a trial.
+    Trial(Arc<Server>),
+    /// At the entry with this address, which runs the trials.
+    Keeper(SocketAddr),
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -118,34 +131,29 @@
     ) -> Result<Admitted, Refusal> {
         let path = call.target.to_string();
         let digest = quarantine::digest(workspace, call.method.as_str(), &path, &call.body);
-        let free = Admitted {
-            digest,
-            trial: None,
-        };
+        let at = |place| Ok(Admitted { digest, place });
         if !self.any.load(Ordering::Acquire) {
-            return Ok(free);
+            return at(Place::Any);
         }
         let now = Instant::now();
         let keeper = self.keeper(snapshot, now);
         let admit = lock(&self.register).admit(&digest, keeper, now);
         match admit {
-            Admit::Run => Ok(free),
+            Admit::Run => at(Place::Any),
             Admit::Refuse(Refusal::Suspected) => {
                 self.trial_server(service, snapshot).await;
                 Err(Refusal::Suspected)
             }
             Admit::Refuse(reason) => Err(reason),
-            // TODO: pass the request to the keeper; until then its caller meets the keeper by
-            // sending again through the other VMs of its look-up answer.
-            Admit::Refer(_) => Err(Refusal::Suspected),
+            Admit::Refer(centre) => match self.keeper_of(&centre, snapshot, now) {
+                Some(address) => at(Place::Keeper(address)),
+                None => Err(Refusal::Suspected),
+            },
             Admit::Trial => match self.trial_server(service, snapshot).await {
                 Some(server) => {
                     self.metrics.trial();
                     log::info!("request {}: trial run on {}", call.id, server.listed.name);
-                    Ok(Admitted {
-                        digest,
-                        trial: Some(server),
-                    })
+                    at(Place::Trial(server))
                 }
                 None => {
                     lock(&self.register).release(&digest);
@@ -158,14 +166,35 @@
     /// Returns whether this VM runs the trials of its data centre: the first live one by name.
     fn keeper(&self, snapshot: &Snapshot, now: Instant) -> bool {
         let own = snapshot.nodes().iter().find(|node| node.name == self.vm);
-        let Some(own) = own else {
-            return false;
-        };
+        let first = own.and_then(|own| self.first(&own.data_centre, snapshot, now));
+        first.is_some_and(|first| first.name == self.vm)
+    }
+
+    /// Returns the address of the keeper of a data centre, unless it is this VM.
+    fn keeper_of(
+        &self,
+        centre: &DataCentre,
+        snapshot: &Snapshot,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let first = self.first(centre, snapshot, now)?;
+        (first.name != self.vm).then_some(first.share)
+    }
+
+    fn first<'a>(
+        &self,
+        centre: &DataCentre,
+        snapshot: &'a Snapshot,
+        now: Instant,
+    ) -> Option<&'a Node> {
         let peers = lock(&self.peers);
         let heard = |vm: &Vm| peers.get(vm).is_some_and(|peer| now < peer.heard + SILENCE);
-        !snapshot.nodes().iter().any(|node| {
-            node.data_centre == own.data_centre && node.name < self.vm && heard(&node.name)
-        })
+        let live = |node: &&Node| node.name == self.vm || heard(&node.name);
+        let nodes = snapshot.nodes().iter();
+        nodes
+            .filter(|node| node.data_centre == *centre)
+            .filter(live)
+            .min_by_key(|node| &node.name)
     }
 
     /// Returns the trial server of a service if it is empty and reserved for long enough;
--- a/programs/entry/src/quarantine/track.rs
+++ b/programs/entry/src/quarantine/track.rs
@@ -1,8 +1,9 @@
 //! What must be recorded of one request, however it ends.
 
-use super::{Admitted, Quarantine};
+use super::{Admitted, Place, Quarantine};
 use crate::claims::Claimed;
 use crate::server::{Flight, Server};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
@@ -41,7 +42,18 @@
 
     /// Returns the only server that the request may run on, if it is a trial.
     pub fn trial(&self) -> Option<&Arc<Server>> {
-        self.admitted.trial.as_ref()
+        match &self.admitted.place {
+            Place::Trial(server) => Some(server),
+            _ => None,
+        }
+    }
+
+    /// Returns the address of the entry that must run the request, if another one must.
+    pub fn keeper(&self) -> Option<SocketAddr> {
+        match self.admitted.place {
+            Place::Keeper(address) => Some(address),
+            _ => None,
+        }
     }
 
     /// Returns the time by which the request must end.
@@ -79,7 +91,8 @@
     /// Records that the caller got the whole answer of a backend server.
     pub fn served(&mut self) {
         self.end(&Outcome::Served);
-        if self.admitted.trial.take().is_some() {
+        if self.trial().is_some() {
+            self.admitted.place = Place::Any;
             self.quarantine.completed(&self.admitted.digest);
         }
     }
@@ -87,7 +100,7 @@
 
 impl Drop for Track {
     fn drop(&mut self) {
-        if self.admitted.trial.is_some() {
+        if self.trial().is_some() {
             self.quarantine.release(&self.admitted.digest);
         }
     }
--- a/programs/entry/src/reply.rs
+++ b/programs/entry/src/reply.rs
@@ -14,10 +14,20 @@
 use std::task::{Context, Poll, ready};
 use steering::attempt::{Outcome, Uncertainty};
 
+/// Answer of a backend server.
+#[derive(Debug)]
+pub enum Ended {
+    /// It streams; what must be recorded of the request ends with it.
+    Streamed(Answer, Track),
+    /// It came whole through another entry.
+    Whole(Response<Body>),
+}
+
 /// Builds the answer to the caller from what became of its request.
-pub fn reply(id: &str, forwarded: Result<(Answer, Track), Outcome>) -> Response<Body> {
+pub fn reply(id: &str, forwarded: Result<Ended, Outcome>) -> Response<Body> {
     let mut response = match forwarded {
-        Ok(answer) => served(answer),
+        Ok(Ended::Streamed(answer, track)) => served(answer, track),
+        Ok(Ended::Whole(response)) => response,
         Err(outcome) => outcome::response(&outcome),
     };
     if let Ok(value) = HeaderValue::from_str(id) {
@@ -28,7 +38,7 @@
     response
 }
 
-fn served((answer, track): (Answer, Track)) -> Response<Body> {
+fn served(answer: Answer, track: Track) -> Response<Body> {
     let Answer { response, flight } = answer;
     let mut response = response.map(|body| {
         let mut streamed = Streamed {
--- a/programs/entry/src/share.rs
+++ b/programs/entry/src/share.rs
@@ -1,7 +1,8 @@
 //! Serves the entries of other VMs.
 
 use crate::pipeline::Pipeline;
-use peers::share::{Answer, Question, Servers, Share, Suspects};
+use crate::quarantine::pass;
+use peers::share::{Answer, Passed, Question, Reply, Servers, Share, Suspects};
 use peers::wire::{self, Frame};
 use std::sync::Arc;
 use steering::limits::{Borrow, Lent};
@@ -24,6 +25,14 @@
         Frame::new(question.map(|question| self.pipeline.claims().settle(&question)))
     }
 
+    async fn pass(self, _: Context, passed: Frame<Passed>) -> Frame<Option<Reply>> {
+        let call = passed.open().ok().and_then(pass::call);
+        Frame::new(match call {
+            Some(call) => pass::reply(self.pipeline.passed(&call).await).await,
+            None => None,
+        })
+    }
+
     async fn servers(self, _: Context, _news: Frame<Servers>) -> Frame<Servers> {
         Frame::new(Servers::default())
     }
