--- a/crates/callers/tests/callers.rs
+++ b/crates/callers/tests/callers.rs
@@ -8,6 +8,7 @@
 use callers::{header, outcome};
 use hyper::HeaderMap;
 use hyper::header::{AUTHORIZATION, HeaderValue};
+use proptest::prelude::*;
 use rstest::rstest;
 use std::time::{Duration, Instant};
 use steering::attempt::{Attempt, Outcome, Refusal, Uncertainty};
@@ -101,3 +102,47 @@
     assert_eq!(json, expected);
     assert_eq!(serde_json::from_str::<Answer>(&json).unwrap(), answer);
 }
+
+proptest! {
+    /// Guards against ids that are accepted in one form and used in another.
+    #[test]
+    fn request_id_is_taken_as_it_is(bytes in prop::collection::vec(any::<u8>(), 0..160)) {
+        let Ok(value) = HeaderValue::from_bytes(&bytes) else {
+            return Ok(());
+        };
+        let mut headers = HeaderMap::new();
+        headers.insert(header::REQUEST_ID, value);
+        let graphic = bytes.iter().all(u8::is_ascii_graphic);
+        let valid = graphic && (1..=header::ID_BYTES).contains(&bytes.len());
+        match header::request_id(&headers) {
+            Ok(Some(id)) => prop_assert!(valid && id.as_bytes() == bytes),
+            other => prop_assert!(!valid && other.is_err()),
+        }
+    }
+
+    /// Guards against a key that stays in the headers or in a panic, whatever its value.
+    #[test]
+    fn any_key_header_is_removed(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let Ok(value) = HeaderValue::from_bytes(&bytes) else {
+            return Ok(());
+        };
+        let mut headers = HeaderMap::new();
+        headers.insert(AUTHORIZATION, value);
+        let _ = header::key(&mut headers);
+        prop_assert!(!headers.contains_key(AUTHORIZATION));
+    }
+
+    /// Guards against an overflow of the time of a deadline.
+    #[test]
+    fn any_deadline_is_bounded(text in "[0-9]{1,24}|\\PC{0,12}") {
+        let Ok(value) = HeaderValue::from_str(&text) else {
+            return Ok(());
+        };
+        let mut headers = HeaderMap::new();
+        headers.insert(header::DEADLINE, value);
+        let now = Instant::now();
+        if let Ok(deadline) = header::deadline(&headers, now) {
+            prop_assert!(deadline <= now + header::MAX_DEADLINE);
+        }
+    }
+}
--- a/crates/steering/tests/claims.rs
+++ b/crates/steering/tests/claims.rs
@@ -4,10 +4,11 @@
     reason = "helpers of tests unwrap as the tests do"
 )]
 
+use proptest::prelude::*;
 use std::time::Duration;
 use steering::attempt::{Attempt, Outcome, Refusal, Uncertainty};
 use steering::claims::table::{Answer, Batch, Row, Verdict};
-use steering::claims::{Claim, Register, Settings, prefix};
+use steering::claims::{Claim, Id, Register, Settings, prefix};
 
 const NOW: u64 = 1_000;
 
@@ -158,3 +159,40 @@
     let (_, verdicts) = batch.settle(&write.unwrap().row, 2);
     assert_eq!(verdicts, vec![("d".into(), Verdict::Run)]);
 }
+
+proptest! {
+    /// Guards against a prefix whose ids name another VM, incarnation or expiry.
+    #[test]
+    fn id_under_a_prefix_names_it(
+        vm in "[a-z0-9.-]{1,20}",
+        incarnation: u64,
+        expires: u64,
+        random in "[A-Za-z0-9_-]{1,40}",
+    ) {
+        let id = format!("{}{random}", prefix(&vm, incarnation, expires));
+        let parsed = Id::parse(&id).unwrap();
+        prop_assert_eq!((&*parsed.vm, parsed.incarnation, parsed.expires), (&*vm, incarnation, expires));
+    }
+
+    /// Guards against a panic, or a run without a claim, on any id and at any time: an id is run
+    /// at most once, also when another VM asks about it before or after.
+    #[test]
+    fn any_id_runs_at_most_once(
+        id in "vm-a\\.0000000000000007\\.[0-9a-f]{1,4}\\.r|\\PC{0,30}",
+        steps in prop::collection::vec((any::<bool>(), 0_u64..4_000), 1..20),
+    ) {
+        let register = register(8);
+        let mut runs = 0;
+        for (asked, now) in steps {
+            if asked {
+                let told = register.settle("atlas", &id, now);
+                if runs > 0 {
+                    prop_assert!(!matches!(told, Outcome::NotRun(_)), "{told:?}");
+                }
+            } else {
+                runs += u32::from(claim(&register, "atlas", &id, now) == Claim::Run);
+            }
+        }
+        prop_assert!(runs <= 1);
+    }
+}
--- a/programs/entry/src/receive.rs
+++ b/programs/entry/src/receive.rs
@@ -96,7 +96,7 @@
 }
 
 /// Splits `/service/path?query` into the service and the target for its backend servers.
-fn split(uri: &Uri) -> Option<(id::Service, Uri)> {
+pub fn split(uri: &Uri) -> Option<(id::Service, Uri)> {
     let text = uri.path_and_query()?.as_str().strip_prefix('/')?;
     let end = text.find(['/', '?']).unwrap_or(text.len());
     let (service, rest) = text.split_at(end);
--- /dev/null
+++ b/programs/entry/tests/receive.rs
@@ -0,0 +1,39 @@
+//! Reading of requests.
+#![allow(
+    clippy::unwrap_used,
+    reason = "helpers of tests unwrap as the tests do"
+)]
+
+use entry::receive::split;
+use hyper::Uri;
+use proptest::prelude::*;
+
+proptest! {
+    /// Guards against panics on odd targets, and against a path or query that is changed on its
+    /// way to the backend server.
+    #[test]
+    fn target_is_split_without_loss(text in "/[!-~]{0,40}") {
+        let Ok(uri) = text.parse::<Uri>() else {
+            return Ok(());
+        };
+        let whole = uri.path_and_query().unwrap().as_str();
+        match split(&uri) {
+            Some((service, target)) => {
+                prop_assert!(!service.is_empty() && !service.contains(['/', '?']));
+                let target = target.path_and_query().unwrap().as_str();
+                let joined = format!("/{service}{target}");
+                let bare = format!("/{service}{}", target.strip_prefix('/').unwrap());
+                prop_assert!(whole == joined || whole == bare, "{whole} became {joined}");
+            }
+            None => prop_assert!(whole.is_empty() || whole[1..].is_empty() || whole[1..].starts_with(['/', '?'])),
+        }
+    }
+
+    /// Guards against panics on targets in other forms than a path.
+    #[test]
+    fn any_uri_is_split_or_refused(text in "\\PC{0,40}") {
+        if let Ok(uri) = text.parse::<Uri>() {
+            let _ = split(&uri);
+        }
+    }
+}
--- a/tests/integration/tests/quarantine.rs
+++ b/tests/integration/tests/quarantine.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 const fn service(name: &'static str) -> Service {
     Service {
@@ -37,16 +38,28 @@
     entries: Vec<SocketAddr>,
     stop: Arc<AtomicBool>,
 ) -> BTreeMap<String, usize> {
+    let senders: Vec<_> = (0..4)
+        .map(|sender| {
+            let (key, entries, stop) = (key.clone(), entries.clone(), stop.clone());
+            tokio::spawn(async move {
+                let mut outcomes = Vec::new();
+                for (number, address) in (0..).zip(entries.iter().cycle().skip(sender)) {
+                    if stop.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let call = Call::new(format!("{line}?other={sender}-{number}"), &key);
+                    outcomes.push(call.send(*address).await.outcome());
+                    tokio::time::sleep(Duration::from_millis(3)).await;
+                }
+                outcomes
+            })
+        })
+        .collect();
     let mut outcomes = BTreeMap::new();
-    for (number, address) in (0..).zip(entries.iter().cycle()) {
-        if stop.load(Ordering::Relaxed) {
-            break;
+    for sender in senders {
+        for outcome in sender.await.expect("outcomes") {
+            *outcomes.entry(outcome).or_default() += 1;
         }
-        let call = Call::new(format!("{line}?other={number}"), &key);
-        *outcomes
-            .entry(call.send(*address).await.outcome())
-            .or_default() += 1;
-        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
     }
     outcomes
 }
@@ -153,7 +166,7 @@
         if refused > 2 * entries.len() {
             break;
         }
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
     stop.store(true, Ordering::Relaxed);
     let outcomes = background.await.expect("outcomes");
