--- a/tools/bench/src/experiment/answers.rs
+++ b/tools/bench/src/experiment/answers.rs
@@ -1,10 +1,15 @@
 //! At-most-once execution under crashes, resends and lost answers.
 
+mod event;
+
+pub use event::{Crash, Point};
+
 use crate::agenda::{Agenda, Network};
+use event::{Event, point};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::time::{Duration, Instant};
-use steering::attempt::{Attempt, Outcome, Refusal};
+use steering::attempt::{Attempt, Outcome, Refusal, Uncertainty};
 use steering::claims::table::{Answer, Batch, Row, Verdict, Write, place};
 use steering::claims::{Claim, Register, Settings, prefix};
 
@@ -32,31 +37,29 @@
     pub false_not_run: u32,
     /// Runs in which some caller's send was answered "served".
     pub served: u32,
+    /// Runs in which some send was told that the named VM can't be reached.
+    pub unreachable: u32,
+    /// Runs in which some send was told that the outcome is lost, as after the expiry.
+    pub outcome_lost: u32,
+    /// Runs that reached the crash around a step.
+    pub crashed: u32,
 }
 
 const VMS: usize = 2;
 const SENDS: u32 = 5;
 const WORKSPACE: &str = "atlas";
-const EXPIRES: u64 = 900;
+/// Expiry of ids that name a VM, in milliseconds of simulated time, which stand for seconds; the
+/// last sends come later.
+const EXPIRES: u64 = 150;
+/// Expiry of table claims, which outlive the run: an id that is older may run again.
+const TABLE_EXPIRES: u64 = 900;
+/// Wait of an entry for another VM, when it is short.
+const ASK_WAIT: Duration = Duration::from_millis(10);
 /// Longest pause between two sends of the caller.
 const PAUSE: Duration = Duration::from_millis(60);
 /// Wait of an entry for the table before it reads the row back.
 const TABLE_WAIT: Duration = Duration::from_millis(25);
 
-#[derive(Debug, Clone)]
-enum Event {
-    Send(u32),
-    Arrive(usize, u32),
-    Settle(usize, u64, u32),
-    Handoff(usize, u64, u32),
-    Execute(usize, u64, u32),
-    Answered(usize, u64, u32),
-    Crash(usize),
-    Store(usize, u64, Write),
-    Written(usize, u64, Box<str>, Answer),
-    ReadBack(usize, u64),
-}
-
 struct Vm {
     incarnation: u64,
     register: Register,
@@ -78,10 +81,25 @@
     current: u32,
     not_run: bool,
     served: bool,
+    unreachable: bool,
+    outcome_lost: bool,
+    crash: Crash,
+    crashed: bool,
+    start: Instant,
+    /// Simulated milliseconds, which stand for seconds.
+    now: u64,
 }
 
 fn vm(index: usize, incarnation: u64) -> Vm {
-    let register = Register::new(name(index), incarnation, Settings::default());
+    let register = Register::new(
+        name(index),
+        incarnation,
+        Settings {
+            shards: 1,
+            per_shard: 1,
+            ..Settings::default()
+        },
+    );
     Vm {
         incarnation,
         register,
@@ -95,9 +113,10 @@
 }
 
 impl World {
-    fn new(method: Method, seed: u64) -> Self {
+    fn new(method: Method, crash: Crash, seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut agenda = Agenda::new(Instant::now());
+        let start = Instant::now();
+        let mut agenda = Agenda::new(start);
         let id = match method {
             Method::Table => "caller-made-id".into(),
             _ => format!("{}r", prefix("vm-0", 1, EXPIRES)).into(),
@@ -107,7 +126,8 @@
             agenda.after(at, Event::Send(send));
             at += PAUSE.mul_f64(rng.random());
         }
-        for _ in 0..2 {
+        let random = if crash == Crash::Random { 2 } else { 0 };
+        for _ in 0..random {
             let when = (PAUSE * SENDS).mul_f64(rng.random());
             agenda.after(when, Event::Crash(rng.random_range(0..VMS)));
         }
@@ -123,6 +143,39 @@
             current: 0,
             not_run: false,
             served: false,
+            unreachable: false,
+            outcome_lost: false,
+            crash,
+            crashed: false,
+            start,
+            now: 0,
+        }
+    }
+
+    /// Lets one event happen, with the crash that is due around it.
+    fn happen(&mut self, at: Instant, event: Event) {
+        self.now = u64::try_from((at - self.start).as_millis()).unwrap_or(u64::MAX);
+        let due = |crash: &Crash| match (*crash, point(&event)) {
+            (Crash::Before(at, 0) | Crash::After(at, 0), Some((here, vm))) if at == here => {
+                Some(vm)
+            }
+            _ => None,
+        };
+        let vm = due(&self.crash);
+        match (&mut self.crash, point(&event)) {
+            (Crash::Before(at, left) | Crash::After(at, left), Some((here, _))) if *at == here => {
+                *left = left.checked_sub(1).unwrap_or(u32::MAX);
+            }
+            _ => {}
+        }
+        self.crashed |= vm.is_some();
+        let before = matches!(self.crash, Crash::Before(..));
+        if let Some(vm) = vm.filter(|_| before) {
+            self.step(Event::Crash(vm));
+        }
+        self.step(event);
+        if let Some(vm) = vm.filter(|_| !before) {
+            self.step(Event::Crash(vm));
         }
     }
 
@@ -151,6 +204,8 @@
             return;
         }
         self.not_run |= matches!(outcome, Outcome::NotRun(_));
+        self.unreachable |= *outcome == Outcome::Unknown(Uncertainty::VmUnreachable);
+        self.outcome_lost |= *outcome == Outcome::Unknown(Uncertainty::OutcomeLost);
         self.served |= matches!(outcome, Outcome::Served | Outcome::ServedBefore);
     }
 
@@ -161,13 +216,25 @@
             .after(wait, Event::Handoff(vm, self.vms[vm].incarnation, send));
     }
 
+    /// Claims another id once the request's id has expired, which makes the register drop it.
+    fn drop_expired(&self, vm: usize) {
+        if self.now >= EXPIRES {
+            let other = prefix(&name(vm), self.vms[vm].incarnation, self.now + 1);
+            let register = &self.vms[vm].register;
+            register.claim(WORKSPACE, &format!("{other}o"), |_| None, self.now);
+        }
+    }
+
     fn arrive(&mut self, vm: usize, send: u32) {
+        self.drop_expired(vm);
         let live: Vec<u64> = self.vms.iter().map(|vm| vm.incarnation).collect();
         let index = |name: &str| name.strip_prefix("vm-")?.parse::<usize>().ok();
         let live_of = |name: &str| index(name).and_then(|index| live.get(index).copied());
         let claim = match self.method {
             Method::Plain => Claim::Run,
-            _ => self.vms[vm].register.claim(WORKSPACE, &self.id, live_of, 0),
+            _ => self.vms[vm]
+                .register
+                .claim(WORKSPACE, &self.id, live_of, self.now),
         };
         match claim {
             Claim::Run => self.run_at(vm, send),
@@ -175,10 +242,14 @@
             Claim::Ask(other) => {
                 let other = index(&other).unwrap_or_default();
                 self.deliver(&Event::Settle(other, live[other], send));
+                // The asking VM gives up early at times; the question may arrive all the same.
+                if self.rng.random_ratio(1, 5) {
+                    self.agenda.after(ASK_WAIT, Event::Unreachable(send));
+                }
             }
             Claim::Table => {
                 let (_, digest) = place(WORKSPACE, &self.id);
-                match self.vms[vm].batch.add(digest, EXPIRES, send > 0) {
+                match self.vms[vm].batch.add(digest, TABLE_EXPIRES, send > 0) {
                     Some(outcome) => self.told(send, &outcome),
                     None => {
                         self.vms[vm].claiming = send;
@@ -223,9 +294,13 @@
             Event::Send(send) => self.send(send),
             Event::Arrive(vm, send) => self.arrive(vm, send),
             Event::Settle(vm, incarnation, send) if alive(vm, incarnation) => {
-                let outcome = self.vms[vm].register.settle(WORKSPACE, &self.id, 0);
+                self.drop_expired(vm);
+                let outcome = self.vms[vm].register.settle(WORKSPACE, &self.id, self.now);
                 self.told(send, &outcome);
             }
+            Event::Unreachable(send) => {
+                self.told(send, &Outcome::Unknown(Uncertainty::VmUnreachable));
+            }
             Event::Handoff(vm, incarnation, send) if alive(vm, incarnation) => {
                 // One in five finds no backend server, so that true refusals occur too.
                 if self.rng.random_ratio(1, 5) {
@@ -299,18 +374,21 @@
 }
 
 /// Runs `runs` requests, each with its own seed from `seed` on.
-pub fn run(method: Method, runs: u32, seed: u64) -> Tally {
+pub fn run(method: Method, crash: Crash, runs: u32, seed: u64) -> Tally {
     let mut tally = Tally::default();
     for offset in 0..runs {
-        let mut world = World::new(method, seed + u64::from(offset));
-        while let Some((_, event)) = world.agenda.take() {
-            world.step(event);
+        let mut world = World::new(method, crash, seed + u64::from(offset));
+        while let Some((at, event)) = world.agenda.take() {
+            world.happen(at, event);
         }
         tally.runs += 1;
         tally.executed += u32::from(world.executions > 0);
         tally.doubled += u32::from(world.executions > 1);
         tally.false_not_run += u32::from(world.not_run && world.executions > 0);
         tally.served += u32::from(world.served);
+        tally.unreachable += u32::from(world.unreachable);
+        tally.crashed += u32::from(world.crashed);
+        tally.outcome_lost += u32::from(world.outcome_lost);
     }
     tally
 }
@@ -319,7 +397,7 @@
 pub fn report() -> Box<str> {
     let mut text = String::from("method runs executed doubled false-not-run served\n");
     for method in [Method::Plain, Method::Named, Method::Table] {
-        let t = run(method, 5_000, 1);
+        let t = run(method, Crash::Random, 5_000, 1);
         text += &format!(
             "{method:?} {} {} {} {} {}\n",
             t.runs, t.executed, t.doubled, t.false_not_run, t.served
