--- a/programs/entry/src/quarantine.rs
+++ b/programs/entry/src/quarantine.rs
@@ -4,41 +4,33 @@
 //! refuses new connections, or when the same request was interrupted on another server before.
 //! A paused or unreachable server does not refuse connections, so it is not taken for crashed.
 
+mod crash;
 pub mod exchange;
 pub mod pass;
 pub mod track;
+mod trial;
 
 use crate::metrics::Metrics;
 use crate::receive::Call;
-use crate::server::{Flight, Server};
+use crate::server::Server;
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use base::id::{self, DataCentre, Incarnation, Service, Vm};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use operators::service;
 use peers::local::Runs;
 use peers::share::Suspects;
 use platform::list::Node;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use steering::attempt::Refusal;
 use steering::quarantine::{self, Admit, Delta, Digest, Register};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-/// Looks at a server after an interruption; a dying process may close its listener last.
-const LOOKS: u32 = 3;
-/// Pause between two looks.
-const LOOK_PAUSE: Duration = Duration::from_millis(50);
-/// Longest time for a connection that only shows whether the server accepts it.
-const LOOK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time without news after which another VM counts as dead.
 const SILENCE: Duration = Duration::from_secs(2);
-/// Time after the last suspected request of a service until its trial server is freed.
-const RESERVED: Duration = Duration::from_secs(15);
 
 /// What this entry knows of requests that crash servers, and of the entries of other VMs.
 #[derive(Debug)]
@@ -197,107 +189,6 @@
             .min_by_key(|node| &node.name)
     }
 
-    /// Returns the trial server of a service if it is empty and reserved for long enough;
-    /// reserves another one if it is gone.
-    async fn trial_server(
-        &self,
-        service: &service::Service,
-        snapshot: &Snapshot,
-    ) -> Option<Arc<Server>> {
-        let name = &service.service.value;
-        let reserved = lock(&self.trials).get(name).cloned();
-        if let Some(reserved) = reserved {
-            let server = snapshot
-                .all_servers()
-                .find(|server| server.listed.name == reserved.server);
-            if let Some(server) = server
-                && accepts(server.listed.address).await
-            {
-                self.reserve(name, &reserved.server, snapshot);
-                return (server.in_flight() == 0).then(|| server.clone());
-            }
-        }
-        let own = snapshot.nodes().iter().find(|node| node.name == self.vm)?;
-        let mut candidates: Vec<_> = snapshot.servers(name, &service.current).collect();
-        candidates.sort_by_key(|server| {
-            let listed = &server.listed;
-            let far = listed.data_centre != own.data_centre;
-            (far, listed.region != own.region, listed.name.clone())
-        });
-        for server in candidates {
-            if accepts(server.listed.address).await {
-                log::info!("server {} is left free for trial runs", server.listed.name);
-                self.reserve(name, &server.listed.name, snapshot);
-                // Other VMs may still have requests on it.
-                lock(&self.register).moved(Instant::now());
-                self.news.notify_one();
-                break;
-            }
-        }
-        None
-    }
-
-    fn reserve(&self, service: &str, server: &str, snapshot: &Snapshot) {
-        let reserved = Reserved {
-            server: server.into(),
-            until: Instant::now() + RESERVED,
-        };
-        lock(&self.trials).insert(service.into(), reserved);
-        self.mark(snapshot);
-    }
-
-    /// Servers that this VM has reserved.
-    fn own_reserved(&self) -> Vec<id::Server> {
-        let now = Instant::now();
-        let mut trials = lock(&self.trials);
-        trials.retain(|_, reserved| now < reserved.until);
-        trials
-            .values()
-            .map(|reserved| reserved.server.clone())
-            .collect()
-    }
-
-    /// Marks the servers that any live VM has reserved.
-    fn mark(&self, snapshot: &Snapshot) {
-        let now = Instant::now();
-        let mut reserved: IndexSet<id::Server> = self.own_reserved().into_iter().collect();
-        let peers = lock(&self.peers);
-        let live = peers.values().filter(|peer| now < peer.heard + SILENCE);
-        reserved.extend(live.flat_map(|peer| peer.reserved.iter().cloned()));
-        drop(peers);
-        for server in snapshot.all_servers() {
-            server.reserve(reserved.contains(&server.listed.name));
-        }
-    }
-
-    /// Finds out whether a server crashed when the connection of `flight` was interrupted, and
-    /// suspects the requests that were in flight on it. `again` says that the same request was
-    /// interrupted on another server before.
-    ///
-    /// Returns until when the reply must be held. The work goes on if the caller is dropped.
-    pub async fn interrupted(self: &Arc<Self>, flight: &Flight, again: bool) -> Option<Instant> {
-        let server = flight.server().clone();
-        // Others that were in flight end at the same time, so they are noted before the looks.
-        let in_flight = server.digests();
-        let this = self.clone();
-        let work = async move {
-            if !again && !crashed(server.listed.address).await {
-                return None;
-            }
-            log::warn!(
-                "server {} crashed with {} requests in flight",
-                server.listed.name,
-                in_flight.len()
-            );
-            this.metrics.crash();
-            this.any.store(true, Ordering::Release);
-            let hold = lock(&this.register).crashed(&in_flight, Instant::now());
-            this.changed();
-            Some(hold)
-        };
-        tokio::spawn(work).await.ok().flatten()
-    }
-
     fn completed(&self, digest: &Digest) {
         lock(&self.register).completed(digest);
         self.changed();
@@ -382,25 +273,3 @@
         runs
     }
 }
-
-/// Returns whether the server refuses connections.
-async fn crashed(address: SocketAddr) -> bool {
-    for look in 0..LOOKS {
-        if look > 0 {
-            tokio::time::sleep(LOOK_PAUSE).await;
-        }
-        let connected = tokio::time::timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await;
-        if let Ok(Err(error)) = connected
-            && error.kind() == io::ErrorKind::ConnectionRefused
-        {
-            return true;
-        }
-    }
-    false
-}
-
-/// Returns whether the server accepts a connection.
-async fn accepts(address: SocketAddr) -> bool {
-    let connected = tokio::time::timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Ok(_)))
-}
--- /dev/null
+++ b/programs/entry/src/quarantine/crash.rs
@@ -0,0 +1,68 @@
+//! Recognition of a crash.
+
+use super::{Quarantine, lock};
+use crate::server::Flight;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// Looks at a server after an interruption; a dying process may close its listener last.
+const LOOKS: u32 = 3;
+/// Pause between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time for a connection that only shows whether the server accepts it.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(250);
+impl Quarantine {
+    /// Finds out whether a server crashed when the connection of `flight` was interrupted, and
+    /// suspects the requests that were in flight on it. `again` says that the same request was
+    /// interrupted on another server before.
+    ///
+    /// Returns until when the reply must be held. The work goes on if the caller is dropped.
+    pub async fn interrupted(self: &Arc<Self>, flight: &Flight, again: bool) -> Option<Instant> {
+        let server = flight.server().clone();
+        // Others that were in flight end at the same time, so they are noted before the looks.
+        let in_flight = server.digests();
+        let this = self.clone();
+        let work = async move {
+            if !again && !crashed(server.listed.address).await {
+                return None;
+            }
+            log::warn!(
+                "server {} crashed with {} requests in flight",
+                server.listed.name,
+                in_flight.len()
+            );
+            this.metrics.crash();
+            this.any.store(true, Ordering::Release);
+            let hold = lock(&this.register).crashed(&in_flight, Instant::now());
+            this.changed();
+            Some(hold)
+        };
+        tokio::spawn(work).await.ok().flatten()
+    }
+}
+
+/// Returns whether the server refuses connections.
+async fn crashed(address: SocketAddr) -> bool {
+    for look in 0..LOOKS {
+        if look > 0 {
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        let connected = tokio::time::timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await;
+        if let Ok(Err(error)) = connected
+            && error.kind() == io::ErrorKind::ConnectionRefused
+        {
+            return true;
+        }
+    }
+    false
+}
+
+/// Returns whether the server accepts a connection.
+pub(super) async fn accepts(address: SocketAddr) -> bool {
+    let connected = tokio::time::timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Ok(_)))
+}
