feature: trial servers that fail are replaced; fresh entries learn suspicions before they serve

Cause: a paused trial server kept its request suspected; a restarted entry could run what the others had quarantined. Change: a trial that did not complete moves to another server; an entry holds requests until its first round of exchanges and is answered with all suspicions.

--- a/programs/entry/src/quarantine.rs
+++ b/programs/entry/src/quarantine.rs
@@ -27,11 +27,14 @@
 use std::time::{Duration, Instant};
 use steering::attempt::Refusal;
 use steering::quarantine::{self, Admit, Delta, Digest, Register};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// Time without news after which another VM counts as dead.
 const SILENCE: Duration = Duration::from_secs(2);
 
+/// Longest wait of a request for the first round of exchanges.
+const START: Duration = Duration::from_millis(500);
+
 /// What this entry knows of requests that crash servers, and of the entries of other VMs.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -48,6 +51,8 @@
     peers: Mutex<IndexMap<Vm, Peer>>,
     trials: Mutex<IndexMap<Service, Reserved>>,
     news: Notify,
+    /// Whether a first round of exchanges is over.
+    started: watch::Sender<bool>,
     metrics: Arc<Metrics>,
 }
 
@@ -65,6 +70,8 @@
 struct Reserved {
     server: id::Server,
     until: Instant,
+    /// Whether the last trial did not complete; another server is taken then.
+    failed: bool,
 }
 
 /// A request that may run.
@@ -105,6 +112,7 @@
             peers: Mutex::default(),
             trials: Mutex::default(),
             news: Notify::new(),
+            started: watch::Sender::new(false),
             metrics,
         }
     }
@@ -124,6 +132,7 @@
         let path = call.target.to_string();
         let digest = quarantine::digest(workspace, call.method.as_str(), &path, &call.body);
         let at = |place| Ok(Admitted { digest, place });
+        self.start().await;
         if !self.any.load(Ordering::Acquire) {
             return at(Place::Any);
         }
@@ -155,6 +164,14 @@
         }
     }
 
+    /// Waits for the first round of exchanges: a fresh entry could run what others quarantined.
+    async fn start(&self) {
+        if !*self.started.borrow() {
+            let mut started = self.started.subscribe();
+            let _ = tokio::time::timeout(START, started.wait_for(|started| *started)).await;
+        }
+    }
+
     /// Returns whether this VM runs the trials of its data centre: the first live one by name.
     fn keeper(&self, snapshot: &Snapshot, now: Instant) -> bool {
         let own = snapshot.nodes().iter().find(|node| node.name == self.vm);
@@ -194,8 +211,14 @@
         self.changed();
     }
 
-    fn release(&self, digest: &Digest) {
+    /// Ends a trial that did not complete on `server`.
+    fn release(&self, digest: &Digest, server: &Server) {
         lock(&self.register).release(digest);
+        let mut trials = lock(&self.trials);
+        let reserved = trials.values_mut();
+        reserved
+            .filter(|reserved| reserved.server == server.listed.name)
+            .for_each(|reserved| reserved.failed = true);
     }
 
     fn changed(&self) {
@@ -203,22 +226,26 @@
         self.news.notify_one();
     }
 
-    /// Takes in what another entry knows.
-    pub fn take(&self, news: &Suspects) {
+    /// Takes in what another entry knows; returns whether this incarnation of it is new here.
+    pub fn take(&self, news: &Suspects) -> bool {
         let peer = Peer {
             incarnation: news.incarnation,
             heard: Instant::now(),
             reserved: news.reserved.clone(),
             revision: 0,
         };
-        {
-            let mut peers = lock(&self.peers);
-            let known = peers.entry(news.vm.clone()).or_insert_with(|| peer.clone());
-            // A restarted entry has nothing of what its predecessor was sent.
-            let same = known.incarnation == news.incarnation;
-            let revision = if same { known.revision } else { 0 };
-            *known = Peer { revision, ..peer };
+        let known = lock(&self.peers).insert(news.vm.clone(), peer);
+        let known = known.filter(|known| known.incarnation == news.incarnation);
+        // A restarted entry has nothing of what its predecessor was sent.
+        let fresh = known.is_none();
+        if let (Some(known), Some(peer)) = (known, lock(&self.peers).get_mut(&news.vm)) {
+            peer.revision = known.revision;
         }
+        self.merge(news);
+        fresh
+    }
+
+    fn merge(&self, news: &Suspects) {
         if news.delta.quarantined.is_empty() && news.delta.suspects.is_empty() {
             return;
         }
@@ -231,6 +258,15 @@
         }
     }
 
+    /// Returns the answer to news of another entry: all that is known if it is `fresh`.
+    pub fn answer(&self, fresh: bool) -> Suspects {
+        let mut answer = self.hello();
+        if fresh {
+            answer.delta = lock(&self.register).delta().clone();
+        }
+        answer
+    }
+
     /// Returns what to tell another VM, and the revision that it then has.
     fn news(&self, vm: &str) -> (Suspects, u64) {
         let revision = self.revision.load(Ordering::Acquire);
@@ -250,7 +286,7 @@
     }
 
     /// Returns news without suspicions.
-    pub fn hello(&self) -> Suspects {
+    fn hello(&self) -> Suspects {
         Suspects {
             vm: self.vm.clone(),
             incarnation: self.incarnation,
--- a/programs/entry/src/quarantine/exchange.rs
+++ b/programs/entry/src/quarantine/exchange.rs
@@ -25,12 +25,16 @@
 /// Exchanges until `stop` is cancelled; at once when a suspicion is new.
 pub async fn run(
     quarantine: Arc<Quarantine>,
-    snapshot: watch::Receiver<Arc<Snapshot>>,
+    mut snapshot: watch::Receiver<Arc<Snapshot>>,
     control: SocketAddr,
     stop: CancellationToken,
 ) {
     let links = Links::default();
     let rounds = async {
+        // The first round starts as soon as the list of VMs is known.
+        let listed = |known: &Arc<Snapshot>| !known.nodes().is_empty();
+        let _ = snapshot.wait_for(listed).await;
+        quarantine.news.notify_one();
         loop {
             let _ = tokio::time::timeout(INTERVAL, quarantine.news.notified()).await;
             let known = snapshot.borrow().clone();
@@ -42,6 +46,7 @@
                 others.map(|node| tell(&quarantine, &links, node)).collect();
             calls.collect::<Vec<()>>().await;
             quarantine.mark(&known);
+            quarantine.started.send_replace(true);
         }
     };
     let reports = report(&quarantine, control);
--- a/programs/entry/src/quarantine/track.rs
+++ b/programs/entry/src/quarantine/track.rs
@@ -100,8 +100,8 @@
 
 impl Drop for Track {
     fn drop(&mut self) {
-        if self.trial().is_some() {
-            self.quarantine.release(&self.admitted.digest);
+        if let Some(server) = self.trial() {
+            self.quarantine.release(&self.admitted.digest, server);
         }
     }
 }
--- a/programs/entry/src/quarantine/trial.rs
+++ b/programs/entry/src/quarantine/trial.rs
@@ -23,7 +23,8 @@
     ) -> Option<Arc<Server>> {
         let name = &service.service.value;
         let reserved = lock(&self.trials).get(name).cloned();
-        if let Some(reserved) = reserved {
+        let failed = reserved.as_ref().map(|reserved| reserved.server.clone());
+        if let Some(reserved) = reserved.filter(|reserved| !reserved.failed) {
             let server = snapshot
                 .all_servers()
                 .find(|server| server.listed.name == reserved.server);
@@ -39,7 +40,13 @@
         candidates.sort_by_key(|server| {
             let listed = &server.listed;
             let far = listed.data_centre != own.data_centre;
-            (far, listed.region != own.region, listed.name.clone())
+            let failed = failed.as_ref() == Some(&listed.name);
+            (
+                failed,
+                far,
+                listed.region != own.region,
+                listed.name.clone(),
+            )
         });
         for server in candidates {
             if accepts(server.listed.address).await {
@@ -58,6 +65,7 @@
         let reserved = Reserved {
             server: server.into(),
             until: Instant::now() + RESERVED,
+            failed: false,
         };
         lock(&self.trials).insert(service.into(), reserved);
         self.mark(snapshot);
--- a/programs/entry/src/share.rs
+++ b/programs/entry/src/share.rs
@@ -39,10 +39,8 @@
 
     async fn suspects(self, _: Context, news: Frame<Suspects>) -> Frame<Suspects> {
         let quarantine = self.pipeline.quarantine();
-        if let Ok(news) = news.open() {
-            quarantine.take(&news);
-        }
-        Frame::new(quarantine.hello())
+        let fresh = news.open().is_ok_and(|news| quarantine.take(&news));
+        Frame::new(quarantine.answer(fresh))
     }
 }
 
--- a/tests/integration/tests/answers.rs
+++ b/tests/integration/tests/answers.rs
@@ -101,7 +101,7 @@
 /// Guards the claims of ids that name no VM: one run over all VMs, definite refusal in an outage.
 #[tokio::test(flavor = "multi_thread")]
 async fn id_without_vm_is_claimed_in_the_table() {
-    let (fleet, key) = start(27_100, "").await;
+    let (fleet, key) = start(27_050, "").await;
     let backends = fleet.backends("booking").await;
     let calls: Vec<_> = (0..20).map(|n| book(&key, &format!("plain-{n}"))).collect();
     let sends = calls.iter().flat_map(|call| {
@@ -135,7 +135,7 @@
 /// Guards at-most-once across the death of the entry that has the request.
 #[tokio::test(flavor = "multi_thread")]
 async fn booking_survives_kill_of_its_entry_at_most_once() {
-    let (mut fleet, key) = start(27_200, "").await;
+    let (mut fleet, key) = start(27_100, "").await;
     let backends = fleet.backends("booking").await;
     slow_down(&fleet, "booking").await;
     let call = book(&key, &id(&fleet, "vm-01", "k1").await);
@@ -179,7 +179,7 @@
 /// Guards against a cut answer that looks whole, and against a false "not run" for a silent server.
 #[tokio::test(flavor = "multi_thread")]
 async fn paused_server_gives_a_visible_interruption() {
-    let (fleet, key) = start(27_300, "read_timeout: 500ms\n").await;
+    let (fleet, key) = start(27_150, "read_timeout: 500ms\n").await;
     let call = Call::new("GET /lookup/permits", &key).with("x-answer-bytes", "33554432");
     let stream = call.open(entry(&fleet, "vm-01")).await;
     let mut stream = stream.expect("a connection");
@@ -215,7 +215,7 @@
 /// Guards against work for callers that left, and against a claim that stays in flight for good.
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_caller_frees_the_server() {
-    let (fleet, key) = start(27_400, "").await;
+    let (fleet, key) = start(27_200, "").await;
     slow_down(&fleet, "booking").await;
     let backends = fleet.backends("booking").await;
     let call = book(&key, &id(&fleet, "vm-01", "l1").await);
@@ -238,7 +238,7 @@
 /// the length of the body that it belongs to.
 #[tokio::test(flavor = "multi_thread")]
 async fn each_caller_gets_its_own_answer() {
-    let (fleet, key) = start(27_500, "").await;
+    let (fleet, key) = start(27_250, "").await;
     let address = entry(&fleet, "vm-01");
     let callers: Vec<_> = (0..8_usize)
         .map(|caller| {
--- a/tests/integration/tests/quarantine.rs
+++ b/tests/integration/tests/quarantine.rs
@@ -26,6 +26,14 @@
     services: &[service("lookup")],
     ..ATLAS
 };
+/// Slow enough that other requests are in flight at each crash.
+const BUSY: Deployment = Deployment {
+    services: &[Service {
+        service_ms: 40,
+        ..service("lookup")
+    }],
+    ..LOOKUP
+};
 const BOOKING: Deployment = Deployment {
     services: &[service("booking")],
     ..LOOKUP
@@ -38,7 +46,7 @@
     entries: Vec<SocketAddr>,
     stop: Arc<AtomicBool>,
 ) -> BTreeMap<String, usize> {
-    let senders: Vec<_> = (0..4)
+    let senders: Vec<_> = (0..6)
         .map(|sender| {
             let (key, entries, stop) = (key.clone(), entries.clone(), stop.clone());
             tokio::spawn(async move {
@@ -64,8 +72,13 @@
     outcomes
 }
 
-async fn start(deployment: Deployment, line: &str, port: u16) -> (Fleet, String, Vec<SocketAddr>) {
-    let fleet = Fleet::start(deployment, port);
+async fn start(
+    deployment: Deployment,
+    line: &str,
+    port: u16,
+    settings: &str,
+) -> (Fleet, String, Vec<SocketAddr>) {
+    let fleet = Fleet::start_with(deployment, port, settings);
     fleet.publish("vm-01", "atlas").await;
     let key = String::from(fleet.issue("vm-01", "toubkal").await.key);
     let vms: Vec<_> = (1..=8).map(|n| format!("vm-{n:02}-entry")).collect();
@@ -84,7 +97,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn innocent_request_is_cleared_by_its_trial() {
     let line = "GET /lookup/permits";
-    let (fleet, key, entries) = start(LOOKUP, line, 27_800).await;
+    let (fleet, key, entries) = start(LOOKUP, line, 27_800, "").await;
     // The other VM of this one's data centre, `vm-02`, runs the trials.
     let entry = entries[7];
     let backends = fleet.backends("lookup").await;
@@ -124,18 +137,48 @@
     assert!(fleet.log("vm-02-entry").contains("trial run on"));
 }
 
+/// Guards against a trial server that never answers and so keeps a request suspected for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_trial_server_is_replaced() {
+    let line = "GET /lookup/permits";
+    let settings = "read_timeout: 500ms\n";
+    let (fleet, key, entries) = start(LOOKUP, line, 27_900, settings).await;
+    let (entry, keeper) = (entries[7], "vm-02-entry");
+    // The only other request of this digest crashed its server, so the digest is suspected.
+    let call = Call::new(format!("{line}?odd"), &key);
+    let crash = call.clone().with("x-crash", "1");
+    assert_eq!(crash.send(entry).await.outcome(), "unknown: interrupted");
+    let mark = " is left free";
+    until("a trial server is reserved", async || {
+        call.send(entry).await;
+        fleet.log(keeper).contains(mark)
+    })
+    .await;
+    let log = fleet.log(keeper);
+    let before = log.split(mark).next().expect("a line");
+    let server = before.rsplit(' ').next().expect("its name").to_owned();
+    fleet.signal(&server, "STOP");
+    until("a trial on another server clears the request", async || {
+        call.send(entry).await.outcome() == "served"
+    })
+    .await;
+    fleet.signal(&server, "CONT");
+    assert!(fleet.log(keeper).matches(mark).count() > 1);
+}
+
 /// Guards the bound on the servers that one request takes down: at most 2 in a data centre and 3
 /// in all, also on an idempotent route, whose requests are retried; other requests go on.
 #[rstest]
 #[case::idempotent(LOOKUP, "GET /lookup/permits", 27_600)]
 #[case::once(BOOKING, "POST /booking/bookings", 27_700)]
+#[case::busy(BUSY, "GET /lookup/permits", 27_400)]
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_request_kills_few_servers(
     #[case] deployment: Deployment,
     #[case] line: &'static str,
     #[case] port: u16,
 ) {
-    let (mut fleet, key, entries) = start(deployment, line, port).await;
+    let (mut fleet, key, entries) = start(deployment, line, port, "").await;
     let centres: BTreeMap<Box<str>, Box<str>> = fleet
         .backends(deployment.services[0].name)
         .await
@@ -177,6 +220,18 @@
     // At each crash, at most the other two slots of the server had other requests.
     let total: usize = outcomes.values().sum();
     assert!(outcomes["served"] + 2 * 3 >= total, "{outcomes:?}");
+    // A fresh entry must not run what the others quarantined.
+    fleet.signal("vm-08-entry", "KILL");
+    fleet.wait("vm-08-entry");
+    fleet.restart("vm-08-entry");
+    until("the fresh entry answers", async || {
+        let outcome = crash.send(entries[7]).await.outcome();
+        let starting = ["", "not-run: no-route", "not-run: unauthorised"].contains(&&*outcome);
+        assert!(starting || outcome == "not-run: quarantined", "{outcome}");
+        !starting
+    })
+    .await;
+    assert_eq!(fleet.ended(), [], "a server crashed");
     for entry in &entries {
         let after = Call::new(line, &key).send(*entry).await;
         assert_eq!(after.outcome(), "served");
