bug: a refused claim no longer gives the trial server up

Cause: a resend of a claimed id was admitted as a trial, refused by its claim, and its end moved the trial to another server with a new settle time. Change: only a request that was handed to the server gives it up.

--- a/programs/entry/src/quarantine.rs
+++ b/programs/entry/src/quarantine.rs
@@ -211,9 +211,12 @@
         self.changed();
     }
 
-    /// Ends a trial that did not complete on `server`.
-    fn release(&self, digest: &Digest, server: &Server) {
+    /// Ends a trial that did not complete, and gives its server up if that had the request.
+    fn release(&self, digest: &Digest, failed: Option<&Server>) {
         lock(&self.register).release(digest);
+        let Some(server) = failed else {
+            return;
+        };
         let mut trials = lock(&self.trials);
         let reserved = trials.values_mut();
         reserved
--- a/programs/entry/src/quarantine/track.rs
+++ b/programs/entry/src/quarantine/track.rs
@@ -17,6 +17,8 @@
     admitted: Admitted,
     claimed: Option<Claimed>,
     interrupted: AtomicBool,
+    /// Whether the request was ever handed to a server.
+    ran: AtomicBool,
 }
 
 impl Track {
@@ -27,6 +29,7 @@
             admitted,
             claimed: None,
             interrupted: AtomicBool::new(false),
+            ran: AtomicBool::new(false),
         }
     }
 
@@ -66,6 +69,7 @@
 
     /// Records whether a backend server may run the request from now on.
     pub fn sent(&self, sent: bool) {
+        self.ran.fetch_or(sent, Ordering::AcqRel);
         if let Some(claimed) = &self.claimed {
             claimed.sent(sent);
         }
@@ -101,7 +105,9 @@
 impl Drop for Track {
     fn drop(&mut self) {
         if let Some(server) = self.trial() {
-            self.quarantine.release(&self.admitted.digest, server);
+            // A request that its claim refused says nothing about the trial server.
+            let failed = self.ran.load(Ordering::Acquire).then_some(&**server);
+            self.quarantine.release(&self.admitted.digest, failed);
         }
     }
 }
