--- a/crates/steering/tests/quarantine.rs
+++ b/crates/steering/tests/quarantine.rs
@@ -104,3 +104,18 @@
         assert_eq!(&*merged.delta().suspects[&A].origin, "dc-1");
     }
 }
+
+/// Guards against memory that grows with each crash; cleared suspicions go first.
+#[test]
+fn known_digests_are_bounded() {
+    let now = Instant::now();
+    let mut register = Register::new("north-1".into(), Settings::default());
+    let digest = |n: usize| steering::quarantine::digest("atlas", "GET", &n.to_string(), b"");
+    register.crashed(&[digest(0), digest(1)], now);
+    register.completed(&digest(1));
+    let more: Vec<_> = (2..=steering::quarantine::KNOWN).map(digest).collect();
+    register.crashed(&more, now);
+    let suspects = &register.delta().suspects;
+    assert_eq!(suspects.len(), steering::quarantine::KNOWN);
+    assert!(suspects.contains_key(&digest(0)) && !suspects.contains_key(&digest(1)));
+}
