--- a/crates/steering/tests/quarantine.rs
+++ b/crates/steering/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 use steering::attempt::Refusal;
-use steering::quarantine::{Admit, Register, Settings, digest};
+use steering::quarantine::{Admit, KNOWN, Register, Settings, digest};
 
 const A: [u8; 16] = [1; 16];
 const B: [u8; 16] = [2; 16];
@@ -110,12 +110,12 @@
 fn known_digests_are_bounded() {
     let now = Instant::now();
     let mut register = Register::new("north-1".into(), Settings::default());
-    let digest = |n: usize| steering::quarantine::digest("atlas", "GET", &n.to_string(), b"");
-    register.crashed(&[digest(0), digest(1)], now);
-    register.completed(&digest(1));
-    let more: Vec<_> = (2..=steering::quarantine::KNOWN).map(digest).collect();
+    let numbered = |n: usize| digest("atlas", "GET", &n.to_string(), b"");
+    register.crashed(&[numbered(0), numbered(1)], now);
+    register.completed(&numbered(1));
+    let more: Vec<_> = (2..=KNOWN).map(numbered).collect();
     register.crashed(&more, now);
     let suspects = &register.delta().suspects;
-    assert_eq!(suspects.len(), steering::quarantine::KNOWN);
-    assert!(suspects.contains_key(&digest(0)) && !suspects.contains_key(&digest(1)));
+    assert_eq!(suspects.len(), KNOWN);
+    assert!(suspects.contains_key(&numbered(0)) && !suspects.contains_key(&numbered(1)));
 }
