feature: limits and fair queues in entry and control

Cause: the decisions of steering::limits and steering::fairness were not used by the programs. Change: the entry keeps a holder for each workspace and a fair queue for each service, borrows from and lends to other entries, and renews elastic parts. The control process leases granter shards and keeps the row `floors`.

--- a/crates/operators/src/check.rs
+++ b/crates/operators/src/check.rs
@@ -23,6 +23,9 @@
 /// Largest difference from 100% that rounding may cause in a sum of shares.
 const SHARE_TOLERANCE: f64 = 1e-6;
 
+/// Most floors of a limit; their claims are one row of the platform's table.
+const FLOOR_UNITS: u32 = 10_000;
+
 impl Finding {
     /// Makes a finding.
     pub fn new(file: &str, line: u64, message: impl Into<Box<str>>) -> Self {
@@ -113,6 +116,16 @@
         }
         if tenant.rate.0 <= 0.0 || tenant.burst == 0 {
             sink.add(workspace, "rate and burst must be above 0".into());
+        } else if fleet.limits.settings().check_limit(tenant.limit()).is_err() {
+            let message = format!(
+                "burst {} of workspace `{}` is too small for {} floors; \
+                 at least {} is accepted, twice `floor_units`",
+                tenant.burst,
+                tenant.name,
+                fleet.limits.floor_units,
+                u64::from(fleet.limits.floor_units) * 2,
+            );
+            sink.add(workspace, message);
         }
     }
     for block in &fleet.clients {
@@ -130,9 +143,9 @@
             }
         }
     }
-    if fleet.limits.floor_units == 0 {
-        sink.findings
-            .push(Finding::new(sink.file, 0, "floor_units must be at least 1"));
+    if !(1..=FLOOR_UNITS).contains(&fleet.limits.floor_units) {
+        let message = format!("`floor_units` must be from 1 to {FLOOR_UNITS}");
+        sink.findings.push(Finding::new(sink.file, 0, message));
     }
 }
 
--- a/crates/operators/src/fleet.rs
+++ b/crates/operators/src/fleet.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 use std::time::Duration;
+use steering::limits::{Amount, Part, Settings, TOKEN};
 
 /// Name of the fleet's file in a publication.
 pub const FILE: &str = "fleet.yaml";
@@ -147,6 +148,33 @@
     }
 }
 
+impl Tenant {
+    /// Returns the limit over all VMs.
+    pub fn limit(&self) -> Part {
+        Part {
+            rate: (self.rate.0 * TOKEN as f64) as Amount,
+            burst: Amount::from(self.burst) * TOKEN,
+        }
+    }
+}
+
+impl Division {
+    /// Returns the fraction of each limit that is divided into floors, in whole percent.
+    pub fn floor_percent(&self) -> u64 {
+        // Shares are read from decimal percentages, so 29% may be stored as 0.28999...
+        (self.floor_share.0 * 100.0 + 1e-6) as u64
+    }
+
+    /// Returns the settings of holders and granters.
+    pub fn settings(&self) -> Settings {
+        Settings {
+            floor_percent: self.floor_percent(),
+            floor_units: u64::from(self.floor_units),
+            ..Settings::default()
+        }
+    }
+}
+
 impl Zone {
     fn holds(&self, data_centre: &str) -> bool {
         self.data_centres.iter().any(|d| &*d.value == data_centre)
--- a/crates/peers/src/local.rs
+++ b/crates/peers/src/local.rs
@@ -2,11 +2,13 @@
 
 use crate::wire::{self, Error, Frame};
 use base::clock::Millis;
-use base::id::{Label, Release, Version, Workspace};
+use base::id::{Incarnation, Label, Release, Version, Workspace};
 use indexmap::{IndexMap, IndexSet};
 use platform::list::List;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use steering::limits::Settings;
+use steering::membership::rendezvous;
 use tokio_util::sync::CancellationToken;
 
 base::message! {
@@ -26,6 +28,28 @@
         pub cap: f64,
     }
 
+    /// How all limits are divided; fixed by the row `floors` once that exists.
+    #[derive(Copy, Default, Eq)]
+    pub struct Division {
+        /// Fraction of each limit that is divided into floors, in percent.
+        pub floor_percent: u64,
+        /// Number of equal floors.
+        pub floor_units: u64,
+        /// Number of granter shards into which the workspaces are divided.
+        pub shards: u64,
+    }
+
+    /// What the entry needs to hold parts of limits.
+    #[derive(Default)]
+    pub struct Shares {
+        /// Division in force; none while the control process has not read it.
+        pub division: Option<Division>,
+        /// Incarnation of the entry to which this VM's floor is bound, if the VM has one.
+        pub floor: Option<Incarnation>,
+        /// Address of the control process that holds each granter shard, as far as known.
+        pub granters: Vec<Option<SocketAddr>>,
+    }
+
     /// All that the entry and the look-up need from the control process.
     #[derive(Default)]
     pub struct State {
@@ -49,6 +73,33 @@
         pub list: List,
         /// Time of the last confirmation of keys by the store or a peer.
         pub confirmed: Millis,
+        /// Division of limits and this VM's floor.
+        pub shares: Shares,
+    }
+}
+
+impl Division {
+    /// Returns the settings of holders and granters.
+    pub fn settings(&self) -> Settings {
+        Settings {
+            floor_percent: self.floor_percent,
+            floor_units: self.floor_units,
+            ..Settings::default()
+        }
+    }
+
+    /// Returns the granter shard of a workspace.
+    pub fn shard(&self, workspace: &str) -> usize {
+        let weight = rendezvous::weight("granter", workspace);
+        usize::try_from(weight % self.shards.max(1)).unwrap_or(0)
+    }
+}
+
+impl Shares {
+    /// Returns the address of the control process that grants parts of a workspace's limit.
+    pub fn granter(&self, workspace: &str) -> Option<SocketAddr> {
+        let shard = self.division?.shard(workspace);
+        self.granters.get(shard).copied().flatten()
     }
 }
 
@@ -59,7 +110,10 @@
 #[tarpc::service]
 pub trait Local {
     /// Returns the state as soon as its generation differs from `have`, or after [`SYNC_WAIT`].
-    async fn sync(have: u64) -> Frame<State>;
+    ///
+    /// An entry reports its incarnation, for which the control process claims a floor. It has bound
+    /// its addresses before, so an earlier entry of the VM has ended.
+    async fn sync(have: u64, entry: Option<Incarnation>) -> Frame<State>;
 }
 
 /// Connects to the control process.
@@ -80,12 +134,18 @@
 
 /// Follows the control process's state until `stop` is cancelled and hands on each new one.
 ///
-/// While the control process can't be reached, the last state stays in force.
-pub async fn follow(address: SocketAddr, stop: CancellationToken, update: impl Fn(&State)) {
+/// While the control process can't be reached, the last state stays in force. An entry passes its
+/// incarnation.
+pub async fn follow(
+    address: SocketAddr,
+    entry: Option<Incarnation>,
+    stop: CancellationToken,
+    update: impl Fn(&State),
+) {
     let mut connected = false;
     while !stop.is_cancelled() {
         let Some(result) = stop
-            .run_until_cancelled(session(address, &mut connected, &update))
+            .run_until_cancelled(session(address, entry, &mut connected, &update))
             .await
         else {
             return;
@@ -103,6 +163,7 @@
 
 async fn session(
     address: SocketAddr,
+    entry: Option<Incarnation>,
     connected: &mut bool,
     update: &impl Fn(&State),
 ) -> Result<(), Error> {
@@ -112,7 +173,7 @@
     loop {
         let mut context = tarpc::context::current();
         context.deadline = Instant::now() + SYNC_TIMEOUT;
-        let state = client.sync(context, have).await?.open()?;
+        let state = client.sync(context, have, entry).await?.open()?;
         if !std::mem::replace(connected, true) {
             log::info!("following the control process at {address}");
         }
--- a/crates/steering/src/fairness.rs
+++ b/crates/steering/src/fairness.rs
@@ -238,6 +238,19 @@
         self.lanes.get(workspace).map_or(0, |lane| lane.queue.len())
     }
 
+    /// Changes the number of slots; running requests beyond it go on.
+    pub fn set_slots(&mut self, slots: usize) {
+        self.settings.slots = slots;
+    }
+
+    /// Returns the run time to expect of a workspace's next request.
+    pub fn expected(&self, workspace: &str) -> Duration {
+        let lane = self.lanes.get(workspace);
+        lane.map_or(self.settings.expected, |lane| {
+            Duration::try_from_secs_f64(lane.run).unwrap_or(self.settings.expected)
+        })
+    }
+
     /// Drops what is known of workspaces that are no longer configured and have no requests.
     pub fn retain(&mut self, configured: impl Fn(&str) -> bool) {
         self.lanes.retain(|workspace, lane| {
--- a/programs/control/src/gossip.rs
+++ b/programs/control/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Serves control processes and entries of other VMs.
 
+use crate::granter;
 use crate::state::Shared;
 use peers::gossip::{Exchange, Gossip, Releases, Reply};
 use peers::wire::{self, Frame};
@@ -10,8 +11,8 @@
 
 #[derive(Clone)]
 struct Server {
-    // TODO: the calls below answer from it.
-    _shared: Shared,
+    // TODO: the other calls below answer from it.
+    shared: Shared,
 }
 
 impl Gossip for Server {
@@ -23,14 +24,15 @@
         Frame::new(Releases::default())
     }
 
-    async fn renew(self, _: Context, _renew: Frame<Renew>) -> Frame<Option<Grant>> {
-        Frame::new(None)
+    async fn renew(self, _: Context, renew: Frame<Renew>) -> Frame<Option<Grant>> {
+        let grant = renew.open().ok();
+        Frame::new(grant.and_then(|renew| granter::renew(&self.shared, &renew)))
     }
 }
 
 /// Serves until `stop` is cancelled.
 pub async fn run(listener: TcpListener, shared: Shared, stop: CancellationToken) {
-    let server = Server { _shared: shared };
+    let server = Server { shared };
     wire::accept(listener, stop, |stream| {
         wire::serve(stream, server.clone().serve())
     })
--- /dev/null
+++ b/programs/control/src/granter.rs
@@ -0,0 +1,146 @@
+//! Grants parts of workspaces' limits for the granter shards whose lease this process holds.
+
+mod floors;
+mod leases;
+
+use crate::state::Shared;
+use base::id::{Version, Workspace};
+use indexmap::IndexMap;
+use peers::local::Division;
+use platform::Client;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+use steering::limits::{Grant, Granter, Part, Renew};
+use tokio_util::sync::CancellationToken;
+
+/// Grants of one shard while its lease is held.
+#[derive(Debug)]
+struct Tenure {
+    /// Time from which the wait for a predecessor's grants counts.
+    since: Instant,
+    /// Deadline of the lease.
+    until: Instant,
+    granters: IndexMap<Workspace, Granter>,
+}
+
+/// Tenures by shard, each behind its own lock.
+#[derive(Debug, Clone, Default)]
+pub struct Granters {
+    tenures: Arc<Mutex<IndexMap<usize, Arc<Mutex<Tenure>>>>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Granters {
+    /// Begins or extends the tenure of a shard whose lease is held until `until`.
+    fn hold(&self, shard: usize, until: Instant, now: Instant) {
+        let mut tenures = lock(&self.tenures);
+        let tenure = tenures.entry(shard).or_insert_with(|| {
+            log::info!("granter shard {shard}: lease taken");
+            Arc::new(Mutex::new(Tenure {
+                since: now,
+                until,
+                granters: IndexMap::new(),
+            }))
+        });
+        let mut tenure = lock(tenure);
+        tenure.until = tenure.until.max(until);
+        for granter in tenure.granters.values_mut() {
+            granter.extend(until);
+        }
+    }
+
+    /// Ends the tenure of a shard; a later one waits for its grants to run out.
+    fn end(&self, shard: usize) {
+        if lock(&self.tenures).swap_remove(&shard).is_some() {
+            log::info!("granter shard {shard}: lease ended");
+        }
+    }
+
+    /// Answers a renewal; none without the lease of the workspace's shard.
+    ///
+    /// `limit` is the workspace's limit and `version` the configuration version that it is from.
+    pub fn renew(
+        &self,
+        renew: &Renew,
+        division: Division,
+        limit: Part,
+        version: Version,
+        now: Instant,
+    ) -> Option<Grant> {
+        let tenure = lock(&self.tenures)
+            .get(&division.shard(&renew.workspace))
+            .cloned()?;
+        let mut tenure = lock(&tenure);
+        let Tenure { since, until, .. } = *tenure;
+        let granter = tenure
+            .granters
+            .entry(renew.workspace.clone())
+            .or_insert_with(|| Granter::new(division.settings(), limit, version, until, since));
+        granter.set_limit(limit, version, now);
+        granter.renew(renew, now)
+    }
+
+    /// Drops the grants of workspaces that are no longer configured.
+    fn retain(&self, configured: impl Fn(&str) -> bool, now: Instant) {
+        let tenures: Vec<_> = lock(&self.tenures).values().cloned().collect();
+        for tenure in tenures {
+            let mut tenure = lock(&tenure);
+            let before = tenure.granters.len();
+            tenure.granters.retain(|workspace, _| configured(workspace));
+            if tenure.granters.len() < before {
+                // A workspace that is configured again waits until the dropped grants are over.
+                tenure.since = now;
+            }
+        }
+    }
+}
+
+/// Answers a renewal from what the control process knows.
+pub fn renew(shared: &Shared, renew: &Renew) -> Option<Grant> {
+    let (division, limit, version) = shared.read(|known| {
+        let active = known.active.as_ref()?;
+        let tenant = active.bundle.fleet.workspace(&renew.workspace)?;
+        Some((known.division?, tenant.limit(), active.version))
+    })?;
+    // The clock is read last: a pause before this line can't make a lapsed lease look held.
+    shared
+        .granters
+        .renew(renew, division, limit, version, Instant::now())
+}
+
+/// Follows the leases and the floors until `stop` is cancelled.
+pub async fn run(shared: Shared, client: Client, stop: CancellationToken) {
+    let mut leases = leases::Leases::new(&shared);
+    let mut absent = floors::Absent::default();
+    while !stop.is_cancelled() {
+        let floors = floors::step(&shared, &client, &mut absent);
+        let (floors, ()) = tokio::join!(floors, leases.step(&shared, &client));
+        if let Err(error) = floors {
+            log::debug!("floors can't be read or written: {error}");
+        }
+        forget(&shared);
+        let pause = tokio::time::sleep(shared.settings.granter_interval.0);
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = pause => {}
+            () = shared.reported.notified() => {}
+        }
+    }
+    leases.give_back(&shared, &client).await;
+}
+
+fn forget(shared: &Shared) {
+    let names = shared.read(|known| {
+        let fleet = &known.active.as_ref()?.bundle.fleet;
+        let names = fleet.workspaces.iter().map(|w| w.value.name.clone());
+        Some(names.collect::<indexmap::IndexSet<_>>())
+    });
+    if let Some(names) = names {
+        shared
+            .granters
+            .retain(|name| names.contains(name), Instant::now());
+    }
+}
--- a/programs/control/src/lib.rs
+++ b/programs/control/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod args;
 pub mod gossip;
+pub mod granter;
 pub mod local;
 pub mod reader;
 pub mod record;
--- a/programs/control/src/local.rs
+++ b/programs/control/src/local.rs
@@ -1,6 +1,7 @@
 //! Serves the processes of this VM.
 
 use crate::state::Shared;
+use base::id::Incarnation;
 use peers::local::{Local, SYNC_WAIT, State};
 use peers::wire::{self, Frame};
 use tarpc::context::Context;
@@ -13,7 +14,10 @@
 }
 
 impl Local for Server {
-    async fn sync(self, _: Context, have: u64) -> Frame<State> {
+    async fn sync(self, _: Context, have: u64, entry: Option<Incarnation>) -> Frame<State> {
+        if let Some(entry) = entry {
+            self.shared.report_entry(entry);
+        }
         let mut states = self.shared.subscribe();
         let changed = states.wait_for(|state| state.generation != have);
         let _ = tokio::time::timeout(SYNC_WAIT, changed).await;
--- a/programs/control/src/record.rs
+++ b/programs/control/src/record.rs
@@ -3,6 +3,9 @@
 use base::clock::Millis;
 use base::id::{Release, Workspace};
 use indexmap::{IndexMap, IndexSet};
+use peers::local::Division;
+use steering::lease::Holder;
+use steering::limits::Floors;
 
 /// Prefix of the rows that every control process reads.
 pub const PREFIX: &str = "control/";
@@ -13,7 +16,26 @@
 /// Row of the changes that only grow.
 pub const GROWING: &str = "control/growing";
 
+/// Row of the division of limits and the owners of floors.
+pub const FLOORS: &str = "floors";
+/// Prefix of the lease rows of the granter shards.
+pub const GRANTER: &str = "granter/";
+
 base::message! {
+    /// Division of limits and the owners of floors.
+    pub struct Ledger {
+        /// Division; all VMs use the one that was written first.
+        pub division: Division,
+        /// Owners.
+        pub floors: Floors,
+    }
+
+    /// Content of a lease row.
+    pub struct Lessee {
+        /// Holder; none after it gave the lease back.
+        pub holder: Option<Holder>,
+    }
+
     /// Configuration in force.
     #[serde(deny_unknown_fields)]
     pub struct Head {
--- a/programs/control/src/run.rs
+++ b/programs/control/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::settings::Settings;
 use crate::state::Shared;
-use crate::{admin, gossip, local, reader};
+use crate::{admin, gossip, granter, local, reader};
 use base::http::client::Target;
 use std::io;
 use tokio::net::TcpListener;
@@ -26,6 +26,7 @@
     let shared = Shared::new(settings);
     tokio::join!(
         reader::run(shared.clone(), client.clone(), stop.clone()),
+        granter::run(shared.clone(), client.clone(), stop.clone()),
         gossip::run(gossip, shared.clone(), stop.clone()),
         local::run(local, shared.clone(), stop.clone()),
         admin::run(admin, shared, client, stop),
--- a/programs/control/src/settings.rs
+++ b/programs/control/src/settings.rs
@@ -33,6 +33,13 @@
     pub platform_timeout: Span,
     /// Time between two reads of the platform's table.
     pub poll_interval: Span,
+    /// Time between two reads of the granter leases and the floors.
+    pub granter_interval: Span,
+    /// Number of granter shards; counts only for the VM that writes the first row `floors`.
+    pub granter_shards: u64,
+    /// Longest time by which the platform's list of VMs lags. A floor is reclaimed when its VM was
+    /// absent for longer, so that a VM that joins doesn't lose the floor that it has just claimed.
+    pub list_lag: Span,
     /// Log specification.
     pub log: Box<str>,
 }
@@ -52,11 +59,20 @@
             platform: loopback(7000),
             platform_timeout: Span(Duration::from_secs(2)),
             poll_interval: Span(Duration::from_millis(500)),
+            granter_interval: Span(Duration::from_millis(500)),
+            granter_shards: 4,
+            list_lag: Span(Duration::from_secs(30)),
             log: "info".into(),
         }
     }
 }
 
+/// Most granter shards; each is a row that its holder writes every `granter_interval`.
+const MOST_SHARDS: u64 = 64;
+
+/// Longest time between two renewals of a lease of 4 s that leaves room for a lost answer.
+const LONGEST_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Least length of a secret, in bytes.
 const SECRET_BYTES: usize = 16;
 
@@ -69,6 +85,12 @@
         if self.admin_token.len() < SECRET_BYTES || self.key_secret.len() < SECRET_BYTES {
             return Some("`admin_token` and `key_secret` need at least 16 bytes each");
         }
+        if !(1..=MOST_SHARDS).contains(&self.granter_shards) {
+            return Some("`granter_shards` must be from 1 to 64");
+        }
+        if self.granter_interval.0.is_zero() || self.granter_interval.0 > LONGEST_INTERVAL {
+            return Some("`granter_interval` must be above 0 and at most 1s");
+        }
         None
     }
 }
--- a/programs/control/src/state.rs
+++ b/programs/control/src/state.rs
@@ -1,15 +1,16 @@
 //! What the control process knows, and its publication to the processes of the VM.
 
+use crate::granter::Granters;
 use crate::record::{Growing, Key};
 use crate::settings::Settings;
 use base::clock::Millis;
-use base::id::Version;
+use base::id::{Incarnation, Version, Vm};
 use indexmap::IndexMap;
 use operators::bundle::{Bundle, Files};
-use peers::local::{self, State};
+use peers::local::{self, Division, Shares, State};
 use platform::list::List;
 use std::sync::{Arc, Mutex, PoisonError};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Configuration in force.
 #[derive(Debug, Clone, PartialEq)]
@@ -37,6 +38,14 @@
     pub list: List,
     /// Time of the last successful read of the table.
     pub confirmed: Millis,
+    /// Division of limits, once the row `floors` was read.
+    pub division: Option<Division>,
+    /// Whether that row says that this VM owns a floor.
+    pub floor: bool,
+    /// Incarnation that this VM's entry reported.
+    pub entry: Option<Incarnation>,
+    /// Holder of each granter shard.
+    pub granters: Vec<Option<Vm>>,
 }
 
 /// Knowledge shared by the tasks of the process.
@@ -44,6 +53,10 @@
 pub struct Shared {
     /// Settings.
     pub settings: Arc<Settings>,
+    /// Grants of the shards that this process holds.
+    pub granters: Granters,
+    /// Notified when the entry reports a new incarnation.
+    pub reported: Arc<Notify>,
     known: Arc<Mutex<Known>>,
     published: watch::Sender<Arc<State>>,
 }
@@ -54,6 +67,8 @@
         let published = watch::Sender::new(Arc::new(State::default()));
         Self {
             settings: Arc::new(settings),
+            granters: Granters::default(),
+            reported: Arc::default(),
             known: Arc::default(),
             published,
         }
@@ -89,6 +104,14 @@
         result
     }
 
+    /// Takes up the incarnation of this VM's entry.
+    pub fn report_entry(&self, entry: Incarnation) {
+        if self.read(|known| known.entry) != Some(entry) {
+            self.change(|known| known.entry = Some(entry));
+            self.reported.notify_one();
+        }
+    }
+
     /// Returns a receiver of published states.
     pub fn subscribe(&self) -> watch::Receiver<Arc<State>> {
         self.published.subscribe()
@@ -116,6 +139,25 @@
         halted: known.growing.halted.keys().cloned().collect(),
         draining: known.growing.draining.clone(),
         list: known.list.clone(),
+        shares: shares(known),
         ..State::default()
     }
 }
+
+fn shares(known: &Known) -> Shares {
+    let address = |vm: &Vm| {
+        let nodes = &known.list.nodes;
+        nodes.iter().find(|n| n.name == *vm).map(|n| n.gossip)
+    };
+    Shares {
+        division: known.division,
+        // The floor belongs to the VM's present entry: it has bound the VM's addresses, so the
+        // incarnation in the row has ended if it is another one.
+        floor: known.entry.filter(|_| known.floor),
+        granters: known
+            .granters
+            .iter()
+            .map(|vm| vm.as_ref().and_then(address))
+            .collect(),
+    }
+}
--- /dev/null
+++ b/programs/entry/src/admission/held.rs
@@ -0,0 +1,39 @@
+//! Answer body that keeps its slot until it ends.
+
+use super::line::Slot;
+use base::http::{Body, BodyError};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, SizeHint};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+struct Held {
+    body: Body,
+    _slot: Option<Slot>,
+}
+
+/// Binds a slot to an answer's body: it is free again when the body was sent or dropped.
+pub fn hold(body: Body, slot: Option<Slot>) -> Body {
+    Held { body, _slot: slot }.boxed_unsync()
+}
+
+impl hyper::body::Body for Held {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/programs/entry/src/metrics.rs
+++ b/programs/entry/src/metrics.rs
@@ -4,7 +4,9 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::registry::Registry;
+use std::sync::atomic::AtomicU64;
 use steering::attempt::{Outcome, Refusal, Retry, Uncertainty};
+use steering::limits::{Amount, TOKEN};
 
 /// Label of a reason.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -12,6 +14,22 @@
     reason: &'static str,
 }
 
+/// Label of a configured workspace; their number is bounded by the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Tenant {
+    workspace: Box<str>,
+}
+
+/// Labels of a workspace and a reason or result.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TenantReason {
+    workspace: Box<str>,
+    reason: &'static str,
+}
+
+/// Counter of fractions of tokens.
+type Tokens = Counter<f64, AtomicU64>;
+
 /// Counters of the entry.
 #[derive(Debug, Default)]
 pub struct Metrics {
@@ -19,6 +37,11 @@
     not_run: Family<Reason, Counter>,
     unknown: Family<Reason, Counter>,
     retries: Family<Reason, Counter>,
+    spent: Family<Tenant, Counter>,
+    borrowed: Family<Tenant, Tokens>,
+    lent: Family<Tenant, Tokens>,
+    refused: Family<TenantReason, Counter>,
+    renewals: Family<TenantReason, Counter>,
 }
 
 impl Metrics {
@@ -47,6 +70,59 @@
             self.unknown.clone(),
         );
         registry.register("retries", "Requests sent again", self.retries.clone());
+        registry.register("tokens_spent", "Tokens spent", self.spent.clone());
+        registry.register(
+            "tokens_borrowed",
+            "Tokens that other VMs lent",
+            self.borrowed.clone(),
+        );
+        registry.register(
+            "tokens_lent",
+            "Tokens lent to other VMs",
+            self.lent.clone(),
+        );
+        registry.register(
+            "workspace_refusals",
+            "Requests of a workspace refused before they were sent",
+            self.refused.clone(),
+        );
+        registry.register(
+            "renewals",
+            "Renewals of parts of limits by result",
+            self.renewals.clone(),
+        );
+    }
+
+    /// Counts a request that was paid for.
+    pub fn spent(&self, workspace: &str) {
+        self.spent.get_or_create(&tenant(workspace)).inc();
+    }
+
+    /// Counts tokens that came from another VM.
+    pub fn borrowed(&self, workspace: &str, tokens: Amount) {
+        let counter = self.borrowed.get_or_create(&tenant(workspace));
+        counter.inc_by(tokens as f64 / TOKEN as f64);
+    }
+
+    /// Counts tokens that went to another VM.
+    pub fn lent(&self, workspace: &str, tokens: Amount) {
+        let counter = self.lent.get_or_create(&tenant(workspace));
+        counter.inc_by(tokens as f64 / TOKEN as f64);
+    }
+
+    /// Counts a refusal of a workspace's request.
+    pub fn refused(&self, workspace: &str, reason: Refusal) {
+        let workspace = workspace.into();
+        let reason = reason.text();
+        let labels = TenantReason { workspace, reason };
+        self.refused.get_or_create(&labels).inc();
+    }
+
+    /// Counts a renewal by its result.
+    pub fn renewal(&self, workspace: &str, reason: &'static str) {
+        let workspace = workspace.into();
+        let labels = TenantReason { workspace, reason };
+        self.renewals.get_or_create(&labels).inc();
     }
 
     /// Counts a retry.
@@ -77,3 +153,9 @@
         };
     }
 }
+
+fn tenant(workspace: &str) -> Tenant {
+    Tenant {
+        workspace: workspace.into(),
+    }
+}
--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -1,6 +1,6 @@
 //! Path of a request through the entry.
 
-use crate::admission::Admission;
+use crate::admission::{Admission, held};
 use crate::forward::{Forwarded, forward};
 use crate::metrics::Metrics;
 use crate::receive::{Call, receive};
@@ -8,6 +8,7 @@
 use crate::snapshot::Snapshot;
 use crate::{authorise, reply};
 use base::http::Body;
+use base::id::Incarnation;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use std::sync::Arc;
@@ -19,7 +20,8 @@
 pub struct Pipeline {
     settings: Settings,
     snapshot: watch::Receiver<Arc<Snapshot>>,
-    admission: Admission,
+    /// Admission of requests.
+    pub admission: Admission,
     metrics: Arc<Metrics>,
 }
 
@@ -27,13 +29,20 @@
     /// Makes a pipeline that follows `snapshot`.
     pub fn new(
         settings: Settings,
+        incarnation: Incarnation,
         snapshot: watch::Receiver<Arc<Snapshot>>,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let admission = Admission::new(
+            settings.clone(),
+            incarnation,
+            snapshot.clone(),
+            metrics.clone(),
+        );
         Self {
             settings,
             snapshot,
-            admission: Admission::default(),
+            admission,
             metrics,
         }
     }
@@ -61,11 +70,13 @@
         let snapshot = self.snapshot.borrow().clone();
         let secret = &self.settings.key_secret;
         let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
-        self.admission.admit(call, &grant).await.map_err(refused)?;
+        let slot = self.admission.admit(call, &grant).await.map_err(refused)?;
         // The key may have been withdrawn, and servers may have left, while the request waited.
         let snapshot = self.snapshot.borrow().clone();
         let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
-        forward(call, &grant, &snapshot, &self.settings, &self.metrics).await
+        let mut answer = forward(call, &grant, &snapshot, &self.settings, &self.metrics).await?;
+        answer.response = answer.response.map(|body| held::hold(body, slot));
+        Ok(answer)
     }
 }
 
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -6,6 +6,7 @@
 use crate::share;
 use crate::snapshot::Snapshot;
 use backends::client;
+use base::id::Incarnation;
 use base::http::server::Limits;
 use peers::local;
 use prometheus_client::registry::Registry;
@@ -24,12 +25,19 @@
     let listener = TcpListener::bind(settings.listen).await?;
     let share = TcpListener::bind(settings.share).await?;
     let exposed = TcpListener::bind(settings.metrics).await?;
+    // The port stays bound until the process has ended: a successor that could bind it earlier would
+    // take over this VM's floor while requests here still spend from it.
+    let share = share.into_std()?;
+    let _bound = share.try_clone()?;
+    let share = TcpListener::from_std(share)?;
+    let incarnation = rand::random::<Incarnation>().max(1);
     let metrics = Arc::new(Metrics::default());
     let mut registry = Registry::with_prefix("cardamomhall");
     metrics.register(&mut registry);
     let snapshot = watch::Sender::new(Arc::new(Snapshot::default()));
     let pipeline = Arc::new(Pipeline::new(
         settings.clone(),
+        incarnation,
         snapshot.subscribe(),
         metrics.clone(),
     ));
@@ -45,14 +53,15 @@
         drain_timeout: settings.drain_timeout.0,
         ..Limits::default()
     };
-    let served = pipeline.clone();
+    let (served, renewing) = (pipeline.clone(), pipeline.clone());
     let handler = move |request, _| {
         let pipeline = pipeline.clone();
         async move { pipeline.handle(request).await }
     };
     log::info!("vm {} serving on {}", settings.vm, settings.listen);
     tokio::join!(
-        local::follow(settings.control, stop.clone(), update),
+        local::follow(settings.control, Some(incarnation), stop.clone(), update),
+        renewing.admission.run(stop.clone()),
         base::http::server::serve(listener, limits, stop.clone(), handler),
         share::run(share, served, stop.clone()),
         base::metrics::serve(exposed, registry, stop),
--- a/programs/entry/src/settings.rs
+++ b/programs/entry/src/settings.rs
@@ -37,6 +37,10 @@
     pub drain_timeout: Span,
     /// Time without a byte after which a backend server's connection is retired.
     pub read_timeout: Span,
+    /// Longest time that a request waits for a token of its workspace's limit.
+    pub token_wait: Span,
+    /// Most requests of one workspace that wait for a token at once; more are refused at once.
+    pub token_waiters: u64,
     /// Log specification.
     pub log: Box<str>,
 }
@@ -58,6 +62,8 @@
             connections: 4096,
             drain_timeout: Span(Duration::from_secs(30)),
             read_timeout: Span(Duration::from_secs(5)),
+            token_wait: Span(Duration::from_secs(1)),
+            token_waiters: 64,
             log: "info".into(),
         }
     }
@@ -75,6 +81,9 @@
         if self.key_secret.len() < SECRET_BYTES {
             return Some("`key_secret` needs at least 16 bytes");
         }
+        if self.token_waiters == 0 {
+            return Some("`token_waiters` must be at least 1");
+        }
         None
     }
 }
--- a/programs/entry/src/share.rs
+++ b/programs/entry/src/share.rs
@@ -11,13 +11,14 @@
 
 #[derive(Clone)]
 struct Server {
-    // TODO: the calls below answer from it.
-    _pipeline: Arc<Pipeline>,
+    // TODO: the other calls below answer from it.
+    pipeline: Arc<Pipeline>,
 }
 
 impl Share for Server {
-    async fn borrow(self, _: Context, _borrow: Frame<Borrow>) -> Frame<Option<Lent>> {
-        Frame::new(None)
+    async fn borrow(self, _: Context, borrow: Frame<Borrow>) -> Frame<Option<Lent>> {
+        let borrow = borrow.open().ok();
+        Frame::new(borrow.and_then(|borrow| self.pipeline.admission.lend(&borrow)))
     }
 
     async fn claim(self, _: Context, _question: Frame<Question>) -> Frame<Option<Answer>> {
@@ -35,9 +36,7 @@
 
 /// Serves until `stop` is cancelled.
 pub async fn run(listener: TcpListener, pipeline: Arc<Pipeline>, stop: CancellationToken) {
-    let server = Server {
-        _pipeline: pipeline,
-    };
+    let server = Server { pipeline };
     wire::accept(listener, stop, |stream| {
         wire::serve(stream, server.clone().serve())
     })
--- a/programs/entry/src/snapshot.rs
+++ b/programs/entry/src/snapshot.rs
@@ -6,15 +6,21 @@
 use indexmap::{IndexMap, IndexSet};
 use operators::bundle::Bundle;
 use operators::service::Service;
-use peers::local::{Key, State, Step};
+use peers::local::{Key, Shares, State, Step};
 use platform::list;
+use std::net::SocketAddr;
 use std::sync::Arc;
+use steering::limits::Part;
 
 /// Everything that the request path looks up; replaced whole when something changes.
 #[derive(Debug, Default)]
 pub struct Snapshot {
     /// Configuration version.
     pub version: Version,
+    /// Division of limits, this VM's floor and the granters.
+    pub shares: Shares,
+    /// VMs of the system.
+    pub nodes: Vec<list::Node>,
     bundle: Option<Arc<Bundle>>,
     keys: IndexMap<Box<str>, Key>,
     withdrawn: IndexSet<Box<str>>,
@@ -34,6 +40,18 @@
         Self {
             version,
             bundle,
+            // A restarted control process knows no division until it has read the store; the floor
+            // remains with this VM meanwhile.
+            shares: if state.shares.division.is_some() {
+                state.shares.clone()
+            } else {
+                self.shares.clone()
+            },
+            nodes: if state.list.nodes.is_empty() {
+                self.nodes.clone()
+            } else {
+                state.list.nodes.clone()
+            },
             keys: if state.keys.is_empty() {
                 self.keys.clone()
             } else {
@@ -84,6 +102,18 @@
         self.bundle.as_ref()?.service(name)
     }
 
+    /// Returns the limit of a configured workspace over all VMs.
+    pub fn limit(&self, workspace: &str) -> Option<Part> {
+        let tenant = self.bundle.as_ref()?.fleet.workspace(workspace)?;
+        Some(tenant.limit())
+    }
+
+    /// Returns the address of a VM's entry towards other entries.
+    pub fn share_address(&self, vm: &str) -> Option<SocketAddr> {
+        let node = self.nodes.iter().find(|node| &*node.name == vm)?;
+        Some(node.share)
+    }
+
     /// Returns the key with this digest, unless it has been withdrawn or has expired.
     pub fn key(&self, digest: &str, now: base::clock::Millis) -> Option<&Key> {
         if self.withdrawn.contains(digest) {
--- a/programs/lookup/src/run.rs
+++ b/programs/lookup/src/run.rs
@@ -31,7 +31,7 @@
     };
     log::info!("answering on {}", settings.listen);
     tokio::join!(
-        local::follow(settings.control, stop.clone(), update),
+        local::follow(settings.control, None, stop.clone(), update),
         server::run(listener, receiver, metrics, stop.clone()),
         base::metrics::serve(exposed, registry, stop),
     );
--- /dev/null
+++ b/tests/integration/tests/limits.rs
@@ -0,0 +1,159 @@
+//! Rates, bursts and fair queues through separate processes.
+
+use base::http::client::Target;
+use bench::args::Load;
+use bench::load::Summary;
+use bench::topology::{ATLAS, Deployment, Service};
+use hyper::Method;
+use integration::{Fleet, until};
+use std::time::{Duration, Instant};
+
+const SMALL: Deployment = Deployment {
+    nodes: 4,
+    services: &[Service {
+        name: "lookup",
+        servers: 6,
+        slots: 3,
+        service_ms: 1,
+    }],
+    ..ATLAS
+};
+
+/// Term of an elastic part and its margin, with room for slow processes.
+const EXPIRY: Duration = Duration::from_secs(4);
+
+fn load(key: &str, requests: usize, connections: usize) -> Load {
+    Load {
+        lookup: None,
+        address: None,
+        path: "/lookup/permits".into(),
+        method: "GET".into(),
+        key: Some(key.into()),
+        requests,
+        connections,
+    }
+}
+
+fn count(summary: &Summary, outcome: &str) -> usize {
+    summary.outcomes.get(outcome).copied().unwrap_or(0)
+}
+
+/// Returns the sum of a workspace's counter over some VMs.
+async fn counter(fleet: &Fleet, vms: &[&str], name: &str, workspace: &str) -> f64 {
+    let mut sum = 0.0;
+    for vm in vms {
+        let target = Target {
+            address: fleet.address(&format!("{vm}-entry"), "metrics"),
+            timeout: Duration::from_secs(10),
+            authorization: None,
+        };
+        let answer = target.call(Method::GET, "/metrics", "").await;
+        let body = answer.expect("metrics").body;
+        let text = std::str::from_utf8(&body).expect("text");
+        let label = format!("workspace=\"{workspace}\"");
+        let prefix = format!("cardamomhall_{name}_total{{");
+        sum += text
+            .lines()
+            .filter(|line| line.starts_with(&prefix) && line.contains(&label))
+            .filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok())
+            .sum::<f64>();
+    }
+    sum
+}
+
+/// Starts a fleet and waits until a workspace's key is served by some VMs.
+async fn start(port: u16, workspace: &str, vms: &[&str]) -> (Fleet, Box<str>) {
+    let fleet = Fleet::start(SMALL, port);
+    fleet.publish("vm-01", "atlas").await;
+    let key = fleet.issue("vm-01", workspace).await.key;
+    for vm in vms {
+        until("the VM serves the key", async || {
+            count(&fleet.load(vm, load(&key, 1, 1)).await, "served") == 1
+        })
+        .await;
+    }
+    (fleet, key)
+}
+
+async fn outage(fleet: &Fleet) {
+    let outage = serde_json::json!({ "outage": true });
+    fleet.platform(Method::PUT, "/switch", &outage).await;
+}
+
+/// Guards the limit over all VMs: two full buckets would admit twice the rate.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_vms_together_keep_the_limit() {
+    const VMS: &[&str] = &["vm-01", "vm-02"];
+    const ALL: &[&str] = &["vm-01", "vm-02", "vm-03", "vm-04"];
+    // The example's limit of the workspace.
+    let (rate, burst) = (20.0, 32.0);
+    // Long enough that the rate of a second bucket would show over the burst.
+    let span = Duration::from_secs(8);
+    let (fleet, key) = start(25_000, "dakhla", VMS).await;
+
+    let begin = Instant::now();
+    let before = counter(&fleet, ALL, "tokens_spent", "dakhla").await;
+    let mut refused = 0;
+    let mut offered = 0;
+    while begin.elapsed() < span {
+        let (one, two) = tokio::join!(
+            fleet.load(VMS[0], load(&key, 300, 100)),
+            fleet.load(VMS[1], load(&key, 300, 100)),
+        );
+        offered += 600;
+        for summary in [one, two] {
+            refused += count(&summary, "not-run: rate-limited");
+        }
+    }
+    let admitted = counter(&fleet, ALL, "tokens_spent", "dakhla").await - before;
+    let bound = burst + rate * begin.elapsed().as_secs_f64();
+    assert!(admitted <= bound, "{admitted} admitted, bound {bound}");
+    assert!(f64::from(offered) > bound && refused > 0);
+    println!("{admitted} admitted of {offered}, bound {bound:.1}, {refused} refused");
+}
+
+/// Guards the elastic parts: the floor of one VM holds 1.25 tokens of this workspace and refills
+/// 3.1 a second, so without them most of the requests are refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn demand_on_one_vm_is_served_inside_the_rate() {
+    let (fleet, key) = start(25_200, "ifrane", &["vm-02"]).await;
+    until("all requests are served", async || {
+        let summary = fleet.load("vm-02", load(&key, 60, 30)).await;
+        count(&summary, "served") == 60
+    })
+    .await;
+    let granted = counter(&fleet, &["vm-02"], "renewals", "ifrane").await;
+    assert!(granted > 0.0, "renewals are counted");
+}
+
+/// Guards serving on floors alone: neither the store nor a granter is there.
+#[tokio::test(flavor = "multi_thread")]
+async fn floor_serves_without_store_and_granter() {
+    let (mut fleet, key) = start(25_400, "toubkal", &["vm-03"]).await;
+    outage(&fleet).await;
+    for vm in ["vm-01", "vm-02", "vm-03", "vm-04"] {
+        let control = format!("{vm}-control");
+        fleet.signal(&control, "KILL");
+        fleet.wait(&control);
+    }
+    tokio::time::sleep(EXPIRY).await;
+    let summary = fleet.load("vm-03", load(&key, 5, 1)).await;
+    assert_eq!(count(&summary, "served"), 5, "{summary:?}");
+}
+
+/// Guards the others against a workspace that floods: none is refused inside its rate.
+#[tokio::test(flavor = "multi_thread")]
+async fn flood_of_one_workspace_leaves_others_alone() {
+    let (fleet, flooding) = start(25_600, "souss-massa", &["vm-01"]).await;
+    let other = fleet.issue("vm-01", "toubkal").await.key;
+    until("the other workspace is served", async || {
+        count(&fleet.load("vm-01", load(&other, 40, 4)).await, "served") == 40
+    })
+    .await;
+    let (flood, served) = tokio::join!(
+        fleet.load("vm-01", load(&flooding, 2000, 150)),
+        fleet.load("vm-01", load(&other, 40, 4)),
+    );
+    assert!(count(&flood, "not-run: rate-limited") > 0, "{flood:?}");
+    assert_eq!(count(&served, "served"), 40, "{served:?}");
+}
