--- a/crates/operators/tests/check.rs
+++ b/crates/operators/tests/check.rs
@@ -75,7 +75,11 @@
 #[case::rate_unit("50/s", "50/h", "a rate such as")]
 #[case::no_burst("burst: 40", "burst: 0", "above 0")]
 #[case::no_floors("workspaces:", "limits: { floor_units: 0 }\nworkspaces:", "from 1 to")]
-#[case::many_floors("workspaces:", "limits: { floor_units: 10001 }\nworkspaces:", "from 1 to")]
+#[case::many_floors(
+    "workspaces:",
+    "limits: { floor_units: 10001 }\nworkspaces:",
+    "from 1 to"
+)]
 #[case::data_centre_twice("north-2]", "north-1]", "named twice")]
 #[case::unknown_block(
     "workspaces:",
--- a/programs/entry/src/metrics.rs
+++ b/programs/entry/src/metrics.rs
@@ -76,11 +76,7 @@
             "Tokens that other VMs lent",
             self.borrowed.clone(),
         );
-        registry.register(
-            "tokens_lent",
-            "Tokens lent to other VMs",
-            self.lent.clone(),
-        );
+        registry.register("tokens_lent", "Tokens lent to other VMs", self.lent.clone());
         registry.register(
             "workspace_refusals",
             "Requests of a workspace refused before they were sent",
