feature: idle floors serve in the granters' pool

Ruled out: pooling without the granters' consent to free a floor, which would let a VM claim a floor that a granter still grants. Change: the row `floors` gives floors without a VM to the pool, and frees one once the granters of all shards fit without it. A tenure uses only a reading of the row that began during the tenure.

--- a/programs/control/src/granter.rs
+++ b/programs/control/src/granter.rs
@@ -20,6 +20,9 @@
     since: Instant,
     /// Deadline of the lease.
     until: Instant,
+    /// Floors in the pool, as read from the table during the tenure. An older reading doesn't count:
+    /// a predecessor may have done without a floor that was claimed since.
+    pooled: usize,
     granters: IndexMap<Workspace, Granter>,
 }
 
@@ -42,6 +45,7 @@
             Arc::new(Mutex::new(Tenure {
                 since: now,
                 until,
+                pooled: 0,
                 granters: IndexMap::new(),
             }))
         });
@@ -74,19 +78,62 @@
             .get(&division.shard(&renew.workspace))
             .cloned()?;
         let mut tenure = lock(&tenure);
-        let Tenure { since, until, .. } = *tenure;
+        let Tenure {
+            since,
+            until,
+            pooled,
+            ..
+        } = *tenure;
         let granter = tenure
             .granters
             .entry(renew.workspace.clone())
-            .or_insert_with(|| Granter::new(division.settings(), limit, version, until, since));
+            .or_insert_with(|| {
+                let mut fresh = Granter::new(division.settings(), limit, version, until, since);
+                fresh.set_pooled(pooled, now);
+                fresh
+            });
         granter.set_limit(limit, version, now);
         granter.renew(renew, now)
     }
 
+    fn tenures(&self) -> Vec<(usize, Arc<Mutex<Tenure>>)> {
+        let tenures = lock(&self.tenures);
+        tenures.iter().map(|(s, t)| (*s, t.clone())).collect()
+    }
+
+    /// Sets the number of pooled floors that the row `floors` allows; its reading began at `read`.
+    fn set_pooled(&self, pooled: usize, read: Instant, now: Instant) {
+        for (_, tenure) in self.tenures() {
+            let mut tenure = lock(&tenure);
+            if tenure.since <= read {
+                tenure.pooled = pooled;
+                for granter in tenure.granters.values_mut() {
+                    granter.set_pooled(pooled, now);
+                }
+            }
+        }
+    }
+
+    /// Lists the shards that are held and whose grants, a predecessor's too, fit the capacity with
+    /// at most `pooled` floors.
+    fn fitted(&self, division: Division, pooled: usize, now: Instant) -> Vec<usize> {
+        let settings = division.settings();
+        let fits = |tenure: &mut Tenure| {
+            let opens = tenure.since + settings.term + settings.margin;
+            (opens..tenure.until).contains(&now)
+                && tenure.pooled <= pooled
+                && tenure.granters.values_mut().all(|g| g.fits(now))
+        };
+        let tenures = self.tenures().into_iter();
+        tenures
+            .filter(|(_, tenure)| fits(&mut lock(tenure)))
+            .map(|(shard, _)| shard)
+            .collect()
+    }
+
     /// Drops the grants of workspaces that are no longer configured.
     fn retain(&self, configured: impl Fn(&str) -> bool, now: Instant) {
-        let tenures: Vec<_> = lock(&self.tenures).values().cloned().collect();
-        for tenure in tenures {
+        for (_, tenure) in self.tenures() {
             let mut tenure = lock(&tenure);
             let before = tenure.granters.len();
             tenure.granters.retain(|workspace, _| configured(workspace));
@@ -116,7 +163,7 @@
     let mut leases = leases::Leases::new(&shared);
     let mut absent = floors::Absent::default();
     while !stop.is_cancelled() {
-        let floors = floors::step(&shared, &client, &mut absent);
+        let floors = floors::settle(&shared, &client, &mut absent);
         let (floors, ()) = tokio::join!(floors, leases.step(&shared, &client));
         if let Err(error) = floors {
             log::debug!("floors can't be read or written: {error}");
--- a/programs/control/src/granter/floors.rs
+++ b/programs/control/src/granter/floors.rs
@@ -3,21 +3,37 @@
 use crate::record::{FLOORS, Ledger};
 use crate::state::Shared;
 use crate::table;
-use base::id::Vm;
+use base::id::{Incarnation, Vm};
 use indexmap::{IndexMap, IndexSet};
 use peers::local::Division;
 use platform::{Client, Error};
 use std::time::Instant;
 use steering::limits::Floors;
+use steering::limits::floors::Claim;
 
 /// Owners of floors that the platform's list doesn't name, and since when.
 pub type Absent = IndexMap<Vm, Instant>;
 
+/// Most attempts of a change that other writers overtake; all VMs write the row when they start.
+const ATTEMPTS: usize = 8;
+
+/// Does a [`step`] again when another writer was faster.
+pub async fn settle(shared: &Shared, client: &Client, absent: &mut Absent) -> Result<(), Error> {
+    for _ in 1..ATTEMPTS {
+        match step(shared, client, absent).await {
+            Err(Error::Conflict(_)) => {}
+            settled => return settled,
+        }
+    }
+    step(shared, client, absent).await
+}
+
 /// Reads the row, writes what has to change, and publishes what the table confirms.
 ///
 /// A claim counts only once it was read or its write was answered, so a lost answer is settled by
 /// the next read.
-pub async fn step(shared: &Shared, client: &Client, absent: &mut Absent) -> Result<(), Error> {
+async fn step(shared: &Shared, client: &Client, absent: &mut Absent) -> Result<(), Error> {
+    let read = Instant::now();
     let (version, ledger) = match client.read(FLOORS).await {
         Ok(row) => (row.version, Some(table::decode::<Ledger>(row.value)?)),
         Err(Error::Absent) => (0, None),
@@ -27,7 +43,7 @@
         return Ok(());
     };
     if ledger.is_some() {
-        publish(shared, &known);
+        publish(shared, &known, read);
     }
     let wanted = change(shared, known.clone(), absent, Instant::now());
     if ledger.is_some() && wanted == known {
@@ -36,7 +52,7 @@
     client
         .write(FLOORS, &table::write(version, &wanted)?)
         .await?;
-    publish(shared, &wanted);
+    publish(shared, &wanted, read);
     Ok(())
 }
 
@@ -53,10 +69,19 @@
             shards: shared.settings.granter_shards,
         },
         floors: Floors::new(usize::try_from(limits.floor_units).unwrap_or(1)),
+        freeing: false,
+        fitted: IndexSet::new(),
     })
 }
 
-/// Claims a floor for this VM's entry and frees the floors of VMs that are gone.
+/// Number of pooled floors that granters may use.
+fn usable(ledger: &Ledger) -> usize {
+    let pooled = ledger.floors.pooled();
+    pooled.saturating_sub(usize::from(ledger.freeing))
+}
+
+/// Claims a floor for this VM's entry, frees the floors of VMs that are gone, and gives the floors
+/// that nobody needs to the granters' pool.
 fn change(shared: &Shared, mut ledger: Ledger, absent: &mut Absent, now: Instant) -> Ledger {
     let vm = &shared.settings.vm;
     let (listed, entry) = shared.read(|known| {
@@ -81,19 +106,52 @@
             since.is_some_and(|&since| now >= since + wait)
         });
     }
+    free_pooled(shared, &mut ledger, now);
     if let Some(entry) = entry {
-        let owned = |ledger: &Ledger| {
-            let mut owners = ledger.floors.owners();
-            owners.any(|claim| claim.incarnation == entry && claim.vm == *vm)
-        };
-        if !owned(&ledger) && ledger.floors.claim(vm, entry).is_none() {
-            log::warn!("no floor is free; raise `floor_units` to at least the number of VMs");
-        }
+        claim(vm, entry, &mut ledger);
+    }
+    if !listed.is_empty() && !ledger.freeing {
+        let owners: IndexSet<&Vm> = ledger.floors.owners().map(|claim| &claim.vm).collect();
+        let without = listed.iter().filter(|vm| !owners.contains(vm)).count();
+        // One more is kept for a VM that isn't listed yet.
+        ledger.floors.pool(without + 1);
     }
     ledger
 }
 
-fn publish(shared: &Shared, ledger: &Ledger) {
+/// Claims a floor, or asks the granters to do without one of the pool.
+fn claim(vm: &str, entry: Incarnation, ledger: &mut Ledger) {
+    let own = |claim: &Claim| claim.incarnation == entry && *claim.vm == *vm;
+    if ledger.floors.owners().any(own) || ledger.floors.claim(vm, entry).is_some() {
+        return;
+    }
+    if ledger.floors.pooled() == 0 {
+        log::warn!("no floor is free; set `floor_units` to at least the number of VMs");
+    } else if !ledger.freeing {
+        ledger.freeing = true;
+        ledger.fitted.clear();
+    }
+}
+
+/// Notes the shards that do without a floor of the pool, and frees it once all do.
+fn free_pooled(shared: &Shared, ledger: &mut Ledger, now: Instant) {
+    if !ledger.freeing {
+        return;
+    }
+    let fitted = shared.granters.fitted(ledger.division, usable(ledger), now);
+    ledger.fitted.extend(fitted);
+    let shards = usize::try_from(ledger.division.shards).unwrap_or(usize::MAX);
+    if (0..shards).all(|shard| ledger.fitted.contains(&shard)) {
+        ledger.floors.unpool();
+        ledger.freeing = false;
+        ledger.fitted.clear();
+    }
+}
+
+fn publish(shared: &Shared, ledger: &Ledger, read: Instant) {
+    shared
+        .granters
+        .set_pooled(usable(ledger), read, Instant::now());
     let vm = &shared.settings.vm;
     let owned = ledger.floors.owners().any(|claim| claim.vm == *vm);
     shared.change(|known| {
--- a/programs/control/src/record.rs
+++ b/programs/control/src/record.rs
@@ -28,6 +28,10 @@
         pub division: Division,
         /// Owners.
         pub floors: Floors,
+        /// Whether a VM waits for a floor of the pool; all granters then do with one less.
+        pub freeing: bool,
+        /// Granter shards whose grants fit without that floor.
+        pub fitted: IndexSet<usize>,
     }
 
     /// Content of a lease row.
