--- a/programs/control/src/granter/floors.rs
+++ b/programs/control/src/granter/floors.rs
@@ -110,6 +110,11 @@
     if let Some(entry) = entry {
         claim(vm, entry, &mut ledger);
     }
+    if ledger.floors.free() == 0 && ledger.floors.pooled() > 0 && !ledger.freeing {
+        // The granters do with one floor less, so that the next VM finds one.
+        ledger.freeing = true;
+        ledger.fitted.clear();
+    }
     if !listed.is_empty() && !ledger.freeing {
         let owners: IndexSet<&Vm> = ledger.floors.owners().map(|claim| &claim.vm).collect();
         let without = listed.iter().filter(|vm| !owners.contains(vm)).count();
@@ -119,17 +124,12 @@
     ledger
 }
 
-/// Claims a floor, or asks the granters to do without one of the pool.
+/// Claims a floor for this VM's entry, unless it has one.
 fn claim(vm: &str, entry: Incarnation, ledger: &mut Ledger) {
     let own = |claim: &Claim| claim.incarnation == entry && *claim.vm == *vm;
-    if ledger.floors.owners().any(own) || ledger.floors.claim(vm, entry).is_some() {
-        return;
-    }
-    if ledger.floors.pooled() == 0 {
+    let owned = ledger.floors.owners().any(own) || ledger.floors.claim(vm, entry).is_some();
+    if !owned && ledger.floors.pooled() == 0 {
         log::warn!("no floor is free; set `floor_units` to at least the number of VMs");
-    } else if !ledger.freeing {
-        ledger.freeing = true;
-        ledger.fitted.clear();
     }
 }
 
--- /dev/null
+++ b/programs/control/tests/granter.rs
@@ -0,0 +1,226 @@
+//! Leases of granter shards and floors against a stand-in of the platform.
+
+use base::http::client::Target;
+use base::id::Incarnation;
+use control::settings::Settings;
+use control::state::Shared;
+use control::{granter, reader};
+use hyper::Method;
+use platform::list::{List, Node, State};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+use steering::limits::{Part, Renew};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+const FLEET: &str = "\
+fleet: test
+regions:
+  - name: north
+    data_centres: [north-1]
+workspaces:
+  - { name: toubkal, rate: 100/s, burst: 40 }
+limits: { floor_units: 4 }
+";
+
+/// Longest wait for a condition; a hang guard, not a bound of the system.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+struct Platform {
+    address: SocketAddr,
+    stop: CancellationToken,
+    list_lag: Duration,
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+impl Platform {
+    async fn start(port: u16, vms: &[&str]) -> Self {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let listener = TcpListener::bind(address).await.expect("a free port");
+        let stop = CancellationToken::new();
+        let list = List {
+            nodes: vms.iter().map(|vm| node(vm, address)).collect(),
+            backends: Vec::new(),
+        };
+        tokio::spawn(standin_platform::server::run(listener, list, stop.clone()));
+        Self {
+            address,
+            stop,
+            list_lag: Duration::from_millis(300),
+        }
+    }
+
+    async fn call(&self, method: Method, path: &str, body: serde_json::Value) {
+        let answer = self.target().call_json(method, path, &body).await;
+        let status = answer.expect("an answer").status;
+        assert!(status.is_success(), "{path}: {status}");
+    }
+
+    fn target(&self) -> Target {
+        Target {
+            address: self.address,
+            timeout: Duration::from_secs(2),
+            authorization: None,
+        }
+    }
+
+    /// Runs the granter of a VM, whose entry has the given incarnation.
+    fn vm(&self, name: &str, entry: Incarnation) -> (Shared, JoinHandle<()>) {
+        let span = base::unit::Span;
+        let shared = Shared::new(Settings {
+            vm: name.into(),
+            granter_interval: span(Duration::from_millis(50)),
+            list_lag: span(self.list_lag),
+            ..Settings::default()
+        });
+        let files = [("fleet.yaml".into(), FLEET.into())].into_iter().collect();
+        reader::activate(&shared, 1, files);
+        shared.report_entry(entry);
+        let client = platform::Client::new(self.target());
+        let (followed, stop) = (shared.clone(), self.stop.clone());
+        let task = tokio::spawn(async move {
+            tokio::join!(
+                reader::run(followed.clone(), client.clone(), stop.clone()),
+                granter::run(followed, client, stop),
+            );
+        });
+        (shared, task)
+    }
+}
+
+fn node(vm: &str, address: SocketAddr) -> Node {
+    Node {
+        name: vm.into(),
+        region: "north".into(),
+        data_centre: "north-1".into(),
+        state: State::Live,
+        entry: address,
+        share: address,
+        lookup: address,
+        gossip: address,
+        admin: address,
+    }
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "gave up waiting until {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn has_floor(shared: &Shared) -> bool {
+    shared.read(|known| known.floor)
+}
+
+fn renewal(number: u64) -> Renew {
+    Renew {
+        workspace: "toubkal".into(),
+        vm: "vm-01".into(),
+        incarnation: 1,
+        number,
+        applied: 0,
+        holding: Part::default(),
+        returned: 0,
+        demand: 0,
+        spare: 0,
+        version: 1,
+    }
+}
+
+/// Renews until the answer is a grant, or none, as wanted.
+async fn until_granted(shared: &Shared, wanted: bool) {
+    let number = std::sync::atomic::AtomicU64::new(1);
+    until("the renewal has the wanted answer", || {
+        let number = number.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        granter::renew(shared, &renewal(number + if wanted { 0 } else { 1 << 32 })).is_some()
+            == wanted
+    })
+    .await;
+}
+
+/// Guards a VM that joins when all floors are claimed or in the pool: the granters give one back.
+#[tokio::test(flavor = "multi_thread")]
+async fn floor_of_the_pool_goes_to_a_new_vm() {
+    let mut platform = Platform::start(25_900, &["vm-01"]).await;
+    // The new VMs are not listed yet and must keep their floors all the same.
+    platform.list_lag = PATIENCE;
+    let (first, _) = platform.vm("vm-01", 1);
+    until("the first VM has a floor", || has_floor(&first)).await;
+    let (second, _) = platform.vm("vm-02", 2);
+    until("the second VM has the floor that was kept", || {
+        has_floor(&second)
+    })
+    .await;
+    let (third, _) = platform.vm("vm-03", 3);
+    until("the third VM has a floor of the pool", || has_floor(&third)).await;
+    assert!(has_floor(&first) && has_floor(&second));
+}
+
+/// Guards floors of VMs that are gone: without a reclaim, they would be lost for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn floor_of_a_dropped_vm_is_reclaimed() {
+    let names = ["vm-01", "vm-02", "vm-03", "vm-04", "vm-05"];
+    let platform = Platform::start(25_910, &names).await;
+    let mut fleet: Vec<_> = names[..4].iter().zip(1..).collect();
+    let last = fleet.split_off(3);
+    let running: Vec<_> = fleet.iter().map(|(vm, i)| platform.vm(vm, *i)).collect();
+    let (fourth, fourth_task) = platform.vm(last[0].0, last[0].1);
+    for (shared, _) in &running {
+        until("a VM has a floor", || has_floor(shared)).await;
+    }
+    until("the fourth VM has the last floor", || has_floor(&fourth)).await;
+    let (fifth, _) = platform.vm("vm-05", 5);
+    until("the fifth VM knows the division", || {
+        fifth.read(|known| known.division.is_some())
+    })
+    .await;
+    assert!(!has_floor(&fifth), "four floors have four owners");
+    fourth_task.abort();
+    let remove = serde_json::json!({ "name": "vm-04" });
+    platform.call(Method::POST, "/vms", remove).await;
+    until("the fifth VM has the reclaimed floor", || has_floor(&fifth)).await;
+}
+
+/// Guards leases and claims whose write took effect although its answer was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_are_read_back() {
+    let platform = Platform::start(25_920, &["vm-01"]).await;
+    let lose = serde_json::json!({ "lose_answers": 12 });
+    platform.call(Method::PUT, "/switch", lose).await;
+    let (shared, _) = platform.vm("vm-01", 1);
+    until("the VM has a floor", || has_floor(&shared)).await;
+    until_granted(&shared, true).await;
+}
+
+/// Guards against a granter that was paused past its deadline: it must find out when it acts, since
+/// the task that follows the lease has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_granter_grants_nothing_after_its_lease() {
+    let platform = Platform::start(25_930, &["vm-01"]).await;
+    let (shared, task) = platform.vm("vm-01", 1);
+    until_granted(&shared, true).await;
+    task.abort();
+    until_granted(&shared, false).await;
+}
+
+/// Guards the store outage: the holder's lease runs out and no one grants, but the floor stays.
+#[tokio::test(flavor = "multi_thread")]
+async fn outage_ends_grants_and_leaves_the_floor() {
+    let platform = Platform::start(25_940, &["vm-01", "vm-02"]).await;
+    let (shared, _) = platform.vm("vm-01", 1);
+    until_granted(&shared, true).await;
+    let outage = serde_json::json!({ "outage": true });
+    platform.call(Method::PUT, "/switch", outage).await;
+    let (late, _) = platform.vm("vm-02", 2);
+    until_granted(&shared, false).await;
+    assert!(has_floor(&shared));
+    assert!(granter::renew(&late, &renewal(1)).is_none());
+}
--- a/tests/integration/tests/limits.rs
+++ b/tests/integration/tests/limits.rs
@@ -6,6 +6,8 @@
 use bench::topology::{ATLAS, Deployment, Service};
 use hyper::Method;
 use integration::{Fleet, until};
+use peers::local::Division;
+use platform::table::Row;
 use std::time::{Duration, Instant};
 
 const SMALL: Deployment = Deployment {
@@ -112,6 +114,66 @@
     println!("{admitted} admitted of {offered}, bound {bound:.1}, {refused} refused");
 }
 
+/// Returns the VM that holds the granter lease of a workspace's shard.
+async fn granter(fleet: &Fleet, workspace: &str) -> Option<Box<str>> {
+    let target = Target {
+        address: fleet.address("vm-01-control", "platform"),
+        timeout: Duration::from_secs(10),
+        authorization: None,
+    };
+    let row = async |key: &str| -> Option<serde_json::Value> {
+        let path = format!("/table/{key}");
+        let answer = target.call(Method::GET, &path, "").await.ok()?;
+        answer.decode::<Row>().ok().map(|row| row.value)
+    };
+    let floors = row("floors").await?;
+    let division: Division = serde_json::from_value(floors["division"].clone()).ok()?;
+    let lease = row(&format!("granter/{}", division.shard(workspace))).await?;
+    lease["holder"]["vm"].as_str().map(Into::into)
+}
+
+/// Guards the limit while the granter is paused past its lease, another one takes over, the paused
+/// one goes on, and answers of the table are lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_holds_through_a_pause_of_the_granter() {
+    const VMS: &[&str] = &["vm-01", "vm-02", "vm-03", "vm-04"];
+    // The example's limit of the workspace.
+    let (rate, burst) = (20.0, 32.0);
+    let (fleet, key) = start(25_800, "al-hoceima", VMS).await;
+    until("the shard has a granter", async || {
+        granter(&fleet, "al-hoceima").await.is_some()
+    })
+    .await;
+    let former = granter(&fleet, "al-hoceima").await.expect("a granter");
+    let paused = format!("{former}-control");
+
+    let begin = Instant::now();
+    let before = counter(&fleet, VMS, "tokens_spent", "al-hoceima").await;
+    let flood = async || {
+        let vm = |vm| fleet.load(vm, load(&key, 200, 80));
+        tokio::join!(vm(VMS[0]), vm(VMS[1]), vm(VMS[2]), vm(VMS[3]));
+    };
+    flood().await;
+    fleet.signal(&paused, "STOP");
+    let lose = serde_json::json!({ "lose_answers": 6 });
+    fleet.platform(Method::PUT, "/switch", &lose).await;
+    until("another VM holds the lease", async || {
+        flood().await;
+        granter(&fleet, "al-hoceima")
+            .await
+            .is_some_and(|vm| vm != former)
+    })
+    .await;
+    fleet.signal(&paused, "CONT");
+    for _ in 0..4 {
+        flood().await;
+    }
+    let admitted = counter(&fleet, VMS, "tokens_spent", "al-hoceima").await - before;
+    let bound = burst + rate * begin.elapsed().as_secs_f64();
+    assert!(admitted <= bound, "{admitted} admitted, bound {bound}");
+    println!("pause: {admitted} admitted, bound {bound:.1}");
+}
+
 /// Guards the elastic parts: the floor of one VM holds 1.25 tokens of this workspace and refills
 /// 3.1 a second, so without them most of the requests are refused.
 #[tokio::test(flavor = "multi_thread")]
