--- a/programs/control/tests/granter.rs
+++ b/programs/control/tests/granter.rs
@@ -72,6 +72,15 @@
 
     /// Runs the granter of a VM, whose entry has the given incarnation.
     fn vm(&self, name: &str, entry: Incarnation) -> (Shared, JoinHandle<()>) {
+        self.vm_until(name, entry, self.stop.clone())
+    }
+
+    fn vm_until(
+        &self,
+        name: &str,
+        entry: Incarnation,
+        stop: CancellationToken,
+    ) -> (Shared, JoinHandle<()>) {
         let span = base::unit::Span;
         let shared = Shared::new(Settings {
             vm: name.into(),
@@ -83,7 +92,7 @@
         reader::activate(&shared, 1, files);
         shared.report_entry(entry);
         let client = platform::Client::new(self.target());
-        let (followed, stop) = (shared.clone(), self.stop.clone());
+        let followed = shared.clone();
         let task = tokio::spawn(async move {
             tokio::join!(
                 reader::run(followed.clone(), client.clone(), stop.clone()),
@@ -224,3 +233,21 @@
     assert!(has_floor(&shared));
     assert!(granter::renew(&late, &renewal(1)).is_none());
 }
+
+/// Guards the planned stop: without the lease given back, others would wait for its term.
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_granter_gives_its_leases_back() {
+    let platform = Platform::start(25_950, &["vm-01"]).await;
+    let stop = CancellationToken::new();
+    let (shared, task) = platform.vm_until("vm-01", 1, stop.clone());
+    until_granted(&shared, true).await;
+    stop.cancel();
+    task.await.expect("the granter ends");
+    assert!(granter::renew(&shared, &renewal(u64::MAX)).is_none());
+    let client = platform::Client::new(platform.target());
+    let rows = client.scan("granter/").await.expect("rows");
+    assert_eq!(rows.len(), 4);
+    for row in rows {
+        assert!(row.value["holder"].is_null(), "{row:?}");
+    }
+}
--- a/programs/entry/src/settings.rs
+++ b/programs/entry/src/settings.rs
@@ -63,7 +63,7 @@
             drain_timeout: Span(Duration::from_secs(30)),
             read_timeout: Span(Duration::from_secs(5)),
             token_wait: Span(Duration::from_secs(1)),
-            token_waiters: 64,
+            token_waiters: 128,
             log: "info".into(),
         }
     }
