feature: test of the limit over restarts of an entry

Cause: restarts with all memory lost were tested in simulated time only. Change: an entry is killed and restarted four times while a workspace floods two VMs.

--- a/tests/integration/tests/limits.rs
+++ b/tests/integration/tests/limits.rs
@@ -174,6 +174,39 @@
     println!("pause: {admitted} admitted, bound {bound:.1}");
 }
 
+/// Guards the limit while an entry is killed and restarted: a bucket that starts full would admit its
+/// burst each time.
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_holds_through_restarts_of_an_entry() {
+    const RESTARTS: usize = 4;
+    // The example's limit of the workspace.
+    let (rate, burst) = (20.0, 32.0);
+    let (mut fleet, key) = start(25_500, "dakhla", &["vm-01", "vm-02"]).await;
+    let begin = Instant::now();
+    let mut served = 0;
+    for _ in 0..RESTARTS {
+        let (one, two) = tokio::join!(
+            fleet.load("vm-01", load(&key, 100, 50)),
+            fleet.load("vm-02", load(&key, 100, 50)),
+        );
+        served += count(&one, "served") + count(&two, "served");
+        fleet.signal("vm-02-entry", "KILL");
+        fleet.wait("vm-02-entry");
+        fleet.restart("vm-02-entry");
+        let again = std::cell::Cell::new(0);
+        until("the restarted entry serves", async || {
+            let summary = fleet.load("vm-02", load(&key, 10, 10)).await;
+            again.set(again.get() + count(&summary, "served"));
+            count(&summary, "served") > 0
+        })
+        .await;
+        served += again.get();
+    }
+    let bound = burst + rate * begin.elapsed().as_secs_f64();
+    assert!(served as f64 <= bound, "{served} served, bound {bound}");
+    println!("restarts: {served} served, bound {bound:.1}");
+}
+
 /// Guards the elastic parts: the floor of one VM holds 1.25 tokens of this workspace and refills
 /// 3.1 a second, so without them most of the requests are refused.
 #[tokio::test(flavor = "multi_thread")]
