--- /dev/null
+++ b/programs/control/src/granter/floors.rs
@@ -0,0 +1,181 @@
+//! Row `floors`: how limits are divided and which VM owns a floor.
+
+use crate::record::{FLOORS, Ledger};
+use crate::state::Shared;
+use crate::table;
+use base::id::{Incarnation, Vm};
+use indexmap::{IndexMap, IndexSet};
+use peers::local::Division;
+use platform::{Client, Error};
+use std::time::Instant;
+use steering::limits::Floors;
+use steering::limits::floors::Claim;
+
+/// Owners of floors that the platform's list doesn't name, and since when.
+pub type Absent = IndexMap<Vm, Instant>;
+
+/// Most attempts of a change that other writers overtake; all VMs write the row when they start.
+const ATTEMPTS: usize = 8;
+
+/// Does a [`step`] again when another writer was faster.
+pub async fn settle(shared: &Shared, client: &Client, absent: &mut Absent) -> Result<(), Error> {
+    for _ in 1..ATTEMPTS {
+        match step(shared, client, absent).await {
+            Err(Error::Conflict(_)) => {}
+            settled => return settled,
+        }
+    }
+    step(shared, client, absent).await
+}
+
+/// Reads the row, writes what has to change, and publishes what the table confirms.
+///
+/// A claim counts only once it was read or its write was answered, so a lost answer is settled by
+/// the next read.
+async fn step(shared: &Shared, client: &Client, absent: &mut Absent) -> Result<(), Error> {
+    let read = Instant::now();
+    let (version, ledger) = match client.read(FLOORS).await {
+        Ok(row) => (row.version, Some(table::decode::<Ledger>(row.value)?)),
+        Err(Error::Absent) => (0, None),
+        Err(error) => return Err(error),
+    };
+    let Some(known) = ledger.clone().or_else(|| first(shared)) else {
+        return Ok(());
+    };
+    if ledger.is_some() {
+        publish(shared, &known, read);
+    }
+    let wanted = change(shared, known.clone(), absent, Instant::now());
+    if ledger.is_some() && wanted == known {
+        return Ok(());
+    }
+    client
+        .write(FLOORS, &table::write(version, &wanted)?)
+        .await?;
+    publish(shared, &wanted, read);
+    Ok(())
+}
+
+/// Makes the first row from the configuration; none while there is no configuration.
+///
+/// NOTE: a later change of `floor_share` or `floor_units` doesn't change the row, since VMs that
+/// compute floors and grants from different divisions could exceed the limit together.
+fn first(shared: &Shared) -> Option<Ledger> {
+    let limits = shared.read(|known| Some(known.active.as_ref()?.bundle.fleet.limits))?;
+    Some(Ledger {
+        division: Division {
+            floor_percent: limits.floor_percent(),
+            floor_units: limits.floor_units.into(),
+            shards: shared.settings.granter_shards,
+        },
+        floors: Floors::new(usize::try_from(limits.floor_units).unwrap_or(1)),
+        freeing: false,
+        fitted: IndexSet::new(),
+    })
+}
+
+/// Number of pooled floors that granters may use.
+fn usable(ledger: &Ledger) -> usize {
+    let pooled = ledger.floors.pooled();
+    pooled.saturating_sub(usize::from(ledger.freeing))
+}
+
+/// Claims a floor for this VM's entry, frees the floors of VMs that are gone, and gives the floors
+/// that nobody needs to the granters' pool.
+fn change(shared: &Shared, mut ledger: Ledger, absent: &mut Absent, now: Instant) -> Ledger {
+    let vm = &shared.settings.vm;
+    let (listed, entry) = shared.read(|known| {
+        let nodes = known.list.nodes.iter().map(|node| node.name.clone());
+        (nodes.collect::<IndexSet<Vm>>(), known.entry)
+    });
+    // An empty list comes from a process that has not read it yet.
+    if !listed.is_empty() {
+        let gone: IndexSet<Vm> = ledger
+            .floors
+            .owners()
+            .map(|claim| claim.vm.clone())
+            .filter(|owner| owner != vm && !listed.contains(owner))
+            .collect();
+        absent.retain(|owner, _| gone.contains(owner));
+        for owner in gone {
+            absent.entry(owner).or_insert(now);
+        }
+        let wait = shared.settings.list_lag.0;
+        ledger.floors.reclaim(|claim| {
+            let since = absent.get(&claim.vm);
+            since.is_some_and(|&since| now >= since + wait)
+        });
+    }
+    free_pooled(shared, &mut ledger, now);
+    if let Some(entry) = entry {
+        claim(vm, entry, &mut ledger);
+    }
+    if ledger.floors.free() == 0 && ledger.floors.pooled() > 0 && !ledger.freeing {
+        // The granters do with one floor less, so that the next VM finds one.
+        ledger.freeing = true;
+        ledger.fitted.clear();
+    }
+    if !listed.is_empty() && !ledger.freeing {
+        let owners: IndexSet<&Vm> = ledger.floors.owners().map(|claim| &claim.vm).collect();
+        let without = listed.iter().filter(|vm| !owners.contains(vm)).count();
+        // One more is kept for a VM that isn't listed yet.
+        ledger.floors.pool(without + 1);
+    }
+    ledger
+}
+
+/// Claims a floor for this VM's entry, unless it has one.
+fn claim(vm: &str, entry: Incarnation, ledger: &mut Ledger) {
+    let own = |claim: &Claim| claim.incarnation == entry && *claim.vm == *vm;
+    let owned = ledger.floors.owners().any(own) || ledger.floors.claim(vm, entry).is_some();
+    if !owned && ledger.floors.pooled() == 0 {
+        log::warn!("no floor is free; set `floor_units` to at least the number of VMs");
+    }
+}
+
+/// Notes the shards that do without a floor of the pool, and frees it once all do.
+fn free_pooled(shared: &Shared, ledger: &mut Ledger, now: Instant) {
+    if !ledger.freeing {
+        return;
+    }
+    let fitted = shared.granters.fitted(ledger.division, usable(ledger), now);
+    ledger.fitted.extend(fitted);
+    let shards = usize::try_from(ledger.division.shards).unwrap_or(usize::MAX);
+    if (0..shards).all(|shard| ledger.fitted.contains(&shard)) {
+        ledger.floors.unpool();
+        ledger.freeing = false;
+        ledger.fitted.clear();
+    }
+}
+
+fn publish(shared: &Shared, ledger: &Ledger, read: Instant) {
+    shared
+        .granters
+        .set_pooled(usable(ledger), read, Instant::now());
+    let vm = &shared.settings.vm;
+    let owned = ledger.floors.owners().any(|claim| claim.vm == *vm);
+    shared.change(|known| {
+        if known.division.is_none() {
+            warn_of_difference(shared, known.active.as_ref(), ledger);
+        }
+        known.division = Some(ledger.division);
+        known.floor = owned;
+    });
+}
+
+fn warn_of_difference(shared: &Shared, active: Option<&crate::state::Active>, ledger: &Ledger) {
+    let division = ledger.division;
+    let limits = active.map(|active| active.bundle.fleet.limits);
+    let same = limits.is_none_or(|limits| {
+        limits.floor_percent() == division.floor_percent
+            && u64::from(limits.floor_units) == division.floor_units
+    });
+    if !same || shared.settings.granter_shards != division.shards {
+        log::warn!(
+            "limits are divided as the row `{FLOORS}` says: {}% in {} floors, {} shards",
+            division.floor_percent,
+            division.floor_units,
+            division.shards
+        );
+    }
+}
--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -1,6 +1,6 @@
 //! Path of a request through the entry.
 
-use crate::admission::Admission;
+use crate::admission::{Admission, held};
 use crate::authorise;
 use crate::authorise::Grant;
 use crate::claims::Claims;
@@ -13,6 +13,7 @@
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use base::http::Body;
+use base::id::Incarnation;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use peers::link::Links;
@@ -30,7 +31,8 @@
     quarantine: Arc<Quarantine>,
     claims: Claims,
     links: Links<ShareClient>,
-    admission: Admission,
+    /// Admission of requests.
+    pub admission: Admission,
     metrics: Arc<Metrics>,
 }
 
@@ -38,17 +40,23 @@
     /// Makes a pipeline that follows `snapshot`.
     pub fn new(
         settings: Settings,
+        incarnation: Incarnation,
         snapshot: watch::Receiver<Arc<Snapshot>>,
         metrics: Arc<Metrics>,
     ) -> Self {
-        let incarnation = rand::random();
+        let admission = Admission::new(
+            settings.clone(),
+            incarnation,
+            snapshot.clone(),
+            metrics.clone(),
+        );
         Self {
             quarantine: Arc::new(Quarantine::new(&settings, incarnation, metrics.clone())),
             claims: Claims::new(&settings, incarnation, metrics.clone()),
             links: Links::default(),
             settings,
             snapshot,
-            admission: Admission::default(),
+            admission,
             metrics,
         }
     }
@@ -131,7 +139,7 @@
         track: &Track,
         keeper: SocketAddr,
     ) -> Result<Response<Body>, Outcome> {
-        self.admission.admit(call, grant).await.map_err(refused)?;
+        let _slot = self.admission.admit(call, grant).await.map_err(refused)?;
         track.sent(true);
         self.metrics.pass();
         pass::send(&self.links, keeper, call).await
@@ -163,20 +171,22 @@
     }
 
     async fn proceed(&self, call: &Call, grant: &Grant<'_>, track: &Track) -> Forwarded {
-        self.admission.admit(call, grant).await.map_err(refused)?;
+        let slot = self.admission.admit(call, grant).await.map_err(refused)?;
         // The key may have been withdrawn, and servers may have left, while the request waited.
         let snapshot = self.snapshot.borrow().clone();
         let secret = &self.settings.key_secret;
         let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
-        forward(
+        let forwarded = forward(
             call,
             &grant,
             &snapshot,
             &self.settings,
             &self.metrics,
             track,
-        )
-        .await
+        );
+        let mut answer = forwarded.await?;
+        answer.response = answer.response.map(|body| held::hold(body, slot));
+        Ok(answer)
     }
 }
 
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -8,6 +8,7 @@
 use crate::snapshot::Snapshot;
 use backends::client;
 use base::http::server::Limits;
+use base::id::Incarnation;
 use peers::local;
 use prometheus_client::registry::Registry;
 use std::io;
@@ -25,6 +26,12 @@
     let listener = TcpListener::bind(settings.listen).await?;
     let share = TcpListener::bind(settings.share).await?;
     let exposed = TcpListener::bind(settings.metrics).await?;
+    // The port stays bound until the process has ended: a successor that could bind it earlier would
+    // take over this VM's floor while requests here still spend from it.
+    let share = share.into_std()?;
+    let _bound = share.try_clone()?;
+    let share = TcpListener::from_std(share)?;
+    let incarnation = rand::random::<Incarnation>().max(1);
     let metrics = Arc::new(Metrics::default());
     let mut registry = Registry::with_prefix("cardamomhall");
     metrics.register(&mut registry);
@@ -32,6 +39,7 @@
     let followed = snapshot.subscribe();
     let pipeline = Arc::new(Pipeline::new(
         settings.clone(),
+        incarnation,
         snapshot.subscribe(),
         metrics.clone(),
     ));
@@ -47,7 +55,7 @@
         drain_timeout: settings.drain_timeout.0,
         ..Limits::default()
     };
-    let served = pipeline.clone();
+    let (served, renewing) = (pipeline.clone(), pipeline.clone());
     let quarantine = pipeline.quarantine().clone();
     let handler = move |request, _| {
         let pipeline = pipeline.clone();
@@ -55,7 +63,8 @@
     };
     log::info!("vm {} serving on {}", settings.vm, settings.listen);
     tokio::join!(
-        local::follow(settings.control, stop.clone(), update),
+        local::follow(settings.control, Some(incarnation), stop.clone(), update),
+        renewing.admission.run(stop.clone()),
         base::http::server::serve(listener, limits, stop.clone(), handler),
         exchange::run(quarantine, followed, settings.control, stop.clone()),
         share::run(share, served, stop.clone()),
--- a/programs/entry/src/share.rs
+++ b/programs/entry/src/share.rs
@@ -16,8 +16,9 @@
 }
 
 impl Share for Server {
-    async fn borrow(self, _: Context, _borrow: Frame<Borrow>) -> Frame<Option<Lent>> {
-        Frame::new(None)
+    async fn borrow(self, _: Context, borrow: Frame<Borrow>) -> Frame<Option<Lent>> {
+        let borrow = borrow.open().ok();
+        Frame::new(borrow.and_then(|borrow| self.pipeline.admission.lend(&borrow)))
     }
 
     async fn claim(self, _: Context, question: Frame<Question>) -> Frame<Option<Answer>> {
--- a/programs/lookup/src/run.rs
+++ b/programs/lookup/src/run.rs
@@ -45,7 +45,7 @@
     let refreshing = stop.clone();
     log::info!("answering on {}", settings.listen);
     tokio::join!(
-        local::follow(settings.control, stop.clone(), update),
+        local::follow(settings.control, None, stop.clone(), update),
         refreshing.run_until_cancelled(refresh),
         server::run(listener, receiver, metrics, stop.clone()),
         base::metrics::serve(exposed, registry, stop),
--- a/tests/integration/tests/answers.rs
+++ b/tests/integration/tests/answers.rs
@@ -74,6 +74,20 @@
     }
 }
 
+/// Sends look-ups at once through a VM; returns whether all were served.
+async fn burst(fleet: &Fleet, vm: &str, key: &str, count: usize) -> bool {
+    let send = |_| {
+        let (call, address) = (Call::new("GET /lookup/permits", key), entry(fleet, vm));
+        tokio::spawn(async move { call.send(address).await.outcome() == "served" })
+    };
+    let sends: Vec<_> = (0..count).map(send).collect();
+    let mut served = 0;
+    for send in sends {
+        served += usize::from(send.await.expect("a reply"));
+    }
+    served == count
+}
+
 /// Guards against a second run of a finished id, on the same VM and on another.
 #[tokio::test(flavor = "multi_thread")]
 async fn finished_id_is_never_run_again() {
@@ -102,6 +116,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn id_without_vm_is_claimed_in_the_table() {
     let (fleet, key) = start(27_050, "").await;
+    // Buckets start empty; the burst below is inside the limit only once they have filled.
+    for vm in ["vm-01", "vm-02", "vm-03"] {
+        until("the entry admits a burst", async || {
+            burst(&fleet, vm, &key, 20).await
+        })
+        .await;
+    }
     let backends = fleet.backends("booking").await;
     let calls: Vec<_> = (0..20).map(|n| book(&key, &format!("plain-{n}"))).collect();
     let sends = calls.iter().flat_map(|call| {
