--- a/crates/callers/src/outcome.rs
+++ b/crates/callers/src/outcome.rs
@@ -65,6 +65,7 @@
         | Refusal::Suspected
         | Refusal::ClaimsUnavailable
         | Refusal::ClaimsFull
+        | Refusal::KeysNotConfirmed
         | Refusal::Stopping => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
@@ -84,7 +85,7 @@
         | Refusal::ClaimExpired
         | Refusal::Cancelled => None,
         // Another entry VM can take the request at once.
-        Refusal::Stopping => Some(0),
+        Refusal::Stopping | Refusal::KeysNotConfirmed => Some(0),
         // The trial run of a suspected request takes seconds.
         Refusal::Suspected | Refusal::ClaimsUnavailable => Some(5),
         _ => Some(1),
--- a/crates/operators/src/admin.rs
+++ b/crates/operators/src/admin.rs
@@ -19,6 +19,8 @@
     pub const STATUS: &str = "/admin/status";
     /// Keys: `POST` issues one, `DELETE` withdraws one.
     pub const KEYS: &str = "/admin/keys";
+    /// Rotation of a key: `POST`.
+    pub const ROTATIONS: &str = "/admin/keys/rotations";
     /// Drains of backend servers: `POST`.
     pub const DRAINS: &str = "/admin/drains";
     /// Halt of a release: `POST`.
@@ -90,6 +92,15 @@
         pub key: Box<str>,
     }
 
+    /// Request to replace a key by a new one.
+    #[serde(deny_unknown_fields)]
+    pub struct Rotate {
+        /// Id of the key to replace.
+        pub id: Box<str>,
+        /// Time for which both keys are accepted, in milliseconds.
+        pub overlap_ms: u64,
+    }
+
     /// Request to withdraw a key.
     #[serde(deny_unknown_fields)]
     pub struct Withdraw {
@@ -118,6 +129,8 @@
         /// Whether the store has recorded the change; if not, it is recorded once the store is
         /// reachable again.
         pub durable: bool,
+        /// Whether the store or a peer has the change; if not, a restart of this VM loses it.
+        pub shared: bool,
     }
 
     /// State of the fleet as one VM sees it.
@@ -126,11 +139,17 @@
         pub vm: Vm,
         /// Configuration version in force on it.
         pub version: Version,
+        /// How far that version has spread.
+        pub stage: Stage,
+        /// VMs on which that version or a later one is in force.
+        pub on: usize,
+        /// All VMs that the platform lists or that were heard of.
+        pub of: usize,
+        /// VMs on which it is not in force, or that have not been heard of lately.
+        pub missing: Vec<Vm>,
         /// Versions in force on the VMs, by name; absent if not heard of.
         pub in_force: IndexMap<Vm, Report>,
-        /// VMs that the platform lists but that have not been heard of lately.
-        pub missing: Vec<Vm>,
-        /// Time of the last confirmation by the store.
+        /// Time of this VM's last read of the store; 0 if there was none.
         pub confirmed_by_store: Millis,
         /// Number of keys issued and withdrawn.
         pub keys: Keys,
@@ -140,6 +159,19 @@
         pub draining: Vec<Box<str>>,
     }
 
+    /// How far a version has spread.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Stage {
+        /// Nothing has been published, or the VM is not ready yet.
+        NoVersion,
+        /// Accepted, but not known to be in force anywhere.
+        Accepted,
+        /// In force on a part of the VMs.
+        InForce,
+        /// In force on all VMs.
+        Done,
+    }
+
     /// What is known of one VM.
     pub struct Report {
         /// Data centre of the VM.
@@ -148,12 +180,27 @@
         pub version: Version,
     }
 
-    /// Numbers of keys.
+    /// State of the keys on a VM.
+    #[serde(rename_all = "kebab-case")]
+    pub enum KeyState {
+        /// Withdrawals arrive.
+        Confirmed,
+        /// The VM has been cut off; keys are accepted.
+        NotConfirmed,
+        /// The VM has been cut off for longer than `key_staleness`; keys are refused.
+        Refused,
+    }
+
+    /// Keys as the VM knows them.
     pub struct Keys {
         /// Issued and valid.
         pub valid: usize,
         /// Withdrawn.
         pub withdrawn: usize,
+        /// Whether withdrawals arrive.
+        pub state: KeyState,
+        /// Time since which the keys have not been confirmed.
+        pub since: Option<Millis>,
     }
 
     /// Text of an error answer.
@@ -257,6 +304,20 @@
         )
     }
 
+    /// Replaces a key by a new one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails or is refused.
+    pub async fn rotate(&self, rotate: &Rotate) -> Result<Issued, Error> {
+        decode(
+            &self
+                .target
+                .call_json(Method::POST, path::ROTATIONS, rotate)
+                .await?,
+        )
+    }
+
     /// Withdraws a key.
     ///
     /// # Errors
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -4,5 +4,4 @@
 pub mod bundle;
 pub mod check;
 pub mod fleet;
-pub mod key;
 pub mod service;
--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -1,28 +1,77 @@
 //! Messages between control processes, and from entries to the control process that grants shares.
 
 use crate::wire::{self, Error, Frame};
-use base::id::{Release, Vm};
+use base::id::{DataCentre, Incarnation, Release, Version, Vm};
 use indexmap::IndexMap;
+use platform::list::List;
 use std::net::SocketAddr;
+use std::time::Duration;
 use steering::config::{Delta, Digest};
 use steering::limits::{Grant, Renew};
+use steering::membership::Pulse;
 use steering::release::Evidence;
 
 base::message! {
+    /// Configuration version of a VM as heard some time ago.
+    pub struct Seen {
+        /// VM.
+        pub vm: Vm,
+        /// Version in force on it.
+        pub version: Version,
+        /// Time since the VM said so.
+        pub age: Duration,
+    }
+
+    /// What goes along with exchanges inside a data centre.
+    #[derive(Default)]
+    pub struct Centre {
+        /// Heartbeats; empty unless the exchange is a regular one.
+        pub pulse: Pulse,
+        /// VMs that the platform's list no longer names.
+        pub gone: Vec<(Vm, Incarnation)>,
+        /// Versions in force on the VMs of the data centre.
+        pub versions: Vec<Seen>,
+    }
+
+    /// The platform's list as the sender has it.
+    #[derive(Default)]
+    pub struct Listing {
+        /// Hash of the content; 0 without a list.
+        pub hash: u64,
+        /// Time since it was read.
+        pub age: Duration,
+    }
+
     /// Configuration and growing sets that the sender has.
     pub struct Exchange {
         /// Sender.
         pub vm: Vm,
+        /// Its data centre.
+        pub data_centre: DataCentre,
+        /// Its address for exchanges.
+        pub gossip: SocketAddr,
         /// What it has.
         pub digest: Digest,
+        /// News of its data centre; none towards other data centres.
+        pub centre: Option<Centre>,
+        /// Its list.
+        pub listing: Listing,
     }
 
     /// What the sender of an exchange lacks, and what the receiver has.
     pub struct Reply {
+        /// Receiver of the exchange.
+        pub vm: Vm,
+        /// Its data centre.
+        pub data_centre: DataCentre,
         /// What the sender lacks.
         pub delta: Delta,
         /// What the receiver has.
         pub digest: Digest,
+        /// News of the data centre; none towards other data centres.
+        pub centre: Option<Centre>,
+        /// Newer list with its age, for VMs of the same data centre and those without a list.
+        pub list: Option<(List, Duration)>,
     }
 
     /// News of releases.
@@ -39,6 +88,9 @@
     /// Exchanges configuration and growing sets.
     async fn exchange(exchange: Frame<Exchange>) -> Frame<Option<Reply>>;
 
+    /// Returns the versions in force on the VMs of the receiver's data centre.
+    async fn versions() -> Frame<Vec<Seen>>;
+
     /// Exchanges news of releases.
     async fn releases(news: Frame<Releases>) -> Frame<Releases>;
 
--- a/crates/peers/src/local.rs
+++ b/crates/peers/src/local.rs
@@ -1,23 +1,16 @@
 //! Messages between the control process and the other processes of its VM.
 
 use crate::wire::{self, Error, Frame};
-use base::clock::Millis;
-use base::id::{Label, Release, Version, Workspace};
+use base::id::{Label, Release, Version};
 use indexmap::{IndexMap, IndexSet};
 use platform::list::List;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use steering::keys::Digest;
+use steering::keys::ring::Entry;
 use tokio_util::sync::CancellationToken;
 
 base::message! {
-    /// A key as the entry knows it.
-    pub struct Key {
-        /// Workspace of the key.
-        pub workspace: Workspace,
-        /// Time from which the key is no longer accepted, if it is being replaced.
-        pub expires: Option<Millis>,
-    }
-
     /// Current state of a release.
     pub struct Step {
         /// New version.
@@ -35,10 +28,10 @@
         pub version: Version,
         /// Steering files of that version.
         pub files: IndexMap<Box<str>, Box<str>>,
-        /// Keys by the hexadecimal form of their digest.
-        pub keys: IndexMap<Box<str>, Key>,
+        /// Keys of that version.
+        pub keys: Vec<Entry>,
         /// Digests of withdrawn keys.
-        pub withdrawn: IndexSet<Box<str>>,
+        pub withdrawn: IndexSet<Digest>,
         /// Ids of halted releases.
         pub halted: IndexSet<Release>,
         /// Releases under way.
@@ -47,8 +40,6 @@
         pub draining: IndexSet<Box<str>>,
         /// Last known list of VMs and backend servers.
         pub list: List,
-        /// Time of the last confirmation of keys by the store or a peer.
-        pub confirmed: Millis,
     }
 }
 
@@ -60,6 +51,10 @@
 pub trait Local {
     /// Returns the state as soon as its generation differs from `have`, or after [`SYNC_WAIT`].
     async fn sync(have: u64) -> Frame<State>;
+
+    /// Returns the time since the store or a peer of another data centre confirmed the keys. It
+    /// is not part of the state, which would be sent anew with each confirmation.
+    async fn confirmed() -> Frame<Duration>;
 }
 
 /// Connects to the control process.
@@ -122,3 +117,37 @@
         }
     }
 }
+
+/// Interval of questions for the confirmation of the keys.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Follows the confirmation of the keys until `stop` is cancelled and hands on its time.
+///
+/// While the control process can't be reached, nothing is handed on and the last time ages.
+pub async fn confirmations(address: SocketAddr, stop: CancellationToken, update: impl Fn(Instant)) {
+    let mut client = None;
+    while !stop.is_cancelled() {
+        let asked = confirmation(address, &mut client);
+        match stop.run_until_cancelled(asked).await {
+            Some(Ok(at)) => update(at),
+            // `follow` logs that the control process can't be reached.
+            Some(Err(_)) => client = None,
+            None => return,
+        }
+        let pause = tokio::time::sleep(CONFIRMATION_INTERVAL);
+        stop.run_until_cancelled(pause).await;
+    }
+}
+
+async fn confirmation(
+    address: SocketAddr,
+    client: &mut Option<LocalClient>,
+) -> Result<Instant, Error> {
+    let client = match client {
+        Some(client) => client,
+        None => client.insert(connect(address).await?),
+    };
+    let now = Instant::now();
+    let age = client.confirmed(tarpc::context::current()).await?.open()?;
+    Ok(now.checked_sub(age).unwrap_or(now))
+}
--- a/crates/steering/src/attempt/reason.rs
+++ b/crates/steering/src/attempt/reason.rs
@@ -38,6 +38,8 @@
         TooLarge = "too-large",
         /// The key is missing, unknown or revoked.
         Unauthorised = "unauthorised",
+        /// The VM has been cut off for too long to know whether the key was revoked.
+        KeysNotConfirmed = "keys-not-confirmed",
         /// The workspace may not call this route.
         Forbidden = "forbidden",
         /// No route matches the request.
--- a/crates/steering/src/keys/digest.rs
+++ b/crates/steering/src/keys/digest.rs
@@ -9,6 +9,9 @@
 
 /// Start of every generated key, by which scanners for leaked secrets can recognise one.
 const PREFIX: &str = "chk_";
+/// Digits of a digest that form the id of its key: two of a million keys share one with a
+/// probability of 1 in 37 million.
+const ID_DIGITS: usize = 16;
 /// Longest key that is accepted, bytes. Longer ones are refused before they are hashed.
 pub const LONGEST: usize = 128;
 
@@ -67,6 +70,11 @@
         self.0[0]
     }
 
+    /// Returns the id by which operators name the key.
+    pub fn id(&self) -> Box<str> {
+        self.to_string()[..ID_DIGITS].into()
+    }
+
     fn parse(text: &str) -> Option<Self> {
         Some(Self(*blake3::Hash::from_hex(text).ok()?.as_bytes()))
     }
--- a/crates/steering/src/keys/ring.rs
+++ b/crates/steering/src/keys/ring.rs
@@ -131,6 +131,19 @@
         self.issue(workspace, digest);
     }
 
+    /// Replaces one key of a workspace by another; the old one ends at `until`, unless it ends
+    /// earlier. Other keys of the workspace stay. Returns whether the old key exists.
+    pub fn replace(&mut self, old: &Digest, digest: Digest, until: Millis) -> bool {
+        let mut entries = self.groups.values_mut().flatten();
+        let Some(entry) = entries.find(|entry| entry.digest == *old) else {
+            return false;
+        };
+        entry.until = Some(entry.until.map_or(until, |earlier| earlier.min(until)));
+        let workspace = entry.workspace.clone();
+        self.issue(workspace, digest);
+        true
+    }
+
     /// Returns the workspace that a key authorises at `now`, Unix milliseconds by wall clock.
     ///
     /// # Errors
--- a/programs/control/src/admin.rs
+++ b/programs/control/src/admin.rs
@@ -66,8 +66,9 @@
         match (head.method, head.uri.path()) {
             (Method::GET, path::CONFIG) => Ok(self.config()),
             (Method::PUT, path::CONFIG) => Ok(self.publish(parsed(&body)?).await),
-            (Method::GET, path::STATUS) => Ok(self.status()),
+            (Method::GET, path::STATUS) => Ok(self.status().await),
             (Method::POST, path::KEYS) => self.issue(parsed(&body)?).await,
+            (Method::POST, path::ROTATIONS) => self.rotate(parsed(&body)?).await,
             (Method::DELETE, path::KEYS) => self.withdraw(&parsed(&body)?).await,
             (Method::POST, path::DRAINS) => self.drain(parsed(&body)?).await,
             (Method::POST, path::HALTS) => Ok(self.halt(parsed(&body)?).await),
--- a/programs/control/src/admin/keys.rs
+++ b/programs/control/src/admin/keys.rs
@@ -1,20 +1,19 @@
-//! Issues and withdraws keys.
+//! Issues, rotates and withdraws keys.
 
 use super::{Admin, Refusal};
-use crate::record::{self, Key, Keys};
-use crate::{reader, table};
+use crate::publish::{self, Outcome};
+use base::clock;
 use base::http::{self, Body};
 use hyper::{Response, StatusCode};
-use operators::admin::{Done, Issue, Issued, Withdraw};
-use operators::key;
+use operators::admin::{Issue, Issued, Rotate, Withdraw};
+use steering::config::Mark;
+use steering::keys::{Digest, Key, Pepper, Ring};
 
 impl Admin {
     pub(super) async fn issue(&self, issue: Issue) -> Result<Response<Body>, Refusal> {
         let known = self.shared.read(|known| {
-            known
-                .active
-                .as_ref()
-                .is_some_and(|a| a.bundle.fleet.workspace(&issue.workspace).is_some())
+            let active = known.active.as_ref();
+            active.is_some_and(|a| a.bundle.fleet.workspace(&issue.workspace).is_some())
         });
         if !known {
             let message = format!(
@@ -23,44 +22,75 @@
             );
             return Err(Refusal::new(StatusCode::NOT_FOUND, message));
         }
-        let key = base::id::random(&mut rand::rng());
-        let digest = key::digest(&self.shared.settings.key_secret, &key);
-        let record = Key {
-            workspace: issue.workspace,
-            expires: None,
-        };
-        let written = table::update(&self.client, record::KEYS, |row: &mut Keys| {
-            row.keys.insert(digest.clone(), record.clone());
-        });
-        if let Err(error) = written.await {
-            return Err(Refusal::new(
-                StatusCode::SERVICE_UNAVAILABLE,
-                error.to_string(),
-            ));
-        }
-        self.shared
-            .change(|known| known.keys.insert(digest.clone(), record));
-        let id = key::id(&digest).into();
-        Ok(http::json(StatusCode::OK, &Issued { id, key }))
+        let (key, digest) = self.generate();
+        self.edit(|ring| {
+            ring.issue(issue.workspace.clone(), digest);
+            true
+        })
+        .await?;
+        log::info!("key {} issued to {}", digest.id(), issue.workspace);
+        Ok(issued(&key, &digest))
+    }
+
+    /// Issues a key in place of another one, which ends after the overlap.
+    pub(super) async fn rotate(&self, rotate: Rotate) -> Result<Response<Body>, Refusal> {
+        let old = self.find(&rotate.id)?;
+        let overlap = rotate.overlap_ms;
+        let until = clock::unix_millis().saturating_add(overlap);
+        let (key, digest) = self.generate();
+        self.edit(|ring| ring.replace(&old, digest, until)).await?;
+        log::info!(
+            "key {} replaces {}, which ends in {overlap} ms",
+            digest.id(),
+            rotate.id
+        );
+        Ok(issued(&key, &digest))
     }
 
-    /// Withdraws a key at once on this VM; the table and the other VMs follow.
+    /// Withdraws a key at once on this VM; the other VMs and the table follow.
     pub(super) async fn withdraw(&self, withdraw: &Withdraw) -> Result<Response<Body>, Refusal> {
-        let found = self.shared.change(|known| {
-            let digest = known
-                .keys
-                .keys()
-                .find(|digest| key::id(digest) == &*withdraw.id)
-                .cloned();
-            digest
-                .map(|digest| known.growing.withdrawn.insert(digest))
-                .is_some()
-        });
-        if !found {
-            return Err(Refusal::new(StatusCode::NOT_FOUND, "no key has this id"));
-        }
+        let digest = self.find(&withdraw.id)?;
         log::info!("key {} withdrawn", withdraw.id);
-        let durable = reader::record_now(&self.shared, &self.client).await;
-        Ok(http::json(StatusCode::OK, &Done { durable }))
+        Ok(self.mark([Mark::Withdrawn(digest)]).await)
+    }
+
+    fn generate(&self) -> (Key, Digest) {
+        let key = Key::generate(&mut rand::rng());
+        let digest = key.digest(&Pepper::derive(&self.shared.settings.key_secret));
+        (key, digest)
     }
+
+    fn find(&self, id: &str) -> Result<Digest, Refusal> {
+        self.shared.read(|known| {
+            let Some(active) = &known.active else {
+                let error = "this VM does not know the keys yet";
+                return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, error));
+            };
+            let mut entries = active.ring.entries();
+            let found = entries.find(|entry| *entry.digest.id() == *id);
+            found
+                .map(|entry| entry.digest)
+                .ok_or_else(|| Refusal::new(StatusCode::NOT_FOUND, "no key has this id"))
+        })
+    }
+
+    async fn edit(&self, change: impl Fn(&mut Ring) -> bool) -> Result<(), Refusal> {
+        let refused = |error: String| Refusal::new(StatusCode::SERVICE_UNAVAILABLE, error);
+        match publish::keys(&self.shared, &self.client, change).await {
+            Ok(Outcome::Accepted(_)) => Ok(()),
+            Ok(Outcome::Conflict(version)) => Err(refused(format!(
+                "other publications came first, the last one as version {version}"
+            ))),
+            Ok(Outcome::Unknown(reason)) => Err(refused(reason.into())),
+            Err(error) => Err(refused(error.to_string())),
+        }
+    }
+}
+
+fn issued(key: &Key, digest: &Digest) -> Response<Body> {
+    let issued = Issued {
+        id: digest.id(),
+        key: key.expose().into(),
+    };
+    http::json(StatusCode::OK, &issued)
 }
--- a/programs/control/src/admin/safe.rs
+++ b/programs/control/src/admin/safe.rs
@@ -1,10 +1,17 @@
-//! Drains backend servers and halts releases.
+//! Changes that need no permission: they only grow, and are in force at once on this VM.
 
 use super::{Admin, Refusal};
 use crate::reader;
 use base::http::{self, Body};
 use hyper::{Response, StatusCode};
 use operators::admin::{Done, Drain, Halt};
+use std::time::{Duration, Instant};
+use steering::config::Mark;
+
+/// Longest wait for a peer to have a change that the store can't record.
+const SHARE_WAIT: Duration = Duration::from_secs(2);
+/// Interval of looks at whether a peer has it.
+const SHARE_LOOK: Duration = Duration::from_millis(20);
 
 impl Admin {
     pub(super) async fn drain(&self, drain: Drain) -> Result<Response<Body>, Refusal> {
@@ -19,26 +26,36 @@
             ));
         }
         log::info!("draining {}", drain.servers.join(", "));
-        self.shared
-            .change(|known| known.growing.draining.extend(drain.servers));
-        Ok(self.done().await)
+        Ok(self
+            .mark(drain.servers.into_iter().map(Mark::Drained))
+            .await)
     }
 
     pub(super) async fn halt(&self, halt: Halt) -> Response<Body> {
         log::info!("release {} halted: {}", halt.release, halt.reason);
-        self.shared.change(|known| {
-            known
-                .growing
-                .halted
-                .entry(halt.release)
-                .or_insert(halt.reason)
-                .clone()
-        });
-        self.done().await
+        let release = halt.release.clone();
+        self.shared
+            .change(|known| known.reasons.entry(release).or_insert(halt.reason).clone());
+        self.mark([Mark::Halted(halt.release)]).await
     }
 
-    async fn done(&self) -> Response<Body> {
+    /// Puts changes in force on this VM, and answers once the store or a peer has them too:
+    /// before that, they would be lost if this VM restarted.
+    pub(super) async fn mark(&self, marks: impl IntoIterator<Item = Mark>) -> Response<Body> {
+        let count = self.shared.change(|known| known.mark(marks));
         let durable = reader::record_now(&self.shared, &self.client).await;
-        http::json(StatusCode::OK, &Done { durable })
+        let shared = durable || self.shared_with_peer(count).await;
+        http::json(StatusCode::OK, &Done { durable, shared })
+    }
+
+    async fn shared_with_peer(&self, count: u32) -> bool {
+        let deadline = Instant::now() + SHARE_WAIT;
+        while self.shared.read(|known| known.shared < count) {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            tokio::time::sleep(SHARE_LOOK).await;
+        }
+        true
     }
 }
--- a/programs/control/src/admin/status.rs
+++ b/programs/control/src/admin/status.rs
@@ -1,51 +1,152 @@
 //! Reports the state of the fleet.
 
 use super::Admin;
-use crate::state::Known;
+use crate::state::{Known, Shared};
+use base::clock;
 use base::http::{self, Body};
+use base::id::{DataCentre, Version, Vm};
+use futures::future::join_all;
 use hyper::{Response, StatusCode};
 use indexmap::IndexMap;
-use operators::admin::{Keys, Report, Status};
+use operators::admin::{KeyState, Keys, Report, Stage, Status};
+use peers::gossip::Seen;
+use peers::wire::Frame;
+use platform::list::Node;
+use std::time::{Duration, Instant};
+use steering::config::{Force, Mark};
+use steering::keys::Standing;
+
+/// Longest wait for the versions of another data centre.
+const VERSIONS_TIMEOUT: Duration = Duration::from_secs(1);
+/// VMs of a data centre that are asked in turn.
+const ASKED: usize = 2;
 
 impl Admin {
-    pub(super) fn status(&self) -> Response<Body> {
+    pub(super) async fn status(&self) -> Response<Body> {
+        let heard = versions(&self.shared).await;
         let settings = &self.shared.settings;
         let status = self.shared.read(|known| {
-            let version = known.active.as_ref().map_or(0, |active| active.version);
-            let report = Report {
-                data_centre: settings.data_centre.clone(),
-                version,
-            };
-            let in_force = IndexMap::from([(settings.vm.clone(), report)]);
+            let version = known.version();
+            let force = force(known, &heard);
+            let reasons = |release| known.reasons.get(release).cloned();
+            let releases = known.replica.sets.marks().filter_map(|mark| match mark {
+                Mark::Halted(id) => Some((id.clone(), reasons(id).unwrap_or("halted".into()))),
+                _ => None,
+            });
+            let draining = known.replica.sets.marks().filter_map(|mark| match mark {
+                Mark::Drained(name) => Some(name.clone()),
+                _ => None,
+            });
             Status {
                 vm: settings.vm.clone(),
                 version,
-                missing: missing(known, &in_force),
-                in_force,
-                confirmed_by_store: known.confirmed,
+                stage: stage(version, &force),
+                on: force.on,
+                of: force.of,
+                missing: force.missing.into_iter().collect(),
+                in_force: reports(known, heard),
+                confirmed_by_store: known.table_read,
                 keys: keys(known),
-                releases: known.growing.halted.clone(),
-                draining: known.growing.draining.iter().cloned().collect(),
+                releases: releases.collect(),
+                draining: draining.collect(),
             }
         });
         http::json(StatusCode::OK, &status)
     }
 }
 
-fn missing(known: &Known, in_force: &IndexMap<Box<str>, Report>) -> Vec<Box<str>> {
-    let nodes = known.list.nodes.iter();
-    nodes
-        .map(|node| node.name.clone())
-        .filter(|name| !in_force.contains_key(name))
-        .collect()
+fn stage(version: Version, force: &Force) -> Stage {
+    match force {
+        _ if version == 0 => Stage::NoVersion,
+        Force { on: 0, .. } => Stage::Accepted,
+        Force { on, of, .. } if on == of => Stage::Done,
+        _ => Stage::InForce,
+    }
+}
+
+/// Counts the VMs that have the version of this VM, over those that the platform lists and those
+/// that were heard of.
+fn force(known: &Known, heard: &IndexMap<Vm, Version>) -> Force {
+    let mut versions: IndexMap<&Vm, Version> = IndexMap::new();
+    let listed = known.list.nodes.iter().map(|node| &node.name);
+    versions.extend(listed.map(|vm| (vm, 0)));
+    versions.extend(heard.iter().map(|(vm, version)| (vm, *version)));
+    Force::count(known.version(), versions)
+}
+
+fn reports(known: &Known, heard: IndexMap<Vm, Version>) -> IndexMap<Vm, Report> {
+    let nodes = &known.list.nodes;
+    let centre = |vm: &Vm| nodes.iter().find(|node| node.name == *vm);
+    let own = &known.view.place().data_centre;
+    let report = |(vm, version): (Vm, Version)| {
+        let data_centre = centre(&vm).map_or(own, |node| &node.data_centre).clone();
+        let report = Report {
+            data_centre,
+            version,
+        };
+        (vm, report)
+    };
+    heard.into_iter().map(report).collect()
+}
+
+/// Asks a VM of each other data centre for the versions of its data centre, so that nothing is
+/// sent while no operator asks. A data centre that doesn't answer is absent.
+async fn versions(shared: &Shared) -> IndexMap<Vm, Version> {
+    let (own, centres) = shared.read(|known| {
+        let mut centres: IndexMap<DataCentre, Vec<Node>> = IndexMap::new();
+        let place = known.view.place();
+        let others = known.list.nodes.iter();
+        for node in others.filter(|node| node.data_centre != place.data_centre) {
+            let centre = centres.entry(node.data_centre.clone()).or_default();
+            centre.push(node.clone());
+        }
+        for (name, nodes) in &mut centres {
+            let contact = known.view.contacts().get(name).map(|contact| &contact.vm);
+            nodes.sort_by_key(|node| Some(&node.name) != contact);
+            nodes.truncate(ASKED);
+        }
+        (known.versions(Instant::now()), centres)
+    });
+    let asked = join_all(centres.values().map(|nodes| ask(shared, nodes))).await;
+    let seen = asked.into_iter().flatten().chain(own);
+    seen.map(|seen| (seen.vm, seen.version)).collect()
+}
+
+async fn ask(shared: &Shared, nodes: &[Node]) -> Vec<Seen> {
+    for node in nodes {
+        let answer = shared.links.call(
+            node.gossip,
+            VERSIONS_TIMEOUT,
+            |client, context| async move { client.versions(context).await },
+        );
+        if let Ok(seen) = answer.await.and_then(Frame::open) {
+            return seen;
+        }
+    }
+    Vec::new()
 }
 
 fn keys(known: &Known) -> Keys {
-    let withdrawn = known.growing.withdrawn.len();
-    let valid = known
-        .keys
-        .keys()
-        .filter(|k| !known.growing.withdrawn.contains(*k))
+    let withdrawn = known.replica.sets.withdrawn();
+    let now = clock::unix_millis();
+    let entries = known.active.iter().flat_map(|a| a.ring.entries());
+    let valid = entries
+        .filter(|entry| !withdrawn.contains(&entry.digest))
+        .filter(|entry| entry.until.is_none_or(|until| now < until))
         .count();
-    Keys { valid, withdrawn }
+    let millis = |at: Instant| {
+        let age = u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        now.saturating_sub(age)
+    };
+    let (state, since) = match known.standing(Instant::now()) {
+        Standing::Confirmed => (KeyState::Confirmed, None),
+        Standing::NotConfirmed(since) => (KeyState::NotConfirmed, Some(millis(since))),
+        Standing::Refused(since) => (KeyState::Refused, Some(millis(since))),
+    };
+    Keys {
+        valid,
+        withdrawn: withdrawn.len(),
+        state,
+        since,
+    }
 }
--- a/programs/control/src/gossip.rs
+++ b/programs/control/src/gossip.rs
@@ -1,8 +1,12 @@
 //! Serves control processes and entries of other VMs.
 
-use crate::state::Shared;
-use peers::gossip::{Exchange, Gossip, Releases, Reply};
+mod spread;
+
+use crate::state::{Peer, Shared};
+use peers::gossip::{Exchange, Gossip, Releases, Reply, Seen};
 use peers::wire::{self, Frame};
+use spread::Spread;
+use std::time::Instant;
 use steering::limits::{Grant, Renew};
 use tarpc::context::Context;
 use tokio::net::TcpListener;
@@ -10,13 +14,31 @@
 
 #[derive(Clone)]
 struct Server {
-    // TODO: the calls below answer from it.
-    _shared: Shared,
+    shared: Shared,
+    spread: Spread,
 }
 
 impl Gossip for Server {
-    async fn exchange(self, _: Context, _exchange: Frame<Exchange>) -> Frame<Option<Reply>> {
-        Frame::new(None)
+    async fn exchange(self, _: Context, exchange: Frame<Exchange>) -> Frame<Option<Reply>> {
+        let Ok(exchange) = exchange.open() else {
+            return Frame::new(None);
+        };
+        let peer = Peer {
+            vm: exchange.vm.clone(),
+            data_centre: Some(exchange.data_centre.clone()),
+            address: exchange.gossip,
+        };
+        let (reply, lags) = self
+            .shared
+            .touch(|known| known.reply(exchange, Instant::now()));
+        if lags {
+            self.spread.ask(peer, false);
+        }
+        Frame::new(Some(reply))
+    }
+
+    async fn versions(self, _: Context) -> Frame<Vec<Seen>> {
+        Frame::new(self.shared.read(|known| known.versions(Instant::now())))
     }
 
     async fn releases(self, _: Context, _news: Frame<Releases>) -> Frame<Releases> {
@@ -28,11 +50,15 @@
     }
 }
 
-/// Serves until `stop` is cancelled.
+/// Serves and exchanges with other VMs until `stop` is cancelled.
 pub async fn run(listener: TcpListener, shared: Shared, stop: CancellationToken) {
-    let server = Server { _shared: shared };
-    wire::accept(listener, stop, |stream| {
+    let spread = Spread::new(shared.clone());
+    let server = Server {
+        shared,
+        spread: spread.clone(),
+    };
+    let served = wire::accept(listener, stop.clone(), |stream| {
         wire::serve(stream, server.clone().serve())
-    })
-    .await;
+    });
+    tokio::join!(served, spread.run(stop));
 }
--- a/programs/control/src/lib.rs
+++ b/programs/control/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod args;
 pub mod gossip;
 pub mod local;
+pub mod metrics;
+pub mod publish;
 pub mod reader;
 pub mod record;
 pub mod run;
--- a/programs/control/src/local.rs
+++ b/programs/control/src/local.rs
@@ -3,6 +3,7 @@
 use crate::state::Shared;
 use peers::local::{Local, SYNC_WAIT, State};
 use peers::wire::{self, Frame};
+use std::time::Duration;
 use tarpc::context::Context;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -20,6 +21,11 @@
         let state = State::clone(&states.borrow());
         Frame::new(state)
     }
+
+    async fn confirmed(self, _: Context) -> Frame<Duration> {
+        let age = self.shared.read(|known| known.confirmed.elapsed());
+        Frame::new(age)
+    }
 }
 
 /// Serves until `stop` is cancelled.
--- /dev/null
+++ b/programs/control/src/metrics.rs
@@ -0,0 +1,141 @@
+//! Counters of the control process.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// What became of an exchange with another VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exchanged {
+    /// Answered.
+    Answered,
+    /// Not answered in time.
+    Failed,
+    /// Left out, because too many were under way.
+    Busy,
+}
+
+impl Exchanged {
+    fn text(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::Busy => "busy",
+        }
+    }
+}
+
+/// What became of a publication.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Published {
+    /// Accepted.
+    Accepted,
+    /// Another one came first.
+    Conflict,
+    /// The files have errors.
+    Refused,
+    /// The store can't be reached.
+    Unavailable,
+    /// The outcome could not be settled in time.
+    Unknown,
+    /// An unclear answer was looked up in the row.
+    ReadBack,
+}
+
+impl Published {
+    fn text(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Conflict => "conflict",
+            Self::Refused => "refused",
+            Self::Unavailable => "unavailable",
+            Self::Unknown => "unknown",
+            Self::ReadBack => "read-back",
+        }
+    }
+}
+
+/// Label of a result.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Label {
+    result: &'static str,
+}
+
+/// Counters of the control process.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    /// Configuration version in force; 0 before the process is ready.
+    pub version: Gauge,
+    exchanges: Family<Label, Counter>,
+    table_reads: Family<Label, Counter>,
+    list_reads: Family<Label, Counter>,
+    records: Family<Label, Counter>,
+    publications: Family<Label, Counter>,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "config_version",
+            "Configuration version in force",
+            self.version.clone(),
+        );
+        registry.register(
+            "exchanges",
+            "Exchanges with other VMs",
+            self.exchanges.clone(),
+        );
+        registry.register(
+            "table_reads",
+            "Reads of the table",
+            self.table_reads.clone(),
+        );
+        registry.register("list_reads", "Reads of the list", self.list_reads.clone());
+        registry.register(
+            "growing_records",
+            "Writes of growing changes to the table",
+            self.records.clone(),
+        );
+        registry.register(
+            "publications",
+            "Publications through this VM",
+            self.publications.clone(),
+        );
+    }
+
+    /// Counts an exchange.
+    pub fn exchanged(&self, result: Exchanged) {
+        self.exchanges.get_or_create(&label(result.text())).inc();
+    }
+
+    /// Counts a read of the table.
+    pub fn table_read(&self, done: bool) {
+        self.table_reads.get_or_create(&label(stored(done))).inc();
+    }
+
+    /// Counts a read of the list.
+    pub fn list_read(&self, done: bool) {
+        self.list_reads.get_or_create(&label(stored(done))).inc();
+    }
+
+    /// Counts a write of growing changes.
+    pub fn recorded(&self, done: bool) {
+        self.records.get_or_create(&label(stored(done))).inc();
+    }
+
+    /// Counts a publication.
+    pub fn published(&self, result: Published) {
+        self.publications.get_or_create(&label(result.text())).inc();
+    }
+}
+
+fn stored(done: bool) -> &'static str {
+    if done { "done" } else { "failed" }
+}
+
+fn label(result: &'static str) -> Label {
+    Label { result }
+}
--- /dev/null
+++ b/programs/control/src/publish.rs
@@ -0,0 +1,236 @@
+//! Publications through the platform's table and object store.
+
+use crate::metrics::Published;
+use crate::record;
+use crate::state::{Known, Shared};
+use crate::{reader, table};
+use base::id::Version;
+use indexmap::IndexMap;
+use operators::bundle::Files;
+use platform::table::Write;
+use platform::{Client, Error};
+use std::time::{Duration, Instant};
+use steering::config::publication::Answer;
+use steering::config::{Hash, Head, Manifest, Publication, Stage, head};
+
+/// Longest time for settling the outcome of a publication.
+const SETTLE: Duration = Duration::from_secs(6);
+/// Pause before an unsettled outcome is read back again.
+const SETTLE_PAUSE: Duration = Duration::from_millis(200);
+/// Longest wait for an accepted version to be in force on this VM.
+const START: Duration = Duration::from_secs(4);
+/// Interval of looks at whether it is.
+const START_LOOK: Duration = Duration::from_millis(20);
+/// Most attempts of an edit of the keys that other publications overtake.
+const EDITS: usize = 8;
+
+/// What became of a publication.
+#[derive(Debug)]
+pub enum Outcome {
+    /// In force on this VM as this version.
+    Accepted(Version),
+    /// Another publication came first; this version is to be reviewed.
+    Conflict(Version),
+    /// Whether it took effect can't be told.
+    Unknown(Box<str>),
+}
+
+/// Publishes operators' files that were reviewed against version `base`; the keys stay.
+///
+/// # Errors
+///
+/// The store can't be reached; nothing was published.
+pub async fn files(
+    shared: &Shared,
+    client: &Client,
+    base: Version,
+    author: Box<str>,
+    files: &Files,
+) -> Result<Outcome, Error> {
+    reader::read(shared, client).await?;
+    let (base, manifest) = match shared.read(|known| known.base(base)) {
+        Ok(base) => base,
+        Err(review) => return Ok(Outcome::Conflict(review)),
+    };
+    let mut next = Manifest::default();
+    let mut contents = IndexMap::new();
+    for (name, text) in files {
+        let hash = head::hash(text.as_bytes());
+        contents.insert(hash.clone(), text.as_bytes().into());
+        next.files.insert(name.clone(), hash);
+    }
+    if let Some(ring) = manifest.files.get(record::RING) {
+        next.files.insert(record::RING.into(), ring.clone());
+    }
+    write(
+        shared,
+        client,
+        base.as_ref(),
+        &manifest,
+        &next,
+        author,
+        contents,
+    )
+    .await
+}
+
+/// Publishes a change of the keys, again if another publication comes first. `change` returns
+/// whether the change still applies.
+///
+/// # Errors
+///
+/// The store can't be reached; nothing was published.
+pub async fn keys(
+    shared: &Shared,
+    client: &Client,
+    change: impl Fn(&mut steering::keys::Ring) -> bool,
+) -> Result<Outcome, Error> {
+    let mut outcome = Outcome::Unknown("the key is not in the configuration".into());
+    for _ in 0..EDITS {
+        reader::read(shared, client).await?;
+        let Some((base, manifest, mut ring)) = shared.read(|known| {
+            let active = known.active.as_ref()?;
+            let (base, manifest) = known.base(active.version).ok()?;
+            Some((base, manifest, active.ring.clone()))
+        }) else {
+            return Err(Error::Unavailable("this VM is not ready yet".into()));
+        };
+        if !change(&mut ring) {
+            return Ok(outcome);
+        }
+        let row = record::Ring {
+            keys: ring.entries().cloned().collect(),
+        };
+        let content = serde_json::to_vec(&row).map_err(|e| Error::Invalid(e.to_string().into()))?;
+        let hash = head::hash(&content);
+        let mut next = manifest.clone();
+        next.files.insert(record::RING.into(), hash.clone());
+        let contents = IndexMap::from([(hash, content.into())]);
+        let author = "keys".into();
+        outcome = write(
+            shared,
+            client,
+            base.as_ref(),
+            &manifest,
+            &next,
+            author,
+            contents,
+        )
+        .await?;
+        if !matches!(outcome, Outcome::Conflict(_)) {
+            break;
+        }
+    }
+    Ok(outcome)
+}
+
+/// Stores the objects that the base version lacks, then writes the head row.
+async fn write(
+    shared: &Shared,
+    client: &Client,
+    base: Option<&Head>,
+    base_manifest: &Manifest,
+    manifest: &Manifest,
+    author: Box<str>,
+    contents: IndexMap<Hash, Box<[u8]>>,
+) -> Result<Outcome, Error> {
+    let operation = base::id::random(&mut rand::rng());
+    let publication = Publication::propose(base, base_manifest, manifest, author, operation);
+    for hash in publication.head().changed.values().flatten() {
+        if let Some(content) = contents.get(hash) {
+            put(client, hash, content).await?;
+        }
+    }
+    put(client, &publication.head().manifest, &manifest.object()).await?;
+    let outcome = settle(shared, client, publication.clone()).await?;
+    if let Outcome::Accepted(_) = outcome {
+        shared.touch(|known| {
+            let head = publication.head().clone();
+            let (base, changed) = (head.base, head.changed.clone());
+            let tracker = &mut known.replica.tracker;
+            tracker.offer(head, base, &changed);
+            tracker.receive(&publication.head().manifest, &manifest.object());
+            for (hash, content) in &contents {
+                tracker.receive(hash, content);
+            }
+            known.tell_all = true;
+        });
+        in_force(shared, publication.head().version).await;
+    }
+    Ok(outcome)
+}
+
+/// Waits until a version is in force on this VM. One that has just started still listens whether
+/// peers have a later one.
+async fn in_force(shared: &Shared, version: Version) {
+    let deadline = Instant::now() + START;
+    while shared.read(Known::version) < version && Instant::now() < deadline {
+        tokio::time::sleep(START_LOOK).await;
+    }
+}
+
+/// Stores an object; a lost answer is settled by reading the object back.
+async fn put(client: &Client, hash: &str, content: &[u8]) -> Result<(), Error> {
+    match client.put(hash, content.to_vec()).await {
+        Err(Error::Lost(reason)) => match client.get(hash).await {
+            Ok(_) => Ok(()),
+            Err(_) => Err(Error::Lost(reason)),
+        },
+        settled => settled,
+    }
+}
+
+/// Writes the head until the outcome is known.
+async fn settle(
+    shared: &Shared,
+    client: &Client,
+    mut publication: Publication,
+) -> Result<Outcome, Error> {
+    let deadline = Instant::now() + SETTLE;
+    let write = Write {
+        expected: publication.head().base,
+        operation: publication.head().operation.clone(),
+        ..table::write(0, publication.head())?
+    };
+    let mut may_be_written = false;
+    loop {
+        match publication.stage() {
+            Stage::Proposed => match client.write(record::HEAD, &write).await {
+                Ok(_) => publication.answered(&Answer::Written),
+                Err(Error::Conflict(_)) => publication.answered(&Answer::Conflict),
+                Err(Error::Unavailable(reason)) if !may_be_written => {
+                    return Err(Error::Unavailable(reason));
+                }
+                Err(_) => {
+                    may_be_written = true;
+                    publication.answered(&Answer::Lost);
+                }
+            },
+            Stage::Unknown => {
+                shared.metrics.published(Published::ReadBack);
+                let row = match client.read(record::HEAD).await {
+                    Ok(row) => Some(Some(table::decode::<Head>(row.value)?)),
+                    Err(Error::Absent) => Some(None),
+                    Err(_) => None,
+                };
+                if let Some(row) = &row {
+                    publication.read_back(row.as_ref());
+                }
+                if row.is_none() || *publication.stage() == Stage::Proposed {
+                    if Instant::now() >= deadline {
+                        return Ok(Outcome::Unknown("the store does not answer".into()));
+                    }
+                    tokio::time::sleep(SETTLE_PAUSE).await;
+                }
+            }
+            Stage::Conflict { review } => return Ok(Outcome::Conflict(*review)),
+            Stage::Unsettled { review } => {
+                let reason = format!("too many publications followed; compare with {review}");
+                return Ok(Outcome::Unknown(reason.into()));
+            }
+            Stage::Accepted | Stage::InForce(_) | Stage::Done => {
+                return Ok(Outcome::Accepted(publication.head().version));
+            }
+        }
+    }
+}
--- a/programs/control/src/reader.rs
+++ b/programs/control/src/reader.rs
@@ -1,136 +1,217 @@
 //! Reads the platform's table and list, and makes growing changes durable.
 
-use crate::record::{self, Growing, Head, Keys};
-use crate::state::{Active, Shared};
+use crate::record::{self, Growing};
+use crate::state::{Known, Shared};
 use crate::table;
 use base::id::Version;
-use operators::bundle::{self, Bundle, Files};
 use platform::table::Row;
 use platform::{Client, Error};
+use std::time::{Duration, Instant};
+use steering::config::tracker::{Offer, Receipt};
+use steering::config::{Head, Poll};
+use steering::membership::Role;
 use tokio_util::sync::CancellationToken;
 
+/// Time after which a VM that leaves reading to others looks again at its role.
+const LOOK: Duration = Duration::from_secs(1);
+/// Pause before the list is read again after a failure.
+const LIST_RETRY: Duration = Duration::from_secs(1);
+/// Interval at which a version whose objects are missing is looked at.
+const FETCH_LOOK: Duration = Duration::from_millis(200);
+
 /// Reads until `stop` is cancelled.
 pub async fn run(shared: Shared, client: Client, stop: CancellationToken) {
+    let tasks = async {
+        tokio::join!(
+            table(&shared, &client),
+            list(&shared, &client),
+            objects(&shared, &client)
+        )
+    };
+    stop.run_until_cancelled(tasks).await;
+}
+
+/// Reads the table while this VM is the reader of its data centre, its stand-by, or not ready.
+async fn table(shared: &Shared, client: &Client) {
+    let poll = Poll {
+        reader: shared.settings.poll_interval.0,
+        standby: shared.settings.poll_interval.0 * 2,
+        ..Poll::default()
+    };
     let mut reachable = true;
-    while !stop.is_cancelled() {
-        let result = read(&shared, &client).await;
-        if result.is_ok() != reachable {
-            reachable = result.is_ok();
-            match &result {
-                Ok(()) => log::info!("the platform's table is reachable again"),
-                Err(error) => log::warn!("the platform's table can't be read: {error}"),
+    loop {
+        let now = Instant::now();
+        let (role, ready) = shared.read(|known| (known.view.role(now), known.ready()));
+        let mut pause = poll.next(role, &mut rand::rng());
+        if pause.is_some() || !ready {
+            pause = pause.or(Some(poll.standby));
+            let result = read(shared, client).await;
+            if result.is_ok() != reachable {
+                reachable = result.is_ok();
+                match &result {
+                    Ok(()) => log::info!("the platform's table is reachable again"),
+                    Err(error) => log::warn!("the platform's table can't be read: {error}"),
+                }
+            }
+            if reachable && let Err(error) = record(shared, client).await {
+                log::warn!("growing changes are not durable yet: {error}");
             }
         }
-        if reachable && let Err(error) = record(&shared, &client).await {
-            log::warn!("growing changes are not durable yet: {error}");
-        }
-        let pause = tokio::time::sleep(shared.settings.poll_interval.0);
-        stop.run_until_cancelled(pause).await;
+        tokio::time::sleep(pause.unwrap_or(LOOK)).await;
     }
 }
 
-/// Reads all rows and the list once.
-async fn read(shared: &Shared, client: &Client) -> Result<(), Error> {
-    let rows = client.scan(record::PREFIX).await?;
+/// Reads all rows once. Objects of a new version are fetched at once by the reader.
+///
+/// # Errors
+///
+/// As the platform answers.
+pub async fn read(shared: &Shared, client: &Client) -> Result<(), Error> {
+    let sent = Instant::now();
+    let rows = client.scan(record::PREFIX).await;
+    shared.metrics.table_read(rows.is_ok());
+    let taken = rows.and_then(|rows| shared.touch(|known| take(known, rows, sent)));
+    if taken.is_err() {
+        shared.touch(|known| known.replica.tracker.heard_store(None));
+    }
+    taken?;
+    let now = Instant::now();
+    if shared.read(|known| known.view.role(now) == Role::Reader || !known.ready()) {
+        fetch(shared, client).await?;
+    }
+    Ok(())
+}
+
+fn take(known: &mut Known, rows: Vec<Row>, sent: Instant) -> Result<(), Error> {
+    let mut version = 0;
     for row in rows {
         match &*row.key {
-            record::HEAD => head(shared, client, row).await?,
-            record::KEYS => {
-                let keys: Keys = table::decode(row.value)?;
-                shared.change(|known| known.keys = keys.keys);
+            record::HEAD => {
+                version = row.version;
+                offer(known, row)?;
             }
             record::GROWING => {
                 let growing: Growing = table::decode(row.value)?;
-                shared.change(|known| {
-                    known.growing.merge(&growing);
-                    known.recorded.merge(&growing);
-                });
+                for mark in growing.marks {
+                    known.recorded.add(mark.clone());
+                    known.replica.sets.add(mark);
+                }
+                for (release, reason) in growing.reasons {
+                    known.reasons.entry(release).or_insert(reason);
+                }
             }
             _ => {}
         }
     }
-    let list = client.list().await?;
-    shared.change(|known| {
-        known.list = list;
-        known.confirmed = base::clock::unix_millis();
-    });
+    // After the growing changes, so that a VM never becomes ready before it has them.
+    known.replica.tracker.heard_store(Some(version));
+    known.confirm(sent);
+    known.table_read = base::clock::unix_millis();
     Ok(())
 }
 
-/// Takes up a head row if it is newer than the configuration in force.
-async fn head(shared: &Shared, client: &Client, row: Row) -> Result<(), Error> {
-    let in_force = shared.read(|known| known.active.as_ref().map_or(0, |active| active.version));
-    if row.version <= in_force {
-        return Ok(());
-    }
+fn offer(known: &mut Known, row: Row) -> Result<(), Error> {
     let head: Head = table::decode(row.value)?;
-    let files = fetch(shared, client, &head).await?;
-    activate(shared, row.version, files);
+    if head.version != row.version {
+        return Err(Error::Invalid("the head names another version".into()));
+    }
+    let (base, changed) = (head.base, head.changed.clone());
+    let offer = known.replica.tracker.offer(head, base, &changed);
+    if offer == Offer::Contradiction {
+        log::error!("two different configurations have version {}", row.version);
+    }
     Ok(())
 }
 
-/// Fetches the files of a head, except those that are in force already.
-async fn fetch(shared: &Shared, client: &Client, head: &Head) -> Result<Files, Error> {
-    let known = shared.read(|known| known.active.as_ref().map(|active| active.files.clone()));
-    let known = known.unwrap_or_default();
-    let mut files = Files::new();
-    for (name, hash) in &head.files {
-        let text = match known.get(name) {
-            Some(text) if bundle::hash(&**text) == *hash => text.clone(),
-            _ => object(client, hash).await?,
-        };
-        files.insert(name.clone(), text);
+/// Fetches objects that peers have not sent in time.
+async fn objects(shared: &Shared, client: &Client) {
+    let mut since: Option<(Version, Instant)> = None;
+    loop {
+        tokio::time::sleep(FETCH_LOOK).await;
+        let now = Instant::now();
+        let (fetching, role) =
+            shared.read(|known| (known.replica.tracker.fetching(), known.view.role(now)));
+        if fetching == 0 {
+            since = None;
+            continue;
+        }
+        let (_, at) = *since.get_or_insert((fetching, now));
+        if now >= at + Poll::default().fetch_after(role)
+            && let Err(error) = fetch(shared, client).await
+        {
+            log::debug!("objects of version {fetching} can't be fetched: {error}");
+        }
     }
-    Ok(files)
 }
 
-async fn object(client: &Client, hash: &str) -> Result<Box<str>, Error> {
-    let bytes = client.get(hash).await?;
-    if *bundle::hash(&bytes) != *hash {
-        return Err(Error::Invalid("the object does not match its hash".into()));
+/// Fetches the objects of the version that is being fetched: its manifest first, if that is
+/// missing too, and then its files.
+async fn fetch(shared: &Shared, client: &Client) -> Result<(), Error> {
+    loop {
+        let missing = shared.read(|known| known.replica.tracker.missing());
+        let mut kept = false;
+        for hash in &missing {
+            let content = client.get(hash).await?;
+            let receipt = shared.touch(|known| known.replica.tracker.receive(hash, &content));
+            if receipt == Receipt::Corrupt {
+                return Err(Error::Invalid("an object does not match its hash".into()));
+            }
+            kept |= receipt == Receipt::Kept;
+        }
+        if missing.is_empty() || !kept {
+            return Ok(());
+        }
     }
-    let text = std::str::from_utf8(&bytes).map_err(|e| Error::Invalid(e.to_string().into()))?;
-    Ok(text.into())
 }
 
-/// Puts a version in force, unless a higher one is in force or its files don't pass the checks.
-pub fn activate(shared: &Shared, version: Version, files: Files) {
-    let bundle = match Bundle::parse(&files) {
-        Ok(bundle) => bundle,
-        Err(findings) => {
-            for finding in findings {
-                log::error!("configuration version {version} is refused: {finding}");
+/// Reads the platform's list at the view's intervals; until there is one, more often.
+async fn list(shared: &Shared, client: &Client) {
+    let mut bytes = 0;
+    loop {
+        let sent = Instant::now();
+        let next = shared.read(|known| known.view.next_list(bytes, sent, &mut rand::rng()));
+        let known = shared.read(|known| known.listing(sent).hash != 0);
+        let pause = if next.is_none() && known {
+            LOOK
+        } else {
+            let list = client.list().await;
+            shared.metrics.list_read(list.is_ok());
+            match list {
+                Ok(list) => {
+                    bytes = serde_json::to_vec(&list).map_or(0, |bytes| bytes.len());
+                    shared.change(|known| known.take_list(list, sent, Instant::now()));
+                    next.unwrap_or(LOOK)
+                }
+                Err(error) => {
+                    log::debug!("the platform's list can't be read: {error}");
+                    LIST_RETRY
+                }
             }
-            return;
-        }
-    };
-    shared.change(|known| {
-        let newer = known
-            .active
-            .as_ref()
-            .is_none_or(|active| active.version < version);
-        if newer {
-            log::info!("configuration version {version} is in force");
-            known.active = Some(Active {
-                version,
-                files,
-                bundle,
-            });
-        }
-    });
+        };
+        tokio::time::sleep(pause).await;
+    }
 }
 
 /// Writes growing changes that the table does not hold yet.
 async fn record(shared: &Shared, client: &Client) -> Result<(), Error> {
-    let (growing, durable) = shared.read(|k| (k.growing.clone(), k.growing == k.recorded));
+    let (sets, reasons, durable) = shared.read(|known| {
+        let durable = known.replica.sets.summary() == known.recorded.summary();
+        (known.replica.sets.clone(), known.reasons.clone(), durable)
+    });
     if durable {
         return Ok(());
     }
-    table::update(client, record::GROWING, |row: &mut Growing| {
-        row.merge(&growing);
-    })
-    .await?;
-    shared.change(|known| known.recorded.merge(&growing));
+    let written = table::update(client, record::GROWING, |row: &mut Growing| {
+        row.marks.extend(sets.marks().cloned());
+        for (release, reason) in &reasons {
+            let reason = || reason.clone();
+            row.reasons.entry(release.clone()).or_insert_with(reason);
+        }
+    });
+    let written = written.await;
+    shared.metrics.recorded(written.is_ok());
+    written?;
+    shared.touch(|known| known.recorded.merge(&sets));
     Ok(())
 }
 
--- a/programs/control/src/record.rs
+++ b/programs/control/src/record.rs
@@ -1,72 +1,35 @@
-//! Content of the rows that the system keeps in the platform's table.
+//! Content of the rows and files that the system keeps in the platform's store.
 
-use base::clock::Millis;
-use base::id::{Release, Workspace};
+use base::id::Release;
 use indexmap::{IndexMap, IndexSet};
+use steering::config::Mark;
+use steering::keys::ring::Entry;
 
-/// Prefix of the rows that every control process reads.
+/// Prefix of the rows that the readers of all data centres read.
 pub const PREFIX: &str = "control/";
 /// Row of the configuration in force; its row version is the configuration's version.
 pub const HEAD: &str = "control/head";
-/// Row of the issued keys.
-pub const KEYS: &str = "control/keys";
 /// Row of the changes that only grow.
 pub const GROWING: &str = "control/growing";
+/// File of the issued keys in a configuration. Operators neither see nor publish it.
+pub const RING: &str = "keys.json";
 
 base::message! {
-    /// Configuration in force.
-    #[serde(deny_unknown_fields)]
-    pub struct Head {
-        /// Author of the publication.
-        pub author: Box<str>,
-        /// Content hash of each steering file by its name.
-        pub files: IndexMap<Box<str>, Box<str>>,
-    }
-
-    /// Issued keys by the hexadecimal form of their digest.
+    /// Issued keys.
     #[derive(Default)]
-    pub struct Keys {
-        /// Keys.
-        pub keys: IndexMap<Box<str>, Key>,
-    }
-
-    /// An issued key.
     #[serde(deny_unknown_fields)]
-    pub struct Key {
-        /// Workspace of the key.
-        pub workspace: Workspace,
-        /// Time from which the key is no longer accepted.
-        pub expires: Option<Millis>,
+    pub struct Ring {
+        /// Keys.
+        pub keys: Vec<Entry>,
     }
 
     /// Changes that need no permission; merging two copies keeps all entries of both.
     #[derive(Default)]
     #[serde(default)]
     pub struct Growing {
-        /// Digests of withdrawn keys.
-        pub withdrawn: IndexSet<Box<str>>,
-        /// Halted releases with the reason.
-        pub halted: IndexMap<Release, Box<str>>,
-        /// Backend servers that are being drained.
-        pub draining: IndexSet<Box<str>>,
-    }
-}
-
-impl Growing {
-    /// Adds all entries of `other`; returns whether any was new.
-    pub fn merge(&mut self, other: &Self) -> bool {
-        let before = self.len();
-        self.withdrawn.extend(other.withdrawn.iter().cloned());
-        self.draining.extend(other.draining.iter().cloned());
-        for (release, reason) in &other.halted {
-            self.halted
-                .entry(release.clone())
-                .or_insert_with(|| reason.clone());
-        }
-        self.len() > before
-    }
-
-    fn len(&self) -> usize {
-        self.withdrawn.len() + self.halted.len() + self.draining.len()
+        /// Withdrawn keys, halted releases and drains.
+        pub marks: IndexSet<Mark>,
+        /// Reasons of halted releases.
+        pub reasons: IndexMap<Release, Box<str>>,
     }
 }
--- a/programs/control/src/run.rs
+++ b/programs/control/src/run.rs
@@ -4,6 +4,7 @@
 use crate::state::Shared;
 use crate::{admin, gossip, local, reader};
 use base::http::client::Target;
+use prometheus_client::registry::Registry;
 use std::io;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -17,6 +18,7 @@
     let local = TcpListener::bind(settings.local).await?;
     let gossip = TcpListener::bind(settings.gossip).await?;
     let admin = TcpListener::bind(settings.admin).await?;
+    let metrics = TcpListener::bind(settings.metrics).await?;
     log::info!("vm {} of {} started", settings.vm, settings.data_centre);
     let client = platform::Client::new(Target {
         address: settings.platform,
@@ -24,11 +26,14 @@
         authorization: None,
     });
     let shared = Shared::new(settings);
+    let mut registry = Registry::with_prefix("cardamomhall");
+    shared.metrics.register(&mut registry);
     tokio::join!(
         reader::run(shared.clone(), client.clone(), stop.clone()),
         gossip::run(gossip, shared.clone(), stop.clone()),
         local::run(local, shared.clone(), stop.clone()),
-        admin::run(admin, shared, client, stop),
+        admin::run(admin, shared, client, stop.clone()),
+        base::metrics::serve(metrics, registry, stop),
     );
     log::info!("stopped");
     Ok(())
--- a/programs/control/src/settings.rs
+++ b/programs/control/src/settings.rs
@@ -21,8 +21,12 @@
     pub local: SocketAddr,
     /// Address for control processes of other VMs.
     pub gossip: SocketAddr,
-    /// Address of the administration API and of the metrics.
+    /// Address of the administration API.
     pub admin: SocketAddr,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    /// Gossip addresses of VMs that are asked at start while the platform's list can't be read.
+    pub seeds: Vec<SocketAddr>,
     /// Credential of the administration API.
     pub admin_token: Box<str>,
     /// Secret under which key digests are computed; the same on all VMs.
@@ -31,7 +35,8 @@
     pub platform: SocketAddr,
     /// Longest time for one call to the platform.
     pub platform_timeout: Span,
-    /// Time between two reads of the platform's table.
+    /// Time between two reads of the platform's table by the reader of a data centre; its
+    /// stand-by waits twice as long.
     pub poll_interval: Span,
     /// Log specification.
     pub log: Box<str>,
@@ -47,11 +52,13 @@
             local: loopback(7100),
             gossip: loopback(7101),
             admin: loopback(7102),
+            metrics: loopback(7103),
+            seeds: Vec::new(),
             admin_token: "".into(),
             key_secret: "".into(),
             platform: loopback(7000),
             platform_timeout: Span(Duration::from_secs(2)),
-            poll_interval: Span(Duration::from_millis(500)),
+            poll_interval: Span(Duration::from_millis(1250)),
             log: "info".into(),
         }
     }
@@ -60,6 +67,14 @@
 /// Least length of a secret, in bytes.
 const SECRET_BYTES: usize = 16;
 
+/// Shortest interval of reads: with it, readers and stand-bys of 144 data centres make 864 of the
+/// two thousand reads a second that the store handles.
+const SHORTEST_POLL: Duration = Duration::from_millis(250);
+/// Longest interval of reads with which a change is in force within 4 s.
+const LONGEST_POLL: Duration = Duration::from_secs(3);
+/// Most seeds; all of them are asked at once.
+const SEEDS: usize = 16;
+
 impl Settings {
     /// Says what is wrong with the settings, if anything.
     pub fn problem(&self) -> Option<&'static str> {
@@ -69,6 +84,12 @@
         if self.admin_token.len() < SECRET_BYTES || self.key_secret.len() < SECRET_BYTES {
             return Some("`admin_token` and `key_secret` need at least 16 bytes each");
         }
+        if !(SHORTEST_POLL..=LONGEST_POLL).contains(&self.poll_interval.0) {
+            return Some("`poll_interval` must lie between 250ms and 3s");
+        }
+        if self.seeds.len() > SEEDS {
+            return Some("`seeds` may hold at most 16 addresses");
+        }
         None
     }
 }
@@ -83,6 +104,7 @@
             .field("local", &self.local)
             .field("gossip", &self.gossip)
             .field("admin", &self.admin)
+            .field("seeds", &self.seeds)
             .field("platform", &self.platform)
             .finish_non_exhaustive()
     }
--- /dev/null
+++ b/programs/control/src/state/known.rs
@@ -0,0 +1,318 @@
+//! Knowledge of the control process.
+
+use crate::record::{self, Ring as Row};
+use crate::settings::Settings;
+use ::peers::gossip::{Listing, Seen};
+use ::peers::local::State;
+use base::clock::Millis;
+use base::id::{Release, Version, Vm};
+use indexmap::IndexMap;
+use operators::bundle::{Bundle, Files};
+use operators::fleet;
+use platform::list::{self, List};
+use std::time::{Duration, Instant};
+use steering::config::sets::Summary;
+use steering::config::{Head, Manifest, Mark, Readiness, Replica, Sets};
+use steering::keys::{Confirmation, Isolated, Policy, Ring, Standing};
+use steering::membership::{self, Listed, Place, View};
+
+/// Age from which the version of a VM counts as unknown.
+const SEEN_FOR: Duration = Duration::from_secs(10);
+
+/// Configuration in force.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Active {
+    /// Version.
+    pub version: Version,
+    /// Texts of the steering files.
+    pub files: Files,
+    /// Parsed files.
+    pub bundle: Bundle,
+    /// Issued keys.
+    pub ring: Ring,
+}
+
+/// All that the control process knows.
+#[derive(Debug)]
+pub struct Known {
+    /// Configuration in force, once the process is ready.
+    pub active: Option<Active>,
+    /// Configuration and growing sets as they are exchanged with peers.
+    pub replica: Replica,
+    /// VMs of the own data centre, and contacts in the others.
+    pub view: View,
+    /// Growing changes as the table holds them.
+    pub recorded: Sets,
+    /// Reasons of halted releases, as far as they are known.
+    pub reasons: IndexMap<Release, Box<str>>,
+    /// Last list of VMs and backend servers.
+    pub list: List,
+    /// Time of the last confirmation of the keys by the store or another data centre.
+    pub confirmed: Instant,
+    /// Time of the last successful read of the table, by wall clock; 0 before the first.
+    pub table_read: Millis,
+    /// Number of growing changes that a peer has too.
+    pub shared: u32,
+    /// Growing changes of this VM's operators are told to other data centres as well.
+    pub tell_all: bool,
+    pub(super) versions: IndexMap<Vm, (Version, Instant)>,
+    listing: (u64, Instant),
+    refused: Version,
+}
+
+/// What decides whether the published state has to be made anew.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Print {
+    active: Version,
+    held: Version,
+    marks: Summary,
+    list: u64,
+}
+
+impl Print {
+    /// Returns whether `before` lacks something that other VMs should be told of.
+    pub(super) fn spreads(&self, before: &Self) -> bool {
+        self.held != before.held || self.marks != before.marks
+    }
+}
+
+impl Known {
+    /// Starts with nothing known.
+    pub fn new(settings: &Settings, now: Instant) -> Self {
+        let place = Place {
+            vm: settings.vm.clone(),
+            data_centre: settings.data_centre.clone(),
+            region: settings.region.clone(),
+            incarnation: rand::random(),
+        };
+        Self {
+            active: None,
+            replica: Replica::new([], now),
+            view: View::new(place, membership::Settings::default()),
+            recorded: Sets::default(),
+            reasons: IndexMap::new(),
+            list: List::default(),
+            confirmed: now,
+            table_read: 0,
+            shared: 0,
+            tell_all: false,
+            versions: IndexMap::new(),
+            listing: (0, now),
+            refused: 0,
+        }
+    }
+
+    /// Returns the version in force; 0 before the process is ready.
+    pub fn version(&self) -> Version {
+        self.active.as_ref().map_or(0, |active| active.version)
+    }
+
+    /// Returns whether the process may publish what it knows to the VM's other processes.
+    pub fn ready(&self) -> bool {
+        matches!(self.replica.tracker.readiness(), Readiness::Ready(_))
+    }
+
+    pub(super) fn print(&self) -> Print {
+        Print {
+            active: self.version(),
+            held: self.replica.tracker.version(),
+            marks: self.replica.sets.summary(),
+            list: self.listing.0,
+        }
+    }
+
+    /// Puts the held configuration in force once the process is ready.
+    pub(super) fn activate(&mut self) {
+        let Readiness::Ready(version) = self.replica.tracker.readiness() else {
+            return;
+        };
+        if version <= self.version().max(self.refused) {
+            return;
+        }
+        match self.parsed(version) {
+            Ok(active) => {
+                log::info!("configuration version {version} is in force");
+                self.active = Some(active);
+            }
+            Err(reason) => {
+                log::error!("configuration version {version} is refused: {reason}");
+                self.refused = version;
+            }
+        }
+    }
+
+    fn parsed(&self, version: Version) -> Result<Active, Box<str>> {
+        let tracker = &self.replica.tracker;
+        let names = tracker.held().map(|held| held.manifest.files.keys());
+        let mut files = Files::new();
+        let mut ring = Ring::default();
+        for name in names.into_iter().flatten() {
+            let content = tracker.file(name).map(|content| &content[..]);
+            let content = content.unwrap_or_default();
+            if **name == *record::RING {
+                let row: Row = serde_json::from_slice(content).map_err(|e| e.to_string())?;
+                ring = row.keys.into_iter().collect();
+            } else {
+                let text = std::str::from_utf8(content).map_err(|e| e.to_string())?;
+                files.insert(name.clone(), text.into());
+            }
+        }
+        files.sort_unstable_keys();
+        let bundle = Bundle::parse(&files).map_err(|findings| {
+            let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+            findings.join("; ")
+        })?;
+        Ok(Active {
+            version,
+            files,
+            bundle,
+            ring,
+        })
+    }
+
+    /// Returns the state for the other processes of the VM. Before the process is ready it holds
+    /// only the growing changes, which no one has to take back.
+    pub(super) fn published(&self) -> State {
+        let sets = &self.replica.sets;
+        let mut state = State::default();
+        for mark in sets.marks() {
+            match mark {
+                Mark::Withdrawn(digest) => drop(state.withdrawn.insert(*digest)),
+                Mark::Halted(release) => drop(state.halted.insert(release.clone())),
+                Mark::Drained(name) => drop(state.draining.insert(name.clone())),
+            }
+        }
+        if let Some(active) = &self.active {
+            state.version = active.version;
+            state.files.clone_from(&active.files);
+            state.keys = active.ring.entries().cloned().collect();
+            state.list.clone_from(&self.list);
+        }
+        state
+    }
+
+    /// Adds growing changes of an operator of this VM; returns how many there are now.
+    pub fn mark(&mut self, marks: impl IntoIterator<Item = Mark>) -> u32 {
+        for mark in marks {
+            self.replica.sets.add(mark);
+        }
+        self.tell_all = true;
+        self.replica.sets.summary().count
+    }
+
+    /// Returns the head and the manifest against which files reviewed at version `base` may be
+    /// published: those in force, if nothing but keys has changed since `base`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the version to review again.
+    pub fn base(&self, base: Version) -> Result<(Option<Head>, Manifest), Version> {
+        let tracker = &self.replica.tracker;
+        let (since, changed) = tracker.changes_since(base);
+        let keys_only = since == base && changed.keys().all(|name| **name == *record::RING);
+        let held = tracker.held();
+        if base != tracker.version() && !(base < tracker.version() && keys_only) {
+            return Err(tracker.version());
+        }
+        Ok(held.map_or_else(Default::default, |held| {
+            (Some(held.head.clone()), held.manifest.clone())
+        }))
+    }
+
+    /// Takes the platform's list, read at `at`. A list without VMs is refused.
+    pub fn take_list(&mut self, list: List, at: Instant, now: Instant) {
+        if list.nodes.is_empty() || (self.listing.0 != 0 && at <= self.listing.1) {
+            return;
+        }
+        let listed: Vec<Listed> = list
+            .nodes
+            .iter()
+            .map(|node| Listed {
+                vm: node.name.clone(),
+                data_centre: node.data_centre.clone(),
+                region: node.region.clone(),
+                leaving: node.state == list::State::Leaving,
+            })
+            .collect();
+        for vm in self.view.list(&listed, now) {
+            log::info!("vm {vm} is gone");
+            self.versions.swap_remove(&vm);
+        }
+        self.listing = (hash(&list), at);
+        self.list = list;
+    }
+
+    /// Returns what identifies the list.
+    pub fn listing(&self, now: Instant) -> Listing {
+        Listing {
+            hash: self.listing.0,
+            age: now.saturating_duration_since(self.listing.1),
+        }
+    }
+
+    /// Returns what the configuration in force says about unconfirmed keys.
+    pub fn policy(&self) -> Policy {
+        let Some(active) = &self.active else {
+            return Policy::default();
+        };
+        let keys = active.bundle.fleet.keys;
+        Policy {
+            isolated_keys: match keys.isolated_keys {
+                fleet::Policy::Serve => Isolated::Accept,
+                fleet::Policy::Refuse => Isolated::Refuse,
+            },
+            key_staleness: keys.key_staleness.0,
+        }
+    }
+
+    /// Returns the state of the keys.
+    pub fn standing(&self, now: Instant) -> Standing {
+        Confirmation::new(self.policy(), self.confirmed).standing(now)
+    }
+
+    /// Notes that the store or another data centre confirmed the keys at `at`.
+    pub fn confirm(&mut self, at: Instant) {
+        self.confirmed = self.confirmed.max(at);
+    }
+
+    /// Returns the versions in force on the VMs of the data centre, this one included.
+    pub fn versions(&self, now: Instant) -> Vec<Seen> {
+        let own = Seen {
+            vm: self.view.place().vm.clone(),
+            version: self.version(),
+            age: Duration::ZERO,
+        };
+        let others = self.versions.iter().map(|(vm, (version, at))| Seen {
+            vm: vm.clone(),
+            version: *version,
+            age: now.saturating_duration_since(*at),
+        });
+        std::iter::once(own)
+            .chain(others.filter(|seen| seen.age < SEEN_FOR))
+            .collect()
+    }
+
+    /// Takes versions heard from a VM of the data centre; the latest word on a VM counts, since a
+    /// restarted VM has none.
+    pub(super) fn hear_versions(&mut self, seen: Vec<Seen>, now: Instant) {
+        let own = &self.view.place().vm;
+        for Seen { vm, version, age } in seen.into_iter().filter(|seen| seen.vm != *own) {
+            let Some(at) = now.checked_sub(age) else {
+                continue;
+            };
+            let known = self.versions.entry(vm).or_insert((version, at));
+            if at >= known.1 {
+                *known = (version, at);
+            }
+        }
+        self.versions
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < SEEN_FOR);
+    }
+}
+
+fn hash(list: &List) -> u64 {
+    let bytes = serde_json::to_vec(list).unwrap_or_default();
+    let mut first = [0; 8];
+    first.copy_from_slice(&blake3::hash(&bytes).as_bytes()[..8]);
+    u64::from_le_bytes(first).max(1)
+}
--- a/programs/control/src/table.rs
+++ b/programs/control/src/table.rs
@@ -9,14 +9,15 @@
 const ATTEMPTS: usize = 8;
 
 /// Reads a row, changes its content and writes it back unless another write came first, in which
-/// case it starts again. Returns the row's new version.
+/// case it starts again. A row that the change leaves as it is isn't written. Returns the row's
+/// version.
 ///
 /// Suits changes that hold whatever the row contains, such as adding an entry.
 ///
 /// # Errors
 ///
 /// As the platform answers; [`Error::Conflict`] if other writers were faster each time.
-pub async fn update<T: Serialize + DeserializeOwned + Default>(
+pub async fn update<T: Serialize + DeserializeOwned + Default + Clone + PartialEq>(
     client: &Client,
     key: &str,
     change: impl Fn(&mut T),
@@ -28,7 +29,11 @@
             Err(Error::Absent) => (0, T::default()),
             Err(error) => return Err(error),
         };
+        let before = content.clone();
         change(&mut content);
+        if content == before {
+            return Ok(expected);
+        }
         match client.write(key, &write(expected, &content)?).await {
             Err(Error::Conflict(version)) => last = Error::Conflict(version),
             settled => return settled,
--- a/programs/ctl/src/args.rs
+++ b/programs/ctl/src/args.rs
@@ -50,6 +50,13 @@
         /// Workspace of the key.
         workspace: Box<str>,
     },
+    /// Replaces a key by a new one.
+    Rotate {
+        /// Id of the key.
+        id: Box<str>,
+        /// Time for which both keys are accepted.
+        overlap: Duration,
+    },
     /// Withdraws a key.
     Withdraw {
         /// Id of the key.
@@ -72,6 +79,9 @@
 /// Longest wait until a version is in force everywhere, unless another is asked for.
 const WAIT: Duration = Duration::from_secs(10);
 
+/// Time for which a replaced key is accepted, unless another is asked for.
+const OVERLAP: Duration = Duration::from_hours(1);
+
 /// Describes the command line.
 pub fn parser() -> OptionParser<Args> {
     let admin = long("admin")
@@ -119,6 +129,10 @@
         .command("status");
     let issue = text("WORKSPACE").map(|workspace| Command::Issue { workspace });
     let issue = issue.to_options().descr("Issue a key").command("issue");
+    let rotate = rotate()
+        .to_options()
+        .descr("Replace a key by a new one")
+        .command("rotate");
     let withdraw = text("KEY_ID").map(|id| Command::Withdraw { id });
     let withdraw = withdraw
         .to_options()
@@ -134,7 +148,9 @@
         .to_options()
         .descr("Halt a release for good")
         .command("halt");
-    construct!([check, diff, publish, status, issue, withdraw, drain, halt])
+    construct!([
+        check, diff, publish, status, issue, rotate, withdraw, drain, halt
+    ])
 }
 
 fn publish() -> impl Parser<Command> {
@@ -162,6 +178,16 @@
     })
 }
 
+fn rotate() -> impl Parser<Command> {
+    let overlap = long("overlap")
+        .help("Time for which both keys are accepted, such as 1h")
+        .argument::<Span>("SPAN")
+        .map(|span| span.0)
+        .fallback(OVERLAP);
+    let id = text("KEY_ID");
+    construct!(Command::Rotate { overlap, id })
+}
+
 fn halt() -> impl Parser<Command> {
     let reason = long("reason")
         .help("Reason, for the record")
--- a/programs/ctl/src/output.rs
+++ b/programs/ctl/src/output.rs
@@ -1,7 +1,8 @@
 //! Text and JSON output.
 
 use crate::diff::Change;
-use operators::admin::{Status, Verdict};
+use base::unit::Moment;
+use operators::admin::{Issued, KeyState, Stage, Status, Verdict};
 use operators::check::Finding;
 use serde::Serialize;
 
@@ -55,20 +56,9 @@
 
 /// Describes the state of the fleet.
 pub fn status(status: &Status) -> String {
-    let behind = status
-        .in_force
-        .iter()
-        .filter(|(_, report)| report.version < status.version);
-    let behind: Vec<Box<str>> = behind.map(|(vm, _)| vm.clone()).collect();
-    let current = status.in_force.len() - behind.len();
-    let total = status.in_force.len() + status.missing.len();
-    let confirmed = base::unit::Moment(base::clock::from_millis(status.confirmed_by_store));
+    let confirmed = Moment(base::clock::from_millis(status.confirmed_by_store));
     let keys = &status.keys;
-    let mut lines = vec![format!(
-        "version {} in force on {current} of {total}",
-        status.version
-    )];
-    lines.extend(names("behind", &behind));
+    let mut lines = vec![progress(status)];
     lines.extend(names("missing", &status.missing));
     lines.extend(names("draining", &status.draining));
     lines.extend(
@@ -81,10 +71,38 @@
         "keys: {} valid, {} withdrawn",
         keys.valid, keys.withdrawn
     ));
-    lines.push(format!("confirmed by the store at {confirmed}"));
+    if let Some(since) = keys.since {
+        let since = Moment(base::clock::from_millis(since));
+        let accepted = match keys.state {
+            KeyState::Refused => "refused",
+            KeyState::Confirmed | KeyState::NotConfirmed => "accepted",
+        };
+        lines.push(format!(
+            "keys not confirmed since {since}, {accepted} on {}",
+            status.vm
+        ));
+    }
+    lines.push(format!("last read of the store at {confirmed}"));
     lines.join("\n")
 }
 
+fn progress(status: &Status) -> String {
+    let Status {
+        version, on, of, ..
+    } = status;
+    match status.stage {
+        Stage::NoVersion => "no configuration yet".into(),
+        Stage::Accepted => format!("version {version} accepted, in force on 0 of {of}"),
+        Stage::InForce => format!("version {version} in force on {on} of {of}"),
+        Stage::Done => format!("version {version} in force on {on} of {of}: done"),
+    }
+}
+
+/// Describes a new key.
+pub fn issued(issued: &Issued) -> String {
+    format!("id {}\nkey {}", issued.id, issued.key)
+}
+
 fn names(title: &str, names: &[Box<str>]) -> Option<String> {
     (!names.is_empty()).then(|| format!("{title}: {}", names.join(", ")))
 }
--- a/programs/ctl/src/run.rs
+++ b/programs/ctl/src/run.rs
@@ -4,7 +4,9 @@
 use crate::exit::Exit;
 use crate::{diff, files, output};
 use base::http::client::Target;
-use operators::admin::{Client, Drain, Error, Halt, Issue, Proposal, Status, Verdict, Withdraw};
+use operators::admin::{
+    Client, Drain, Error, Halt, Issue, Proposal, Rotate, Stage, Status, Verdict, Withdraw,
+};
 use operators::bundle::{Bundle, Files};
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -55,9 +57,13 @@
             }
             Command::Issue { workspace } => {
                 let issued = self.client.issue(&Issue { workspace }).await?;
-                output::print(self.json, &issued, |i| {
-                    format!("id {}\nkey {}", i.id, i.key)
-                });
+                output::print(self.json, &issued, output::issued);
+                Ok(Exit::Done)
+            }
+            Command::Rotate { id, overlap } => {
+                let overlap_ms = u64::try_from(overlap.as_millis()).unwrap_or(u64::MAX);
+                let issued = self.client.rotate(&Rotate { id, overlap_ms }).await?;
+                output::print(self.json, &issued, output::issued);
                 Ok(Exit::Done)
             }
             Command::Withdraw { id } => {
@@ -77,10 +83,10 @@
 
     fn done(&self, done: &operators::admin::Done) -> Exit {
         output::print(self.json, done, |done| {
-            let note = if done.durable {
-                "recorded"
-            } else {
-                "not recorded by the store yet"
+            let note = match done {
+                _ if done.durable => "recorded",
+                _ if done.shared => "not recorded by the store yet, but on a further VM",
+                _ => "neither recorded by the store nor on a further VM yet",
             };
             format!("in force on this VM and spreading; {note}")
         });
@@ -163,9 +169,7 @@
         loop {
             let status = self.client.status().await?;
             if in_force(&status, version) {
-                output::print(self.json, &status, |status| {
-                    format!("{}\ndone", output::status(status))
-                });
+                output::print(self.json, &status, output::status);
                 return Ok(Exit::Done);
             }
             if Instant::now() >= deadline {
@@ -178,11 +182,7 @@
 }
 
 fn in_force(status: &Status, version: u64) -> bool {
-    status.missing.is_empty()
-        && status
-            .in_force
-            .values()
-            .all(|report| report.version >= version)
+    status.version >= version && status.stage == Stage::Done
 }
 
 fn read(directory: &Path) -> Option<Files> {
--- a/programs/entry/src/authorise.rs
+++ b/programs/entry/src/authorise.rs
@@ -3,9 +3,10 @@
 use crate::receive::Call;
 use crate::snapshot::Snapshot;
 use base::id::Workspace;
-use operators::key;
 use operators::service::{Path, Service};
+use std::time::Instant;
 use steering::attempt::Refusal;
+use steering::keys::{self, Digest, Pepper};
 
 /// What a request may use.
 #[derive(Debug, Clone)]
@@ -17,10 +18,11 @@
     /// Workspace of the key; none on a route open to all.
     pub workspace: Option<Workspace>,
     /// Digest of the key, by which a later withdrawal is noticed.
-    pub digest: Option<Box<str>>,
+    pub digest: Option<Digest>,
 }
 
-/// Finds the route and checks the key.
+/// Finds the route and checks the key. `confirmed` is the last time at which the keys were known
+/// to be up to date; none if this entry has not learned of one yet.
 ///
 /// # Errors
 ///
@@ -28,7 +30,8 @@
 pub fn authorise<'a>(
     call: &Call,
     snapshot: &'a Snapshot,
-    secret: &str,
+    pepper: &Pepper,
+    confirmed: Option<Instant>,
 ) -> Result<Grant<'a>, Refusal> {
     let service = snapshot.service(&call.service).ok_or(Refusal::NoRoute)?;
     let path = service
@@ -42,14 +45,20 @@
             digest: None,
         });
     }
-    let shown = call.key.as_deref().ok_or(Refusal::Unauthorised)?;
-    let digest = key::digest(secret, shown);
-    let now = base::clock::unix_millis();
-    let key = snapshot.key(&digest, now).ok_or(Refusal::Unauthorised)?;
-    if !service.allows(&key.workspace) {
+    let key = call.key.as_ref().ok_or(Refusal::Unauthorised)?;
+    let digest = key.digest(pepper);
+    let workspace = snapshot
+        .workspace(&digest, confirmed)
+        .map_err(|refusal| match refusal {
+            keys::Refusal::NotConfirmed => Refusal::KeysNotConfirmed,
+            keys::Refusal::Unknown | keys::Refusal::Withdrawn | keys::Refusal::Expired => {
+                Refusal::Unauthorised
+            }
+        })?;
+    if !service.allows(workspace) {
         return Err(Refusal::Forbidden);
     }
-    let workspace = Some(key.workspace.clone());
+    let workspace = Some(workspace.clone());
     Ok(Grant {
         service,
         path,
--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -1,38 +1,46 @@
 //! Path of a request through the entry.
 
 use crate::admission::Admission;
+use crate::authorise::{self, Grant};
 use crate::forward::{Forwarded, forward};
 use crate::metrics::Metrics;
 use crate::receive::{Call, receive};
+use crate::reply;
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
-use crate::{authorise, reply};
 use base::http::Body;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use std::sync::Arc;
+use std::time::Instant;
 use steering::attempt::{Attempt, Outcome, Refusal};
+use steering::keys::Pepper;
 use tokio::sync::watch;
 
 /// Path of a request through the entry, with the state that requests share.
 #[derive(Debug)]
 pub struct Pipeline {
     settings: Settings,
+    pepper: Pepper,
     snapshot: watch::Receiver<Arc<Snapshot>>,
+    confirmed: watch::Receiver<Option<Instant>>,
     admission: Admission,
     metrics: Arc<Metrics>,
 }
 
 impl Pipeline {
-    /// Makes a pipeline that follows `snapshot`.
+    /// Makes a pipeline that follows `snapshot` and the last confirmation of the keys.
     pub fn new(
         settings: Settings,
         snapshot: watch::Receiver<Arc<Snapshot>>,
+        confirmed: watch::Receiver<Option<Instant>>,
         metrics: Arc<Metrics>,
     ) -> Self {
         Self {
+            pepper: Pepper::derive(&settings.key_secret),
             settings,
             snapshot,
+            confirmed,
             admission: Admission::default(),
             metrics,
         }
@@ -59,14 +67,18 @@
 
     async fn run(&self, call: &Call) -> Forwarded {
         let snapshot = self.snapshot.borrow().clone();
-        let secret = &self.settings.key_secret;
-        let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
+        let grant = self.authorise(call, &snapshot)?;
         self.admission.admit(call, &grant).await.map_err(refused)?;
         // The key may have been withdrawn, and servers may have left, while the request waited.
         let snapshot = self.snapshot.borrow().clone();
-        let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
+        let grant = self.authorise(call, &snapshot)?;
         forward(call, &grant, &snapshot, &self.settings, &self.metrics).await
     }
+
+    fn authorise<'a>(&self, call: &Call, snapshot: &'a Snapshot) -> Result<Grant<'a>, Outcome> {
+        let confirmed = *self.confirmed.borrow();
+        authorise::authorise(call, snapshot, &self.pepper, confirmed).map_err(refused)
+    }
 }
 
 /// Outcome of a request of which nothing was sent.
--- a/programs/entry/src/receive.rs
+++ b/programs/entry/src/receive.rs
@@ -10,6 +10,7 @@
 use hyper::{HeaderMap, Method, Request, Uri};
 use std::time::Instant;
 use steering::attempt::Refusal;
+use steering::keys::Key;
 
 /// A received request: whole, within its bounds, and without its key header.
 #[derive(Debug, Clone)]
@@ -19,7 +20,7 @@
     /// Whether the caller chose the id.
     pub named: bool,
     /// Key, if one was shown.
-    pub key: Option<Box<str>>,
+    pub key: Option<Key>,
     /// Name of the service, the first segment of the path.
     pub service: id::Service,
     /// Path and query for the backend server.
@@ -56,6 +57,8 @@
     let arrived = Instant::now();
     let (mut head, body) = request.into_parts();
     let key = header::key(&mut head.headers).map_err(|_| Refusal::Invalid)?;
+    let key = key.map(|key| Key::parse(&key).ok_or(Refusal::Invalid));
+    let key = key.transpose()?;
     let named = header::request_id(&head.headers).map_err(|_| Refusal::Invalid)?;
     let deadline = header::deadline(&head.headers, arrived).map_err(|_| Refusal::Invalid)?;
     let (service, target) = split(&head.uri).ok_or(Refusal::NoRoute)?;
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -28,9 +28,11 @@
     let mut registry = Registry::with_prefix("cardamomhall");
     metrics.register(&mut registry);
     let snapshot = watch::Sender::new(Arc::new(Snapshot::default()));
+    let confirmed = watch::Sender::new(None);
     let pipeline = Arc::new(Pipeline::new(
         settings.clone(),
         snapshot.subscribe(),
+        confirmed.subscribe(),
         metrics.clone(),
     ));
     let pool = client::Settings {
@@ -40,6 +42,9 @@
     let update = move |state: &local::State| {
         snapshot.send_modify(|current| *current = Arc::new(current.next(state, &pool)));
     };
+    let confirm = move |at| {
+        confirmed.send_replace(Some(at));
+    };
     let limits = Limits {
         connections: settings.connections,
         drain_timeout: settings.drain_timeout.0,
@@ -53,6 +58,7 @@
     log::info!("vm {} serving on {}", settings.vm, settings.listen);
     tokio::join!(
         local::follow(settings.control, stop.clone(), update),
+        local::confirmations(settings.control, stop.clone(), confirm),
         base::http::server::serve(listener, limits, stop.clone(), handler),
         share::run(share, served, stop.clone()),
         base::metrics::serve(exposed, registry, stop),
--- a/programs/entry/src/snapshot.rs
+++ b/programs/entry/src/snapshot.rs
@@ -2,13 +2,16 @@
 
 use crate::server::Server;
 use backends::client::Settings;
-use base::id::{Label, Version};
+use base::id::{Label, Version, Workspace};
 use indexmap::{IndexMap, IndexSet};
 use operators::bundle::Bundle;
+use operators::fleet;
 use operators::service::Service;
-use peers::local::{Key, State, Step};
+use peers::local::{State, Step};
 use platform::list;
 use std::sync::Arc;
+use std::time::Instant;
+use steering::keys::{Confirmation, Digest, Isolated, Policy, Refusal, Ring, Withdrawn};
 
 /// Everything that the request path looks up; replaced whole when something changes.
 #[derive(Debug, Default)]
@@ -16,8 +19,8 @@
     /// Configuration version.
     pub version: Version,
     bundle: Option<Arc<Bundle>>,
-    keys: IndexMap<Box<str>, Key>,
-    withdrawn: IndexSet<Box<str>>,
+    ring: Ring,
+    withdrawn: Withdrawn,
     halted: IndexSet<Box<str>>,
     steps: IndexMap<Box<str>, Step>,
     draining: IndexSet<Box<str>>,
@@ -31,15 +34,18 @@
     /// entries of growing sets are never removed.
     pub fn next(&self, state: &State, pool: &Settings) -> Self {
         let (version, bundle) = self.newer(state);
+        let ring = if version > self.version {
+            state.keys.iter().cloned().collect()
+        } else {
+            self.ring.clone()
+        };
+        let mut withdrawn = self.withdrawn.clone();
+        withdrawn.merge(&state.withdrawn.iter().copied().collect());
         Self {
             version,
             bundle,
-            keys: if state.keys.is_empty() {
-                self.keys.clone()
-            } else {
-                state.keys.clone()
-            },
-            withdrawn: &self.withdrawn | &state.withdrawn,
+            ring,
+            withdrawn,
             halted: &self.halted | &state.halted,
             steps: state.steps.clone(),
             draining: &self.draining | &state.draining,
@@ -84,14 +90,37 @@
         self.bundle.as_ref()?.service(name)
     }
 
-    /// Returns the key with this digest, unless it has been withdrawn or has expired.
-    pub fn key(&self, digest: &str, now: base::clock::Millis) -> Option<&Key> {
-        if self.withdrawn.contains(digest) {
-            return None;
+    /// Returns the workspace of the key with this digest.
+    ///
+    /// # Errors
+    ///
+    /// The key doesn't authorise, or has not been confirmed for too long.
+    pub fn workspace(
+        &self,
+        digest: &Digest,
+        confirmed: Option<Instant>,
+    ) -> Result<&Workspace, Refusal> {
+        let now = base::clock::unix_millis();
+        let workspace = self.ring.authorise(digest, &self.withdrawn, now)?;
+        let confirmation = confirmed.map(|at| Confirmation::new(self.policy(), at));
+        if confirmation.is_some_and(|confirmation| !confirmation.accepts(Instant::now())) {
+            return Err(Refusal::NotConfirmed);
+        }
+        Ok(workspace)
+    }
+
+    fn policy(&self) -> Policy {
+        let Some(bundle) = &self.bundle else {
+            return Policy::default();
+        };
+        let keys = bundle.fleet.keys;
+        Policy {
+            isolated_keys: match keys.isolated_keys {
+                fleet::Policy::Serve => Isolated::Accept,
+                fleet::Policy::Refuse => Isolated::Refuse,
+            },
+            key_staleness: keys.key_staleness.0,
         }
-        self.keys
-            .get(digest)
-            .filter(|key| key.expires.is_none_or(|expires| now < expires))
     }
 
     /// Returns the step of a service's release, unless the release is halted.
--- a/programs/lookup/src/index.rs
+++ b/programs/lookup/src/index.rs
@@ -1,6 +1,6 @@
 //! Prepared answers for every data centre.
 
-use base::id::DataCentre;
+use base::id::{DataCentre, Version};
 use bytes::Bytes;
 use callers::answer;
 use indexmap::IndexMap;
@@ -8,6 +8,7 @@
 use peers::local::State;
 use platform::list;
 use std::net::IpAddr;
+use std::sync::Arc;
 use steering::lookup::{Answer, Entry, Map, map};
 
 /// Time for which callers may use an answer, in milliseconds.
@@ -18,6 +19,9 @@
 /// Prepared answers; replaced whole when the configuration or the list changes.
 #[derive(Debug, Default)]
 pub struct Index {
+    version: Version,
+    bundle: Option<Arc<Bundle>>,
+    list: list::List,
     map: Map,
     sites: Vec<Site>,
     home: usize,
@@ -30,14 +34,40 @@
 }
 
 impl Index {
+    /// Prepares the successor of `self` from a state of the control process.
+    ///
+    /// A lower configuration version and an empty list, as from a restarted control process, are
+    /// not taken up.
+    pub fn next(&self, state: &State, home: &str) -> Self {
+        let newer = (state.version > self.version)
+            .then(|| Bundle::parse(&state.files).ok())
+            .flatten();
+        let (version, bundle) = match newer {
+            Some(bundle) => (state.version, Some(Arc::new(bundle))),
+            None => (self.version, self.bundle.clone()),
+        };
+        let list = if state.list.nodes.is_empty() {
+            &self.list
+        } else {
+            &state.list
+        };
+        let index = Self {
+            version,
+            bundle,
+            list: list.clone(),
+            ..Self::default()
+        };
+        index.prepared(home)
+    }
+
     /// Prepares all answers.
-    pub fn build(state: &State, home: &str) -> Self {
-        let Ok(bundle) = Bundle::parse(&state.files) else {
-            return Self::default();
+    fn prepared(self, home: &str) -> Self {
+        let Some(bundle) = self.bundle.clone() else {
+            return self;
         };
-        let entries: Vec<Entry> = live(&state.list.nodes).collect();
+        let mut index = self;
+        let entries: Vec<Entry> = live(&index.list.nodes).collect();
         let fleet = &bundle.fleet;
-        let mut index = Self::default();
         let mut numbers: IndexMap<&DataCentre, map::Site> = IndexMap::new();
         for centre in fleet.data_centres() {
             let region = fleet.region(centre).map_or("", |region| region);
--- a/programs/lookup/src/run.rs
+++ b/programs/lookup/src/run.rs
@@ -27,7 +27,7 @@
     let receiver = index.subscribe();
     let home = settings.data_centre.clone();
     let update = move |state: &local::State| {
-        index.send_replace(Arc::new(Index::build(state, &home)));
+        index.send_modify(|current| *current = Arc::new(current.next(state, &home)));
     };
     log::info!("answering on {}", settings.listen);
     tokio::join!(
--- a/tools/bench/src/topology.rs
+++ b/tools/bench/src/topology.rs
@@ -188,6 +188,7 @@
             admin: self.address(),
         };
         let (entry_metrics, lookup_metrics) = (self.address(), self.address());
+        let control_metrics = self.address();
         let Node {
             name,
             region,
@@ -202,7 +203,7 @@
         let place = format!("vm: {name}\nregion: {region}\ndata_centre: {data_centre}\n");
         let control_settings = format!(
             "{place}local: {local}\ngossip: {gossip}\nadmin: {admin}\nplatform: {platform}\n\
-             admin_token: {ADMIN_TOKEN}\nkey_secret: {KEY_SECRET}\n"
+             metrics: {control_metrics}\nadmin_token: {ADMIN_TOKEN}\nkey_secret: {KEY_SECRET}\n"
         );
         let entry_settings = format!(
             "{place}listen: {entry}\nshare: {share}\nmetrics: {entry_metrics}\n\
