feature: tests of publications and keys through real processes; confirmation only from outside

Cause: a control process counted its own start as a confirmation of the keys and passed that on inside its data centre, so restarts in a data centre that is cut off kept `isolated_keys: refuse` from taking effect.

Change: the confirmation is none until the store or another data centre gives one; the entry keeps the latest time that it learned, and refuses keys without any if the setting says `refuse`. Counters of refused heads and corrupt objects. A publication always fetches the version in force first.

--- a/crates/peers/src/local.rs
+++ b/crates/peers/src/local.rs
@@ -53,8 +53,9 @@
     async fn sync(have: u64) -> Frame<State>;
 
     /// Returns the time since the store or a peer of another data centre confirmed the keys. It
-    /// is not part of the state, which would be sent anew with each confirmation.
-    async fn confirmed() -> Frame<Duration>;
+    /// is not part of the state, which would be sent anew with each confirmation. None if there
+    /// was no confirmation since the control process started.
+    async fn confirmed() -> Frame<Option<Duration>>;
 }
 
 /// Connects to the control process.
@@ -129,7 +130,8 @@
     while !stop.is_cancelled() {
         let asked = confirmation(address, &mut client);
         match stop.run_until_cancelled(asked).await {
-            Some(Ok(at)) => update(at),
+            Some(Ok(Some(at))) => update(at),
+            Some(Ok(None)) => {}
             // `follow` logs that the control process can't be reached.
             Some(Err(_)) => client = None,
             None => return,
@@ -142,12 +144,12 @@
 async fn confirmation(
     address: SocketAddr,
     client: &mut Option<LocalClient>,
-) -> Result<Instant, Error> {
+) -> Result<Option<Instant>, Error> {
     let client = match client {
         Some(client) => client,
         None => client.insert(connect(address).await?),
     };
     let now = Instant::now();
     let age = client.confirmed(tarpc::context::current()).await?.open()?;
-    Ok(now.checked_sub(age).unwrap_or(now))
+    Ok(age.and_then(|age| now.checked_sub(age)))
 }
--- a/crates/steering/tests/keys.rs
+++ b/crates/steering/tests/keys.rs
@@ -77,6 +77,28 @@
     );
 }
 
+/// Guards against a replacement that ends the workspace's other keys, prolongs one that is ending,
+/// or invents a key.
+#[test]
+fn replacement_ends_one_key_only() {
+    let mut ring = Ring::default();
+    ring.issue("atlas", digest(1));
+    ring.issue("atlas", digest(2));
+    assert!(ring.replace(&digest(1), digest(3), 1_000));
+    assert!(ring.replace(&digest(1), digest(4), 5_000));
+    assert!(!ring.replace(&digest(8), digest(9), 1_000));
+    let none = Withdrawn::default();
+    let authorised = |n, now| ring.authorise(&digest(n), &none, now).map(|name| &**name);
+    assert_eq!(authorised(1, 999), Ok("atlas"));
+    assert_eq!(authorised(1, 1_000), Err(Refusal::Expired));
+    assert!(
+        [2, 3, 4]
+            .iter()
+            .all(|n| authorised(*n, u64::MAX) == Ok("atlas"))
+    );
+    assert_eq!(authorised(9, 0), Err(Refusal::Unknown));
+}
+
 /// Guards against a withdrawn key that still works and against a key that moves to another
 /// workspace.
 #[test]
--- a/programs/control/src/local.rs
+++ b/programs/control/src/local.rs
@@ -22,9 +22,9 @@
         Frame::new(state)
     }
 
-    async fn confirmed(self, _: Context) -> Frame<Duration> {
-        let age = self.shared.read(|known| known.confirmed.elapsed());
-        Frame::new(age)
+    async fn confirmed(self, _: Context) -> Frame<Option<Duration>> {
+        let confirmed = self.shared.read(|known| known.confirmed);
+        Frame::new(confirmed.map(|at| at.elapsed()))
     }
 }
 
--- a/programs/control/src/metrics.rs
+++ b/programs/control/src/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use steering::config::tracker::Offer;
 
 /// What became of an exchange with another VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,6 +69,9 @@
 pub struct Metrics {
     /// Configuration version in force; 0 before the process is ready.
     pub version: Gauge,
+    /// Objects whose content does not match their hash.
+    pub corrupt: Counter,
+    heads: Family<Label, Counter>,
     exchanges: Family<Label, Counter>,
     table_reads: Family<Label, Counter>,
     list_reads: Family<Label, Counter>,
@@ -83,6 +87,12 @@
             "Configuration version in force",
             self.version.clone(),
         );
+        registry.register(
+            "objects_corrupt",
+            "Objects whose content does not match their hash",
+            self.corrupt.clone(),
+        );
+        registry.register("heads_refused", "Heads refused", self.heads.clone());
         registry.register(
             "exchanges",
             "Exchanges with other VMs",
@@ -106,6 +116,16 @@
         );
     }
 
+    /// Counts a head read from the table, if it was refused.
+    pub fn offered(&self, offer: &Offer) {
+        let result = match offer {
+            Offer::Stale => "stale",
+            Offer::Contradiction => "contradiction",
+            Offer::Known | Offer::Fetching | Offer::InForce => return,
+        };
+        self.heads.get_or_create(&label(result)).inc();
+    }
+
     /// Counts an exchange.
     pub fn exchanged(&self, result: Exchanged) {
         self.exchanges.get_or_create(&label(result.text())).inc();
--- a/programs/control/src/publish.rs
+++ b/programs/control/src/publish.rs
@@ -47,7 +47,7 @@
     author: Box<str>,
     files: &Files,
 ) -> Result<Outcome, Error> {
-    reader::read(shared, client).await?;
+    reader::refresh(shared, client).await?;
     let (base, manifest) = match shared.read(|known| known.base(base)) {
         Ok(base) => base,
         Err(review) => return Ok(Outcome::Conflict(review)),
@@ -87,7 +87,7 @@
 ) -> Result<Outcome, Error> {
     let mut outcome = Outcome::Unknown("the key is not in the configuration".into());
     for _ in 0..EDITS {
-        reader::read(shared, client).await?;
+        reader::refresh(shared, client).await?;
         let Some((base, manifest, mut ring)) = shared.read(|known| {
             let active = known.active.as_ref()?;
             let (base, manifest) = known.base(active.version).ok()?;
--- a/programs/control/src/reader.rs
+++ b/programs/control/src/reader.rs
@@ -3,7 +3,6 @@
 use crate::record::{self, Growing};
 use crate::state::{Known, Shared};
 use crate::table;
-use base::id::Version;
 use platform::table::Row;
 use platform::{Client, Error};
 use std::time::{Duration, Instant};
@@ -45,7 +44,11 @@
         let mut pause = poll.next(role, &mut rand::rng());
         if pause.is_some() || !ready {
             pause = pause.or(Some(poll.standby));
-            let result = read(shared, client).await;
+            let result = if role == Role::Reader || !ready {
+                refresh(shared, client).await
+            } else {
+                read(shared, client).await
+            };
             if result.is_ok() != reachable {
                 reachable = result.is_ok();
                 match &result {
@@ -61,34 +64,36 @@
     }
 }
 
-/// Reads all rows once. Objects of a new version are fetched at once by the reader.
-///
-/// # Errors
-///
-/// As the platform answers.
-pub async fn read(shared: &Shared, client: &Client) -> Result<(), Error> {
+async fn read(shared: &Shared, client: &Client) -> Result<(), Error> {
     let sent = Instant::now();
     let rows = client.scan(record::PREFIX).await;
     shared.metrics.table_read(rows.is_ok());
-    let taken = rows.and_then(|rows| shared.touch(|known| take(known, rows, sent)));
+    let taken = rows.and_then(|rows| shared.touch(|known| take(shared, known, rows, sent)));
     if taken.is_err() {
         shared.touch(|known| known.replica.tracker.heard_store(None));
     }
     taken?;
-    let now = Instant::now();
-    if shared.read(|known| known.view.role(now) == Role::Reader || !known.ready()) {
-        fetch(shared, client).await?;
-    }
     Ok(())
 }
 
-fn take(known: &mut Known, rows: Vec<Row>, sent: Instant) -> Result<(), Error> {
+/// Reads all rows once, and fetches the objects of a new version.
+///
+/// # Errors
+///
+/// As the platform answers.
+pub async fn refresh(shared: &Shared, client: &Client) -> Result<(), Error> {
+    read(shared, client).await?;
+    fetch(shared, client).await
+}
+
+fn take(shared: &Shared, known: &mut Known, rows: Vec<Row>, sent: Instant) -> Result<(), Error> {
     let mut version = 0;
     for row in rows {
         match &*row.key {
             record::HEAD => {
                 version = row.version;
-                offer(known, row)?;
+                let offer = offer(known, row)?;
+                shared.metrics.offered(&offer);
             }
             record::GROWING => {
                 let growing: Growing = table::decode(row.value)?;
@@ -110,7 +115,7 @@
     Ok(())
 }
 
-fn offer(known: &mut Known, row: Row) -> Result<(), Error> {
+fn offer(known: &mut Known, row: Row) -> Result<Offer, Error> {
     let head: Head = table::decode(row.value)?;
     if head.version != row.version {
         return Err(Error::Invalid("the head names another version".into()));
@@ -120,12 +125,12 @@
     if offer == Offer::Contradiction {
         log::error!("two different configurations have version {}", row.version);
     }
-    Ok(())
+    Ok(offer)
 }
 
 /// Fetches objects that peers have not sent in time.
 async fn objects(shared: &Shared, client: &Client) {
-    let mut since: Option<(Version, Instant)> = None;
+    let mut since = None;
     loop {
         tokio::time::sleep(FETCH_LOOK).await;
         let now = Instant::now();
@@ -135,7 +140,7 @@
             since = None;
             continue;
         }
-        let (_, at) = *since.get_or_insert((fetching, now));
+        let at = *since.get_or_insert(now);
         if now >= at + Poll::default().fetch_after(role)
             && let Err(error) = fetch(shared, client).await
         {
@@ -154,6 +159,7 @@
             let content = client.get(hash).await?;
             let receipt = shared.touch(|known| known.replica.tracker.receive(hash, &content));
             if receipt == Receipt::Corrupt {
+                shared.metrics.corrupt.inc();
                 return Err(Error::Invalid("an object does not match its hash".into()));
             }
             kept |= receipt == Receipt::Kept;
--- a/programs/control/src/state/known.rs
+++ b/programs/control/src/state/known.rs
@@ -47,8 +47,9 @@
     pub reasons: IndexMap<Release, Box<str>>,
     /// Last list of VMs and backend servers.
     pub list: List,
-    /// Time of the last confirmation of the keys by the store or another data centre.
-    pub confirmed: Instant,
+    /// Time of the last confirmation of the keys by the store or another data centre; none since
+    /// the start. It isn't the start: a VM that restarts while it is cut off confirms nothing.
+    pub confirmed: Option<Instant>,
     /// Time of the last successful read of the table, by wall clock; 0 before the first.
     pub table_read: Millis,
     /// Number of growing changes that a peer has too.
@@ -58,6 +59,7 @@
     pub(super) versions: IndexMap<Vm, (Version, Instant)>,
     listing: (u64, Instant),
     refused: Version,
+    started: Instant,
 }
 
 /// What decides whether the published state has to be made anew.
@@ -92,13 +94,14 @@
             recorded: Sets::default(),
             reasons: IndexMap::new(),
             list: List::default(),
-            confirmed: now,
+            confirmed: None,
             table_read: 0,
             shared: 0,
             tell_all: false,
             versions: IndexMap::new(),
             listing: (0, now),
             refused: 0,
+            started: now,
         }
     }
 
@@ -267,12 +270,13 @@
 
     /// Returns the state of the keys.
     pub fn standing(&self, now: Instant) -> Standing {
-        Confirmation::new(self.policy(), self.confirmed).standing(now)
+        let confirmed = self.confirmed.unwrap_or(self.started);
+        Confirmation::new(self.policy(), confirmed).standing(now)
     }
 
     /// Notes that the store or another data centre confirmed the keys at `at`.
     pub fn confirm(&mut self, at: Instant) {
-        self.confirmed = self.confirmed.max(at);
+        self.confirmed = self.confirmed.max(Some(at));
     }
 
     /// Returns the versions in force on the VMs of the data centre, this one included.
--- a/programs/control/src/state/peers.rs
+++ b/programs/control/src/state/peers.rs
@@ -102,7 +102,8 @@
     pub fn reply(&mut self, exchange: Exchange, now: Instant) -> (Reply, bool) {
         let near = self.near(&exchange.data_centre);
         let mut delta = self.replica.answer(&exchange.digest);
-        delta.confirmed = near.then(|| now.saturating_duration_since(self.confirmed));
+        let confirmed = self.confirmed.filter(|_| near);
+        delta.confirmed = confirmed.map(|at| now.saturating_duration_since(at));
         let own = self.listing(now);
         let newer = near && own.hash != exchange.listing.hash && own.age < exchange.listing.age;
         let list = own.hash != 0 && (newer || exchange.listing.hash == 0);
--- /dev/null
+++ b/programs/control/tests/state.rs
@@ -0,0 +1,66 @@
+//! Peers of a control process at its start.
+
+use control::settings::Settings;
+use control::state::{Known, Peer};
+use platform::list::{List, Node, State};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn settings() -> Settings {
+    Settings {
+        vm: "vm-01".into(),
+        region: "north".into(),
+        data_centre: "north-1".into(),
+        gossip: address(1),
+        seeds: vec![address(1), address(2)],
+        ..Settings::default()
+    }
+}
+
+fn list(names: &[&str]) -> List {
+    let node = |(n, name): (usize, &&str)| Node {
+        name: (*name).into(),
+        region: "north".into(),
+        data_centre: "north-1".into(),
+        state: State::Live,
+        entry: address(3),
+        share: address(3),
+        lookup: address(3),
+        gossip: address(u16::try_from(100 + n).unwrap()),
+        admin: address(3),
+    };
+    List {
+        nodes: names.iter().enumerate().map(node).collect(),
+        backends: Vec::new(),
+    }
+}
+
+/// Guards against a VM that asks no one while the list can't be read, asks itself, or goes on
+/// asking seeds instead of the listed VMs.
+#[test]
+fn seeds_stand_in_for_a_missing_list() {
+    let (settings, now) = (settings(), Instant::now());
+    let mut known = Known::new(&settings, now);
+    let peers = known.fresh_peers(3, &settings, &mut rand::rng());
+    assert_eq!(peers, [Peer::seed(address(2))]);
+    known.take_list(list(&["vm-01", "vm-02"]), now, now);
+    let peers = known.fresh_peers(3, &settings, &mut rand::rng());
+    assert_eq!(peers.len(), 1);
+    assert_eq!((&*peers[0].vm, peers[0].address), ("vm-02", address(101)));
+}
+
+/// Guards against a list that is replaced by an empty or an older one.
+#[test]
+fn older_and_empty_lists_are_refused() {
+    let (settings, now) = (settings(), Instant::now());
+    let later = now + Duration::from_secs(1);
+    let mut known = Known::new(&settings, now);
+    known.take_list(list(&["vm-01", "vm-02"]), later, later);
+    known.take_list(list(&["vm-01"]), now, later);
+    known.take_list(List::default(), later + Duration::from_secs(1), later);
+    assert_eq!(known.list.nodes.len(), 2);
+}
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::Registry;
 use std::io;
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -28,7 +29,7 @@
     let mut registry = Registry::with_prefix("cardamomhall");
     metrics.register(&mut registry);
     let snapshot = watch::Sender::new(Arc::new(Snapshot::default()));
-    let confirmed = watch::Sender::new(None);
+    let confirmed = watch::Sender::new(None::<Instant>);
     let pipeline = Arc::new(Pipeline::new(
         settings.clone(),
         snapshot.subscribe(),
@@ -42,8 +43,8 @@
     let update = move |state: &local::State| {
         snapshot.send_modify(|current| *current = Arc::new(current.next(state, &pool)));
     };
-    let confirm = move |at| {
-        confirmed.send_replace(Some(at));
+    let confirm = move |at: Instant| {
+        confirmed.send_modify(|last| *last = Some(at).max(*last));
     };
     let limits = Limits {
         connections: settings.connections,
--- a/programs/entry/src/snapshot.rs
+++ b/programs/entry/src/snapshot.rs
@@ -102,11 +102,12 @@
     ) -> Result<&Workspace, Refusal> {
         let now = base::clock::unix_millis();
         let workspace = self.ring.authorise(digest, &self.withdrawn, now)?;
-        let confirmation = confirmed.map(|at| Confirmation::new(self.policy(), at));
-        if confirmation.is_some_and(|confirmation| !confirmation.accepts(Instant::now())) {
-            return Err(Refusal::NotConfirmed);
-        }
-        Ok(workspace)
+        let policy = self.policy();
+        let accepts = match confirmed {
+            Some(at) => Confirmation::new(policy, at).accepts(Instant::now()),
+            None => policy.isolated_keys == Isolated::Accept,
+        };
+        accepts.then_some(workspace).ok_or(Refusal::NotConfirmed)
     }
 
     fn policy(&self) -> Policy {
--- a/tests/integration/src/lib.rs
+++ b/tests/integration/src/lib.rs
@@ -5,7 +5,7 @@
 use bench::load::Summary;
 use bench::topology::{self, ADMIN_TOKEN, Deployment};
 use hyper::Method;
-use operators::admin::{Client, Issue, Issued, Proposal, Verdict};
+use operators::admin::{Client, Issue, Issued, Proposal, Status, Verdict};
 use operators::bundle::Files;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -164,6 +164,25 @@
             .expect("the stand-in answers")
     }
 
+    /// Switches an outage of the platform on or off.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in does not answer.
+    pub async fn outage(&self, outage: bool) {
+        let fault = serde_json::json!({ "outage": outage });
+        self.platform(Method::PUT, "/switch", &fault).await;
+    }
+
+    /// Returns the state of the fleet as a VM sees it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the VM does not answer.
+    pub async fn status(&self, vm: &str) -> Status {
+        self.admin(vm).status().await.expect("a status")
+    }
+
     /// Publishes the example files of a deployment through a VM, against version 0.
     ///
     /// # Panics
--- /dev/null
+++ b/tests/integration/tests/config.rs
@@ -0,0 +1,179 @@
+//! Publications, and what control processes learn from each other.
+
+use bench::topology::{ATLAS, Deployment, Service};
+use hyper::Method;
+use integration::{Fleet, examples, until};
+use operators::admin::{Proposal, Stage, Verdict};
+use operators::bundle::Files;
+
+const SMALL: Deployment = Deployment {
+    nodes: 8,
+    services: &[Service {
+        name: "lookup",
+        servers: 6,
+        slots: 3,
+        service_ms: 1,
+    }],
+    ..ATLAS
+};
+
+/// The example files with a comment, which makes them differ.
+fn changed(comment: &str) -> Files {
+    let mut files = examples("atlas");
+    let fleet = files.get_mut("fleet.yaml").expect("fleet file");
+    *fleet = format!("# {comment}\n{fleet}").into();
+    files
+}
+
+fn proposal(base: u64, comment: &str) -> Proposal {
+    Proposal {
+        base,
+        author: "test".into(),
+        files: changed(comment),
+    }
+}
+
+async fn publish(fleet: &Fleet, vm: &str, base: u64, comment: &str) -> Verdict {
+    let proposal = proposal(base, comment);
+    fleet.admin(vm).publish(&proposal).await.expect("a verdict")
+}
+
+/// Returns the value of a counter or gauge of a control process.
+async fn metric(fleet: &Fleet, vm: &str, name: &str) -> String {
+    let target = base::http::client::Target {
+        address: fleet.address(&format!("{vm}-control"), "metrics"),
+        timeout: std::time::Duration::from_secs(10),
+        authorization: None,
+    };
+    let answer = target
+        .call(Method::GET, "/metrics", "")
+        .await
+        .expect("metrics");
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let value = text.lines().find_map(|line| line.strip_prefix(name));
+    value.unwrap_or_default().trim().into()
+}
+
+/// Guards against a publication that misses VMs, a status that hides them or never says done, and
+/// metrics without an address of their own.
+#[tokio::test(flavor = "multi_thread")]
+async fn publication_reaches_all_vms_and_names_the_missing() {
+    let fleet = Fleet::start(SMALL, 24_000);
+    assert_eq!(fleet.publish("vm-01", "atlas").await, 1);
+    until("version 1 is done as another VM sees it", async || {
+        let status = fleet.status("vm-05").await;
+        (status.version, status.stage, status.of) == (1, Stage::Done, 8)
+    })
+    .await;
+    assert_eq!(
+        metric(&fleet, "vm-08", "cardamomhall_config_version").await,
+        "1"
+    );
+
+    fleet.signal("vm-08-control", "STOP");
+    let verdict = publish(&fleet, "vm-02", 1, "second").await;
+    assert_eq!(verdict, Verdict::Accepted { version: 2 });
+    until("only the stopped VM is missing", async || {
+        let status = fleet.status("vm-02").await;
+        status.stage == Stage::InForce && status.on == 7 && *status.missing == ["vm-08".into()]
+    })
+    .await;
+    fleet.signal("vm-08-control", "CONT");
+    until("version 2 is done", async || {
+        let status = fleet.status("vm-02").await;
+        (status.version, status.stage) == (2, Stage::Done)
+    })
+    .await;
+}
+
+/// Guards against two operators who both win, and against a conflict that does not name the
+/// version to review.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_two_racing_publications_wins() {
+    let fleet = Fleet::start(SMALL, 24_150);
+    fleet.publish("vm-01", "atlas").await;
+    let (one, two) = tokio::join!(
+        publish(&fleet, "vm-03", 1, "one"),
+        publish(&fleet, "vm-04", 1, "two")
+    );
+    let (won, lost) = match one {
+        Verdict::Accepted { .. } => (one, two),
+        _ => (two, one),
+    };
+    assert_eq!(won, Verdict::Accepted { version: 2 });
+    assert_eq!(lost, Verdict::Conflict { version: 2 });
+    // A key issued in between is no reason to review the files again.
+    fleet.issue("vm-03", "toubkal").await;
+    let next = publish(&fleet, "vm-03", 2, "three").await;
+    assert_eq!(next, Verdict::Accepted { version: 4 });
+    let late = publish(&fleet, "vm-03", 2, "four").await;
+    assert_eq!(late, Verdict::Conflict { version: 4 });
+}
+
+/// Guards against a restarted control process that waits for the store, publishes less than
+/// before, or sets its entry back.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_control_learns_from_peers() {
+    let mut fleet = Fleet::start(SMALL, 24_300);
+    fleet.publish("vm-01", "atlas").await;
+    publish(&fleet, "vm-02", 1, "second").await;
+    until("version 2 is done", async || {
+        let status = fleet.status("vm-01").await;
+        (status.version, status.stage) == (2, Stage::Done)
+    })
+    .await;
+    fleet.outage(true).await;
+    // One VM shares its data centre with another one, the other VM is alone in its own.
+    for vm in ["vm-01", "vm-04"] {
+        let control = format!("{vm}-control");
+        fleet.signal(&control, "KILL");
+        fleet.wait(&control);
+        fleet.restart(&control);
+        until(
+            "the restarted process has the version",
+            async || match fleet.admin(vm).status().await {
+                Ok(status) => {
+                    assert!([0, 2].contains(&status.version), "{status:?}");
+                    status.version == 2
+                }
+                Err(_) => false,
+            },
+        )
+        .await;
+        let config = fleet.admin(vm).config().await.expect("configuration");
+        assert_eq!(config.files, changed("second"));
+    }
+    let verdict = publish(&fleet, "vm-01", 2, "third").await;
+    assert!(
+        matches!(verdict, Verdict::Unavailable { .. }),
+        "{verdict:?}"
+    );
+    fleet.outage(false).await;
+    until("publications work again", async || {
+        publish(&fleet, "vm-01", 2, "third").await == Verdict::Accepted { version: 3 }
+    })
+    .await;
+}
+
+/// Guards against a publication whose answer is lost and that is applied twice or reported as
+/// failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_is_settled_by_reading_back() {
+    let fleet = Fleet::start(SMALL, 24_450);
+    fleet.publish("vm-01", "atlas").await;
+    // The answers to one file, the manifest and the head row.
+    let fault = serde_json::json!({ "lose_answers": 3 });
+    fleet.platform(Method::PUT, "/switch", &fault).await;
+    let verdict = publish(&fleet, "vm-02", 1, "second").await;
+    assert_eq!(verdict, Verdict::Accepted { version: 2 });
+    let row = fleet
+        .platform(Method::GET, "/table/control/head", &serde_json::Value::Null)
+        .await;
+    let row: platform::table::Row = row.decode().expect("row");
+    assert_eq!((row.version, &row.value["version"]), (2, &2.into()));
+    until("version 2 is done", async || {
+        let status = fleet.status("vm-05").await;
+        (status.version, status.stage) == (2, Stage::Done)
+    })
+    .await;
+}
