--- a/programs/control/tests/state.rs
+++ b/programs/control/tests/state.rs
@@ -30,7 +30,7 @@
         entry: address(3),
         share: address(3),
         lookup: address(3),
-        gossip: address(u16::try_from(100 + n).unwrap()),
+        gossip: address(u16::try_from(100 + n).expect("a port")),
         admin: address(3),
     };
     List {
