feature: growing changes are read only when their row changes; keys are bounded

Cause: every poll fetched the whole row of withdrawn keys and halts, 85 bytes a key, and ended keys stayed in the file of keys for ever.

Change: a small row names the version of the row of growing changes; the latter is read when that differs.

--- a/programs/control/src/publish.rs
+++ b/programs/control/src/publish.rs
@@ -21,6 +21,11 @@
 const START: Duration = Duration::from_secs(4);
 /// Interval of looks at whether it is.
 const START_LOOK: Duration = Duration::from_millis(20);
+/// Most keys: with 150 bytes each, their file reaches 1.5 MB, which spreads in 6 messages.
+const KEYS: usize = 10_000;
+/// Time for which a key that has ended stays in the file, in milliseconds: a day, so that wall
+/// clocks that differ don't matter.
+const KEPT_MS: u64 = 24 * 60 * 60 * 1_000;
 /// Most attempts of an edit of the keys that other publications overtake.
 const EDITS: usize = 8;
 
@@ -98,9 +103,18 @@
         if !change(&mut ring) {
             return Ok(outcome);
         }
+        let now = base::clock::unix_millis();
+        let withdrawn = shared.read(|known| known.replica.sets.withdrawn());
+        let kept = ring.entries().filter(|entry| {
+            let ended = entry.until.is_some_and(|until| now > until + KEPT_MS);
+            !ended && !withdrawn.contains(&entry.digest)
+        });
         let row = record::Ring {
-            keys: ring.entries().cloned().collect(),
+            keys: kept.cloned().collect(),
         };
+        if row.keys.len() > KEYS {
+            return Err(Error::Invalid("there are too many keys".into()));
+        }
         let content = serde_json::to_vec(&row).map_err(|e| Error::Invalid(e.to_string().into()))?;
         let hash = head::hash(&content);
         let mut next = manifest.clone();
--- a/programs/control/src/reader.rs
+++ b/programs/control/src/reader.rs
@@ -66,14 +66,13 @@
 
 async fn read(shared: &Shared, client: &Client) -> Result<(), Error> {
     let sent = Instant::now();
-    let rows = client.scan(record::PREFIX).await;
+    let rows = rows(shared, client).await;
     shared.metrics.table_read(rows.is_ok());
     let taken = rows.and_then(|rows| shared.touch(|known| take(shared, known, rows, sent)));
     if taken.is_err() {
         shared.touch(|known| known.replica.tracker.heard_store(None));
     }
-    taken?;
-    Ok(())
+    taken
 }
 
 /// Reads all rows once, and fetches the objects of a new version.
@@ -86,6 +85,19 @@
     fetch(shared, client).await
 }
 
+/// Reads the head, and the growing changes if they are not those that were read last.
+async fn rows(shared: &Shared, client: &Client) -> Result<Vec<Row>, Error> {
+    let mut rows = client.scan(record::PREFIX).await?;
+    let Some(row) = rows.iter().find(|row| *row.key == *record::MARK) else {
+        return Ok(rows);
+    };
+    let mark: record::Mark = table::decode(row.value.clone())?;
+    if mark.version != shared.read(|known| known.recorded_version) {
+        rows.push(client.read(record::GROWING).await?);
+    }
+    Ok(rows)
+}
+
 fn take(shared: &Shared, known: &mut Known, rows: Vec<Row>, sent: Instant) -> Result<(), Error> {
     let mut version = 0;
     for row in rows {
@@ -96,6 +108,7 @@
                 shared.metrics.offered(&offer);
             }
             record::GROWING => {
+                known.recorded_version = row.version;
                 let growing: Growing = table::decode(row.value)?;
                 for mark in growing.marks {
                     known.recorded.add(mark.clone());
@@ -214,13 +227,24 @@
             row.reasons.entry(release.clone()).or_insert_with(reason);
         }
     });
-    let written = written.await;
+    let written = match written.await {
+        Ok(version) => mark(client, version).await,
+        Err(error) => Err(error),
+    };
     shared.metrics.recorded(written.is_ok());
     written?;
     shared.touch(|known| known.recorded.merge(&sets));
     Ok(())
 }
 
+/// Tells the readers of all data centres that there is a new version of the growing changes.
+async fn mark(client: &Client, version: u64) -> Result<(), Error> {
+    let marked = table::update(client, record::MARK, |mark: &mut record::Mark| {
+        mark.version = mark.version.max(version);
+    });
+    marked.await.map(|_| ())
+}
+
 /// Makes growing changes durable now; returns whether that succeeded.
 pub async fn record_now(shared: &Shared, client: &Client) -> bool {
     match record(shared, client).await {
--- a/programs/control/src/state/known.rs
+++ b/programs/control/src/state/known.rs
@@ -43,6 +43,8 @@
     pub view: View,
     /// Growing changes as the table holds them.
     pub recorded: Sets,
+    /// Version of the table's row from which they were read last.
+    pub recorded_version: u64,
     /// Reasons of halted releases, as far as they are known.
     pub reasons: IndexMap<Release, Box<str>>,
     /// Last list of VMs and backend servers.
@@ -92,6 +94,7 @@
             replica: Replica::new([], now),
             view: View::new(place, membership::Settings::default()),
             recorded: Sets::default(),
+            recorded_version: 0,
             reasons: IndexMap::new(),
             list: List::default(),
             confirmed: None,
--- a/tests/integration/tests/keys.rs
+++ b/tests/integration/tests/keys.rs
@@ -73,7 +73,7 @@
 
     fleet.outage(false).await;
     until("the table has the withdrawal", async || {
-        let path = "/table/control/growing";
+        let path = "/table/growing";
         let row = fleet
             .platform(Method::GET, path, &serde_json::Value::Null)
             .await;
