refactor: versions of VMs are asked for when an operator asks

Cause: versions of 38 VMs by name along with each exchange would come to 1.8 KB a message and break the 6 KB/s that a VM may use (computed from the message sizes, not measured).

Change: the status asks a VM of each other data centre, which asks the VMs of its own.

--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -12,16 +12,6 @@
 use steering::release::Evidence;
 
 base::message! {
-    /// Configuration version of a VM as heard some time ago.
-    pub struct Seen {
-        /// VM.
-        pub vm: Vm,
-        /// Version in force on it.
-        pub version: Version,
-        /// Time since the VM said so.
-        pub age: Duration,
-    }
-
     /// What goes along with exchanges inside a data centre.
     #[derive(Default)]
     pub struct Centre {
@@ -29,8 +19,6 @@
         pub pulse: Pulse,
         /// VMs that the platform's list no longer names.
         pub gone: Vec<(Vm, Incarnation)>,
-        /// Versions in force on the VMs of the data centre.
-        pub versions: Vec<Seen>,
     }
 
     /// The platform's list as the sender has it.
@@ -88,8 +76,11 @@
     /// Exchanges configuration and growing sets.
     async fn exchange(exchange: Frame<Exchange>) -> Frame<Option<Reply>>;
 
-    /// Returns the versions in force on the VMs of the receiver's data centre.
-    async fn versions() -> Frame<Vec<Seen>>;
+    /// Returns the configuration version in force on the receiver.
+    async fn version() -> Frame<Version>;
+
+    /// Asks the VMs of the receiver's data centre for their versions, and returns the answers.
+    async fn versions() -> Frame<IndexMap<Vm, Version>>;
 
     /// Exchanges news of releases.
     async fn releases(news: Frame<Releases>) -> Frame<Releases>;
--- a/programs/control/src/admin/status.rs
+++ b/programs/control/src/admin/status.rs
@@ -1,29 +1,21 @@
 //! Reports the state of the fleet.
 
 use super::Admin;
-use crate::state::{Known, Shared};
+use crate::state::Known;
+use crate::versions;
 use base::clock;
 use base::http::{self, Body};
-use base::id::{DataCentre, Version, Vm};
-use futures::future::join_all;
+use base::id::{Version, Vm};
 use hyper::{Response, StatusCode};
 use indexmap::IndexMap;
 use operators::admin::{KeyState, Keys, Report, Stage, Status};
-use peers::gossip::Seen;
-use peers::wire::Frame;
-use platform::list::Node;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use steering::config::{Force, Mark};
 use steering::keys::Standing;
 
-/// Longest wait for the versions of another data centre.
-const VERSIONS_TIMEOUT: Duration = Duration::from_secs(1);
-/// VMs of a data centre that are asked in turn.
-const ASKED: usize = 2;
-
 impl Admin {
     pub(super) async fn status(&self) -> Response<Body> {
-        let heard = versions(&self.shared).await;
+        let heard = versions::fleet(&self.shared).await;
         let settings = &self.shared.settings;
         let status = self.shared.read(|known| {
             let version = known.version();
@@ -89,43 +81,6 @@
     heard.into_iter().map(report).collect()
 }
 
-/// Asks a VM of each other data centre for the versions of its data centre, so that nothing is
-/// sent while no operator asks. A data centre that doesn't answer is absent.
-async fn versions(shared: &Shared) -> IndexMap<Vm, Version> {
-    let (own, centres) = shared.read(|known| {
-        let mut centres: IndexMap<DataCentre, Vec<Node>> = IndexMap::new();
-        let place = known.view.place();
-        let others = known.list.nodes.iter();
-        for node in others.filter(|node| node.data_centre != place.data_centre) {
-            let centre = centres.entry(node.data_centre.clone()).or_default();
-            centre.push(node.clone());
-        }
-        for (name, nodes) in &mut centres {
-            let contact = known.view.contacts().get(name).map(|contact| &contact.vm);
-            nodes.sort_by_key(|node| Some(&node.name) != contact);
-            nodes.truncate(ASKED);
-        }
-        (known.versions(Instant::now()), centres)
-    });
-    let asked = join_all(centres.values().map(|nodes| ask(shared, nodes))).await;
-    let seen = asked.into_iter().flatten().chain(own);
-    seen.map(|seen| (seen.vm, seen.version)).collect()
-}
-
-async fn ask(shared: &Shared, nodes: &[Node]) -> Vec<Seen> {
-    for node in nodes {
-        let answer = shared.links.call(
-            node.gossip,
-            VERSIONS_TIMEOUT,
-            |client, context| async move { client.versions(context).await },
-        );
-        if let Ok(seen) = answer.await.and_then(Frame::open) {
-            return seen;
-        }
-    }
-    Vec::new()
-}
-
 fn keys(known: &Known) -> Keys {
     let withdrawn = known.replica.sets.withdrawn();
     let now = clock::unix_millis();
--- a/programs/control/src/gossip.rs
+++ b/programs/control/src/gossip.rs
@@ -2,8 +2,11 @@
 
 mod spread;
 
-use crate::state::{Peer, Shared};
-use peers::gossip::{Exchange, Gossip, Releases, Reply, Seen};
+use crate::state::{Known, Peer, Shared};
+use crate::versions;
+use base::id::{Version, Vm};
+use indexmap::IndexMap;
+use peers::gossip::{Exchange, Gossip, Releases, Reply};
 use peers::wire::{self, Frame};
 use spread::Spread;
 use std::time::Instant;
@@ -37,8 +40,12 @@
         Frame::new(Some(reply))
     }
 
-    async fn versions(self, _: Context) -> Frame<Vec<Seen>> {
-        Frame::new(self.shared.read(|known| known.versions(Instant::now())))
+    async fn version(self, _: Context) -> Frame<Version> {
+        Frame::new(self.shared.read(Known::version))
+    }
+
+    async fn versions(self, _: Context) -> Frame<IndexMap<Vm, Version>> {
+        Frame::new(versions::centre(&self.shared).await)
     }
 
     async fn releases(self, _: Context, _news: Frame<Releases>) -> Frame<Releases> {
--- a/programs/control/src/lib.rs
+++ b/programs/control/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod settings;
 pub mod state;
 pub mod table;
+pub mod versions;
--- a/programs/control/src/state/known.rs
+++ b/programs/control/src/state/known.rs
@@ -2,23 +2,20 @@
 
 use crate::record::{self, Ring as Row};
 use crate::settings::Settings;
-use ::peers::gossip::{Listing, Seen};
+use ::peers::gossip::Listing;
 use ::peers::local::State;
 use base::clock::Millis;
-use base::id::{Release, Version, Vm};
+use base::id::{Release, Version};
 use indexmap::IndexMap;
 use operators::bundle::{Bundle, Files};
 use operators::fleet;
 use platform::list::{self, List};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use steering::config::sets::Summary;
 use steering::config::{Head, Manifest, Mark, Readiness, Replica, Sets};
 use steering::keys::{Confirmation, Isolated, Policy, Ring, Standing};
 use steering::membership::{self, Listed, Place, View};
 
-/// Age from which the version of a VM counts as unknown.
-const SEEN_FOR: Duration = Duration::from_secs(10);
-
 /// Configuration in force.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Active {
@@ -58,7 +55,6 @@
     pub shared: u32,
     /// Growing changes of this VM's operators are told to other data centres as well.
     pub tell_all: bool,
-    pub(super) versions: IndexMap<Vm, (Version, Instant)>,
     listing: (u64, Instant),
     refused: Version,
     started: Instant,
@@ -101,7 +97,6 @@
             table_read: 0,
             shared: 0,
             tell_all: false,
-            versions: IndexMap::new(),
             listing: (0, now),
             refused: 0,
             started: now,
@@ -242,7 +237,6 @@
             .collect();
         for vm in self.view.list(&listed, now) {
             log::info!("vm {vm} is gone");
-            self.versions.swap_remove(&vm);
         }
         self.listing = (hash(&list), at);
         self.list = list;
@@ -281,40 +275,6 @@
     pub fn confirm(&mut self, at: Instant) {
         self.confirmed = self.confirmed.max(Some(at));
     }
-
-    /// Returns the versions in force on the VMs of the data centre, this one included.
-    pub fn versions(&self, now: Instant) -> Vec<Seen> {
-        let own = Seen {
-            vm: self.view.place().vm.clone(),
-            version: self.version(),
-            age: Duration::ZERO,
-        };
-        let others = self.versions.iter().map(|(vm, (version, at))| Seen {
-            vm: vm.clone(),
-            version: *version,
-            age: now.saturating_duration_since(*at),
-        });
-        std::iter::once(own)
-            .chain(others.filter(|seen| seen.age < SEEN_FOR))
-            .collect()
-    }
-
-    /// Takes versions heard from a VM of the data centre; the latest word on a VM counts, since a
-    /// restarted VM has none.
-    pub(super) fn hear_versions(&mut self, seen: Vec<Seen>, now: Instant) {
-        let own = &self.view.place().vm;
-        for Seen { vm, version, age } in seen.into_iter().filter(|seen| seen.vm != *own) {
-            let Some(at) = now.checked_sub(age) else {
-                continue;
-            };
-            let known = self.versions.entry(vm).or_insert((version, at));
-            if at >= known.1 {
-                *known = (version, at);
-            }
-        }
-        self.versions
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) < SEEN_FOR);
-    }
 }
 
 fn hash(list: &List) -> u64 {
--- a/programs/control/src/state/peers.rs
+++ b/programs/control/src/state/peers.rs
@@ -4,6 +4,7 @@
 use crate::settings::Settings;
 use ::peers::gossip::{Centre, Exchange, Reply};
 use base::id::{DataCentre, Vm};
+use platform::list::Node;
 use rand::Rng;
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -45,12 +46,8 @@
 
     /// Returns a peer by the name of its VM.
     pub fn peer(&self, vm: &str) -> Option<Peer> {
-        let node = self.list.nodes.iter().find(|node| *node.name == *vm)?;
-        Some(Peer {
-            vm: node.name.clone(),
-            data_centre: Some(node.data_centre.clone()),
-            address: node.gossip,
-        })
+        let mut nodes = self.list.nodes.iter();
+        nodes.find(|node| *node.name == *vm).map(Peer::of)
     }
 
     fn near(&self, centre: &str) -> bool {
@@ -66,7 +63,7 @@
         now: Instant,
     ) -> Exchange {
         let near = peer.data_centre.as_ref().is_some_and(|c| self.near(c));
-        let centre = near.then(|| self.centre(regular, &[], now));
+        let centre = near.then(|| self.centre(regular, &[]));
         let place = self.view.place();
         Exchange {
             vm: place.vm.clone(),
@@ -78,7 +75,7 @@
         }
     }
 
-    fn centre(&mut self, regular: bool, asked: &[u32], now: Instant) -> Centre {
+    fn centre(&mut self, regular: bool, asked: &[u32]) -> Centre {
         Centre {
             pulse: if regular {
                 self.view.pulse(asked)
@@ -86,7 +83,6 @@
                 Default::default()
             },
             gone: self.view.gone(),
-            versions: self.versions(now),
         }
     }
 
@@ -95,7 +91,6 @@
         for (vm, incarnation) in centre.gone {
             self.view.hear_gone(&vm, incarnation, now);
         }
-        self.hear_versions(centre.versions, now);
     }
 
     /// Answers an exchange. Returns whether the sender has something that this VM lacks.
@@ -111,7 +106,7 @@
             let regular = !centre.pulse.beats.is_empty();
             let asked = centre.pulse.unknown.clone();
             self.hear(centre, now);
-            self.centre(regular, &asked, now)
+            self.centre(regular, &asked)
         });
         self.compare(exchange.digest.marks);
         let place = self.view.place();
@@ -157,6 +152,15 @@
 }
 
 impl Peer {
+    /// Makes a peer of a listed VM.
+    pub fn of(node: &Node) -> Self {
+        Self {
+            vm: node.name.clone(),
+            data_centre: Some(node.data_centre.clone()),
+            address: node.gossip,
+        }
+    }
+
     /// Makes a peer of which only the address is known.
     pub fn seed(address: SocketAddr) -> Self {
         Self {
