--- a/tests/integration/src/lib.rs
+++ b/tests/integration/src/lib.rs
@@ -78,6 +78,25 @@
         self.spawn(line.expect("process of this name"));
     }
 
+    /// Changes settings of a process, given as lines of YAML, for its next start.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the settings can't be read or written.
+    pub fn configure(&self, program: &str, settings: &str) {
+        let file = self.directory.join(format!("{program}.yaml"));
+        let text = std::fs::read_to_string(&file).expect("settings");
+        let names = settings.lines().filter_map(|line| line.split_once(':'));
+        let names: Vec<&str> = names.map(|(name, _)| name).collect();
+        let replaced = |line: &&str| {
+            let name = line.split_once(':').map(|(name, _)| name);
+            name.is_none_or(|name| !names.contains(&name))
+        };
+        let kept: Vec<&str> = text.lines().filter(replaced).collect();
+        let text = format!("{}\n{settings}\n", kept.join("\n"));
+        std::fs::write(file, text).expect("settings are written");
+    }
+
     /// Sends a signal, such as `KILL`, `TERM`, `STOP` or `CONT`, to a process.
     ///
     /// # Panics
--- a/tests/integration/tests/config.rs
+++ b/tests/integration/tests/config.rs
@@ -3,7 +3,7 @@
 use bench::topology::{ATLAS, Deployment, Service};
 use hyper::Method;
 use integration::{Fleet, examples, until};
-use operators::admin::{Proposal, Stage, Verdict};
+use operators::admin::{KeyState, Proposal, Stage, Verdict};
 use operators::bundle::Files;
 
 const SMALL: Deployment = Deployment {
@@ -177,3 +177,86 @@
     })
     .await;
 }
+
+/// Guards against VMs that all read the table, and against a data centre that no one reads for
+/// once its reader and stand-by are dead.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_vm_reads_for_its_data_centre_and_another_takes_over() {
+    let large = Deployment { nodes: 13, ..SMALL };
+    let fleet = Fleet::start(large, 24_855);
+    fleet.publish("vm-01", "atlas").await;
+    // These three share a data centre: a reader, a stand-by and a member.
+    let vms = ["vm-01", "vm-07", "vm-13"];
+    let reads = async || {
+        let mut reads = Vec::new();
+        for vm in vms {
+            let name = "cardamomhall_table_reads_total{result=\"done\"}";
+            reads.push(metric(&fleet, vm, name).await.parse().unwrap_or(0_u64));
+        }
+        reads
+    };
+    let grown = |before: &[u64], after: &[u64]| -> Vec<bool> {
+        before.iter().zip(after).map(|(b, a)| a > b).collect()
+    };
+    let member = std::sync::Mutex::new(None);
+    until("only two VMs of the data centre read", async || {
+        let before = reads().await;
+        until("two VMs have read", async || {
+            let grown = grown(&before, &reads().await);
+            grown.iter().filter(|grown| **grown).count() >= 2
+        })
+        .await;
+        let grown = grown(&before, &reads().await);
+        let idle = grown.iter().position(|grown| !grown);
+        *member.lock().expect("lock") = idle;
+        idle.is_some()
+    })
+    .await;
+    let member = member.lock().expect("lock").expect("a member");
+    for vm in vms.iter().filter(|vm| **vm != vms[member]) {
+        fleet.signal(&format!("{vm}-control"), "STOP");
+    }
+    let name = "cardamomhall_table_reads_total{result=\"done\"}";
+    let reads = async || metric(&fleet, vms[member], name).await;
+    let before = reads().await;
+    until("the member reads", async || reads().await != before).await;
+    for vm in vms.iter().filter(|vm| **vm != vms[member]) {
+        fleet.signal(&format!("{vm}-control"), "CONT");
+    }
+}
+
+/// Guards against a VM that depends on the platform: one that never reaches it starts with a seed,
+/// gets list, configuration and news from other data centres, and counts as confirmed.
+#[tokio::test(flavor = "multi_thread")]
+async fn vm_cut_off_from_the_platform_follows_its_peers() {
+    let small = Deployment { nodes: 4, ..SMALL };
+    let mut fleet = Fleet::start(small, 24_090);
+    fleet.publish("vm-01", "atlas").await;
+    fleet.signal("vm-04-control", "KILL");
+    fleet.wait("vm-04-control");
+    let seed = fleet.address("vm-01-control", "gossip");
+    // Nothing listens on the port of the platform that it is given.
+    let settings = format!("platform: 127.0.0.1:24149\nseeds: [\"{seed}\"]");
+    fleet.configure("vm-04-control", &settings);
+    fleet.restart("vm-04-control");
+    until("the VM has the configuration", async || {
+        let config = fleet.admin("vm-04").config().await;
+        config.is_ok_and(|config| config.version == 1)
+    })
+    .await;
+    let verdict = publish(&fleet, "vm-02", 1, "second").await;
+    assert_eq!(verdict, Verdict::Accepted { version: 2 });
+    until("version 2 is done as the VM sees it", async || {
+        let status = fleet.status("vm-04").await;
+        (status.version, status.stage, status.of) == (2, Stage::Done, 4)
+            && status.keys.state == KeyState::Confirmed
+    })
+    .await;
+    let reads = "cardamomhall_table_reads_total{result=\"done\"}";
+    assert_eq!(metric(&fleet, "vm-04", reads).await, "");
+    let verdict = publish(&fleet, "vm-04", 2, "third").await;
+    assert!(
+        matches!(verdict, Verdict::Unavailable { .. }),
+        "{verdict:?}"
+    );
+}
