--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -1,28 +1,65 @@
 //! Messages between control processes, and from entries to the control process that grants shares.
 
 use crate::wire::{self, Error, Frame};
-use base::id::{Release, Vm};
+use base::id::{DataCentre, Incarnation, Release, Version, Vm};
 use indexmap::IndexMap;
+use platform::list::List;
 use std::net::SocketAddr;
+use std::time::Duration;
 use steering::config::{Delta, Digest};
 use steering::limits::{Grant, Renew};
+use steering::membership::Pulse;
 use steering::release::Evidence;
 
 base::message! {
+    /// What goes along with exchanges inside a data centre.
+    #[derive(Default)]
+    pub struct Centre {
+        /// Heartbeats; empty unless the exchange is a regular one.
+        pub pulse: Pulse,
+        /// VMs that the platform's list no longer names.
+        pub gone: Vec<(Vm, Incarnation)>,
+    }
+
+    /// The platform's list as the sender has it.
+    #[derive(Default)]
+    pub struct Listing {
+        /// Hash of the content; 0 without a list.
+        pub hash: u64,
+        /// Time since it was read.
+        pub age: Duration,
+    }
+
     /// Configuration and growing sets that the sender has.
     pub struct Exchange {
         /// Sender.
         pub vm: Vm,
+        /// Its data centre.
+        pub data_centre: DataCentre,
+        /// Its address for exchanges.
+        pub gossip: SocketAddr,
         /// What it has.
         pub digest: Digest,
+        /// News of its data centre; none towards other data centres.
+        pub centre: Option<Centre>,
+        /// Its list.
+        pub listing: Listing,
     }
 
     /// What the sender of an exchange lacks, and what the receiver has.
     pub struct Reply {
+        /// Receiver of the exchange.
+        pub vm: Vm,
+        /// Its data centre.
+        pub data_centre: DataCentre,
         /// What the sender lacks.
         pub delta: Delta,
         /// What the receiver has.
         pub digest: Digest,
+        /// News of the data centre; none towards other data centres.
+        pub centre: Option<Centre>,
+        /// Newer list with its age, for VMs of the same data centre and those without a list.
+        pub list: Option<(List, Duration)>,
     }
 
     /// News of releases.
@@ -39,6 +76,12 @@
     /// Exchanges configuration and growing sets.
     async fn exchange(exchange: Frame<Exchange>) -> Frame<Option<Reply>>;
 
+    /// Returns the configuration version in force on the receiver.
+    async fn version() -> Frame<Version>;
+
+    /// Asks the VMs of the receiver's data centre for their versions, and returns the answers.
+    async fn versions() -> Frame<IndexMap<Vm, Version>>;
+
     /// Exchanges news of releases.
     async fn releases(news: Frame<Releases>) -> Frame<Releases>;
 
--- a/programs/control/src/admin/status.rs
+++ b/programs/control/src/admin/status.rs
@@ -2,50 +2,106 @@
 
 use super::Admin;
 use crate::state::Known;
+use crate::versions;
+use base::clock;
 use base::http::{self, Body};
+use base::id::{Version, Vm};
 use hyper::{Response, StatusCode};
 use indexmap::IndexMap;
-use operators::admin::{Keys, Report, Status};
+use operators::admin::{KeyState, Keys, Report, Stage, Status};
+use std::time::Instant;
+use steering::config::{Force, Mark};
+use steering::keys::Standing;
 
 impl Admin {
-    pub(super) fn status(&self) -> Response<Body> {
+    pub(super) async fn status(&self) -> Response<Body> {
+        let heard = versions::fleet(&self.shared).await;
         let settings = &self.shared.settings;
         let status = self.shared.read(|known| {
-            let version = known.active.as_ref().map_or(0, |active| active.version);
-            let report = Report {
-                data_centre: settings.data_centre.clone(),
-                version,
-            };
-            let in_force = IndexMap::from([(settings.vm.clone(), report)]);
+            let version = known.version();
+            let force = force(known, &heard);
+            let reasons = |release| known.reasons.get(release).cloned();
+            let releases = known.replica.sets.marks().filter_map(|mark| match mark {
+                Mark::Halted(id) => Some((id.clone(), reasons(id).unwrap_or("halted".into()))),
+                _ => None,
+            });
+            let draining = known.replica.sets.marks().filter_map(|mark| match mark {
+                Mark::Drained(name) => Some(name.clone()),
+                _ => None,
+            });
             Status {
                 vm: settings.vm.clone(),
                 version,
-                missing: missing(known, &in_force),
-                in_force,
-                confirmed_by_store: known.confirmed,
+                stage: stage(version, &force),
+                on: force.on,
+                of: force.of,
+                missing: force.missing.into_iter().collect(),
+                in_force: reports(known, heard),
+                confirmed_by_store: known.table_read,
                 keys: keys(known),
-                releases: known.growing.halted.clone(),
-                draining: known.growing.draining.iter().cloned().collect(),
+                releases: releases.collect(),
+                draining: draining.collect(),
             }
         });
         http::json(StatusCode::OK, &status)
     }
 }
 
-fn missing(known: &Known, in_force: &IndexMap<Box<str>, Report>) -> Vec<Box<str>> {
-    let nodes = known.list.nodes.iter();
-    nodes
-        .map(|node| node.name.clone())
-        .filter(|name| !in_force.contains_key(name))
-        .collect()
+fn stage(version: Version, force: &Force) -> Stage {
+    match force {
+        _ if version == 0 => Stage::NoVersion,
+        Force { on: 0, .. } => Stage::Accepted,
+        Force { on, of, .. } if on == of => Stage::Done,
+        _ => Stage::InForce,
+    }
+}
+
+/// Counts the VMs that have the version of this VM, over those that the platform lists and those
+/// that were heard of.
+fn force(known: &Known, heard: &IndexMap<Vm, Version>) -> Force {
+    let mut versions: IndexMap<&Vm, Version> = IndexMap::new();
+    let listed = known.list.nodes.iter().map(|node| &node.name);
+    versions.extend(listed.map(|vm| (vm, 0)));
+    versions.extend(heard.iter().map(|(vm, version)| (vm, *version)));
+    Force::count(known.version(), versions)
+}
+
+fn reports(known: &Known, heard: IndexMap<Vm, Version>) -> IndexMap<Vm, Report> {
+    let nodes = &known.list.nodes;
+    let centre = |vm: &Vm| nodes.iter().find(|node| node.name == *vm);
+    let own = &known.view.place().data_centre;
+    let report = |(vm, version): (Vm, Version)| {
+        let data_centre = centre(&vm).map_or(own, |node| &node.data_centre).clone();
+        let report = Report {
+            data_centre,
+            version,
+        };
+        (vm, report)
+    };
+    heard.into_iter().map(report).collect()
 }
 
 fn keys(known: &Known) -> Keys {
-    let withdrawn = known.growing.withdrawn.len();
-    let valid = known
-        .keys
-        .keys()
-        .filter(|k| !known.growing.withdrawn.contains(*k))
+    let withdrawn = known.replica.sets.withdrawn();
+    let now = clock::unix_millis();
+    let entries = known.active.iter().flat_map(|a| a.ring.entries());
+    let valid = entries
+        .filter(|entry| !withdrawn.contains(&entry.digest))
+        .filter(|entry| entry.until.is_none_or(|until| now < until))
         .count();
-    Keys { valid, withdrawn }
+    let millis = |at: Instant| {
+        let age = u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        now.saturating_sub(age)
+    };
+    let (state, since) = match known.standing(Instant::now()) {
+        Standing::Confirmed => (KeyState::Confirmed, None),
+        Standing::NotConfirmed(since) => (KeyState::NotConfirmed, Some(millis(since))),
+        Standing::Refused(since) => (KeyState::Refused, Some(millis(since))),
+    };
+    Keys {
+        valid,
+        withdrawn: withdrawn.len(),
+        state,
+        since,
+    }
 }
--- a/programs/control/src/gossip.rs
+++ b/programs/control/src/gossip.rs
@@ -1,9 +1,16 @@
 //! Serves control processes and entries of other VMs.
 
+mod spread;
+
 use crate::granter;
-use crate::state::Shared;
+use crate::state::{Known, Peer, Shared};
+use crate::versions;
+use base::id::{Version, Vm};
+use indexmap::IndexMap;
 use peers::gossip::{Exchange, Gossip, Releases, Reply};
 use peers::wire::{self, Frame};
+use spread::Spread;
+use std::time::Instant;
 use steering::limits::{Grant, Renew};
 use tarpc::context::Context;
 use tokio::net::TcpListener;
@@ -11,13 +18,35 @@
 
 #[derive(Clone)]
 struct Server {
-    // TODO: the other calls below answer from it.
     shared: Shared,
+    spread: Spread,
 }
 
 impl Gossip for Server {
-    async fn exchange(self, _: Context, _exchange: Frame<Exchange>) -> Frame<Option<Reply>> {
-        Frame::new(None)
+    async fn exchange(self, _: Context, exchange: Frame<Exchange>) -> Frame<Option<Reply>> {
+        let Ok(exchange) = exchange.open() else {
+            return Frame::new(None);
+        };
+        let peer = Peer {
+            vm: exchange.vm.clone(),
+            data_centre: Some(exchange.data_centre.clone()),
+            address: exchange.gossip,
+        };
+        let (reply, lags) = self
+            .shared
+            .touch(|known| known.reply(exchange, Instant::now()));
+        if lags {
+            self.spread.ask(peer, false);
+        }
+        Frame::new(Some(reply))
+    }
+
+    async fn version(self, _: Context) -> Frame<Version> {
+        Frame::new(self.shared.read(Known::version))
+    }
+
+    async fn versions(self, _: Context) -> Frame<IndexMap<Vm, Version>> {
+        Frame::new(versions::centre(&self.shared).await)
     }
 
     async fn releases(self, _: Context, _news: Frame<Releases>) -> Frame<Releases> {
@@ -30,11 +59,15 @@
     }
 }
 
-/// Serves until `stop` is cancelled.
+/// Serves and exchanges with other VMs until `stop` is cancelled.
 pub async fn run(listener: TcpListener, shared: Shared, stop: CancellationToken) {
-    let server = Server { shared };
-    wire::accept(listener, stop, |stream| {
+    let spread = Spread::new(shared.clone());
+    let server = Server {
+        shared,
+        spread: spread.clone(),
+    };
+    let served = wire::accept(listener, stop.clone(), |stream| {
         wire::serve(stream, server.clone().serve())
-    })
-    .await;
+    });
+    tokio::join!(served, spread.run(stop));
 }
--- a/programs/control/src/local.rs
+++ b/programs/control/src/local.rs
@@ -4,6 +4,7 @@
 use base::id::Incarnation;
 use peers::local::{Local, Runs, SYNC_WAIT, State};
 use peers::wire::{self, Frame};
+use std::time::Duration;
 use tarpc::context::Context;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -30,6 +31,11 @@
             self.shared.change(|known| known.runs = runs);
         }
     }
+
+    async fn confirmed(self, _: Context) -> Frame<Option<Duration>> {
+        let confirmed = self.shared.read(|known| known.confirmed);
+        Frame::new(confirmed.map(|at| at.elapsed()))
+    }
 }
 
 /// Serves until `stop` is cancelled.
--- a/programs/control/src/state.rs
+++ b/programs/control/src/state.rs
@@ -1,55 +1,22 @@
 //! What the control process knows, and its publication to the processes of the VM.
 
+mod known;
+mod peers;
+
+pub use known::{Active, Known};
+pub use peers::Peer;
+
 use crate::granter::Granters;
-use crate::record::{Growing, Key};
+use crate::metrics::Metrics;
 use crate::settings::Settings;
-use base::clock::Millis;
-use base::id::{Incarnation, Version, Vm};
-use indexmap::IndexMap;
-use operators::bundle::{Bundle, Files};
-use peers::local::{self, Division, Shares, State};
-use platform::list::List;
+use ::peers::gossip::GossipClient;
+use ::peers::link::Links;
+use ::peers::local::State;
+use base::id::Incarnation;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
 use tokio::sync::{Notify, watch};
 
-/// Configuration in force.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Active {
-    /// Version.
-    pub version: Version,
-    /// Texts of the steering files.
-    pub files: Files,
-    /// Parsed files.
-    pub bundle: Bundle,
-}
-
-/// All that the control process knows.
-#[derive(Debug, Default)]
-pub struct Known {
-    /// Configuration in force, once one is known.
-    pub active: Option<Active>,
-    /// Issued keys.
-    pub keys: IndexMap<Box<str>, Key>,
-    /// Changes that only grow.
-    pub growing: Growing,
-    /// Growing changes as the table holds them.
-    pub recorded: Growing,
-    /// Last list of VMs and backend servers.
-    pub list: List,
-    /// Time of the last successful read of the table.
-    pub confirmed: Millis,
-    /// Live incarnations of entries, reported by this VM's entry.
-    pub runs: local::Runs,
-    /// Division of limits, once the row `floors` was read.
-    pub division: Option<Division>,
-    /// Whether that row says that this VM owns a floor.
-    pub floor: bool,
-    /// Incarnation that this VM's entry reported.
-    pub entry: Option<Incarnation>,
-    /// Holder of each granter shard.
-    pub granters: Vec<Option<Vm>>,
-}
-
 /// Knowledge shared by the tasks of the process.
 #[derive(Debug, Clone)]
 pub struct Shared {
@@ -59,20 +26,29 @@
     pub granters: Granters,
     /// Notified when the entry reports a new incarnation.
     pub reported: Arc<Notify>,
+    /// Connections to the control processes of other VMs.
+    pub links: Arc<Links<GossipClient>>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
     known: Arc<Mutex<Known>>,
     published: watch::Sender<Arc<State>>,
+    news: Arc<Notify>,
 }
 
 impl Shared {
     /// Starts with nothing known.
     pub fn new(settings: Settings) -> Self {
         let published = watch::Sender::new(Arc::new(State::default()));
+        let known = Known::new(&settings, Instant::now());
         Self {
             settings: Arc::new(settings),
             granters: Granters::default(),
             reported: Arc::default(),
-            known: Arc::default(),
+            links: Arc::default(),
+            metrics: Arc::default(),
+            known: Arc::new(Mutex::new(known)),
             published,
+            news: Arc::default(),
         }
     }
 
@@ -81,29 +57,49 @@
         read(&self.known.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Changes what is known and publishes it if that changes the published state.
+    /// Changes what is known and publishes it if that changes the published state. Other VMs are
+    /// told at once of a new version and of new growing changes.
     pub fn change<T>(&self, change: impl FnOnce(&mut Known) -> T) -> T {
+        self.apply(change, true)
+    }
+
+    /// Changes what is known; for frequent changes that rarely touch the published state, which
+    /// is made anew only after a change of the configuration, the growing sets or the list.
+    pub fn touch<T>(&self, change: impl FnOnce(&mut Known) -> T) -> T {
+        self.apply(change, false)
+    }
+
+    fn apply<T>(&self, change: impl FnOnce(&mut Known) -> T, publish: bool) -> T {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = known.print();
         let result = change(&mut known);
-        let state = published(&known);
+        known.activate();
+        let after = known.print();
+        if publish || after != before {
+            self.publish(&known);
+        }
+        if after.spreads(&before) {
+            self.news.notify_one();
+        }
+        let version = i64::try_from(known.version()).unwrap_or(i64::MAX);
+        self.metrics.version.set(version);
+        result
+    }
+
+    fn publish(&self, known: &Known) {
+        let state = known.published();
         self.published.send_if_modified(|last| {
             let same = State {
                 generation: last.generation,
-                confirmed: last.confirmed,
                 ..state
             };
             if same == **last {
                 return false;
             }
             let generation = last.generation + 1;
-            *last = Arc::new(State {
-                generation,
-                confirmed: known.confirmed,
-                ..same
-            });
+            *last = Arc::new(State { generation, ..same });
             true
         });
-        result
     }
 
     /// Takes up the incarnation of this VM's entry.
@@ -118,49 +114,9 @@
     pub fn subscribe(&self) -> watch::Receiver<Arc<State>> {
         self.published.subscribe()
     }
-}
-
-fn published(known: &Known) -> State {
-    let key = |key: &Key| local::Key {
-        workspace: key.workspace.clone(),
-        expires: key.expires,
-    };
-    State {
-        version: known.active.as_ref().map_or(0, |active| active.version),
-        files: known
-            .active
-            .as_ref()
-            .map(|active| active.files.clone())
-            .unwrap_or_default(),
-        keys: known
-            .keys
-            .iter()
-            .map(|(digest, k)| (digest.clone(), key(k)))
-            .collect(),
-        withdrawn: known.growing.withdrawn.clone(),
-        halted: known.growing.halted.keys().cloned().collect(),
-        draining: known.growing.draining.clone(),
-        list: known.list.clone(),
-        runs: known.runs.clone(),
-        shares: shares(known),
-        ..State::default()
-    }
-}
 
-fn shares(known: &Known) -> Shares {
-    let address = |vm: &Vm| {
-        let nodes = &known.list.nodes;
-        nodes.iter().find(|n| n.name == *vm).map(|n| n.gossip)
-    };
-    Shares {
-        division: known.division,
-        // The floor belongs to the VM's present entry: it has bound the VM's addresses, so the
-        // incarnation in the row has ended if it is another one.
-        floor: known.entry.filter(|_| known.floor),
-        granters: known
-            .granters
-            .iter()
-            .map(|vm| vm.as_ref().and_then(address))
-            .collect(),
+    /// Waits for news that other VMs are to be told of at once.
+    pub async fn news(&self) {
+        self.news.notified().await;
     }
 }
--- a/programs/control/tests/granter.rs
+++ b/programs/control/tests/granter.rs
@@ -3,12 +3,14 @@
 use base::http::client::Target;
 use base::id::Incarnation;
 use control::settings::Settings;
-use control::state::Shared;
+use control::state::{Active, Shared};
 use control::{granter, reader};
 use hyper::Method;
+use operators::bundle::{Bundle, Files};
 use platform::list::{List, Node, State};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
+use steering::keys::Ring;
 use steering::limits::{Part, Renew};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -88,8 +90,14 @@
             list_lag: span(self.list_lag),
             ..Settings::default()
         });
-        let files = [("fleet.yaml".into(), FLEET.into())].into_iter().collect();
-        reader::activate(&shared, 1, files);
+        let files: Files = [("fleet.yaml".into(), FLEET.into())].into_iter().collect();
+        let active = Active {
+            version: 1,
+            bundle: Bundle::parse(&files).expect("valid files"),
+            files,
+            ring: Ring::default(),
+        };
+        shared.change(|known| known.active = Some(active));
         shared.report_entry(entry);
         let client = platform::Client::new(self.target());
         let followed = shared.clone();
--- a/programs/entry/src/admission.rs
+++ b/programs/entry/src/admission.rs
@@ -102,7 +102,10 @@
             return Ok(None);
         }
         let workspace = grant.workspace.as_deref().unwrap_or(OPEN);
-        let key = grant.digest.clone().unwrap_or_default();
+        let digest = grant.digest.as_ref();
+        let key = digest
+            .map(|digest| digest.to_string().into())
+            .unwrap_or_default();
         let line = self.line(&grant.service.service.value);
         line.wait(workspace, key, slots, call.deadline)
             .await
--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -1,8 +1,7 @@
 //! Path of a request through the entry.
 
 use crate::admission::{Admission, held};
-use crate::authorise;
-use crate::authorise::Grant;
+use crate::authorise::{self, Grant};
 use crate::claims::Claims;
 use crate::forward::{Forwarded, forward};
 use crate::metrics::Metrics;
@@ -20,28 +19,33 @@
 use peers::share::ShareClient;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 use steering::attempt::{Attempt, Outcome, Refusal};
+use steering::keys::Pepper;
 use tokio::sync::watch;
 
 /// Path of a request through the entry, with the state that requests share.
 #[derive(Debug)]
 pub struct Pipeline {
     settings: Settings,
+    pepper: Pepper,
     snapshot: watch::Receiver<Arc<Snapshot>>,
     quarantine: Arc<Quarantine>,
     claims: Claims,
     links: Links<ShareClient>,
+    confirmed: watch::Receiver<Option<Instant>>,
     /// Admission of requests.
     pub admission: Admission,
     metrics: Arc<Metrics>,
 }
 
 impl Pipeline {
-    /// Makes a pipeline that follows `snapshot`.
+    /// Makes a pipeline that follows `snapshot` and the last confirmation of the keys.
     pub fn new(
         settings: Settings,
         incarnation: Incarnation,
         snapshot: watch::Receiver<Arc<Snapshot>>,
+        confirmed: watch::Receiver<Option<Instant>>,
         metrics: Arc<Metrics>,
     ) -> Self {
         let admission = Admission::new(
@@ -54,8 +58,10 @@
             quarantine: Arc::new(Quarantine::new(&settings, incarnation, metrics.clone())),
             claims: Claims::new(&settings, incarnation, metrics.clone()),
             links: Links::default(),
+            pepper: Pepper::derive(&settings.key_secret),
             settings,
             snapshot,
+            confirmed,
             admission,
             metrics,
         }
@@ -95,8 +101,7 @@
     pub async fn passed(&self, call: &Call) -> Response<Body> {
         let snapshot = self.snapshot.borrow().clone();
         let ended = async {
-            let secret = &self.settings.key_secret;
-            let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
+            let grant = self.authorise(call, &snapshot)?;
             let track = self.admitted(call, &grant, &snapshot).await?;
             if track.keeper().is_some() {
                 // The two entries disagree on the keeper for a moment.
@@ -118,8 +123,7 @@
 
     async fn run(&self, call: &Call) -> Result<Ended, Outcome> {
         let snapshot = self.snapshot.borrow().clone();
-        let secret = &self.settings.key_secret;
-        let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
+        let grant = self.authorise(call, &snapshot)?;
         let mut track = self.track(call, &grant, &snapshot).await?;
         let result = match track.keeper() {
             None => match self.proceed(call, &grant, &track).await {
@@ -174,8 +178,7 @@
         let slot = self.admission.admit(call, grant).await.map_err(refused)?;
         // The key may have been withdrawn, and servers may have left, while the request waited.
         let snapshot = self.snapshot.borrow().clone();
-        let secret = &self.settings.key_secret;
-        let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
+        let grant = self.authorise(call, &snapshot)?;
         let forwarded = forward(
             call,
             &grant,
@@ -188,6 +191,11 @@
         answer.response = answer.response.map(|body| held::hold(body, slot));
         Ok(answer)
     }
+
+    fn authorise<'a>(&self, call: &Call, snapshot: &'a Snapshot) -> Result<Grant<'a>, Outcome> {
+        let confirmed = *self.confirmed.borrow();
+        authorise::authorise(call, snapshot, &self.pepper, confirmed).map_err(refused)
+    }
 }
 
 /// Outcome of a request of which nothing was sent.
--- a/programs/entry/src/quarantine/pass.rs
+++ b/programs/entry/src/quarantine/pass.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use steering::attempt::{Attempt, Outcome, Refusal, Uncertainty};
+use steering::keys::Key;
 
 /// Passes a request on and returns its whole answer.
 ///
@@ -27,7 +28,7 @@
     let left = call.deadline.saturating_duration_since(Instant::now());
     let passed = Frame::new(Passed {
         request: call.id.clone(),
-        key: call.key.clone(),
+        key: call.key.as_ref().map(|key| key.expose().into()),
         service: call.service.clone(),
         method: call.method.as_str().into(),
         target: call.target.to_string().into(),
@@ -82,7 +83,7 @@
     Some(Call {
         id: passed.request,
         named: true,
-        key: passed.key,
+        key: passed.key.as_deref().and_then(Key::parse),
         service: passed.service,
         target: passed.target.parse().ok()?,
         method: passed.method.parse().ok()?,
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -13,6 +13,7 @@
 use prometheus_client::registry::Registry;
 use std::io;
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -37,10 +38,12 @@
     metrics.register(&mut registry);
     let snapshot = watch::Sender::new(Arc::new(Snapshot::default()));
     let followed = snapshot.subscribe();
+    let confirmed = watch::Sender::new(None::<Instant>);
     let pipeline = Arc::new(Pipeline::new(
         settings.clone(),
         incarnation,
         snapshot.subscribe(),
+        confirmed.subscribe(),
         metrics.clone(),
     ));
     let pool = client::Settings {
@@ -50,6 +53,9 @@
     let update = move |state: &local::State| {
         snapshot.send_modify(|current| *current = Arc::new(current.next(state, &pool)));
     };
+    let confirm = move |at: Instant| {
+        confirmed.send_modify(|last| *last = Some(at).max(*last));
+    };
     let limits = Limits {
         connections: settings.connections,
         drain_timeout: settings.drain_timeout.0,
@@ -65,6 +71,7 @@
     tokio::join!(
         local::follow(settings.control, Some(incarnation), stop.clone(), update),
         renewing.admission.run(stop.clone()),
+        local::confirmations(settings.control, stop.clone(), confirm),
         base::http::server::serve(listener, limits, stop.clone(), handler),
         exchange::run(quarantine, followed, settings.control, stop.clone()),
         share::run(share, served, stop.clone()),
--- a/programs/lookup/src/index.rs
+++ b/programs/lookup/src/index.rs
@@ -1,6 +1,6 @@
 //! Prepared answers for every data centre.
 
-use base::id::{DataCentre, Incarnation, Vm};
+use base::id::{DataCentre, Incarnation, Version, Vm};
 use bytes::Bytes;
 use callers::answer;
 use indexmap::IndexMap;
@@ -8,6 +8,7 @@
 use peers::local::State;
 use platform::list;
 use std::net::IpAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use steering::claims;
 use steering::lookup::{Answer, Entry, Map, map};
@@ -30,6 +31,9 @@
 /// Prepared answers; replaced whole when the configuration or the list changes.
 #[derive(Debug, Default)]
 pub struct Index {
+    version: Version,
+    bundle: Option<Arc<Bundle>>,
+    list: list::List,
     map: Map,
     sites: Vec<Site>,
     home: usize,
@@ -42,25 +46,51 @@
 }
 
 impl Index {
-    /// Prepares all answers.
-    pub fn build(state: &State, home: &str, unix_seconds: u64) -> Self {
-        let Ok(bundle) = Bundle::parse(&state.files) else {
-            return Self::default();
+    /// Prepares the successor of `self` from a state of the control process.
+    ///
+    /// A lower configuration version and an empty list, as from a restarted control process, are
+    /// not taken up.
+    pub fn next(&self, state: &State, home: &str, unix_seconds: u64) -> Self {
+        let newer = (state.version > self.version)
+            .then(|| Bundle::parse(&state.files).ok())
+            .flatten();
+        let (version, bundle) = match newer {
+            Some(bundle) => (state.version, Some(Arc::new(bundle))),
+            None => (self.version, self.bundle.clone()),
+        };
+        let list = if state.list.nodes.is_empty() {
+            &self.list
+        } else {
+            &state.list
+        };
+        let index = Self {
+            version,
+            bundle,
+            list: list.clone(),
+            ..Self::default()
         };
-        let entries: Vec<Entry> = live(&state.list.nodes).collect();
         let expires = unix_seconds + ID_SECONDS;
         let prefix =
             |(vm, run): (&Vm, &Incarnation)| (vm.clone(), claims::prefix(vm, *run, expires));
         let prefixes: Prefixes = state.runs.iter().map(prefix).collect();
+        index.prepared(home, &prefixes)
+    }
+
+    /// Prepares all answers.
+    fn prepared(self, home: &str, prefixes: &Prefixes) -> Self {
+        let Some(bundle) = self.bundle.clone() else {
+            return self;
+        };
+        let mut index = self;
+        let entries: Vec<Entry> = live(&index.list.nodes).collect();
         let fleet = &bundle.fleet;
-        let mut index = Self::default();
         let mut numbers: IndexMap<&DataCentre, map::Site> = IndexMap::new();
         for centre in fleet.data_centres() {
             let region = fleet.region(centre).map_or("", |region| region);
             numbers.insert(centre, index.sites.len() as map::Site);
             index
                 .sites
-                .push(Site::build(&entries, &prefixes, centre, region));
+                .push(Site::build(&entries, prefixes, centre, region));
         }
         for block in &fleet.clients {
             if let Some(site) = numbers.get(&block.value.data_centre) {
--- a/programs/lookup/src/run.rs
+++ b/programs/lookup/src/run.rs
@@ -28,7 +28,7 @@
     let home = settings.data_centre.clone();
     let build = |state: &local::State| {
         let seconds = base::clock::unix_millis() / 1000;
-        index.send_replace(Arc::new(Index::build(state, &home, seconds)));
+        index.send_modify(|current| *current = Arc::new(current.next(state, &home, seconds)));
     };
     let last = Mutex::new(None);
     let update = |state: &local::State| {
--- a/tests/integration/src/lib.rs
+++ b/tests/integration/src/lib.rs
@@ -7,7 +7,7 @@
 use bench::load::Summary;
 use bench::topology::{self, ADMIN_TOKEN, Deployment};
 use hyper::Method;
-use operators::admin::{Client, Issue, Issued, Proposal, Verdict};
+use operators::admin::{Client, Issue, Issued, Proposal, Status, Verdict};
 use operators::bundle::Files;
 use platform::list::{Backend, List};
 use std::future::Future;
@@ -146,6 +146,25 @@
         self.spawn(line.expect("process of this name"));
     }
 
+    /// Changes settings of a process, given as lines of YAML, for its next start.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the settings can't be read or written.
+    pub fn configure(&self, program: &str, settings: &str) {
+        let file = self.directory.join(format!("{program}.yaml"));
+        let text = std::fs::read_to_string(&file).expect("settings");
+        let names = settings.lines().filter_map(|line| line.split_once(':'));
+        let names: Vec<&str> = names.map(|(name, _)| name).collect();
+        let replaced = |line: &&str| {
+            let name = line.split_once(':').map(|(name, _)| name);
+            name.is_none_or(|name| !names.contains(&name))
+        };
+        let kept: Vec<&str> = text.lines().filter(replaced).collect();
+        let text = format!("{}\n{settings}\n", kept.join("\n"));
+        std::fs::write(file, text).expect("settings are written");
+    }
+
     /// Sends a signal, such as `KILL`, `TERM`, `STOP` or `CONT`, to a process.
     ///
     /// # Panics
@@ -232,6 +251,25 @@
             .expect("the stand-in answers")
     }
 
+    /// Switches an outage of the platform on or off.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in does not answer.
+    pub async fn outage(&self, outage: bool) {
+        let fault = serde_json::json!({ "outage": outage });
+        self.platform(Method::PUT, "/switch", &fault).await;
+    }
+
+    /// Returns the state of the fleet as a VM sees it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the VM does not answer.
+    pub async fn status(&self, vm: &str) -> Status {
+        self.admin(vm).status().await.expect("a status")
+    }
+
     /// Publishes the example files of a deployment through a VM, against version 0.
     ///
     /// # Panics
--- a/tools/bench/src/topology.rs
+++ b/tools/bench/src/topology.rs
@@ -197,6 +197,7 @@
             admin: self.address(),
         };
         let (entry_metrics, lookup_metrics) = (self.address(), self.address());
+        let control_metrics = self.address();
         let Node {
             name,
             region,
@@ -211,7 +212,7 @@
         let place = format!("vm: {name}\nregion: {region}\ndata_centre: {data_centre}\n");
         let control_settings = format!(
             "{place}local: {local}\ngossip: {gossip}\nadmin: {admin}\nplatform: {platform}\n\
-             admin_token: {ADMIN_TOKEN}\nkey_secret: {KEY_SECRET}\n"
+             metrics: {control_metrics}\nadmin_token: {ADMIN_TOKEN}\nkey_secret: {KEY_SECRET}\n"
         );
         let entry_settings = format!(
             "{place}listen: {entry}\nshare: {share}\nmetrics: {entry_metrics}\n\
