--- a/crates/peers/src/local.rs
+++ b/crates/peers/src/local.rs
@@ -1,7 +1,7 @@
 //! Messages between the control process and the other processes of its VM.
 
 use crate::wire::{self, Error, Frame};
-use base::id::{Label, Release, Version};
+use base::id::{Incarnation, Label, Release, Version, Vm};
 use indexmap::{IndexMap, IndexSet};
 use platform::list::List;
 use std::net::SocketAddr;
@@ -10,6 +10,9 @@
 use steering::keys::ring::Entry;
 use tokio_util::sync::CancellationToken;
 
+/// Incarnations of entries by VM.
+pub type Runs = IndexMap<Vm, Incarnation>;
+
 base::message! {
     /// Current state of a release.
     pub struct Step {
@@ -40,6 +43,8 @@
         pub draining: IndexSet<Box<str>>,
         /// Last known list of VMs and backend servers.
         pub list: List,
+        /// Live incarnations of entries as this VM's entry knows them.
+        pub runs: Runs,
     }
 }
 
@@ -56,6 +61,9 @@
     /// is not part of the state, which would be sent anew with each confirmation. None if there
     /// was no confirmation since the control process started.
     async fn confirmed() -> Frame<Option<Duration>>;
+
+    /// Reports the live incarnations of entries, the caller's own among them.
+    async fn runs(runs: Frame<Runs>);
 }
 
 /// Connects to the control process.
--- a/programs/control/src/state/known.rs
+++ b/programs/control/src/state/known.rs
@@ -3,7 +3,7 @@
 use crate::record::{self, Ring as Row};
 use crate::settings::Settings;
 use ::peers::gossip::Listing;
-use ::peers::local::State;
+use ::peers::local::{Runs, State};
 use base::clock::Millis;
 use base::id::{Release, Version};
 use indexmap::IndexMap;
@@ -44,6 +44,8 @@
     pub recorded_version: u64,
     /// Reasons of halted releases, as far as they are known.
     pub reasons: IndexMap<Release, Box<str>>,
+    /// Live incarnations of entries as the VM's entry reported them.
+    pub runs: Runs,
     /// Last list of VMs and backend servers.
     pub list: List,
     /// Time of the last confirmation of the keys by the store or another data centre; none since
@@ -92,6 +94,7 @@
             recorded: Sets::default(),
             recorded_version: 0,
             reasons: IndexMap::new(),
+            runs: Runs::default(),
             list: List::default(),
             confirmed: None,
             table_read: 0,
@@ -172,10 +175,13 @@
     }
 
     /// Returns the state for the other processes of the VM. Before the process is ready it holds
-    /// only the growing changes, which no one has to take back.
+    /// only the growing changes, which no one has to take back, and what the VM's entry reported.
     pub(super) fn published(&self) -> State {
         let sets = &self.replica.sets;
-        let mut state = State::default();
+        let mut state = State {
+            runs: self.runs.clone(),
+            ..State::default()
+        };
         for mark in sets.marks() {
             match mark {
                 Mark::Withdrawn(digest) => drop(state.withdrawn.insert(*digest)),
--- a/programs/entry/src/snapshot.rs
+++ b/programs/entry/src/snapshot.rs
@@ -25,6 +25,7 @@
     steps: IndexMap<Box<str>, Step>,
     draining: IndexSet<Box<str>>,
     servers: IndexMap<Box<str>, Arc<Server>>,
+    nodes: Vec<list::Node>,
 }
 
 impl Snapshot {
@@ -50,6 +51,11 @@
             steps: state.steps.clone(),
             draining: &self.draining | &state.draining,
             servers: self.connected(&state.list, pool),
+            nodes: if state.list.nodes.is_empty() {
+                self.nodes.clone()
+            } else {
+                state.list.nodes.clone()
+            },
         }
     }
 
@@ -133,6 +139,16 @@
         self.steps.get(release)
     }
 
+    /// Returns the VMs of the system.
+    pub fn nodes(&self) -> &[list::Node] {
+        &self.nodes
+    }
+
+    /// Returns all backend servers.
+    pub fn all_servers(&self) -> impl Iterator<Item = &Arc<Server>> {
+        self.servers.values()
+    }
+
     /// Returns the servers of a service and version that may get new work.
     pub fn servers<'a>(
         &'a self,
@@ -145,6 +161,7 @@
                 && listed.label == *label
                 && listed.state == list::State::Live
                 && !self.draining.contains(&listed.name)
+                && !server.reserved()
         })
     }
 }
--- a/tools/bench/src/args.rs
+++ b/tools/bench/src/args.rs
@@ -16,6 +16,8 @@
         directory: PathBuf,
         /// First port; the processes use the ports after it.
         port: u16,
+        /// Number of VMs, instead of the deployment's own.
+        nodes: Option<usize>,
     },
     /// Sends requests through the system or straight to a server.
     Load(Load),
@@ -24,6 +26,8 @@
         /// Kind of state.
         name: Box<str>,
     },
+    /// Runs the fault matrix.
+    Matrix,
     /// Runs experiments in simulated time.
     Experiment {
         /// Name, or `all`.
@@ -77,7 +81,12 @@
         .to_options()
         .descr("Measure cost per unit of state")
         .command("capacity");
-    construct!([topology, load, capacity, experiment])
+    let matrix = bpaf::pure(Command::Matrix);
+    let matrix = matrix
+        .to_options()
+        .descr("Run the fault matrix")
+        .command("matrix");
+    construct!([topology, load, capacity, matrix, experiment])
         .to_options()
         .descr("Load, experiments, capacity")
 }
@@ -87,10 +96,12 @@
         .help("First port")
         .argument("PORT")
         .fallback(20_000);
+    let nodes = long("nodes").help("Number of VMs").argument("N").optional();
     let deployment = positional("DEPLOYMENT").help("atlas or elsherbiny");
     let directory = positional("DIRECTORY").help("Directory for the files");
     construct!(Command::Topology {
         port,
+        nodes,
         deployment,
         directory
     })
