bug: a passed request ran although its key was withdrawn while it waited

Cause: an entry that got a suspected request from another one checked the key before the wait for the trial only. Change: the key is checked again after it. The case itself has no test.

--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -99,6 +99,9 @@
                 // The two entries disagree on the keeper for a moment.
                 return Err(refused(Refusal::Suspected));
             }
+            // The key may have been withdrawn while the request waited for its trial.
+            let snapshot = self.snapshot.borrow().clone();
+            let grant = self.authorise(call, &snapshot)?;
             let forwarded = forward(
                 call,
                 &grant,
