--- a/programs/control/src/state/known.rs
+++ b/programs/control/src/state/known.rs
@@ -44,6 +44,8 @@
     pub recorded_version: u64,
     /// Reasons of halted releases, as far as they are known.
     pub reasons: IndexMap<Release, Box<str>>,
+    /// Live incarnations of entries as the VM's entry reported them.
+    pub runs: Runs,
     /// Last list of VMs and backend servers.
     pub list: List,
     /// Time of the last confirmation of the keys by the store or another data centre; none since
@@ -53,8 +55,6 @@
     pub table_read: Millis,
     /// Number of growing changes that a peer has too.
     pub shared: u32,
-    /// Live incarnations of entries, reported by this VM's entry.
-    pub runs: Runs,
     /// Division of limits, once the row `floors` was read.
     pub division: Option<Division>,
     /// Whether that row says that this VM owns a floor.
@@ -102,11 +102,11 @@
             recorded: Sets::default(),
             recorded_version: 0,
             reasons: IndexMap::new(),
+            runs: Runs::default(),
             list: List::default(),
             confirmed: None,
             table_read: 0,
             shared: 0,
-            runs: Runs::new(),
             division: None,
             floor: false,
             entry: None,
@@ -187,10 +187,13 @@
     }
 
     /// Returns the state for the other processes of the VM. Before the process is ready it holds
-    /// only the growing changes, which no one has to take back.
+    /// only the growing changes, which no one has to take back, and what the VM's entry reported.
     pub(super) fn published(&self) -> State {
         let sets = &self.replica.sets;
-        let mut state = State::default();
+        let mut state = State {
+            runs: self.runs.clone(),
+            ..State::default()
+        };
         for mark in sets.marks() {
             match mark {
                 Mark::Withdrawn(digest) => drop(state.withdrawn.insert(*digest)),
