feature: messages and settings for slots, loans and loads of backend servers

The stand-in backend names the reason in x-not-run, as its constant says; it sent "true", so a leaving server was not told apart from other refusals. Loans have a number: a late return of an overdue loan would end a newer one.

--- a/crates/peers/src/share.rs
+++ b/crates/peers/src/share.rs
@@ -1,9 +1,11 @@
 //! Messages between entries.
 
 use crate::wire::{self, Error, Frame};
-use base::id::{Request, Vm, Workspace};
+use base::id::{DataCentre, Label, Region, Request, Server, Service, Vm, Workspace};
+use indexmap::IndexMap;
 use std::net::SocketAddr;
-use steering::balance::{Notice, Summary};
+use std::time::Duration;
+use steering::balance::{Loan, Notice, Summary};
 use steering::limits::{Borrow, Lent};
 use steering::quarantine::Delta;
 
@@ -24,13 +26,47 @@
         pub reason: Box<str>,
     }
 
-    /// News on backend servers, within a data centre.
+    /// News on backend servers.
     #[derive(Default)]
     pub struct Servers {
+        /// Sender.
+        pub vm: Vm,
+        /// Data centre of the sender.
+        pub data_centre: DataCentre,
+        /// Region of the sender.
+        pub region: Region,
         /// Latency of servers as the sender sees them.
         pub summaries: Vec<Summary>,
-        /// Slots that the sender uses.
-        pub notices: Vec<Notice>,
+        /// Slots that the sender uses, by service; used within its data centre.
+        pub notices: IndexMap<Service, Notice>,
+        /// Requests per second that arrive at the sender from callers; used within its data centre.
+        pub demands: IndexMap<Service, f64>,
+        /// Load of the sender's data centre; used in other data centres.
+        pub loads: IndexMap<Service, Load>,
+    }
+
+    /// Load of one service in one data centre.
+    pub struct Load {
+        /// Whether any backend server answers.
+        pub healthy: bool,
+        /// Requests per second that its backend servers can run.
+        pub capacity: f64,
+        /// Requests per second that arrive from callers at its entries.
+        pub demand: f64,
+    }
+
+    /// Request for the loan of a slot for one request.
+    pub struct Want {
+        /// Data centre of the borrower.
+        pub data_centre: DataCentre,
+        /// Service.
+        pub service: Service,
+        /// Software version.
+        pub label: Label,
+        /// Time in which the request ends.
+        pub term: Duration,
+        /// Servers that must not be lent, because they failed the request.
+        pub except: Vec<Server>,
     }
 
     /// News on requests that crash backend servers.
@@ -54,6 +90,12 @@
     /// Exchanges news on backend servers.
     async fn servers(news: Frame<Servers>) -> Frame<Servers>;
 
+    /// Borrows a slot of a backend server for one request.
+    async fn lend(want: Frame<Want>) -> Frame<Option<Loan>>;
+
+    /// Gives back a lent slot whose request has ended.
+    async fn give_back(loan: Frame<Loan>) -> Frame<()>;
+
     /// Exchanges news on requests that crash backend servers.
     async fn suspects(news: Frame<Suspects>) -> Frame<Suspects>;
 }
--- a/crates/steering/src/balance/slots.rs
+++ b/crates/steering/src/balance/slots.rs
@@ -39,6 +39,8 @@
         pub server: Server,
         /// Unit that is lent.
         pub unit: Unit,
+        /// Number of the loan, so that a late return of an overdue loan doesn't end a newer one.
+        pub id: u64,
         /// Time in which the request must end, counted by the borrower from before it asked.
         pub term: Duration,
     }
@@ -48,7 +50,7 @@
 enum Use {
     Idle,
     Busy,
-    Lent { until: Instant },
+    Lent { until: Instant, id: u64 },
 }
 
 /// Units of this VM for one resource (slots or blocks of connections) of the servers.
@@ -61,6 +63,7 @@
     members: IndexMap<Vm, Incarnation>,
     epoch: u64,
     sequence: u64,
+    loans: u64,
     free_from: Instant,
     notices: IndexMap<Vm, Notice>,
     held: IndexMap<(Server, Unit), Use>,
@@ -88,6 +91,7 @@
             members: IndexMap::new(),
             epoch: 0,
             sequence: 0,
+            loans: 0,
             free_from: now + settle,
             notices: IndexMap::new(),
             held: IndexMap::new(),
@@ -182,20 +186,29 @@
     /// If the loan is not given back, it ends after the whole of `settle`: the margin covers the
     /// drift of the clocks and the time that cancellation takes.
     pub fn lend(&mut self, server: &str, now: Instant) -> Option<Loan> {
+        self.lend_for(server, self.settle / 2, now)
+    }
+
+    /// Lends an idle unit for one request that ends within `term`; the loan ends after twice that.
+    pub fn lend_for(&mut self, server: &str, term: Duration, now: Instant) -> Option<Loan> {
         let unit = self.idle(server).next()?;
-        let until = now + self.settle;
-        self.held.insert((server.into(), unit), Use::Lent { until });
+        let until = now + term * 2;
+        self.loans += 1;
+        let id = self.loans;
+        self.held
+            .insert((server.into(), unit), Use::Lent { until, id });
         Some(Loan {
             server: server.into(),
             unit,
-            term: self.settle / 2,
+            id,
+            term,
         })
     }
 
     /// Takes a lent unit back, on the borrower's word that its request has ended.
     pub fn returned(&mut self, loan: &Loan) {
         let key = (loan.server.clone(), loan.unit);
-        if matches!(self.held.get(&key), Some(Use::Lent { .. })) {
+        if matches!(self.held.get(&key), Some(Use::Lent { id, .. }) if *id == loan.id) {
             self.end(&loan.server, loan.unit);
         }
     }
@@ -203,7 +216,7 @@
     /// Ends overdue loans, releases units of other VMs and takes units that became free.
     pub fn update(&mut self, now: Instant) {
         for usage in self.held.values_mut() {
-            if matches!(usage, Use::Lent { until } if *until <= now) {
+            if matches!(usage, Use::Lent { until, .. } if *until <= now) {
                 *usage = Use::Idle;
             }
         }
--- a/programs/entry/src/server.rs
+++ b/programs/entry/src/server.rs
@@ -2,59 +2,51 @@
 
 use backends::client::{Pool, Settings};
 use platform::list::Backend;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 
-/// A backend server with its connections and the requests that this entry has in flight there.
+/// A backend server with its connections.
 #[derive(Debug)]
 pub struct Server {
     /// What the list says about the server.
     pub listed: Backend,
     /// Connections to it.
     pub pool: Pool,
-    in_flight: AtomicU32,
-}
-
-/// One request in flight on a server; counts until it is dropped.
-#[derive(Debug)]
-pub struct Flight {
-    server: Arc<Server>,
+    connections: usize,
 }
 
 impl Server {
-    /// Makes a server without connections.
-    pub fn new(listed: Backend, settings: Settings) -> Self {
+    /// Makes a server without connections; its limit is divided over the `entries` of the fleet.
+    pub fn new(listed: Backend, entries: usize, settings: Settings) -> Self {
+        let connections = share(&listed, entries);
+        let settings = Settings {
+            connections,
+            ..settings
+        };
         let pool = Pool::new(listed.address, settings);
         Self {
             listed,
             pool,
-            in_flight: AtomicU32::new(0),
+            connections,
         }
     }
 
-    /// Returns the number of requests that this entry has in flight on the server.
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight.load(Ordering::Relaxed)
-    }
-
-    /// Counts one more request in flight.
-    pub fn start(self: &Arc<Self>) -> Flight {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        Flight {
-            server: self.clone(),
-        }
+    /// Returns whether the server is listed unchanged and its connections are divided as before.
+    pub fn fits(&self, listed: &Backend, entries: usize) -> bool {
+        self.listed == *listed && self.connections == share(listed, entries)
     }
-}
 
-impl Flight {
-    /// Returns the server that has the request.
-    pub fn server(&self) -> &Server {
-        &self.server
+    /// Returns whether a request finds a connection without waiting.
+    pub fn has_connection(&self) -> bool {
+        self.pool.in_use() < self.connections
     }
 }
 
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.server.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
+/// Connections of one entry, less the one that its probes use.
+///
+/// Any entry of the fleet may send to any server. The number of entries is rounded up to a power of
+/// two, so that pools are rarely made anew when entries come and go.
+fn share(listed: &Backend, entries: usize) -> usize {
+    let parts = entries.max(1).next_power_of_two();
+    (listed.connections as usize / parts)
+        .saturating_sub(1)
+        .max(1)
 }
--- a/programs/entry/src/settings.rs
+++ b/programs/entry/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of the entry.
 
 use base::id::{DataCentre, Region, Vm};
-use base::unit::Span;
+use base::unit::{Share, Span};
 use serde::Deserialize;
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -37,6 +37,20 @@
     pub drain_timeout: Span,
     /// Time without a byte after which a backend server's connection is retired.
     pub read_timeout: Span,
+    /// Time after which requests of an entry that is gone have ended on the backend servers.
+    ///
+    /// A started entry uses no slot before it has passed.
+    pub settle: Span,
+    /// Time between two exchanges of slots and loads with the other entries.
+    pub exchange_interval: Span,
+    /// Time between two probes of a local backend server by all entries of the data centre.
+    pub probe_interval: Span,
+    /// Longest time for the answer to a probe.
+    pub probe_timeout: Span,
+    /// Most requests of one service that wait for a slot.
+    pub waiting: usize,
+    /// Part of each link between regions that the entries use for requests and answers.
+    pub link_share: Share,
     /// Log specification.
     pub log: Box<str>,
 }
@@ -58,6 +72,12 @@
             connections: 4096,
             drain_timeout: Span(Duration::from_secs(30)),
             read_timeout: Span(Duration::from_secs(5)),
+            settle: Span(Duration::from_secs(2)),
+            exchange_interval: Span(Duration::from_millis(200)),
+            probe_interval: Span(Duration::from_secs(1)),
+            probe_timeout: Span(Duration::from_millis(500)),
+            waiting: 1024,
+            link_share: Share(0.7),
             log: "info".into(),
         }
     }
@@ -75,6 +95,10 @@
         if self.key_secret.len() < SECRET_BYTES {
             return Some("`key_secret` needs at least 16 bytes");
         }
+        let spans = [self.settle, self.exchange_interval, self.probe_interval];
+        if spans.iter().any(|span| span.0.is_zero()) {
+            return Some("`settle`, `exchange_interval` and `probe_interval` must not be zero");
+        }
         None
     }
 }
--- a/programs/entry/src/snapshot.rs
+++ b/programs/entry/src/snapshot.rs
@@ -22,6 +22,7 @@
     steps: IndexMap<Box<str>, Step>,
     draining: IndexSet<Box<str>>,
     servers: IndexMap<Box<str>, Arc<Server>>,
+    nodes: Vec<list::Node>,
 }
 
 impl Snapshot {
@@ -44,6 +45,10 @@
             steps: state.steps.clone(),
             draining: &self.draining | &state.draining,
             servers: self.connected(&state.list, pool),
+            nodes: match state.list.nodes.is_empty() {
+                true => self.nodes.clone(),
+                false => state.list.nodes.clone(),
+            },
         }
     }
 
@@ -69,9 +74,10 @@
         if list.backends.is_empty() {
             return self.servers.clone();
         }
+        let entries = list.nodes.len();
         let server = |listed: &list::Backend| match self.servers.get(&listed.name) {
-            Some(known) if known.listed == *listed => known.clone(),
-            _ => Arc::new(Server::new(listed.clone(), pool.clone())),
+            Some(known) if known.fits(listed, entries) => known.clone(),
+            _ => Arc::new(Server::new(listed.clone(), entries, pool.clone())),
         };
         list.backends
             .iter()
@@ -84,6 +90,32 @@
         self.bundle.as_ref()?.service(name)
     }
 
+    /// Returns the configuration in force.
+    pub fn bundle(&self) -> Option<&Bundle> {
+        self.bundle.as_deref()
+    }
+
+    /// Returns the VMs of the system that the platform lists.
+    pub fn nodes(&self) -> &[list::Node] {
+        &self.nodes
+    }
+
+    /// Returns a backend server by its name.
+    pub fn server(&self, name: &str) -> Option<&Arc<Server>> {
+        self.servers.get(name)
+    }
+
+    /// Returns all listed servers, those that leave included.
+    pub fn listed(&self) -> impl Iterator<Item = &Arc<Server>> {
+        self.servers.values()
+    }
+
+    /// Returns whether list and drains let a server get new work.
+    pub fn startable(&self, server: &Server) -> bool {
+        let listed = &server.listed;
+        listed.state == list::State::Live && !self.draining.contains(&listed.name)
+    }
+
     /// Returns the key with this digest, unless it has been withdrawn or has expired.
     pub fn key(&self, digest: &str, now: base::clock::Millis) -> Option<&Key> {
         if self.withdrawn.contains(digest) {
@@ -113,8 +145,7 @@
             let listed = &server.listed;
             *listed.service == *service
                 && listed.label == *label
-                && listed.state == list::State::Live
-                && !self.draining.contains(&listed.name)
+                && self.startable(server)
         })
     }
 }
--- a/standins/backend/src/server.rs
+++ b/standins/backend/src/server.rs
@@ -218,6 +218,6 @@
     let mut response = http::text(StatusCode::SERVICE_UNAVAILABLE, reason);
     response
         .headers_mut()
-        .insert(NOT_RUN, HeaderValue::from_static("true"));
+        .insert(NOT_RUN, HeaderValue::from_static(reason));
     response
 }
