feature: entry chooses servers by steering::balance and spills by steering::spill

Cause: the entry took the nearest server with the fewest own requests; several entries together overran the slots of a server, and nothing noticed slow, dead or leaving servers. Change: a shard per service holds chooser, outlier detection, slots, leaving servers and retry budget. Entries exchange slots, latencies and loads; a slot is borrowed for one request when the entry has none, within the data centre or from the data centre that the plan names. Links between regions are charged by bytes.

--- a/crates/backends/src/probe.rs
+++ b/crates/backends/src/probe.rs
@@ -1,8 +1,8 @@
 //! Health and load of a backend server.
 
 use crate::client::{Failure, Pool, Settings};
-use base::http::full;
-use http_body_util::{BodyExt, Limited};
+use base::http::{Body, full};
+use http_body_util::BodyExt;
 use hyper::Request;
 use std::fmt;
 use std::net::SocketAddr;
@@ -58,6 +58,21 @@
 
 impl std::error::Error for Error {}
 
+/// Reads a bounded body.
+///
+/// Of `Limited::collect`, the compiler can't tell that its future may move between threads.
+async fn read(mut body: Body) -> Result<Vec<u8>, Error> {
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Error::Invalid(error.to_string().into()))?;
+        bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+        if bytes.len() > ANSWER_BYTES {
+            return Err(Error::Invalid("the answer is too large".into()));
+        }
+    }
+    Ok(bytes)
+}
+
 /// Asks a server for its health on a connection of its own, which also shows that new connections
 /// work.
 ///
@@ -77,9 +92,6 @@
         .send(request, Instant::now() + limit)
         .await
         .map_err(Error::Failed)?;
-    let body = Limited::new(answer.into_body(), ANSWER_BYTES)
-        .collect()
-        .await
-        .map_err(|error| Error::Invalid(error.to_string().into()))?;
-    serde_json::from_slice(&body.to_bytes()).map_err(|e| Error::Invalid(e.to_string().into()))
+    let body = read(answer.into_body()).await?;
+    serde_json::from_slice(&body).map_err(|e| Error::Invalid(e.to_string().into()))
 }
--- a/crates/peers/src/share.rs
+++ b/crates/peers/src/share.rs
@@ -1,7 +1,7 @@
 //! Messages between entries.
 
 use crate::wire::{self, Error, Frame};
-use base::id::{DataCentre, Label, Region, Request, Server, Service, Vm, Workspace};
+use base::id::{DataCentre, Incarnation, Label, Region, Request, Server, Service, Vm, Workspace};
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -31,6 +31,8 @@
     pub struct Servers {
         /// Sender.
         pub vm: Vm,
+        /// Run of the sender.
+        pub incarnation: Incarnation,
         /// Data centre of the sender.
         pub data_centre: DataCentre,
         /// Region of the sender.
--- a/programs/entry/src/forward.rs
+++ b/programs/entry/src/forward.rs
@@ -3,17 +3,16 @@
 use crate::authorise::Grant;
 use crate::metrics::Metrics;
 use crate::receive::Call;
-use crate::route;
-use crate::server::Flight;
-use crate::settings::Settings;
+use crate::route::{self, Flight, Router};
 use crate::snapshot::Snapshot;
 use backends::client::{After, Before, Failure, NotRun};
 use base::http::Body;
 use hyper::Response;
+use std::sync::Arc;
 use steering::attempt::{self, Attempt, Outcome, Refusal, Retry, Step, Uncertainty};
 
 /// Most servers that one request is sent to.
-const ATTEMPTS: usize = 3;
+const ATTEMPTS: usize = 4;
 
 /// Answer of a backend server, and its request in flight.
 #[derive(Debug)]
@@ -36,38 +35,60 @@
     call: &Call,
     grant: &Grant<'_>,
     snapshot: &Snapshot,
-    settings: &Settings,
+    router: &Arc<Router>,
     metrics: &Metrics,
 ) -> Forwarded {
     let mut attempt = Attempt::new(grant.path.idempotent);
     let mut tried = Vec::new();
-    for _ in 0..ATTEMPTS {
-        let label = &grant.service.current;
-        let chosen = route::choose(snapshot, grant.service, label, settings, &tried);
-        let Some(server) = chosen else {
-            break;
+    let shard = router.shard(&grant.service.service.value);
+    let deadline = route::deadline(call, grant);
+    while tried.len() < ATTEMPTS {
+        let mut flight = match router.place(call, grant, snapshot, &tried).await {
+            Ok(flight) => flight,
+            Err(Refusal::NoServer) if !tried.is_empty() => break,
+            Err(reason) => return Err(attempt.give_up(reason)),
         };
-        tried.push(server.listed.name.clone());
-        let flight = server.start();
         let sent = attempt.send();
-        match server.pool.send(call.request(), call.deadline).await {
-            Ok(response) => return Ok(Answer { response, flight }),
-            Err(failure) => match sent.fail(classify(failure)) {
-                Step::Retry(next, retry) => {
-                    log::debug!("request {}: {retry} on {}", call.id, server.listed.name);
-                    metrics.retry(retry);
-                    attempt = next;
+        // Dropped here when the caller leaves: that closes the connection and ends the flight.
+        let failure = match flight.server().pool.send(call.request(), deadline).await {
+            Ok(response) => {
+                flight.answered(response.status());
+                if tried.is_empty() && !response.status().is_server_error() {
+                    shard.succeeded();
                 }
-                Step::Done(outcome) => return Err(outcome),
-            },
+                return Ok(Answer { response, flight });
+            }
+            Err(failure) => failure,
+        };
+        flight.failed(failure);
+        let name = flight.server().listed.name.clone();
+        drop(flight);
+        match sent.fail(classify(failure)) {
+            Step::Retry(next, _) if loads(failure) && !shard.retry() => {
+                metrics.denied();
+                return Err(next.give_up(Refusal::BudgetSpent));
+            }
+            Step::Retry(next, retry) => {
+                log::debug!("request {}: {retry} on {name}", call.id);
+                metrics.retry(retry);
+                attempt = next;
+            }
+            Step::Done(outcome) => return Err(outcome),
         }
+        tried.push(name);
     }
-    let reason = if tried.is_empty() {
-        Refusal::NoServer
-    } else {
-        Refusal::ServersRefused
-    };
-    Err(attempt.give_up(reason))
+    Err(attempt.give_up(Refusal::ServersRefused))
+}
+
+/// Whether the failed send used a server, so that its retry is paid for from the budget.
+///
+/// Failed connections and refusals of leaving servers cost servers nothing, and the server gets no
+/// further requests.
+fn loads(failure: Failure) -> bool {
+    !matches!(
+        failure,
+        Failure::Before(_) | Failure::NotRun(NotRun::Leaving)
+    )
 }
 
 /// Says what a failed send means for the request.
--- a/programs/entry/src/lib.rs
+++ b/programs/entry/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod settings;
 pub mod share;
 pub mod snapshot;
+pub mod spill;
--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -4,6 +4,7 @@
 use crate::forward::{Forwarded, forward};
 use crate::metrics::Metrics;
 use crate::receive::{Call, receive};
+use crate::route::Router;
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use crate::{authorise, reply};
@@ -20,6 +21,7 @@
     settings: Settings,
     snapshot: watch::Receiver<Arc<Snapshot>>,
     admission: Admission,
+    router: Arc<Router>,
     metrics: Arc<Metrics>,
 }
 
@@ -31,6 +33,11 @@
         metrics: Arc<Metrics>,
     ) -> Self {
         Self {
+            router: Arc::new(Router::new(
+                settings.clone(),
+                snapshot.clone(),
+                metrics.clone(),
+            )),
             settings,
             snapshot,
             admission: Admission::default(),
@@ -38,6 +45,11 @@
         }
     }
 
+    /// Returns the choice of servers.
+    pub fn router(&self) -> &Arc<Router> {
+        &self.router
+    }
+
     /// Answers one request.
     pub async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
         let (id, forwarded) = match receive(request, &self.settings).await {
@@ -65,7 +77,7 @@
         // The key may have been withdrawn, and servers may have left, while the request waited.
         let snapshot = self.snapshot.borrow().clone();
         let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
-        forward(call, &grant, &snapshot, &self.settings, &self.metrics).await
+        forward(call, &grant, &snapshot, &self.router, &self.metrics).await
     }
 }
 
--- a/programs/entry/src/reply.rs
+++ b/programs/entry/src/reply.rs
@@ -1,7 +1,7 @@
 //! Answers the caller.
 
 use crate::forward::{Answer, Forwarded};
-use crate::server::Flight;
+use crate::route::Flight;
 use base::http::{Body, BodyError};
 use bytes::Bytes;
 use callers::{header, outcome};
@@ -29,13 +29,7 @@
 
 fn served(answer: Answer) -> Response<Body> {
     let Answer { response, flight } = answer;
-    let mut response = response.map(|body| {
-        Streamed {
-            body,
-            _flight: flight,
-        }
-        .boxed_unsync()
-    });
+    let mut response = response.map(|body| Streamed { body, flight }.boxed_unsync());
     outcome::mark(response.headers_mut(), &Outcome::Served);
     response
 }
@@ -43,7 +37,16 @@
 /// Body that keeps its request counted as in flight until it ends.
 struct Streamed {
     body: Body,
-    _flight: Flight,
+    flight: Flight,
+}
+
+impl Drop for Streamed {
+    /// A body of known length is not polled again after its last byte.
+    fn drop(&mut self) {
+        if hyper::body::Body::is_end_stream(&self.body) {
+            self.flight.finish();
+        }
+    }
 }
 
 impl hyper::body::Body for Streamed {
@@ -54,7 +57,15 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        match &frame {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.flight.received(frame.data_ref().map_or(0, Bytes::len));
+            }
+            Poll::Ready(None) => self.flight.finish(),
+            _ => {}
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/programs/entry/src/route.rs
+++ b/programs/entry/src/route.rs
@@ -1,31 +1,249 @@
 //! Chooses the version, the data centre and the backend server of a request.
 
-use crate::server::Server;
+mod exchange;
+mod flight;
+mod loan;
+mod probe;
+mod shard;
+
+pub use flight::Flight;
+
+use crate::authorise::Grant;
+use crate::metrics::Metrics;
+use crate::receive::Call;
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
-use base::id::Label;
+use crate::spill::Spill;
+use base::id::{self, DataCentre, Incarnation, Label, Vm};
+use flight::Hold;
+use indexmap::IndexMap;
 use operators::service::Service;
-use std::sync::Arc;
+use peers::link::Links;
+use peers::share::ShareClient;
+use rand::RngExt;
+use shard::Shard;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+use steering::attempt::Refusal;
+use steering::spill::Class;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Longest pause of a waiting request between two looks for a slot.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Returns the version that gets a request.
+// TODO: the quota of a release decides.
+pub fn version(service: &Service) -> Label {
+    service.current.clone()
+}
+
+/// Returns the time by which a request ends.
+pub fn deadline(call: &Call, grant: &Grant<'_>) -> Instant {
+    call.deadline.min(call.arrived + grant.path.deadline.0)
+}
+
+/// What another entry of the data centre last said.
+#[derive(Debug)]
+struct Peer {
+    incarnation: Incarnation,
+    demands: IndexMap<id::Service, f64>,
+    heard: Instant,
+}
+
+/// Choice of servers, with the state that requests share; a lock per service.
+#[derive(Debug)]
+pub struct Router {
+    settings: Settings,
+    incarnation: Incarnation,
+    snapshot: watch::Receiver<Arc<Snapshot>>,
+    metrics: Arc<Metrics>,
+    shards: RwLock<IndexMap<id::Service, Arc<Shard>>>,
+    peers: Mutex<IndexMap<Vm, Peer>>,
+    links: Links<ShareClient>,
+    spill: Spill,
+}
+
+impl Router {
+    /// Starts without servers.
+    pub fn new(
+        settings: Settings,
+        snapshot: watch::Receiver<Arc<Snapshot>>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            spill: Spill::new(&settings),
+            settings,
+            // 0 stands for an entry that was not heard yet.
+            incarnation: rand::rng().random::<Incarnation>() | 1,
+            snapshot,
+            metrics,
+            shards: RwLock::default(),
+            peers: Mutex::default(),
+            links: Links::default(),
+        }
+    }
+
+    /// Exchanges news with other entries and probes local servers until `stop` is cancelled.
+    pub async fn run(self: Arc<Self>, stop: CancellationToken) {
+        tokio::join!(
+            exchange::run(self.clone(), stop.clone()),
+            probe::run(self.clone(), stop),
+        );
+    }
+
+    /// Returns the state of a service; only names of configured services are passed.
+    pub(crate) fn shard(&self, service: &str) -> Arc<Shard> {
+        let shards = self.shards.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(shard) = shards.get(service) {
+            return shard.clone();
+        }
+        drop(shards);
+        let mut shards = self.shards.write().unwrap_or_else(PoisonError::into_inner);
+        let new = || Arc::new(Shard::new(service, &self.settings, self.incarnation));
+        shards.entry(service.into()).or_insert_with(new).clone()
+    }
+
+    fn known(&self, service: &str) -> Option<Arc<Shard>> {
+        let shards = self.shards.read().unwrap_or_else(PoisonError::into_inner);
+        shards.get(service).cloned()
+    }
 
-/// Returns the server that gets the request: the nearest, and among those the least busy one.
-pub fn choose<'a>(
+    fn peers(&self) -> MutexGuard<'_, IndexMap<Vm, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for a server with a free slot and takes the slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no server takes the request; nothing was sent.
+    pub async fn place(
+        self: &Arc<Self>,
+        call: &Call,
+        grant: &Grant<'_>,
+        snapshot: &Snapshot,
+        tried: &[id::Server],
+    ) -> Result<Flight, Refusal> {
+        let service = &grant.service.service.value;
+        let shard = self.shard(service);
+        let mut seek = Seek {
+            router: self,
+            shard: &shard,
+            snapshot,
+            label: version(grant.service),
+            class: class(grant.service),
+            route: &grant.path.name,
+            bytes: call.body.len(),
+            deadline: deadline(call, grant),
+            tried,
+        };
+        if tried.is_empty() {
+            shard.arrived();
+        }
+        if !shard.usable(&seek.label, tried, snapshot) {
+            seek.label = grant.service.current.clone();
+        }
+        let drawn = self.spill.draw(service, &mut rand::rng());
+        if let Some(data_centre) = drawn
+            && let Some(flight) = seek.away(&data_centre).await
+        {
+            return Ok(flight);
+        }
+        seek.home(self.settings.waiting).await
+    }
+}
+
+/// Whether requests of a service may wait.
+pub(crate) fn class(service: &Service) -> Class {
+    match service.deferrable {
+        true => Class::Deferrable,
+        false => Class::Prompt,
+    }
+}
+
+/// Search of one request for a server.
+struct Seek<'a> {
+    router: &'a Arc<Router>,
+    shard: &'a Arc<Shard>,
     snapshot: &'a Snapshot,
-    service: &'a Service,
-    label: &'a Label,
-    settings: &Settings,
-    tried: &[Box<str>],
-) -> Option<&'a Arc<Server>> {
-    snapshot
-        .servers(&service.service.value, label)
-        .filter(|server| !tried.contains(&server.listed.name))
-        .min_by_key(|server| (distance(server, settings), server.in_flight()))
-}
-
-fn distance(server: &Server, settings: &Settings) -> u8 {
-    let listed = &server.listed;
-    match listed {
-        _ if listed.data_centre == settings.data_centre => 0,
-        _ if listed.region == settings.region => 1,
-        _ => 2,
+    label: Label,
+    class: Class,
+    route: &'a str,
+    bytes: usize,
+    deadline: Instant,
+    tried: &'a [id::Server],
+}
+
+impl Seek<'_> {
+    /// Waits for a slot of a local server, within the deadline.
+    async fn home(&self, most: usize) -> Result<Flight, Refusal> {
+        let mut waiting = None;
+        loop {
+            let now = Instant::now();
+            if now >= self.deadline {
+                return Err(Refusal::Overloaded);
+            }
+            let taken = self.shard.take(&self.label, self.tried, self.snapshot, now);
+            if let Some((server, unit)) = taken {
+                return Ok(self.flight(server, Hold::Own(unit)));
+            }
+            if !self.shard.usable(&self.label, self.tried, self.snapshot) {
+                return self.elsewhere().await.ok_or(Refusal::NoServer);
+            }
+            if let Some(flight) = self.borrow(&self.router.settings.data_centre).await {
+                return Ok(flight);
+            }
+            if waiting.is_none() {
+                waiting = Some(self.shard.wait(most).ok_or(Refusal::Overloaded)?);
+            }
+            self.shard.freed(LOOK.min(self.deadline - now)).await;
+        }
+    }
+
+    /// Looks in the other data centres: those of the plan, then, for a request that a local server
+    /// failed, those with room.
+    async fn elsewhere(&self) -> Option<Flight> {
+        let spill = &self.router.spill;
+        for data_centre in spill.others(&self.shard.service, !self.tried.is_empty()) {
+            if let Some(flight) = self.away(&data_centre).await {
+                return Some(flight);
+            }
+        }
+        None
+    }
+
+    /// Takes a slot in another data centre and charges the link to it.
+    async fn away(&self, data_centre: &DataCentre) -> Option<Flight> {
+        let mut flight = self.borrow(data_centre).await?;
+        let region = flight.server().listed.region.clone();
+        if region != self.router.settings.region {
+            let service = &self.shard.service;
+            let spill = &self.router.spill;
+            let charge = spill.admit(&region, service, self.class, self.bytes);
+            let Some(charge) = charge else {
+                flight.unused();
+                return None;
+            };
+            flight.charge(charge, self.class, self.bytes);
+        }
+        self.router.metrics.spilled(data_centre);
+        Some(flight)
+    }
+
+    async fn borrow(&self, data_centre: &DataCentre) -> Option<Flight> {
+        let loan = loan::borrow(self, data_centre).await?;
+        let server = self.snapshot.server(loan.server())?;
+        Some(self.flight(server.clone(), Hold::Lent(loan)))
+    }
+
+    fn flight(&self, server: Arc<crate::server::Server>, hold: Hold) -> Flight {
+        Flight::new(
+            self.router.clone(),
+            self.shard.clone(),
+            server,
+            (self.label.clone(), self.route.into()),
+            hold,
+        )
     }
 }
--- /dev/null
+++ b/programs/entry/src/route/shard.rs
@@ -0,0 +1,413 @@
+//! State of one service: its local servers, their slots, and the retry budget.
+
+use crate::server::Server;
+use crate::settings::Settings;
+use crate::snapshot::Snapshot;
+use backends::probe::{Health, State as Fitness};
+use base::id::{self, Incarnation, Label, Vm};
+use indexmap::{IndexMap, IndexSet};
+use peers::share::{Load, Want};
+use platform::list;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use steering::balance::{self, Chooser, Loan, Notice, Outlier, Reply, Slots, Summary, Unit};
+use steering::drain::Leaving;
+use steering::retry::{self, Budget};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
+
+/// Most requests of one service that ask other entries for a slot at the same time.
+const BORROWING: usize = 16;
+/// Assumed time of a request before one was measured.
+const ASSUMED_TIME: Duration = Duration::from_millis(50);
+/// Weight of a new sample in the mean time of a request.
+const WEIGHT: f64 = 0.02;
+/// Time constant of the measured rates.
+const RATE_MEMORY: Duration = Duration::from_secs(2);
+/// Run of a backend server; their interface doesn't tell one run from another.
+const RUN: Incarnation = 0;
+
+/// State of one service.
+#[derive(Debug)]
+pub(crate) struct Shard {
+    pub(super) service: id::Service,
+    state: Mutex<State>,
+    freed: Notify,
+    waiting: AtomicUsize,
+    borrowing: Semaphore,
+}
+
+#[derive(Debug)]
+struct State {
+    slots: Slots,
+    versions: IndexMap<Label, (Chooser, Outlier)>,
+    servers: IndexMap<id::Server, Arc<Server>>,
+    leaving: Leaving,
+    /// Servers that refused their last connection.
+    down: IndexSet<id::Server>,
+    budget: Budget,
+    time: f64,
+    arrived: Rate,
+    lent: Rate,
+}
+
+/// Smoothed rate of events.
+#[derive(Debug)]
+struct Rate {
+    count: u32,
+    per_second: f64,
+    since: Instant,
+}
+
+/// Counts a request as waiting until it is dropped.
+pub(super) struct Wait<'a>(&'a AtomicUsize);
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Rate {
+    fn new(since: Instant) -> Self {
+        Self {
+            count: 0,
+            per_second: 0.0,
+            since,
+        }
+    }
+
+    fn update(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.since).as_secs_f64();
+        if elapsed > 0.0 {
+            let weight = 1.0 - (-elapsed / RATE_MEMORY.as_secs_f64()).exp();
+            self.per_second += weight * (f64::from(self.count) / elapsed - self.per_second);
+            self.count = 0;
+            self.since = now;
+        }
+    }
+}
+
+impl State {
+    fn fit(&self, server: &Server, tried: &[id::Server], snapshot: &Snapshot) -> bool {
+        let name = &server.listed.name;
+        !tried.contains(name)
+            && !self.down.contains(name)
+            && self.leaving.may_start(name)
+            && snapshot.startable(server)
+    }
+
+    /// Chooses a server of which this entry has a free slot and a free connection.
+    fn choose(
+        &mut self,
+        label: &str,
+        tried: &[id::Server],
+        snapshot: &Snapshot,
+        now: Instant,
+    ) -> Option<Arc<Server>> {
+        let (chooser, mut outlier) = self.versions.shift_remove(label)?;
+        let free = |name: &str| {
+            self.servers.get(name).is_some_and(|server| {
+                self.fit(server, tried, snapshot)
+                    && self.slots.free(name) > 0
+                    && server.has_connection()
+            })
+        };
+        let chosen = chooser.choose(free, &mut outlier, now, &mut rand::rng());
+        self.versions.insert(label.into(), (chooser, outlier));
+        self.servers.get(&chosen?).cloned()
+    }
+
+    fn remove(&mut self, name: &str) {
+        for (chooser, outlier) in self.versions.values_mut() {
+            chooser.remove(name);
+            outlier.remove(name);
+        }
+        self.leaving.gone(name);
+        self.down.swap_remove(name);
+        self.servers.shift_remove(name);
+    }
+
+    fn insert(&mut self, server: &Arc<Server>) {
+        let listed = &server.listed;
+        let new = || {
+            let settings = balance::Settings::default();
+            (Chooser::new(settings.clone()), Outlier::new(settings))
+        };
+        let version = self.versions.entry(listed.label.clone());
+        let (chooser, outlier) = version.or_insert_with(new);
+        if !self.servers.contains_key(&listed.name) {
+            chooser.insert(listed.name.clone(), None);
+            outlier.insert(listed.name.clone());
+        }
+        self.servers.insert(listed.name.clone(), server.clone());
+    }
+
+    fn measure(&mut self, snapshot: &Snapshot, now: Instant) -> Load {
+        self.arrived.update(now);
+        self.lent.update(now);
+        let fit = |server: &&Arc<Server>| self.fit(server, &[], snapshot);
+        let slots: u32 = (self.servers.values().filter(fit))
+            .map(|server| server.listed.slots)
+            .sum();
+        Load {
+            healthy: slots > 0,
+            capacity: f64::from(slots) / self.time,
+            demand: self.arrived.per_second,
+        }
+    }
+}
+
+impl Shard {
+    pub(super) fn new(service: &str, settings: &Settings, incarnation: Incarnation) -> Self {
+        let now = Instant::now();
+        let settle = settings.settle.0;
+        Self {
+            service: service.into(),
+            state: Mutex::new(State {
+                slots: Slots::new(settings.vm.clone(), incarnation, settle, now),
+                versions: IndexMap::new(),
+                servers: IndexMap::new(),
+                leaving: Leaving::default(),
+                down: IndexSet::new(),
+                budget: Budget::new(retry::Settings::default()),
+                time: ASSUMED_TIME.as_secs_f64(),
+                arrived: Rate::new(now),
+                lent: Rate::new(now),
+            }),
+            freed: Notify::new(),
+            waiting: AtomicUsize::new(0),
+            borrowing: Semaphore::new(BORROWING),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Applies the local servers of the list and the entries of the data centre; returns the load.
+    pub(super) fn sync(
+        &self,
+        servers: &[Arc<Server>],
+        members: IndexMap<Vm, Incarnation>,
+        snapshot: &Snapshot,
+        now: Instant,
+    ) -> Load {
+        let mut state = self.state();
+        let kept = |known: &Server| {
+            let same = |s: &&Arc<Server>| s.listed.name == known.listed.name;
+            let found = servers.iter().find(same);
+            found.is_some_and(|s| s.listed.label == known.listed.label)
+        };
+        let gone: Vec<_> = (state.servers.iter())
+            .filter(|(_, known)| !kept(known))
+            .map(|(name, _)| name.clone())
+            .collect();
+        gone.iter().for_each(|name| state.remove(name));
+        for server in servers {
+            state.insert(server);
+            let leaving = server.listed.state == list::State::Leaving;
+            state.leaving.listed(&server.listed.name, now, leaving);
+        }
+        let State {
+            versions, servers, ..
+        } = &mut *state;
+        versions.retain(|label, _| servers.values().any(|s| s.listed.label == *label));
+        let units = (state.servers.values())
+            .map(|server| (server.listed.name.clone(), server.listed.slots))
+            .collect();
+        state.slots.apply(units, members, now);
+        state.slots.update(now);
+        let load = state.measure(snapshot, now);
+        drop(state);
+        self.freed.notify_one();
+        load
+    }
+
+    /// Returns what other entries are told: slots and latencies.
+    pub(super) fn news(&self, now: Instant) -> (Notice, Vec<Summary>) {
+        let mut state = self.state();
+        let summaries = (state.versions.values())
+            .flat_map(|(_, outlier)| outlier.summaries(now))
+            .collect();
+        (state.slots.notice(now), summaries)
+    }
+
+    /// Takes in the slots that another entry uses.
+    pub(super) fn hear(&self, notice: Notice, now: Instant) {
+        self.state().slots.hear(notice, now);
+    }
+
+    /// Takes in the latencies that another entry measured.
+    pub(super) fn learn(&self, label: &str, summaries: Vec<Summary>, now: Instant) {
+        if let Some((_, outlier)) = self.state().versions.get_mut(label) {
+            outlier.learn(summaries, now);
+        }
+    }
+
+    /// Counts a request of a caller.
+    pub(super) fn arrived(&self) {
+        self.state().arrived.count += 1;
+    }
+
+    /// Returns the rate of requests from callers of this entry.
+    pub(super) fn demand(&self) -> f64 {
+        self.state().arrived.per_second
+    }
+
+    /// Returns the rate of slots lent to other data centres.
+    pub(super) fn lent(&self) -> f64 {
+        self.state().lent.per_second
+    }
+
+    /// Returns whether a local server may get the request, at once or later.
+    pub(super) fn usable(&self, label: &str, tried: &[id::Server], snapshot: &Snapshot) -> bool {
+        let state = self.state();
+        (state.servers.values())
+            .any(|server| *server.listed.label == *label && state.fit(server, tried, snapshot))
+    }
+
+    /// Takes a slot of a local server.
+    pub(super) fn take(
+        &self,
+        label: &str,
+        tried: &[id::Server],
+        snapshot: &Snapshot,
+        now: Instant,
+    ) -> Option<(Arc<Server>, Unit)> {
+        let mut state = self.state();
+        let server = state.choose(label, tried, snapshot, now)?;
+        let unit = state.slots.take(&server.listed.name)?;
+        if let Some((chooser, _)) = state.versions.get_mut(label) {
+            chooser.begin(&server.listed.name);
+        }
+        Some((server, unit))
+    }
+
+    /// Gives a slot back after its request.
+    pub(super) fn end(&self, label: &str, server: &str, unit: Unit, reply: Reply) {
+        let mut state = self.state();
+        state.slots.end(server, unit);
+        if let Some((chooser, _)) = state.versions.get_mut(label) {
+            chooser.end(server, reply, Instant::now());
+        }
+        drop(state);
+        self.freed.notify_one();
+    }
+
+    /// Lends a slot for one request; `near` says whether the borrower is in this data centre.
+    pub(super) fn lend(
+        &self,
+        want: &Want,
+        near: bool,
+        snapshot: &Snapshot,
+        now: Instant,
+    ) -> Option<Loan> {
+        let mut state = self.state();
+        let server = state.choose(&want.label, &want.except, snapshot, now)?;
+        let loan = state.slots.lend_for(&server.listed.name, want.term, now);
+        state.lent.count += u32::from(loan.is_some() && !near);
+        loan
+    }
+
+    /// Takes a lent slot back.
+    pub(super) fn returned(&self, loan: &Loan) {
+        self.state().slots.returned(loan);
+        self.freed.notify_one();
+    }
+
+    /// Counts a request as waiting, or returns nothing if `most` wait already.
+    pub(super) fn wait(&self, most: usize) -> Option<Wait<'_>> {
+        let before = self.waiting.fetch_add(1, Ordering::Relaxed);
+        let wait = Wait(&self.waiting);
+        (before < most).then_some(wait)
+    }
+
+    /// Waits until a slot may have become free, for at most `limit`.
+    pub(super) async fn freed(&self, limit: Duration) {
+        let _ = tokio::time::timeout(limit, self.freed.notified()).await;
+    }
+
+    /// Returns the right to ask other entries for a slot.
+    pub(super) fn borrowing(&self) -> Option<SemaphorePermit<'_>> {
+        self.borrowing.try_acquire().ok()
+    }
+
+    /// Notes the latency of an answer; returns whether the server is ejected for it.
+    pub(super) fn sample(
+        &self,
+        label: &str,
+        route: &str,
+        server: &str,
+        latency: Duration,
+        now: Instant,
+    ) -> bool {
+        let mut state = self.state();
+        // Servers of other data centres are judged there.
+        if !state.servers.contains_key(server) {
+            return false;
+        }
+        let Some((_, outlier)) = state.versions.get_mut(label) else {
+            return false;
+        };
+        let before = outlier.ejected(server);
+        outlier.record(route, server, latency, now);
+        !before && outlier.ejected(server)
+    }
+
+    /// Notes how long a request held its slot.
+    pub(super) fn served(&self, took: Duration) {
+        let mut state = self.state();
+        let error = took.as_secs_f64() - state.time;
+        state.time += WEIGHT * error;
+    }
+
+    /// Notes that a server refused a request because it leaves.
+    pub(super) fn refused(&self, server: &str, sent: Instant, now: Instant) {
+        let mut state = self.state();
+        if state.servers.contains_key(server) {
+            state.leaving.refused(server, RUN, sent, now);
+        }
+    }
+
+    /// Notes that a server refused a connection.
+    pub(super) fn down(&self, server: &str) {
+        let mut state = self.state();
+        if state.servers.contains_key(server) && state.down.insert(server.into()) {
+            log::warn!("server {server} refuses connections");
+        }
+    }
+
+    /// Notes the answer to a probe that was asked for at `asked`.
+    pub(super) fn probed(&self, server: &str, health: Option<&Health>, asked: Instant) {
+        let now = Instant::now();
+        let mut state = self.state();
+        let Some(label) = (state.servers.get(server)).map(|s| s.listed.label.clone()) else {
+            return;
+        };
+        let leaving = health.is_some_and(|health| health.state == Fitness::Leaving);
+        if let Some((chooser, _)) = state.versions.get_mut(&label) {
+            chooser.report_health(server, health.is_some() && !leaving, asked);
+            if let Some(health) = health {
+                let load = f64::from(health.in_flight) / f64::from(health.slots.max(1));
+                chooser.report_load(server, load, asked);
+            }
+        }
+        if health.is_some() {
+            state.leaving.health(server, RUN, asked, now, leaving);
+            if state.down.swap_remove(server) {
+                log::info!("server {server} accepts connections again");
+            }
+        }
+    }
+
+    /// Notes a success at the first try, which pays for retries.
+    pub(crate) fn succeeded(&self) {
+        self.state().budget.succeeded();
+    }
+
+    /// Takes a retry from the budget.
+    pub(crate) fn retry(&self) -> bool {
+        self.state().budget.take()
+    }
+}
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -46,6 +46,7 @@
         ..Limits::default()
     };
     let served = pipeline.clone();
+    let pipeline_router = pipeline.router().clone();
     let handler = move |request, _| {
         let pipeline = pipeline.clone();
         async move { pipeline.handle(request).await }
@@ -54,6 +55,7 @@
     tokio::join!(
         local::follow(settings.control, stop.clone(), update),
         base::http::server::serve(listener, limits, stop.clone(), handler),
+        pipeline_router.run(stop.clone()),
         share::run(share, served, stop.clone()),
         base::metrics::serve(exposed, registry, stop),
     );
--- a/programs/entry/src/share.rs
+++ b/programs/entry/src/share.rs
@@ -1,9 +1,10 @@
 //! Serves the entries of other VMs.
 
 use crate::pipeline::Pipeline;
-use peers::share::{Answer, Question, Servers, Share, Suspects};
+use peers::share::{Answer, Question, Servers, Share, Suspects, Want};
 use peers::wire::{self, Frame};
 use std::sync::Arc;
+use steering::balance::Loan;
 use steering::limits::{Borrow, Lent};
 use tarpc::context::Context;
 use tokio::net::TcpListener;
@@ -11,8 +12,7 @@
 
 #[derive(Clone)]
 struct Server {
-    // TODO: the calls below answer from it.
-    _pipeline: Arc<Pipeline>,
+    pipeline: Arc<Pipeline>,
 }
 
 impl Share for Server {
@@ -24,8 +24,21 @@
         Frame::new(None)
     }
 
-    async fn servers(self, _: Context, _news: Frame<Servers>) -> Frame<Servers> {
-        Frame::new(Servers::default())
+    async fn servers(self, _: Context, news: Frame<Servers>) -> Frame<Servers> {
+        let answer = |news| self.pipeline.router().answer(news);
+        Frame::new(news.open().map(answer).unwrap_or_default())
+    }
+
+    async fn lend(self, _: Context, want: Frame<Want>) -> Frame<Option<Loan>> {
+        let lend = |want| self.pipeline.router().lend(&want);
+        Frame::new(want.open().ok().and_then(lend))
+    }
+
+    async fn give_back(self, _: Context, loan: Frame<Loan>) -> Frame<()> {
+        if let Ok(loan) = loan.open() {
+            self.pipeline.router().give_back(&loan);
+        }
+        Frame::new(())
     }
 
     async fn suspects(self, _: Context, news: Frame<Suspects>) -> Frame<Suspects> {
@@ -35,9 +48,7 @@
 
 /// Serves until `stop` is cancelled.
 pub async fn run(listener: TcpListener, pipeline: Arc<Pipeline>, stop: CancellationToken) {
-    let server = Server {
-        _pipeline: pipeline,
-    };
+    let server = Server { pipeline };
     wire::accept(listener, stop, |stream| {
         wire::serve(stream, server.clone().serve())
     })
--- a/programs/entry/src/snapshot.rs
+++ b/programs/entry/src/snapshot.rs
@@ -143,9 +143,7 @@
     ) -> impl Iterator<Item = &'a Arc<Server>> {
         self.servers.values().filter(move |server| {
             let listed = &server.listed;
-            *listed.service == *service
-                && listed.label == *label
-                && self.startable(server)
+            *listed.service == *service && listed.label == *label && self.startable(server)
         })
     }
 }
