--- a/crates/peers/src/share.rs
+++ b/crates/peers/src/share.rs
@@ -67,7 +67,7 @@
         pub label: Label,
         /// Time in which the request ends.
         pub term: Duration,
-        /// Servers that must not be lent, because they failed the request.
+        /// Servers that must not be lent: they failed the request, or leave as the borrower knows.
         pub except: Vec<Server>,
     }
 
--- a/programs/entry/src/route/loan.rs
+++ b/programs/entry/src/route/loan.rs
@@ -68,7 +68,7 @@
             service: seek.shard.service.clone(),
             label: seek.label.clone(),
             term,
-            except: seek.tried.to_vec(),
+            except: seek.shard.unfit(seek.tried, seek.snapshot),
         };
         // The task goes on when the caller leaves, so that a granted slot is given back.
         let asked = tokio::spawn(ask(seek.router.clone(), lender, want));
--- a/programs/entry/src/route/shard.rs
+++ b/programs/entry/src/route/shard.rs
@@ -267,6 +267,15 @@
             .any(|server| *server.listed.label == *label && state.fit(server, tried, snapshot))
     }
 
+    /// Returns the tried servers and the local ones that may get no request.
+    pub(super) fn unfit(&self, tried: &[id::Server], snapshot: &Snapshot) -> Vec<id::Server> {
+        let state = self.state();
+        let local = state.servers.values();
+        let unfit = local.filter(|server| !state.fit(server, &[], snapshot));
+        let names = unfit.map(|server| server.listed.name.clone());
+        tried.iter().cloned().chain(names).collect()
+    }
+
     /// Takes a slot of a local server.
     pub(super) fn take(
         &self,
--- a/tests/integration/src/lib.rs
+++ b/tests/integration/src/lib.rs
@@ -7,6 +7,7 @@
 use hyper::Method;
 use operators::admin::{Client, Issue, Issued, Proposal, Verdict};
 use operators::bundle::Files;
+use platform::list::List;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -164,6 +165,48 @@
             .expect("the stand-in answers")
     }
 
+    /// Calls a backend server, past the system.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the deployment has no such server or it does not answer.
+    pub async fn backend(&self, name: &str, method: Method, path: &str, body: &str) -> Answer {
+        let text = std::fs::read_to_string(self.directory.join("list.yaml")).expect("list");
+        let list: List = serde_json::from_str(&text).expect("list");
+        let backend = list.backends.iter().find(|backend| &*backend.name == name);
+        let target = Target {
+            address: backend.expect("server of this name").address,
+            timeout: CALL_TIMEOUT,
+            authorization: None,
+        };
+        let body = body.to_owned();
+        target.call(method, path, body).await.expect("an answer")
+    }
+
+    /// Returns the sum of a metric of a VM's entry over all its labels.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the metrics can't be read.
+    pub async fn metric(&self, vm: &str, name: &str) -> f64 {
+        let target = Target {
+            address: self.address(&format!("{vm}-entry"), "metrics"),
+            timeout: CALL_TIMEOUT,
+            authorization: None,
+        };
+        let answer = target.call(Method::GET, "/metrics", "").await;
+        let answer = answer.expect("metrics");
+        let text = std::str::from_utf8(&answer.body).expect("text");
+        let of = |line: &&str| {
+            let rest = line.strip_prefix("cardamomhall_");
+            let rest = rest.and_then(|rest| rest.strip_prefix(name));
+            rest.is_some_and(|rest| rest.starts_with([' ', '{']))
+        };
+        (text.lines().filter(of))
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    }
+
     /// Publishes the example files of a deployment through a VM, against version 0.
     ///
     /// # Panics
--- /dev/null
+++ b/tests/integration/tests/servers.rs
@@ -0,0 +1,200 @@
+//! Backend servers that leave, die or are full, and entries that share their slots.
+
+use bench::args::Load;
+use bench::load::Summary;
+use bench::topology::{ATLAS, Deployment, Service};
+use hyper::Method;
+use integration::{Fleet, until};
+use std::io::Write;
+use std::net::TcpStream;
+
+/// Two servers a data centre; `vm-01` and `vm-07` share one data centre.
+const FLEET: Deployment = Deployment {
+    nodes: 7,
+    services: &[LOOKUP],
+    ..ATLAS
+};
+
+const LOOKUP: Service = Service {
+    name: "lookup",
+    servers: 12,
+    slots: 3,
+    service_ms: 5,
+};
+
+const SINGLE: Deployment = Deployment {
+    services: &[Service {
+        slots: 1,
+        service_ms: 2,
+        ..LOOKUP
+    }],
+    ..FLEET
+};
+
+fn requests(key: &str, count: usize) -> Load {
+    Load {
+        lookup: None,
+        address: None,
+        path: "/lookup/permits".into(),
+        method: "GET".into(),
+        key: Some(key.into()),
+        requests: count,
+        connections: 4,
+    }
+}
+
+fn all_served(summary: &Summary, count: usize) -> bool {
+    summary.outcomes.get("served") == Some(&count)
+}
+
+/// Publishes, issues a key and waits until all `vms` serve it.
+async fn ready(fleet: &Fleet, vms: &[&str]) -> Box<str> {
+    fleet.publish("vm-01", "atlas").await;
+    let key = fleet.issue("vm-01", "toubkal").await.key;
+    for vm in vms {
+        until("the VM serves the key", async || {
+            all_served(&fleet.load(vm, requests(&key, 20)).await, 20)
+        })
+        .await;
+    }
+    key
+}
+
+async fn count(fleet: &Fleet, server: &str, name: &str) -> u64 {
+    let answer = fleet.backend(server, Method::GET, "/counts", "").await;
+    let counts: serde_json::Value = answer.decode().expect("counts");
+    counts[name].as_u64().expect("count")
+}
+
+async fn switch(fleet: &Fleet, server: &str, behaviour: &str) {
+    let answer = fleet.backend(server, Method::PUT, "/switch", behaviour);
+    assert!(answer.await.status.is_success());
+}
+
+/// Guards against work for a server that has said that it leaves, while the list calls it live.
+///
+/// Its health endpoint lags: first only its own refusal tells that it leaves. Afterwards the server
+/// would run what it gets, so that its count shows each request sent to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_server_gets_no_further_work() {
+    let fleet = Fleet::start(FLEET, 26_000);
+    let key = ready(&fleet, &["vm-01"]).await;
+    let leaving = "lookup-v1-01";
+    switch(
+        &fleet,
+        leaving,
+        r#"{"leaving": true, "reported_health": true}"#,
+    )
+    .await;
+    until("the server refuses a request", async || {
+        let summary = fleet.load("vm-01", requests(&key, 20)).await;
+        assert!(all_served(&summary, 20), "{summary:?}");
+        count(&fleet, leaving, "shed").await > 0
+    })
+    .await;
+    switch(&fleet, leaving, r#"{"reported_health": false}"#).await;
+    let served = count(&fleet, leaving, "served").await;
+    let summary = fleet.load("vm-01", requests(&key, 100)).await;
+    assert!(all_served(&summary, 100), "{summary:?}");
+    assert_eq!(count(&fleet, leaving, "served").await, served);
+}
+
+/// Guards against an error for callers of an idempotent route when a server dies under load.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_server_costs_no_error_on_idempotent_route() {
+    let fleet = Fleet::start(FLEET, 26_150);
+    let key = ready(&fleet, &["vm-01"]).await;
+    // These pay for the retries of the requests that the server had.
+    let summary = fleet.load("vm-01", requests(&key, 200)).await;
+    assert!(all_served(&summary, 200), "{summary:?}");
+    let served = count(&fleet, "lookup-v1-01", "served").await;
+    let kill = async {
+        until("the server is at work", async || {
+            count(&fleet, "lookup-v1-01", "served").await > served
+        })
+        .await;
+        fleet.signal("lookup-v1-01", "KILL");
+    };
+    let (summary, ()) = tokio::join!(fleet.load("vm-01", requests(&key, 1000)), kill);
+    assert!(all_served(&summary, 1000), "{summary:?}");
+    assert!(fleet.metric("vm-01", "retries_total").await > 0.0);
+}
+
+/// Guards against entries that together send a server more requests than it has slots.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_share_single_slots() {
+    const VMS: [&str; 7] = [
+        "vm-01", "vm-02", "vm-03", "vm-04", "vm-05", "vm-06", "vm-07",
+    ];
+    let fleet = Fleet::start(SINGLE, 26_300);
+    let key = ready(&fleet, &VMS).await;
+    let loads = VMS.map(|vm| fleet.load(vm, requests(&key, 150)));
+    let summaries = futures::future::join_all(loads).await;
+    for (vm, summary) in VMS.iter().zip(summaries) {
+        assert!(all_served(&summary, 150), "{vm}: {summary:?}");
+    }
+    for index in 1..=12 {
+        let server = format!("lookup-v1-{index:02}");
+        assert!(count(&fleet, &server, "served").await > 0, "{server}");
+        assert_eq!(count(&fleet, &server, "peak").await, 1, "{server}");
+        assert_eq!(count(&fleet, &server, "shed").await, 0, "{server}");
+    }
+}
+
+/// Guards against refusals while other data centres have room for the callers of one without servers:
+/// first in the same region, then over a link.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_data_centres_serve_when_local_servers_are_dead() {
+    let fleet = Fleet::start(FLEET, 26_450);
+    let key = ready(&fleet, &["vm-03"]).await;
+    for dead in [
+        ["lookup-v1-03", "lookup-v1-09"],
+        ["lookup-v1-04", "lookup-v1-10"],
+    ] {
+        let before = fleet.metric("vm-03", "spilled_total").await;
+        for server in dead {
+            fleet.signal(server, "KILL");
+        }
+        until("other data centres serve", async || {
+            all_served(&fleet.load("vm-03", requests(&key, 50)).await, 50)
+        })
+        .await;
+        assert!(fleet.metric("vm-03", "spilled_total").await >= before + 50.0);
+    }
+    assert!(fleet.metric("vm-03", "link_bytes_total").await > 0.0);
+}
+
+/// Guards against slots that stay taken, and work that goes on, after a caller has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelled_request_frees_its_slot() {
+    let fleet = Fleet::start(FLEET, 26_600);
+    let key = ready(&fleet, &["vm-01"]).await;
+    let servers = ["lookup-v1-01", "lookup-v1-07"];
+    for server in servers {
+        // A request takes 1.5 s, within its deadline of 2 s.
+        switch(&fleet, server, r#"{"slowdown": 300.0}"#).await;
+    }
+    let entry = fleet.address("vm-01-entry", "listen");
+    let mut caller = TcpStream::connect(entry).expect("connection");
+    let request = format!(
+        "GET /lookup/permits HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {key}\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).expect("request");
+    until("the request holds a slot", async || {
+        fleet.metric("vm-01", "slots_in_use").await > 0.0
+    })
+    .await;
+    drop(caller);
+    until("the server gives the request up", async || {
+        let mut cancelled = 0;
+        for server in servers {
+            cancelled += count(&fleet, server, "cancelled").await;
+        }
+        cancelled == 1
+    })
+    .await;
+    until("the slot is free", async || {
+        fleet.metric("vm-01", "slots_in_use").await == 0.0
+    })
+    .await;
+}
