bug: requests that wait for a slot see withdrawn keys and leaving servers

Cause: a waiting request kept the state from before its wait. Now each look uses the state of that time, and the key is checked once more before the request is sent. Slots of a service that is published later no longer wait for the settle time counted from then, and probes that tell of cold caches start the cold ramp. Servers that are slow without errors are found by the latencies that entries exchange; an integration test covers it.

--- a/programs/entry/src/forward.rs
+++ b/programs/entry/src/forward.rs
@@ -4,7 +4,6 @@
 use crate::metrics::Metrics;
 use crate::receive::Call;
 use crate::route::{self, Flight, Router};
-use crate::snapshot::Snapshot;
 use backends::client::{After, Before, Failure, NotRun};
 use base::http::Body;
 use hyper::Response;
@@ -34,7 +33,6 @@
 pub async fn forward(
     call: &Call,
     grant: &Grant<'_>,
-    snapshot: &Snapshot,
     router: &Arc<Router>,
     metrics: &Metrics,
 ) -> Forwarded {
@@ -43,11 +41,15 @@
     let shard = router.shard(&grant.service.service.value);
     let deadline = route::deadline(call, grant);
     while tried.len() < ATTEMPTS {
-        let mut flight = match router.place(call, grant, snapshot, &tried).await {
+        let mut flight = match router.place(call, grant, &tried).await {
             Ok(flight) => flight,
             Err(Refusal::NoServer) if !tried.is_empty() => break,
             Err(reason) => return Err(attempt.give_up(reason)),
         };
+        if withdrawn(grant, router) {
+            flight.unused();
+            return Err(attempt.give_up(Refusal::Unauthorised));
+        }
         let sent = attempt.send();
         // Dropped here when the caller leaves: that closes the connection and ends the flight.
         let failure = match flight.server().pool.send(call.request(), deadline).await {
@@ -80,6 +82,13 @@
     Err(attempt.give_up(Refusal::ServersRefused))
 }
 
+/// Whether the key was withdrawn while the request waited for a slot.
+fn withdrawn(grant: &Grant<'_>, router: &Router) -> bool {
+    let now = base::clock::unix_millis();
+    let digest = grant.digest.as_deref();
+    digest.is_some_and(|digest| router.current().key(digest, now).is_none())
+}
+
 /// Whether the failed send used a server, so that its retry is paid for from the budget.
 ///
 /// Failed connections and refusals of leaving servers cost servers nothing, and the server gets no
--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -77,7 +77,7 @@
         // The key may have been withdrawn, and servers may have left, while the request waited.
         let snapshot = self.snapshot.borrow().clone();
         let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
-        forward(call, &grant, &snapshot, &self.router, &self.metrics).await
+        forward(call, &grant, &self.router, &self.metrics).await
     }
 }
 
--- a/programs/entry/src/route.rs
+++ b/programs/entry/src/route.rs
@@ -56,6 +56,7 @@
 pub struct Router {
     settings: Settings,
     incarnation: Incarnation,
+    started: Instant,
     snapshot: watch::Receiver<Arc<Snapshot>>,
     metrics: Arc<Metrics>,
     shards: RwLock<IndexMap<id::Service, Arc<Shard>>>,
@@ -76,6 +77,7 @@
             settings,
             // 0 stands for an entry that was not heard yet.
             incarnation: rand::rng().random::<Incarnation>() | 1,
+            started: Instant::now(),
             snapshot,
             metrics,
             shards: RwLock::default(),
@@ -100,10 +102,22 @@
         }
         drop(shards);
         let mut shards = self.shards.write().unwrap_or_else(PoisonError::into_inner);
-        let new = || Arc::new(Shard::new(service, &self.settings, self.incarnation));
+        let new = || {
+            Arc::new(Shard::new(
+                service,
+                &self.settings,
+                self.incarnation,
+                self.started,
+            ))
+        };
         shards.entry(service.into()).or_insert_with(new).clone()
     }
 
+    /// Returns the state of the control process as known now.
+    pub(crate) fn current(&self) -> Arc<Snapshot> {
+        self.snapshot.borrow().clone()
+    }
+
     fn known(&self, service: &str) -> Option<Arc<Shard>> {
         let shards = self.shards.read().unwrap_or_else(PoisonError::into_inner);
         shards.get(service).cloned()
@@ -122,7 +136,6 @@
         self: &Arc<Self>,
         call: &Call,
         grant: &Grant<'_>,
-        snapshot: &Snapshot,
         tried: &[id::Server],
     ) -> Result<Flight, Refusal> {
         let service = &grant.service.service.value;
@@ -130,7 +143,6 @@
         let mut seek = Seek {
             router: self,
             shard: &shard,
-            snapshot,
             label: version(grant.service),
             class: class(grant.service),
             route: &grant.path.name,
@@ -141,7 +153,7 @@
         if tried.is_empty() {
             shard.arrived();
         }
-        if !shard.usable(&seek.label, tried, snapshot) {
+        if !shard.usable(&seek.label, tried, &self.current()) {
             seek.label = grant.service.current.clone();
         }
         let drawn = self.spill.draw(service, &mut rand::rng());
@@ -166,7 +178,6 @@
 struct Seek<'a> {
     router: &'a Arc<Router>,
     shard: &'a Arc<Shard>,
-    snapshot: &'a Snapshot,
     label: Label,
     class: Class,
     route: &'a str,
@@ -176,6 +187,11 @@
 }
 
 impl Seek<'_> {
+    /// Returns the state now: servers may leave while the request waits.
+    fn snapshot(&self) -> Arc<Snapshot> {
+        self.router.current()
+    }
+
     /// Waits for a slot of a local server, within the deadline.
     async fn home(&self, most: usize) -> Result<Flight, Refusal> {
         let mut waiting = None;
@@ -184,11 +200,13 @@
             if now >= self.deadline {
                 return Err(Refusal::Overloaded);
             }
-            let taken = self.shard.take(&self.label, self.tried, self.snapshot, now);
+            let taken = self
+                .shard
+                .take(&self.label, self.tried, &self.snapshot(), now);
             if let Some((server, unit)) = taken {
                 return Ok(self.flight(server, Hold::Own(unit)));
             }
-            if !self.shard.usable(&self.label, self.tried, self.snapshot) {
+            if !self.shard.usable(&self.label, self.tried, &self.snapshot()) {
                 return self.elsewhere().await.ok_or(Refusal::NoServer);
             }
             if let Some(flight) = self.borrow(&self.router.settings.data_centre).await {
@@ -233,8 +251,8 @@
 
     async fn borrow(&self, data_centre: &DataCentre) -> Option<Flight> {
         let loan = loan::borrow(self, data_centre).await?;
-        let server = self.snapshot.server(loan.server())?;
-        Some(self.flight(server.clone(), Hold::Lent(loan)))
+        let server = self.snapshot().server(loan.server())?.clone();
+        Some(self.flight(server, Hold::Lent(loan)))
     }
 
     fn flight(&self, server: Arc<crate::server::Server>, hold: Hold) -> Flight {
--- a/programs/entry/src/route/exchange.rs
+++ b/programs/entry/src/route/exchange.rs
@@ -76,6 +76,13 @@
     /// Applies the list, measures and plans; returns the news for other entries.
     fn update(&self, snapshot: &Snapshot, now: Instant) -> Servers {
         let members = self.members(snapshot);
+        let entries = members.len().max(1) as f64;
+        // A run that is learned later counts as a restart and would delay the first slots once more.
+        let early = now < self.started + self.settings.settle.0;
+        let members = match early && members.values().any(|run| *run == 0) {
+            true => IndexMap::new(),
+            false => members,
+        };
         let mut local: IndexMap<&id::Service, Vec<Arc<Server>>> = IndexMap::new();
         for server in snapshot.listed() {
             if server.listed.data_centre == self.settings.data_centre {
@@ -89,7 +96,6 @@
             let shard = self.shard(name);
             let mut load = shard.sync(servers, members.clone(), snapshot, now);
             load.demand += self.demand(name, now);
-            let entries = members.len().max(1) as f64;
             let inbound = shard.lent() * entries;
             self.spill.plan(service, load, inbound, entries, now);
         }
--- a/programs/entry/src/route/flight.rs
+++ b/programs/entry/src/route/flight.rs
@@ -89,7 +89,7 @@
     }
 
     /// Ends a flight of which nothing was sent.
-    pub(super) fn unused(&mut self) {
+    pub(crate) fn unused(&mut self) {
         self.finished = true;
     }
 
--- a/programs/entry/src/route/loan.rs
+++ b/programs/entry/src/route/loan.rs
@@ -53,7 +53,7 @@
 /// Asks entries of a data centre for a slot.
 pub(super) async fn borrow(seek: &Seek<'_>, data_centre: &DataCentre) -> Option<Loaned> {
     let _permit = seek.shard.borrowing()?;
-    let mut lenders: Vec<_> = (seek.snapshot.nodes().iter())
+    let mut lenders: Vec<_> = (seek.snapshot().nodes().iter())
         .filter(|n| n.data_centre == *data_centre && n.name != seek.router.settings.vm)
         .map(|node| node.share)
         .collect();
@@ -68,7 +68,7 @@
             service: seek.shard.service.clone(),
             label: seek.label.clone(),
             term,
-            except: seek.shard.unfit(seek.tried, seek.snapshot),
+            except: seek.shard.unfit(seek.tried, &seek.snapshot()),
         };
         // The task goes on when the caller leaves, so that a granted slot is given back.
         let asked = tokio::spawn(ask(seek.router.clone(), lender, want));
--- a/programs/entry/src/route/shard.rs
+++ b/programs/entry/src/route/shard.rs
@@ -45,6 +45,8 @@
     leaving: Leaving,
     /// Servers that refused their last connection.
     down: IndexSet<id::Server>,
+    /// Servers whose last probe told of cold caches.
+    warming: IndexSet<id::Server>,
     budget: Budget,
     time: f64,
     arrived: Rate,
@@ -125,6 +127,7 @@
         }
         self.leaving.gone(name);
         self.down.swap_remove(name);
+        self.warming.swap_remove(name);
         self.servers.shift_remove(name);
     }
 
@@ -159,8 +162,13 @@
 }
 
 impl Shard {
-    pub(super) fn new(service: &str, settings: &Settings, incarnation: Incarnation) -> Self {
-        let now = Instant::now();
+    /// Starts without servers; `now` is the start of the entry.
+    pub(super) fn new(
+        service: &str,
+        settings: &Settings,
+        incarnation: Incarnation,
+        now: Instant,
+    ) -> Self {
         let settle = settings.settle.0;
         Self {
             service: service.into(),
@@ -170,6 +178,7 @@
                 servers: IndexMap::new(),
                 leaving: Leaving::default(),
                 down: IndexSet::new(),
+                warming: IndexSet::new(),
                 budget: Budget::new(retry::Settings::default()),
                 time: ASSUMED_TIME.as_secs_f64(),
                 arrived: Rate::new(now),
@@ -312,6 +321,10 @@
         snapshot: &Snapshot,
         now: Instant,
     ) -> Option<Loan> {
+        // Requests that wait here are not made to wait longer for those of other data centres.
+        if !near && self.waiting.load(Ordering::Relaxed) > 0 {
+            return None;
+        }
         let mut state = self.state();
         let server = state.choose(&want.label, &want.except, snapshot, now)?;
         let loan = state.slots.lend_for(&server.listed.name, want.term, now);
@@ -395,7 +408,18 @@
             return;
         };
         let leaving = health.is_some_and(|health| health.state == Fitness::Leaving);
+        let warming = health.is_some_and(|health| health.state == Fitness::Warming);
+        let cold = match warming {
+            true => state.warming.insert(server.into()),
+            false => {
+                state.warming.swap_remove(server);
+                false
+            }
+        };
         if let Some((chooser, _)) = state.versions.get_mut(&label) {
+            if cold {
+                chooser.insert(server, Some(asked));
+            }
             chooser.report_health(server, health.is_some() && !leaving, asked);
             if let Some(health) = health {
                 let load = f64::from(health.in_flight) / f64::from(health.slots.max(1));
--- a/tests/integration/tests/servers.rs
+++ b/tests/integration/tests/servers.rs
@@ -5,6 +5,7 @@
 use bench::topology::{ATLAS, Deployment, Service};
 use hyper::Method;
 use integration::{Fleet, until};
+use operators::admin::Withdraw;
 use std::io::Write;
 use std::net::TcpStream;
 
@@ -31,6 +32,17 @@
     ..FLEET
 };
 
+/// A service whose requests may wait for a minute.
+const QUEUED: Deployment = Deployment {
+    services: &[Service {
+        name: "reconciliation",
+        slots: 1,
+        service_ms: 2,
+        ..LOOKUP
+    }],
+    ..FLEET
+};
+
 fn requests(key: &str, count: usize) -> Load {
     Load {
         lookup: None,
@@ -198,3 +210,57 @@
     })
     .await;
 }
+
+/// Guards against running a request whose key is withdrawn while it waits for a slot.
+#[tokio::test(flavor = "multi_thread")]
+async fn withdrawn_key_ends_requests_that_wait_for_a_slot() {
+    let fleet = Fleet::start(QUEUED, 26_750);
+    fleet.publish("vm-01", "atlas").await;
+    let issued = fleet.issue("vm-01", "toubkal").await;
+    let runs = |count| Load {
+        path: "/reconciliation/runs".into(),
+        method: "POST".into(),
+        connections: 3,
+        ..requests(&issued.key, count)
+    };
+    until("the VM serves the key", async || {
+        all_served(&fleet.load("vm-01", runs(20)).await, 20)
+    })
+    .await;
+    for server in ["reconciliation-v1-01", "reconciliation-v1-07"] {
+        // A request takes 4 s, so that the key is withdrawn before a slot becomes free. After 5 s
+        // without a byte the entry would give up the connection.
+        switch(&fleet, server, r#"{"slowdown": 2000.0}"#).await;
+    }
+    let withdraw = async {
+        until("both slots are taken", async || {
+            fleet.metric("vm-01", "slots_in_use").await == 2.0
+        })
+        .await;
+        let id = issued.id.clone();
+        let withdrawn = fleet.admin("vm-01").withdraw(&Withdraw { id }).await;
+        withdrawn.expect("withdrawn");
+    };
+    let (summary, ()) = tokio::join!(fleet.load("vm-01", runs(3)), withdraw);
+    let refused = summary.outcomes.get("not-run: unauthorised");
+    assert_eq!(refused, Some(&1), "{summary:?}");
+    assert_eq!(summary.outcomes.get("served"), Some(&2), "{summary:?}");
+}
+
+/// Guards against a slow server that is not found: a data centre has two, too few to compare, so the
+/// entries must tell each other the latencies.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_server_is_ejected_by_comparison_across_data_centres() {
+    const VMS: [&str; 4] = ["vm-01", "vm-02", "vm-03", "vm-04"];
+    let fleet = Fleet::start(FLEET, 26_850);
+    let key = ready(&fleet, &VMS).await;
+    switch(&fleet, "lookup-v1-01", r#"{"slowdown": 20.0}"#).await;
+    until("the slow server is ejected", async || {
+        let loads = VMS.map(|vm| fleet.load(vm, requests(&key, 300)));
+        for summary in futures::future::join_all(loads).await {
+            assert!(all_served(&summary, 300), "{summary:?}");
+        }
+        fleet.metric("vm-01", "ejections_total").await > 0.0
+    })
+    .await;
+}
