--- a/crates/peers/src/share.rs
+++ b/crates/peers/src/share.rs
@@ -1,7 +1,7 @@
 //! Messages between entries.
 
 use crate::wire::{self, Error, Frame};
-use base::id::{DataCentre, Incarnation, Label, Region, Request, Server, Service, Vm, Workspace};
+use base::id::{DataCentre, Incarnation, Label, Request, Server, Service, Vm, Workspace};
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -33,10 +33,6 @@
         pub vm: Vm,
         /// Run of the sender.
         pub incarnation: Incarnation,
-        /// Data centre of the sender.
-        pub data_centre: DataCentre,
-        /// Region of the sender.
-        pub region: Region,
         /// Latency of servers as the sender sees them.
         pub summaries: Vec<Summary>,
         /// Slots that the sender uses, by service; used within its data centre.
--- a/crates/steering/tests/balance.rs
+++ b/crates/steering/tests/balance.rs
@@ -352,3 +352,24 @@
     slots.update(now + SETTLE);
     assert_eq!(slots.free("server"), 3);
 }
+
+/// Guards against a late return of an overdue loan that frees the unit of a newer loan.
+#[test]
+fn late_return_leaves_newer_loan_alone() {
+    let settle = Duration::from_secs(2);
+    let start = Instant::now();
+    let mut slots = Slots::new("vm", 1, settle, start);
+    let servers = IndexMap::from([("server".into(), 1)]);
+    slots.apply(servers, IndexMap::from([("vm".into(), 1)]), start);
+    let now = start + settle;
+    slots.update(now);
+    let term = Duration::from_secs(1);
+    let overdue = slots.lend_for("server", term, now).unwrap();
+    let later = now + term * 2;
+    slots.update(later);
+    let newer = slots.lend_for("server", term, later).unwrap();
+    slots.returned(&overdue);
+    assert_eq!(slots.free("server"), 0);
+    slots.returned(&newer);
+    assert_eq!(slots.free("server"), 1);
+}
--- a/programs/entry/src/route.rs
+++ b/programs/entry/src/route.rs
@@ -194,7 +194,15 @@
 
     /// Waits for a slot of a local server, within the deadline.
     async fn home(&self, most: usize) -> Result<Flight, Refusal> {
-        let mut waiting = None;
+        let _waiting = self.shard.wait(most).ok_or(Refusal::Overloaded)?;
+        let front = self.shard.front(&self.label);
+        let _turn = match &front {
+            Some(front) => {
+                let turn = tokio::time::timeout_at(self.deadline.into(), front.acquire());
+                Some(turn.await.map_err(|_| Refusal::Overloaded)?)
+            }
+            None => None,
+        };
         loop {
             let now = Instant::now();
             if now >= self.deadline {
@@ -212,9 +220,6 @@
             if let Some(flight) = self.borrow(&self.router.settings.data_centre).await {
                 return Ok(flight);
             }
-            if waiting.is_none() {
-                waiting = Some(self.shard.wait(most).ok_or(Refusal::Overloaded)?);
-            }
             self.shard.freed(LOOK.min(self.deadline - now)).await;
         }
     }
@@ -238,7 +243,7 @@
         if region != self.router.settings.region {
             let service = &self.shard.service;
             let spill = &self.router.spill;
-            let charge = spill.admit(&region, service, self.class, self.bytes);
+            let charge = spill.admit(&region, service, self.class, self.bytes, Instant::now());
             let Some(charge) = charge else {
                 flight.unused();
                 return None;
--- a/programs/entry/src/route/exchange.rs
+++ b/programs/entry/src/route/exchange.rs
@@ -133,8 +133,6 @@
         let mut news = Servers {
             vm: self.settings.vm.clone(),
             incarnation: self.incarnation,
-            data_centre: self.settings.data_centre.clone(),
-            region: self.settings.region.clone(),
             loads: self.spill.loads(),
             ..Servers::default()
         };
@@ -151,9 +149,9 @@
     fn hear(&self, news: Servers) {
         let now = Instant::now();
         let snapshot = self.snapshot.borrow().clone();
-        if !snapshot.nodes().iter().any(|node| node.name == news.vm) {
+        let Some(node) = snapshot.nodes().iter().find(|node| node.name == news.vm) else {
             return;
-        }
+        };
         let mut summaries: IndexMap<(id::Service, Label), Vec<Summary>> = IndexMap::new();
         for summary in news.summaries {
             if let Some(server) = snapshot.server(&summary.server) {
@@ -167,7 +165,7 @@
                 shard.learn(&label, summaries, now);
             }
         }
-        if news.data_centre == self.settings.data_centre {
+        if node.data_centre == self.settings.data_centre {
             self.peers().insert(
                 news.vm,
                 Peer {
@@ -184,7 +182,7 @@
         } else {
             for (service, load) in news.loads {
                 if snapshot.service(&service).is_some() {
-                    let place = (news.data_centre.clone(), news.region.clone());
+                    let place = (node.data_centre.clone(), node.region.clone());
                     self.spill.learn(&service, place, &load, now);
                 }
             }
--- a/programs/entry/src/route/flight.rs
+++ b/programs/entry/src/route/flight.rs
@@ -117,7 +117,9 @@
                 self.sample(now);
                 Reply::Answered
             }
-            Failure::Before(Before::Busy | Before::Stale | Before::Deadline) => Reply::Answered,
+            // A silent connection is no fault of the server.
+            Failure::After(After::Silent)
+            | Failure::Before(Before::Busy | Before::Stale | Before::Deadline) => Reply::Answered,
             _ => Reply::Failed,
         });
         match failure {
@@ -163,7 +165,9 @@
         if let Some((charge, class)) = self.charge.take() {
             let region = &self.server.listed.region;
             let received = self.received;
-            self.router.spill.settle(region, &charge, class, received);
+            self.router
+                .spill
+                .settle(region, &charge, class, received, Instant::now());
         }
         let Some(hold) = self.hold.take() else {
             return;
--- a/programs/entry/src/route/shard.rs
+++ b/programs/entry/src/route/shard.rs
@@ -1,29 +1,26 @@
 //! State of one service: its local servers, their slots, and the retry budget.
 
+mod state;
+
 use crate::server::Server;
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use backends::probe::{Health, State as Fitness};
-use base::id::{self, Incarnation, Label, Vm};
-use indexmap::{IndexMap, IndexSet};
+use base::id::{self, Incarnation, Vm};
+use indexmap::IndexMap;
 use peers::share::{Load, Want};
 use platform::list;
+use state::State;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use steering::balance::{self, Chooser, Loan, Notice, Outlier, Reply, Slots, Summary, Unit};
-use steering::drain::Leaving;
-use steering::retry::{self, Budget};
+use steering::balance::{Loan, Notice, Reply, Summary, Unit};
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
 /// Most requests of one service that ask other entries for a slot at the same time.
 const BORROWING: usize = 16;
-/// Assumed time of a request before one was measured.
-const ASSUMED_TIME: Duration = Duration::from_millis(50);
 /// Weight of a new sample in the mean time of a request.
 const WEIGHT: f64 = 0.02;
-/// Time constant of the measured rates.
-const RATE_MEMORY: Duration = Duration::from_secs(2);
 /// Run of a backend server; their interface doesn't tell one run from another.
 const RUN: Incarnation = 0;
 
@@ -37,30 +34,6 @@
     borrowing: Semaphore,
 }
 
-#[derive(Debug)]
-struct State {
-    slots: Slots,
-    versions: IndexMap<Label, (Chooser, Outlier)>,
-    servers: IndexMap<id::Server, Arc<Server>>,
-    leaving: Leaving,
-    /// Servers that refused their last connection.
-    down: IndexSet<id::Server>,
-    /// Servers whose last probe told of cold caches.
-    warming: IndexSet<id::Server>,
-    budget: Budget,
-    time: f64,
-    arrived: Rate,
-    lent: Rate,
-}
-
-/// Smoothed rate of events.
-#[derive(Debug)]
-struct Rate {
-    count: u32,
-    per_second: f64,
-    since: Instant,
-}
-
 /// Counts a request as waiting until it is dropped.
 pub(super) struct Wait<'a>(&'a AtomicUsize);
 
@@ -70,97 +43,6 @@
     }
 }
 
-impl Rate {
-    fn new(since: Instant) -> Self {
-        Self {
-            count: 0,
-            per_second: 0.0,
-            since,
-        }
-    }
-
-    fn update(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.since).as_secs_f64();
-        if elapsed > 0.0 {
-            let weight = 1.0 - (-elapsed / RATE_MEMORY.as_secs_f64()).exp();
-            self.per_second += weight * (f64::from(self.count) / elapsed - self.per_second);
-            self.count = 0;
-            self.since = now;
-        }
-    }
-}
-
-impl State {
-    fn fit(&self, server: &Server, tried: &[id::Server], snapshot: &Snapshot) -> bool {
-        let name = &server.listed.name;
-        !tried.contains(name)
-            && !self.down.contains(name)
-            && self.leaving.may_start(name)
-            && snapshot.startable(server)
-    }
-
-    /// Chooses a server of which this entry has a free slot and a free connection.
-    fn choose(
-        &mut self,
-        label: &str,
-        tried: &[id::Server],
-        snapshot: &Snapshot,
-        now: Instant,
-    ) -> Option<Arc<Server>> {
-        let (chooser, mut outlier) = self.versions.shift_remove(label)?;
-        let free = |name: &str| {
-            self.servers.get(name).is_some_and(|server| {
-                self.fit(server, tried, snapshot)
-                    && self.slots.free(name) > 0
-                    && server.has_connection()
-            })
-        };
-        let chosen = chooser.choose(free, &mut outlier, now, &mut rand::rng());
-        self.versions.insert(label.into(), (chooser, outlier));
-        self.servers.get(&chosen?).cloned()
-    }
-
-    fn remove(&mut self, name: &str) {
-        for (chooser, outlier) in self.versions.values_mut() {
-            chooser.remove(name);
-            outlier.remove(name);
-        }
-        self.leaving.gone(name);
-        self.down.swap_remove(name);
-        self.warming.swap_remove(name);
-        self.servers.shift_remove(name);
-    }
-
-    fn insert(&mut self, server: &Arc<Server>) {
-        let listed = &server.listed;
-        let new = || {
-            let settings = balance::Settings::default();
-            (Chooser::new(settings.clone()), Outlier::new(settings))
-        };
-        let version = self.versions.entry(listed.label.clone());
-        let (chooser, outlier) = version.or_insert_with(new);
-        if !self.servers.contains_key(&listed.name) {
-            chooser.insert(listed.name.clone(), None);
-            outlier.insert(listed.name.clone());
-        }
-        self.servers.insert(listed.name.clone(), server.clone());
-    }
-
-    fn measure(&mut self, snapshot: &Snapshot, now: Instant) -> Load {
-        self.arrived.update(now);
-        self.lent.update(now);
-        let fit = |server: &&Arc<Server>| self.fit(server, &[], snapshot);
-        let slots: u32 = (self.servers.values().filter(fit))
-            .map(|server| server.listed.slots)
-            .sum();
-        Load {
-            healthy: slots > 0,
-            capacity: f64::from(slots) / self.time,
-            demand: self.arrived.per_second,
-        }
-    }
-}
-
 impl Shard {
     /// Starts without servers; `now` is the start of the entry.
     pub(super) fn new(
@@ -169,21 +51,9 @@
         incarnation: Incarnation,
         now: Instant,
     ) -> Self {
-        let settle = settings.settle.0;
         Self {
             service: service.into(),
-            state: Mutex::new(State {
-                slots: Slots::new(settings.vm.clone(), incarnation, settle, now),
-                versions: IndexMap::new(),
-                servers: IndexMap::new(),
-                leaving: Leaving::default(),
-                down: IndexSet::new(),
-                warming: IndexSet::new(),
-                budget: Budget::new(retry::Settings::default()),
-                time: ASSUMED_TIME.as_secs_f64(),
-                arrived: Rate::new(now),
-                lent: Rate::new(now),
-            }),
+            state: Mutex::new(State::new(settings, incarnation, now)),
             freed: Notify::new(),
             waiting: AtomicUsize::new(0),
             borrowing: Semaphore::new(BORROWING),
@@ -237,7 +107,7 @@
     pub(super) fn news(&self, now: Instant) -> (Notice, Vec<Summary>) {
         let mut state = self.state();
         let summaries = (state.versions.values())
-            .flat_map(|(_, outlier)| outlier.summaries(now))
+            .flat_map(|version| version.outlier.summaries(now))
             .collect();
         (state.slots.notice(now), summaries)
     }
@@ -249,8 +119,8 @@
 
     /// Takes in the latencies that another entry measured.
     pub(super) fn learn(&self, label: &str, summaries: Vec<Summary>, now: Instant) {
-        if let Some((_, outlier)) = self.state().versions.get_mut(label) {
-            outlier.learn(summaries, now);
+        if let Some(version) = self.state().versions.get_mut(label) {
+            version.outlier.learn(summaries, now);
         }
     }
 
@@ -296,8 +166,8 @@
         let mut state = self.state();
         let server = state.choose(label, tried, snapshot, now)?;
         let unit = state.slots.take(&server.listed.name)?;
-        if let Some((chooser, _)) = state.versions.get_mut(label) {
-            chooser.begin(&server.listed.name);
+        if let Some(version) = state.versions.get_mut(label) {
+            version.chooser.begin(&server.listed.name);
         }
         Some((server, unit))
     }
@@ -306,8 +176,8 @@
     pub(super) fn end(&self, label: &str, server: &str, unit: Unit, reply: Reply) {
         let mut state = self.state();
         state.slots.end(server, unit);
-        if let Some((chooser, _)) = state.versions.get_mut(label) {
-            chooser.end(server, reply, Instant::now());
+        if let Some(version) = state.versions.get_mut(label) {
+            version.chooser.end(server, reply, Instant::now());
         }
         drop(state);
         self.freed.notify_one();
@@ -345,6 +215,15 @@
         (before < most).then_some(wait)
     }
 
+    /// Returns the right to look for slots of a version, in the order of the requests.
+    pub(super) fn front(&self, label: &str) -> Option<Arc<Semaphore>> {
+        let state = self.state();
+        state
+            .versions
+            .get(label)
+            .map(|version| version.front.clone())
+    }
+
     /// Waits until a slot may have become free, for at most `limit`.
     pub(super) async fn freed(&self, limit: Duration) {
         let _ = tokio::time::timeout(limit, self.freed.notified()).await;
@@ -369,9 +248,10 @@
         if !state.servers.contains_key(server) {
             return false;
         }
-        let Some((_, outlier)) = state.versions.get_mut(label) else {
+        let Some(version) = state.versions.get_mut(label) else {
             return false;
         };
+        let outlier = &mut version.outlier;
         let before = outlier.ejected(server);
         outlier.record(route, server, latency, now);
         !before && outlier.ejected(server)
@@ -416,7 +296,8 @@
                 false
             }
         };
-        if let Some((chooser, _)) = state.versions.get_mut(&label) {
+        if let Some(version) = state.versions.get_mut(&label) {
+            let chooser = &mut version.chooser;
             if cold {
                 chooser.insert(server, Some(asked));
             }
--- a/programs/entry/src/spill.rs
+++ b/programs/entry/src/spill.rs
@@ -198,17 +198,24 @@
     }
 
     /// Charges a request of `bytes` and its expected answer to the link to a region.
-    pub fn admit(&self, region: &str, service: &str, class: Class, bytes: usize) -> Option<Charge> {
+    pub fn admit(
+        &self,
+        region: &str,
+        service: &str,
+        class: Class,
+        bytes: usize,
+        now: Instant,
+    ) -> Option<Charge> {
         let mut shares = self.shares();
         let link = &mut shares.get_mut(region)?.link;
-        link.admit(service, class, bytes as f64, Instant::now())
+        link.admit(service, class, bytes as f64, now)
     }
 
     /// Corrects a charge by the bytes that were received.
-    pub fn settle(&self, region: &str, charge: &Charge, class: Class, answer: usize) {
+    pub fn settle(&self, region: &str, charge: &Charge, class: Class, answer: usize, now: Instant) {
         if let Some(share) = self.shares().get_mut(region) {
             let link = &mut share.link;
-            link.settle(charge, class, answer as f64, Instant::now());
+            link.settle(charge, class, answer as f64, now);
         }
     }
 }
