--- a/programs/entry/src/route/loan.rs
+++ b/programs/entry/src/route/loan.rs
@@ -52,7 +52,8 @@
 
 /// Asks entries of a data centre for a slot.
 pub(super) async fn borrow(seek: &Seek<'_>, data_centre: &DataCentre) -> Option<Loaned> {
-    let _permit = seek.shard.borrowing()?;
+    let near = *data_centre == seek.router.settings.data_centre;
+    let _permit = seek.shard.borrowing(near)?;
     let mut lenders: Vec<_> = (seek.snapshot().nodes().iter())
         .filter(|n| n.data_centre == *data_centre && n.name != seek.router.settings.vm)
         .map(|node| node.share)
--- a/programs/entry/src/route/shard.rs
+++ b/programs/entry/src/route/shard.rs
@@ -17,8 +17,12 @@
 use steering::balance::{Loan, Notice, Reply, Summary, Unit};
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
-/// Most requests of one service that ask other entries for a slot at the same time.
-const BORROWING: usize = 16;
+/// Most requests of one service that ask the entries of this data centre for a slot at once.
+///
+/// A request that asks does not see when a slot of this entry becomes free.
+const NEAR: usize = 2;
+/// Most requests of one service that ask entries of other data centres for a slot at once.
+const FAR: usize = 32;
 /// Weight of a new sample in the mean time of a request.
 const WEIGHT: f64 = 0.02;
 /// Run of a backend server; their interface doesn't tell one run from another.
@@ -31,7 +35,8 @@
     state: Mutex<State>,
     freed: Notify,
     waiting: AtomicUsize,
-    borrowing: Semaphore,
+    near: Semaphore,
+    far: Semaphore,
 }
 
 /// Counts a request as waiting until it is dropped.
@@ -56,7 +61,8 @@
             state: Mutex::new(State::new(settings, incarnation, now)),
             freed: Notify::new(),
             waiting: AtomicUsize::new(0),
-            borrowing: Semaphore::new(BORROWING),
+            near: Semaphore::new(NEAR),
+            far: Semaphore::new(FAR),
         }
     }
 
@@ -230,8 +236,9 @@
     }
 
     /// Returns the right to ask other entries for a slot.
-    pub(super) fn borrowing(&self) -> Option<SemaphorePermit<'_>> {
-        self.borrowing.try_acquire().ok()
+    pub(super) fn borrowing(&self, near: bool) -> Option<SemaphorePermit<'_>> {
+        let asking = if near { &self.near } else { &self.far };
+        asking.try_acquire().ok()
     }
 
     /// Notes the latency of an answer; returns whether the server is ejected for it.
