feature: VMs follow each other's ejections of slow servers

Cause: at 8% load each VM needed its own answers to find a slow server and made its own trials. Change: verdicts are exchanged within the data centre; the newest one holds, and one VM makes the trials.

--- a/crates/peers/src/share.rs
+++ b/crates/peers/src/share.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use steering::balance::{Loan, Notice, Summary};
+use steering::balance::{Loan, Notice, Summary, Verdict};
 use steering::limits::{Borrow, Lent};
 use steering::quarantine::Delta;
 
@@ -35,6 +35,8 @@
         pub incarnation: Incarnation,
         /// Latency of servers as the sender sees them.
         pub summaries: Vec<Summary>,
+        /// Servers that the sender keeps out or took back; used within its data centre.
+        pub verdicts: Vec<Verdict>,
         /// Slots that the sender uses, by service; used within its data centre.
         pub notices: IndexMap<Service, Notice>,
         /// Requests per second that arrive at the sender from callers; used within its data centre.
--- a/crates/steering/src/balance.rs
+++ b/crates/steering/src/balance.rs
@@ -5,7 +5,7 @@
 mod slots;
 
 pub use chooser::{Chooser, Reply};
-pub use outlier::{Outlier, Summary};
+pub use outlier::{Finding, Outlier, Summary, Verdict};
 pub use slots::{Loan, Notice, Slots, Unit};
 
 use std::time::Duration;
--- a/crates/steering/src/balance/outlier.rs
+++ b/crates/steering/src/balance/outlier.rs
@@ -1,5 +1,9 @@
 //! Ejection of backend servers that are slow against their peers without returning errors.
 
+mod verdict;
+
+pub use verdict::{Finding, Verdict};
+
 use super::{Settings, ramp};
 use base::id::{Route, Server};
 use indexmap::IndexMap;
@@ -42,6 +46,8 @@
         good: u32,
         limit: f64,
         trickle: Duration,
+        since: Instant,
+        tried: Instant,
     },
     Recovering {
         since: Instant,
@@ -103,15 +109,27 @@
                 good,
                 limit,
                 trickle,
+                since,
+                tried,
                 ..
             }) => {
                 // Without traffic there are no peers to compare with; the old limit still holds.
                 let limit = self.limit(route, server, now).unwrap_or(limit);
-                let standing = self.judge_ejected(latency, good, limit, trickle, now);
-                if let Standing::Recovering { .. } = standing {
-                    // Samples from before the recovery would eject the server again.
-                    self.samples.retain(|(_, name), _| &**name != server);
+                let slow = latency.as_secs_f64() > limit * SINGLE_FACTOR;
+                if !slow && good + 1 >= self.settings.good_samples {
+                    self.readmit(server, now);
+                    return;
                 }
+                // A slow answer after a good one may be chance, so it is checked soon.
+                let soon = !slow || good > 0;
+                let standing = Standing::Ejected {
+                    due: now + if soon { self.settings.confirm } else { trickle },
+                    good: if slow { 0 } else { good + 1 },
+                    limit,
+                    trickle,
+                    since,
+                    tried,
+                };
                 self.standing.insert(server.into(), standing);
             }
             Some(_) => self.judge_regular(route, server, now),
@@ -143,6 +161,29 @@
             .collect()
     }
 
+    fn eject(&mut self, server: &str, limit: f64, now: Instant) {
+        if self.ejections() >= self.most_ejections() {
+            return;
+        }
+        let trickle = self.trickle(now);
+        let standing = Standing::Ejected {
+            due: now + trickle,
+            good: 0,
+            limit,
+            trickle,
+            since: now,
+            tried: now,
+        };
+        self.standing.insert(server.into(), standing);
+    }
+
+    fn readmit(&mut self, server: &str, since: Instant) {
+        // Samples from before the recovery would eject the server again.
+        self.samples.retain(|(_, name), _| &**name != server);
+        self.standing
+            .insert(server.into(), Standing::Recovering { since });
+    }
+
     /// Returns whether a server is ejected.
     pub fn ejected(&self, server: &str) -> bool {
         matches!(self.standing.get(server), Some(Standing::Ejected { .. }))
@@ -168,8 +209,15 @@
 
     /// Counts a request to an ejected server.
     pub fn trickled(&mut self, server: &str, now: Instant) {
-        if let Some(Standing::Ejected { due, trickle, .. }) = self.standing.get_mut(server) {
+        if let Some(Standing::Ejected {
+            due,
+            trickle,
+            tried,
+            ..
+        }) = self.standing.get_mut(server)
+        {
             *due = now + *trickle;
+            *tried = now;
         }
     }
 
@@ -195,14 +243,7 @@
         if let Some(limit) = self.recent_limit(route, server, now)
             && median > limit
         {
-            let trickle = self.trickle(now);
-            let standing = Standing::Ejected {
-                due: now + trickle,
-                good: 0,
-                limit,
-                trickle,
-            };
-            self.standing.insert(server.into(), standing);
+            self.eject(server, limit, now);
         }
     }
 
@@ -231,28 +272,6 @@
         Some(limit)
     }
 
-    fn judge_ejected(
-        &self,
-        latency: Duration,
-        good: u32,
-        limit: f64,
-        trickle: Duration,
-        now: Instant,
-    ) -> Standing {
-        let slow = latency.as_secs_f64() > limit * SINGLE_FACTOR;
-        if !slow && good + 1 >= self.settings.good_samples {
-            return Standing::Recovering { since: now };
-        }
-        // A slow answer after a good one may be chance, so it is checked soon.
-        let soon = !slow || good > 0;
-        Standing::Ejected {
-            due: now + if soon { self.settings.confirm } else { trickle },
-            good: if slow { 0 } else { good + 1 },
-            limit,
-            trickle,
-        }
-    }
-
     /// Latency in seconds above which `server` is slow, from the medians of its peers.
     fn limit(&self, route: &str, server: &str, now: Instant) -> Option<f64> {
         let own = self
--- a/crates/steering/tests/balance.rs
+++ b/crates/steering/tests/balance.rs
@@ -5,7 +5,9 @@
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
 use std::time::{Duration, Instant};
-use steering::balance::{Chooser, Notice, Outlier, Reply, Settings, Slots, Summary};
+use steering::balance::{
+    Chooser, Finding, Notice, Outlier, Reply, Settings, Slots, Summary, Verdict,
+};
 
 const SERVERS: [&str; 4] = ["a", "b", "c", "d"];
 
@@ -373,3 +375,40 @@
     slots.returned(&newer);
     assert_eq!(slots.free("server"), 1);
 }
+
+/// Guards against VMs that each need requests of their own to find a slow server or its recovery,
+/// and against an old verdict that ejects a recovered server again.
+#[test]
+fn newer_verdicts_of_other_vms_are_followed() {
+    let settings = Settings::default();
+    let (_, mut outlier) = setup(&settings);
+    let start = Instant::now();
+    let verdict = |server: &str, age: u64, idle: Option<u64>| Verdict {
+        server: server.into(),
+        age: Duration::from_millis(age),
+        ejected: idle.map(|idle| Finding {
+            limit: 0.1,
+            idle: Duration::from_millis(idle),
+        }),
+    };
+    outlier.follow([verdict("a", 100, Some(100))], start);
+    assert!(outlier.ejected("a"));
+    let most = outlier.most_ejections();
+    outlier.follow(SERVERS.map(|name| verdict(name, 0, Some(0))), start);
+    assert_eq!(outlier.ejections(), most);
+
+    // The other VM made the trial; this one leaves the next to it as well.
+    let due = start + settings.trickle_max;
+    assert!(outlier.due("a", due));
+    outlier.follow([verdict("a", 7000, Some(50))], due);
+    assert!(!outlier.due("a", due));
+    assert!(outlier.due("a", due + settings.trickle_max + Duration::from_secs(1)));
+
+    let later = due + Duration::from_secs(1);
+    outlier.follow([verdict("a", 100, None)], later);
+    assert!(!outlier.ejected("a"));
+    outlier.follow([verdict("a", 5000, Some(0))], later);
+    assert!(!outlier.ejected("a"));
+    outlier.follow([verdict("a", 0, Some(0))], later + Duration::from_secs(5));
+    assert!(outlier.ejected("a"));
+}
--- a/programs/entry/src/route/exchange.rs
+++ b/programs/entry/src/route/exchange.rs
@@ -138,7 +138,8 @@
         };
         for service in services(snapshot) {
             let name = &service.service.value;
-            let (notice, summaries) = self.shard(name).news(now);
+            let (notice, summaries, verdicts) = self.shard(name).news(now);
+            news.verdicts.extend(verdicts);
             news.notices.insert(name.clone(), notice);
             news.summaries.extend(summaries);
             news.demands.insert(name.clone(), self.shard(name).demand());
@@ -174,6 +175,16 @@
                     heard: now,
                 },
             );
+            for verdict in news.verdicts {
+                let server = snapshot
+                    .server(&verdict.server)
+                    .map(|server| &server.listed);
+                if let Some(listed) = server
+                    && let Some(shard) = self.known(&listed.service)
+                {
+                    shard.follow(&listed.label, verdict, now);
+                }
+            }
             for (service, notice) in news.notices {
                 if let Some(shard) = self.known(&service) {
                     shard.hear(notice, now);
--- a/programs/entry/src/route/shard.rs
+++ b/programs/entry/src/route/shard.rs
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use steering::balance::{Loan, Notice, Reply, Summary, Unit};
+use steering::balance::{Loan, Notice, Reply, Summary, Unit, Verdict};
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
 /// Most requests of one service that ask the entries of this data centre for a slot at once.
@@ -109,13 +109,16 @@
         load
     }
 
-    /// Returns what other entries are told: slots and latencies.
-    pub(super) fn news(&self, now: Instant) -> (Notice, Vec<Summary>) {
+    /// Returns what other entries are told: slots, latencies and ejections.
+    pub(super) fn news(&self, now: Instant) -> (Notice, Vec<Summary>, Vec<Verdict>) {
         let mut state = self.state();
+        let verdicts = (state.versions.values())
+            .flat_map(|version| version.outlier.verdicts(now))
+            .collect();
         let summaries = (state.versions.values())
             .flat_map(|version| version.outlier.summaries(now))
             .collect();
-        (state.slots.notice(now), summaries)
+        (state.slots.notice(now), summaries, verdicts)
     }
 
     /// Takes in the slots that another entry uses.
@@ -130,6 +133,13 @@
         }
     }
 
+    /// Takes in an ejection or return that another entry of the data centre decided.
+    pub(super) fn follow(&self, label: &str, verdict: Verdict, now: Instant) {
+        if let Some(version) = self.state().versions.get_mut(label) {
+            version.outlier.follow([verdict], now);
+        }
+    }
+
     /// Counts a request of a caller.
     pub(super) fn arrived(&self) {
         self.state().arrived.count += 1;
--- a/tools/bench/src/experiment/balance/fleet.rs
+++ b/tools/bench/src/experiment/balance/fleet.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
-use steering::balance::{Chooser, Loan, Outlier, Reply, Settings, Slots, Summary, Unit};
+use steering::balance::{Chooser, Loan, Outlier, Reply, Settings, Slots, Summary, Unit, Verdict};
 
 const TICK: Duration = Duration::from_millis(250);
 const SETTLE: Duration = Duration::from_secs(10);
@@ -55,6 +55,7 @@
     queues: Vec<VecDeque<usize>>,
     loads: VecDeque<[f64; SERVERS]>,
     summaries: Vec<Vec<Summary>>,
+    verdicts: Vec<Vec<Verdict>>,
     latencies: Vec<Duration>,
     counts: [usize; 3],
     figures: Figures,
@@ -100,6 +101,7 @@
         queues: vec![VecDeque::new(); SERVERS],
         loads: VecDeque::new(),
         summaries: Vec::new(),
+        verdicts: Vec::new(),
         latencies: Vec::new(),
         counts: [0; 3],
         figures: Figures {
@@ -294,6 +296,14 @@
             .map(|vm| vm.outlier.summaries(now))
             .collect();
         let previous = std::mem::replace(&mut self.summaries, measured);
+        let found = self.vms.iter().map(|vm| vm.outlier.verdicts(now)).collect();
+        let mut found = std::mem::replace(&mut self.verdicts, found);
+        for verdict in found.iter_mut().flatten() {
+            verdict.age += TICK;
+            if let Some(finding) = &mut verdict.ejected {
+                finding.idle += TICK;
+            }
+        }
         let slots = f64::from(self.trace.sizes.slots);
         let mut load = self.running.map(|n| f64::from(n) / slots);
         load[SLOW] = 0.0;
@@ -307,6 +317,8 @@
                     vm.outlier.learn(summaries.clone(), now);
                 }
             }
+            let verdicts = found.get_mut(index ^ 1).map(std::mem::take);
+            vm.outlier.follow(verdicts.unwrap_or_default(), now);
             for (server, load) in lagged.iter().flatten().enumerate() {
                 vm.chooser
                     .report_load(&name(server), *load, now - TICK * LAG_TICKS as u32);
--- a/tools/bench/tests/balance.rs
+++ b/tools/bench/tests/balance.rs
@@ -53,6 +53,19 @@
     assert!(figures.slow_share <= SLOW_TARGET, "{figures:?}");
 }
 
+/// Guards against a find that depends on one lucky seed.
+#[test]
+fn slow_server_at_8_percent_load_many_seeds() {
+    let sizes = Sizes {
+        load: 0.08,
+        ..Sizes::LOOKUP
+    };
+    for seed in 10..40 {
+        let figures = run(&Trace::new(sizes, seed), Method::Steering, seed);
+        assert!(figures.slow_share <= SLOW_TARGET, "{seed} {figures:?}");
+    }
+}
+
 /// Guards against targets that any method would meet.
 #[rstest]
 fn baselines_miss_targets(#[values(Sizes::LOOKUP, Sizes::MAP)] sizes: Sizes) {
