bug: test of a cancelled request depended on a window of 1.5 s

Cause: in 1 of about 19 runs on a loaded machine the test gave up; not traced further, the likely cause is that the request ended before its caller left. Now it runs on a route with a deadline of 60 s, where only a leaving caller cancels, and sends another request in that case.

--- a/tests/integration/tests/servers.rs
+++ b/tests/integration/tests/servers.rs
@@ -43,6 +43,9 @@
     ..FLEET
 };
 
+const PERMITS: (&str, &str) = ("GET", "/lookup/permits");
+const RUNS: (&str, &str) = ("POST", "/reconciliation/runs");
+
 fn requests(key: &str, count: usize) -> Load {
     Load {
         lookup: None,
@@ -60,12 +63,17 @@
 }
 
 /// Publishes, issues a key and waits until all `vms` serve it.
-async fn ready(fleet: &Fleet, vms: &[&str]) -> Box<str> {
+async fn ready(fleet: &Fleet, vms: &[&str], route: (&str, &str)) -> Box<str> {
     fleet.publish("vm-01", "atlas").await;
     let key = fleet.issue("vm-01", "toubkal").await.key;
     for vm in vms {
         until("the VM serves the key", async || {
-            all_served(&fleet.load(vm, requests(&key, 20)).await, 20)
+            let load = Load {
+                method: route.0.into(),
+                path: route.1.into(),
+                ..requests(&key, 20)
+            };
+            all_served(&fleet.load(vm, load).await, 20)
         })
         .await;
     }
@@ -90,7 +98,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_server_gets_no_further_work() {
     let fleet = Fleet::start(FLEET, 26_000);
-    let key = ready(&fleet, &["vm-01"]).await;
+    let key = ready(&fleet, &["vm-01"], PERMITS).await;
     let leaving = "lookup-v1-01";
     switch(
         &fleet,
@@ -115,7 +123,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_server_costs_no_error_on_idempotent_route() {
     let fleet = Fleet::start(FLEET, 26_150);
-    let key = ready(&fleet, &["vm-01"]).await;
+    let key = ready(&fleet, &["vm-01"], PERMITS).await;
     // These pay for the retries of the requests that the server had.
     let summary = fleet.load("vm-01", requests(&key, 200)).await;
     assert!(all_served(&summary, 200), "{summary:?}");
@@ -139,7 +147,7 @@
         "vm-01", "vm-02", "vm-03", "vm-04", "vm-05", "vm-06", "vm-07",
     ];
     let fleet = Fleet::start(SINGLE, 26_300);
-    let key = ready(&fleet, &VMS).await;
+    let key = ready(&fleet, &VMS, PERMITS).await;
     let loads = VMS.map(|vm| fleet.load(vm, requests(&key, 150)));
     let summaries = futures::future::join_all(loads).await;
     for (vm, summary) in VMS.iter().zip(summaries) {
@@ -158,7 +166,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn other_data_centres_serve_when_local_servers_are_dead() {
     let fleet = Fleet::start(FLEET, 26_450);
-    let key = ready(&fleet, &["vm-03"]).await;
+    let key = ready(&fleet, &["vm-03"], PERMITS).await;
     for dead in [
         ["lookup-v1-03", "lookup-v1-09"],
         ["lookup-v1-04", "lookup-v1-10"],
@@ -179,34 +187,36 @@
 /// Guards against slots that stay taken, and work that goes on, after a caller has left.
 #[tokio::test(flavor = "multi_thread")]
 async fn cancelled_request_frees_its_slot() {
-    let fleet = Fleet::start(FLEET, 26_600);
-    let key = ready(&fleet, &["vm-01"]).await;
-    let servers = ["lookup-v1-01", "lookup-v1-07"];
+    let fleet = Fleet::start(QUEUED, 26_600);
+    let key = ready(&fleet, &["vm-01"], RUNS).await;
+    let servers = ["reconciliation-v1-01", "reconciliation-v1-07"];
     for server in servers {
-        // A request takes 1.5 s, within its deadline of 2 s.
-        switch(&fleet, server, r#"{"slowdown": 300.0}"#).await;
+        // A request takes 4 s, far from its deadline of 60 s and within the entry's read timeout.
+        switch(&fleet, server, r#"{"slowdown": 2000.0}"#).await;
     }
     let entry = fleet.address("vm-01-entry", "listen");
-    let mut caller = TcpStream::connect(entry).expect("connection");
     let request = format!(
-        "GET /lookup/permits HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {key}\r\n\r\n"
+        "POST /reconciliation/runs HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {key}\r\n\
+         content-length: 0\r\n\r\n"
     );
-    caller.write_all(request.as_bytes()).expect("request");
-    until("the request holds a slot", async || {
-        fleet.metric("vm-01", "slots_in_use").await > 0.0
-    })
-    .await;
-    drop(caller);
-    until("the server gives the request up", async || {
+    // On a slow machine, a request may end before its caller leaves; then another one is sent.
+    until("a server gives a request up", async || {
+        let mut caller = TcpStream::connect(entry).expect("connection");
+        caller.write_all(request.as_bytes()).expect("request");
+        until("the request holds a slot", async || {
+            fleet.metric("vm-01", "slots_in_use").await > 0.0
+        })
+        .await;
+        drop(caller);
+        until("the slot is free", async || {
+            fleet.metric("vm-01", "slots_in_use").await == 0.0
+        })
+        .await;
         let mut cancelled = 0;
         for server in servers {
             cancelled += count(&fleet, server, "cancelled").await;
         }
-        cancelled == 1
-    })
-    .await;
-    until("the slot is free", async || {
-        fleet.metric("vm-01", "slots_in_use").await == 0.0
+        cancelled > 0
     })
     .await;
 }
@@ -253,7 +263,7 @@
 async fn slow_server_is_ejected_by_comparison_across_data_centres() {
     const VMS: [&str; 4] = ["vm-01", "vm-02", "vm-03", "vm-04"];
     let fleet = Fleet::start(FLEET, 26_850);
-    let key = ready(&fleet, &VMS).await;
+    let key = ready(&fleet, &VMS, PERMITS).await;
     switch(&fleet, "lookup-v1-01", r#"{"slowdown": 20.0}"#).await;
     until("the slow server is ejected", async || {
         let loads = VMS.map(|vm| fleet.load(vm, requests(&key, 300)));
