--- a/crates/steering/src/quarantine.rs
+++ b/crates/steering/src/quarantine.rs
@@ -10,6 +10,10 @@
 //! in the data centre of the suspicion. Only a crash during a trial quarantines, so an innocent
 //! request in flight beside the cause is not refused for good.
 
+mod served;
+
+pub use served::Served;
+
 use crate::attempt::Refusal;
 use base::id::DataCentre;
 use indexmap::{IndexMap, IndexSet};
--- a/crates/steering/tests/quarantine.rs
+++ b/crates/steering/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 use steering::attempt::Refusal;
-use steering::quarantine::{Admit, KNOWN, Register, Settings, digest};
+use steering::quarantine::{Admit, Digest, KNOWN, Register, Served, Settings, digest};
 
 const A: [u8; 16] = [1; 16];
 const B: [u8; 16] = [2; 16];
@@ -119,3 +119,20 @@
     assert_eq!(suspects.len(), KNOWN);
     assert!(suspects.contains_key(&numbered(0)) && !suspects.contains_key(&numbered(1)));
 }
+
+/// Guards against the suspicion of requests that many callers send alike, at the death of one
+/// server, and against trust that outlives the proof.
+#[test]
+fn served_requests_are_trusted_for_a_while() {
+    let (start, mut served) = (Instant::now(), Served::default());
+    let digests = (0..10_000).map(|n: u32| digest("w", "GET", &n.to_string(), b""));
+    let digests: Vec<Digest> = digests.collect();
+    for digest in &digests {
+        served.note(*digest, start);
+    }
+    let last = digests.last().expect("a digest");
+    assert!(served.lately(last, start + Duration::from_secs(59)));
+    assert!(!served.lately(last, start + Duration::from_secs(60)));
+    let kept = digests.iter().filter(|digest| served.lately(digest, start));
+    assert_eq!(kept.count(), 4096, "the record is bounded");
+}
--- a/programs/entry/src/lib.rs
+++ b/programs/entry/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod settings;
 pub mod share;
 pub mod snapshot;
+pub mod spill;
--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -9,6 +9,7 @@
 use crate::quarantine::{Quarantine, pass};
 use crate::receive::{Call, receive};
 use crate::reply::{self, Ended};
+use crate::route::Router;
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use base::http::Body;
@@ -36,6 +37,7 @@
     confirmed: watch::Receiver<Option<Instant>>,
     /// Admission of requests.
     pub admission: Admission,
+    router: Arc<Router>,
     metrics: Arc<Metrics>,
 }
 
@@ -59,6 +61,12 @@
             claims: Claims::new(&settings, incarnation, metrics.clone()),
             links: Links::default(),
             pepper: Pepper::derive(&settings.key_secret),
+            router: Arc::new(Router::new(
+                settings.clone(),
+                incarnation,
+                snapshot.clone(),
+                metrics.clone(),
+            )),
             settings,
             snapshot,
             confirmed,
@@ -77,6 +85,11 @@
         &self.claims
     }
 
+    /// Returns the choice of servers.
+    pub fn router(&self) -> &Arc<Router> {
+        &self.router
+    }
+
     /// Answers one request.
     pub async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
         let (id, forwarded) = match receive(request, &self.settings).await {
@@ -110,16 +123,9 @@
             // The key may have been withdrawn while the request waited for its trial.
             let snapshot = self.snapshot.borrow().clone();
             let grant = self.authorise(call, &snapshot)?;
-            let forwarded = forward(
-                call,
-                &grant,
-                &snapshot,
-                &self.settings,
-                &self.metrics,
-                &track,
-            );
+            let forwarded = forward(call, &grant, &self.router, &self.metrics, &track);
             let answer = forwarded.await?;
-            Ok(Ended::Streamed(answer, track))
+            Ok(Ended::Streamed(Box::new(answer), track))
         };
         reply::reply(&call.id, ended.await)
     }
@@ -130,7 +136,7 @@
         let mut track = self.track(call, &grant, &snapshot).await?;
         let result = match track.keeper() {
             None => match self.proceed(call, &grant, &track).await {
-                Ok(answer) => return Ok(Ended::Streamed(answer, track)),
+                Ok(answer) => return Ok(Ended::Streamed(Box::new(answer), track)),
                 Err(outcome) => Err(outcome),
             },
             Some(keeper) => self.pass(call, &grant, &track, keeper).await,
@@ -182,14 +188,7 @@
         // The key may have been withdrawn, and servers may have left, while the request waited.
         let snapshot = self.snapshot.borrow().clone();
         let grant = self.authorise(call, &snapshot)?;
-        let forwarded = forward(
-            call,
-            &grant,
-            &snapshot,
-            &self.settings,
-            &self.metrics,
-            track,
-        );
+        let forwarded = forward(call, &grant, &self.router, &self.metrics, track);
         let mut answer = forwarded.await?;
         answer.response = answer.response.map(|body| held::hold(body, slot));
         Ok(answer)
--- a/programs/entry/src/quarantine.rs
+++ b/programs/entry/src/quarantine.rs
@@ -26,7 +26,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use steering::attempt::Refusal;
-use steering::quarantine::{self, Admit, Delta, Digest, Register};
+use steering::quarantine::{self, Admit, Delta, Digest, Register, Served};
 use tokio::sync::{Notify, watch};
 
 /// Time without news after which another VM counts as dead.
@@ -46,6 +46,7 @@
     // NOTE: one lock, because trials are decided over all digests; it is taken only while
     // something is suspected or quarantined.
     register: Mutex<Register>,
+    served: Mutex<Served>,
     /// Grows when the register changes in a way that others must learn.
     revision: AtomicU64,
     peers: Mutex<IndexMap<Vm, Peer>>,
@@ -108,6 +109,7 @@
             settings: bounds,
             any: AtomicBool::new(false),
             register: Mutex::new(Register::new(settings.data_centre.clone(), bounds)),
+            served: Mutex::default(),
             revision: AtomicU64::new(0),
             peers: Mutex::default(),
             trials: Mutex::default(),
@@ -117,6 +119,11 @@
         }
     }
 
+    /// Notes that a backend server served a request, so that a crash says little about it.
+    pub fn served(&self, digest: Digest) {
+        lock(&self.served).note(digest, Instant::now());
+    }
+
     /// Decides whether a request may run, and where if it is suspected.
     ///
     /// # Errors
--- a/programs/entry/src/quarantine/crash.rs
+++ b/programs/entry/src/quarantine/crash.rs
@@ -1,7 +1,7 @@
 //! Recognition of a crash.
 
 use super::{Quarantine, lock};
-use crate::server::Flight;
+use crate::server::Running;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,21 +21,26 @@
     /// interrupted on another server before.
     ///
     /// Returns until when the reply must be held. The work goes on if the caller is dropped.
-    pub async fn interrupted(self: &Arc<Self>, flight: &Flight, again: bool) -> Option<Instant> {
-        let server = flight.server().clone();
+    pub async fn interrupted(self: &Arc<Self>, running: &Running, again: bool) -> Option<Instant> {
+        let server = running.server().clone();
         // Others that were in flight end at the same time, so they are noted before the looks.
-        let in_flight = server.digests();
+        let now = Instant::now();
+        let mut in_flight = server.digests();
+        in_flight.retain(|digest| !lock(&self.served).lately(digest, now));
         let this = self.clone();
         let work = async move {
             if !again && !crashed(server.listed.address).await {
                 return None;
             }
             log::warn!(
-                "server {} crashed with {} requests in flight",
+                "server {} crashed with {} suspected requests in flight",
                 server.listed.name,
                 in_flight.len()
             );
             this.metrics.crash();
+            if in_flight.is_empty() {
+                return None;
+            }
             this.any.store(true, Ordering::Release);
             let hold = lock(&this.register).crashed(&in_flight, Instant::now());
             this.changed();
--- a/programs/entry/src/quarantine/track.rs
+++ b/programs/entry/src/quarantine/track.rs
@@ -2,7 +2,7 @@
 
 use super::{Admitted, Place, Quarantine};
 use crate::claims::Claimed;
-use crate::server::{Flight, Server};
+use crate::server::{Running, Server};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -76,9 +76,9 @@
     }
 
     /// Finds out whether a server crashed under the request, and holds the reply in that case.
-    pub async fn interrupted(&self, flight: &Flight) -> bool {
+    pub async fn interrupted(&self, running: &Running) -> bool {
         let again = self.interrupted.swap(true, Ordering::AcqRel);
-        let Some(hold) = self.quarantine.interrupted(flight, again).await else {
+        let Some(hold) = self.quarantine.interrupted(running, again).await else {
             return false;
         };
         tokio::time::sleep_until(hold.into()).await;
@@ -95,6 +95,7 @@
     /// Records that the caller got the whole answer of a backend server.
     pub fn served(&mut self) {
         self.end(&Outcome::Served);
+        self.quarantine.served(self.admitted.digest);
         if self.trial().is_some() {
             self.admitted.place = Place::Any;
             self.quarantine.completed(&self.admitted.digest);
--- a/programs/entry/src/reply.rs
+++ b/programs/entry/src/reply.rs
@@ -2,7 +2,8 @@
 
 use crate::forward::Answer;
 use crate::quarantine::track::Track;
-use crate::server::Flight;
+use crate::route::Flight;
+use crate::server::Running;
 use base::http::{Body, BodyError};
 use bytes::Bytes;
 use callers::{header, outcome};
@@ -18,7 +19,7 @@
 #[derive(Debug)]
 pub enum Ended {
     /// It streams; what must be recorded of the request ends with it.
-    Streamed(Answer, Track),
+    Streamed(Box<Answer>, Track),
     /// It came whole through another entry.
     Whole(Response<Body>),
 }
@@ -26,7 +27,7 @@
 /// Builds the answer to the caller from what became of its request.
 pub fn reply(id: &str, forwarded: Result<Ended, Outcome>) -> Response<Body> {
     let mut response = match forwarded {
-        Ok(Ended::Streamed(answer, track)) => served(answer, track),
+        Ok(Ended::Streamed(answer, track)) => served(*answer, track),
         Ok(Ended::Whole(response)) => response,
         Err(outcome) => outcome::response(&outcome),
     };
@@ -39,11 +40,19 @@
 }
 
 fn served(answer: Answer, track: Track) -> Response<Body> {
-    let Answer { response, flight } = answer;
+    let Answer {
+        response,
+        flight,
+        running,
+    } = answer;
     let mut response = response.map(|body| {
         let mut streamed = Streamed {
             body,
-            open: Some((flight, track)),
+            open: Some(Open {
+                flight,
+                running,
+                track,
+            }),
             cut: None,
         };
         streamed.close_at_end();
@@ -53,10 +62,17 @@
     response
 }
 
+/// What ends with the answer.
+struct Open {
+    flight: Flight,
+    running: Running,
+    track: Track,
+}
+
 /// Body that keeps its request counted as in flight until it ends.
 struct Streamed {
     body: Body,
-    open: Option<(Flight, Track)>,
+    open: Option<Open>,
     /// Set once the answer was interrupted; ends with the error for the caller.
     cut: Option<Pin<Box<dyn Future<Output = BodyError> + Send>>>,
 }
@@ -70,17 +86,18 @@
 
     /// Records that the answer was whole.
     fn close(&mut self) {
-        if let Some((_flight, mut track)) = self.open.take() {
-            track.served();
+        if let Some(mut open) = self.open.take() {
+            open.flight.finish();
+            open.track.served();
         }
     }
 }
 
 /// Records that the answer was interrupted; the end is held if the server crashed.
-async fn cut(open: Option<(Flight, Track)>, error: BodyError) -> BodyError {
-    if let Some((flight, mut track)) = open {
-        track.end(&Outcome::Unknown(Uncertainty::Interrupted));
-        track.interrupted(&flight).await;
+async fn cut(open: Option<Open>, error: BodyError) -> BodyError {
+    if let Some(mut open) = open {
+        open.track.end(&Outcome::Unknown(Uncertainty::Interrupted));
+        open.track.interrupted(&open.running).await;
     }
     error
 }
@@ -99,9 +116,12 @@
                     let open = self.open.take();
                     self.cut = Some(Box::pin(cut(open, error)));
                 }
-                Some(frame) => {
+                Some(Ok(frame)) => {
+                    if let Some(open) = &mut self.open {
+                        open.flight.received(frame.data_ref().map_or(0, Bytes::len));
+                    }
                     self.close_at_end();
-                    return Poll::Ready(Some(frame));
+                    return Poll::Ready(Some(Ok(frame)));
                 }
                 None => {
                     self.close();
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -63,6 +63,7 @@
     };
     let (served, renewing) = (pipeline.clone(), pipeline.clone());
     let quarantine = pipeline.quarantine().clone();
+    let router = pipeline.router().clone();
     let handler = move |request, _| {
         let pipeline = pipeline.clone();
         async move { pipeline.handle(request).await }
@@ -74,6 +75,7 @@
         local::confirmations(settings.control, stop.clone(), confirm),
         base::http::server::serve(listener, limits, stop.clone(), handler),
         exchange::run(quarantine, followed, settings.control, stop.clone()),
+        router.run(stop.clone()),
         share::run(share, served, stop.clone()),
         base::metrics::serve(exposed, registry, stop),
     );
--- a/programs/entry/src/server.rs
+++ b/programs/entry/src/server.rs
@@ -7,13 +7,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use steering::quarantine::Digest;
 
-/// A backend server with its connections and the requests that this entry has in flight there.
+/// A backend server with its connections.
 #[derive(Debug)]
 pub struct Server {
     /// What the list says about the server.
     pub listed: Backend,
     /// Connections to it.
     pub pool: Pool,
+    connections: usize,
     in_flight: AtomicU32,
     /// Whether the server is left free for trial runs of suspected requests.
     reserved: AtomicBool,
@@ -24,18 +25,24 @@
 
 /// One request in flight on a server; counts until it is dropped.
 #[derive(Debug)]
-pub struct Flight {
+pub struct Running {
     server: Arc<Server>,
     start: u64,
 }
 
 impl Server {
-    /// Makes a server without connections.
-    pub fn new(listed: Backend, settings: Settings) -> Self {
+    /// Makes a server without connections; its limit is divided over the `entries` of the fleet.
+    pub fn new(listed: Backend, entries: usize, settings: Settings) -> Self {
+        let connections = share(&listed, entries);
+        let settings = Settings {
+            connections,
+            ..settings
+        };
         let pool = Pool::new(listed.address, settings);
         Self {
             listed,
             pool,
+            connections,
             in_flight: AtomicU32::new(0),
             reserved: AtomicBool::new(false),
             digests: Mutex::default(),
@@ -43,6 +50,16 @@
         }
     }
 
+    /// Returns whether the server is listed unchanged and its connections are divided as before.
+    pub fn fits(&self, listed: &Backend, entries: usize) -> bool {
+        self.listed == *listed && self.connections == share(listed, entries)
+    }
+
+    /// Returns whether a request finds a connection without waiting.
+    pub fn has_connection(&self) -> bool {
+        self.pool.in_use() < self.connections
+    }
+
     /// Returns whether the server takes only trial runs of suspected requests.
     pub fn reserved(&self) -> bool {
         self.reserved.load(Ordering::Relaxed)
@@ -68,27 +85,38 @@
     }
 
     /// Counts one more request in flight.
-    pub fn start(self: &Arc<Self>, digest: Digest) -> Flight {
+    pub fn start(self: &Arc<Self>, digest: Digest) -> Running {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         let start = self.starts.fetch_add(1, Ordering::Relaxed);
         self.flights().insert(start, digest);
-        Flight {
+        Running {
             server: self.clone(),
             start,
         }
     }
 }
 
-impl Flight {
+impl Running {
     /// Returns the server that has the request.
     pub fn server(&self) -> &Arc<Server> {
         &self.server
     }
 }
 
-impl Drop for Flight {
+impl Drop for Running {
     fn drop(&mut self) {
         self.server.flights().swap_remove(&self.start);
         self.server.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// Connections of one entry, less the one that its probes use.
+///
+/// Any entry of the fleet may send to any server. The number of entries is rounded up to a power of
+/// two, so that pools are rarely made anew when entries come and go.
+fn share(listed: &Backend, entries: usize) -> usize {
+    let parts = entries.max(1).next_power_of_two();
+    (listed.connections as usize / parts)
+        .saturating_sub(1)
+        .max(1)
+}
--- a/programs/entry/src/settings.rs
+++ b/programs/entry/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of the entry.
 
 use base::id::{DataCentre, Region, Vm};
-use base::unit::Span;
+use base::unit::{Share, Span};
 use serde::Deserialize;
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -45,6 +45,20 @@
     pub token_wait: Span,
     /// Most requests of one workspace that wait for a token at once; more are refused at once.
     pub token_waiters: u64,
+    /// Time after which requests of an entry that is gone have ended on the backend servers.
+    ///
+    /// A started entry uses no slot before it has passed.
+    pub settle: Span,
+    /// Time between two exchanges of slots and loads with the other entries.
+    pub exchange_interval: Span,
+    /// Time between two probes of a local backend server by all entries of the data centre.
+    pub probe_interval: Span,
+    /// Longest time for the answer to a probe.
+    pub probe_timeout: Span,
+    /// Most requests of one service that wait for a slot.
+    pub waiting: usize,
+    /// Part of each link between regions that the entries use for requests and answers.
+    pub link_share: Share,
     /// Log specification.
     pub log: Box<str>,
 }
@@ -70,6 +84,12 @@
             read_timeout: Span(Duration::from_secs(5)),
             token_wait: Span(Duration::from_secs(1)),
             token_waiters: 128,
+            settle: Span(Duration::from_secs(2)),
+            exchange_interval: Span(Duration::from_millis(200)),
+            probe_interval: Span(Duration::from_secs(1)),
+            probe_timeout: Span(Duration::from_millis(500)),
+            waiting: 1024,
+            link_share: Share(0.7),
             log: "info".into(),
         }
     }
@@ -90,6 +110,10 @@
         if self.token_waiters == 0 {
             return Some("`token_waiters` must be at least 1");
         }
+        let spans = [self.settle, self.exchange_interval, self.probe_interval];
+        if spans.iter().any(|span| span.0.is_zero()) {
+            return Some("`settle`, `exchange_interval` and `probe_interval` must not be zero");
+        }
         None
     }
 }
--- a/programs/entry/src/share.rs
+++ b/programs/entry/src/share.rs
@@ -2,9 +2,10 @@
 
 use crate::pipeline::Pipeline;
 use crate::quarantine::pass;
-use peers::share::{Answer, Passed, Question, Reply, Servers, Share, Suspects};
+use peers::share::{Answer, Passed, Question, Reply, Servers, Share, Suspects, Want};
 use peers::wire::{self, Frame};
 use std::sync::Arc;
+use steering::balance::Loan;
 use steering::limits::{Borrow, Lent};
 use tarpc::context::Context;
 use tokio::net::TcpListener;
@@ -34,8 +35,21 @@
         })
     }
 
-    async fn servers(self, _: Context, _news: Frame<Servers>) -> Frame<Servers> {
-        Frame::new(Servers::default())
+    async fn servers(self, _: Context, news: Frame<Servers>) -> Frame<Servers> {
+        let answer = |news| self.pipeline.router().answer(news);
+        Frame::new(news.open().map(answer).unwrap_or_default())
+    }
+
+    async fn lend(self, _: Context, want: Frame<Want>) -> Frame<Option<Loan>> {
+        let lend = |want| self.pipeline.router().lend(&want);
+        Frame::new(want.open().ok().and_then(lend))
+    }
+
+    async fn give_back(self, _: Context, loan: Frame<Loan>) -> Frame<()> {
+        if let Ok(loan) = loan.open() {
+            self.pipeline.router().give_back(&loan);
+        }
+        Frame::new(())
     }
 
     async fn suspects(self, _: Context, news: Frame<Suspects>) -> Frame<Suspects> {
--- a/programs/entry/src/snapshot.rs
+++ b/programs/entry/src/snapshot.rs
@@ -92,9 +92,10 @@
         if list.backends.is_empty() {
             return self.servers.clone();
         }
+        let entries = list.nodes.len();
         let server = |listed: &list::Backend| match self.servers.get(&listed.name) {
-            Some(known) if known.listed == *listed => known.clone(),
-            _ => Arc::new(Server::new(listed.clone(), pool.clone())),
+            Some(known) if known.fits(listed, entries) => known.clone(),
+            _ => Arc::new(Server::new(listed.clone(), entries, pool.clone())),
         };
         list.backends
             .iter()
@@ -113,6 +114,34 @@
         Some(tenant.limit())
     }
 
+    /// Returns whether a key is withdrawn.
+    pub fn withdrawn(&self, digest: &Digest) -> bool {
+        self.withdrawn.contains(digest)
+    }
+
+    /// Returns the configuration in force.
+    pub fn bundle(&self) -> Option<&Bundle> {
+        self.bundle.as_deref()
+    }
+
+    /// Returns a backend server by its name.
+    pub fn server(&self, name: &str) -> Option<&Arc<Server>> {
+        self.servers.get(name)
+    }
+
+    /// Returns all listed servers, those that leave included.
+    pub fn listed(&self) -> impl Iterator<Item = &Arc<Server>> {
+        self.servers.values()
+    }
+
+    /// Returns whether list, drains and trial runs let a server get new work.
+    pub fn startable(&self, server: &Server) -> bool {
+        let listed = &server.listed;
+        listed.state == list::State::Live
+            && !self.draining.contains(&listed.name)
+            && !server.reserved()
+    }
+
     /// Returns the address of a VM's entry towards other entries.
     pub fn share_address(&self, vm: &str) -> Option<SocketAddr> {
         let node = self.nodes.iter().find(|node| &*node.name == vm)?;
@@ -180,11 +209,7 @@
     ) -> impl Iterator<Item = &'a Arc<Server>> {
         self.servers.values().filter(move |server| {
             let listed = &server.listed;
-            *listed.service == *service
-                && listed.label == *label
-                && listed.state == list::State::Live
-                && !self.draining.contains(&listed.name)
-                && !server.reserved()
+            *listed.service == *service && listed.label == *label && self.startable(server)
         })
     }
 }
