feature: entry decides the version of each attempt and reports evidence

A service with a release uses its quota per attempt, records results per route, and falls back to the old version without contact to its control process. On SIGTERM the entry first leaves the look-up answers.

--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -1,12 +1,13 @@
 //! Messages between control processes, and from entries to the control process that grants shares.
 
 use crate::wire::{self, Error, Frame};
-use base::id::{Release, Vm};
+use base::id::{Incarnation, Release, Server, Service, Vm};
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use steering::config::{Delta, Digest};
 use steering::limits::{Grant, Renew};
-use steering::release::Evidence;
+use steering::drain;
+use steering::release::{Beat, Confirmed, Evidence, Halt, Record};
 
 base::message! {
     /// Configuration and growing sets that the sender has.
@@ -25,11 +26,40 @@
         pub digest: Digest,
     }
 
-    /// News of releases.
+    /// Sign of life of a release's owner, with what the release waits for.
+    #[derive(Default)]
+    pub struct Sign {
+        /// Beat.
+        pub beat: Beat,
+        /// What the release waits for.
+        pub waits: Box<str>,
+    }
+
+    /// News of releases, drains and stops.
     #[derive(Default)]
     pub struct Releases {
-        /// Evidence of each release that the sender knows.
+        /// Sender.
+        pub vm: Vm,
+        /// This run of the sender.
+        pub incarnation: Incarnation,
+        /// Whether the sender's VM is stopping.
+        pub leaving: bool,
+        /// Evidence of the sender's own entry.
         pub evidence: IndexMap<Release, Evidence>,
+        /// Rows of the releases with their versions.
+        pub rows: IndexMap<Release, (u64, Record)>,
+        /// Halted releases.
+        pub halt: Halt,
+        /// Latest signs of the owners.
+        pub signs: IndexMap<Release, Sign>,
+        /// Confirmations of last steps.
+        pub confirmed: Confirmed,
+        /// Drains with the version of their row.
+        pub drains: (u64, drain::Plan),
+        /// Requests that the sender's entry has in flight, per server in use or being drained.
+        pub in_flight: IndexMap<Server, u32>,
+        /// Requests that the sender's entry has in flight, averaged, per service.
+        pub demand: IndexMap<Service, f64>,
     }
 }
 
--- a/crates/peers/src/local.rs
+++ b/crates/peers/src/local.rs
@@ -2,11 +2,12 @@
 
 use crate::wire::{self, Error, Frame};
 use base::clock::Millis;
-use base::id::{Label, Release, Version, Workspace};
+use base::id::{Incarnation, Label, Release, Server, Service, Version, Vm, Workspace};
 use indexmap::{IndexMap, IndexSet};
 use platform::list::List;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use steering::release::{Cap, Evidence};
 use tokio_util::sync::CancellationToken;
 
 base::message! {
@@ -18,12 +19,52 @@
         pub expires: Option<Millis>,
     }
 
+    /// How far a release has come on this VM.
+    #[derive(Copy, Eq)]
+    pub enum Standing {
+        /// Both versions serve; without contact the old version serves alone.
+        Stepping,
+        /// This VM has confirmed the last step and no longer halts the release.
+        Confirmed,
+        /// The new version has taken over.
+        Complete,
+    }
+
     /// Current state of a release.
     pub struct Step {
+        /// Service.
+        pub service: Service,
         /// New version.
         pub to: Label,
-        /// Largest share of the service's starts that the new version gets, from 0 to 1.
-        pub cap: f64,
+        /// Largest share of the service's starts that the new version gets.
+        pub cap: Cap,
+        /// Index of the step, under which evidence is recorded.
+        pub step: usize,
+        /// Servers of the new version that are used in this step.
+        pub width: u32,
+        /// How far the release has come.
+        pub standing: Standing,
+    }
+
+    /// What the entry tells its control process several times a second.
+    pub struct Report {
+        /// This run of the entry.
+        pub incarnation: Incarnation,
+        /// Results of the requests of each release under way.
+        pub evidence: IndexMap<Release, Evidence>,
+        /// Requests in flight per server that is in use or being drained.
+        pub in_flight: IndexMap<Server, u32>,
+        /// Requests in flight per service, averaged over some seconds.
+        pub demand: IndexMap<Service, f64>,
+        /// Whether the entry is stopping.
+        pub leaving: bool,
+    }
+
+    /// Answer to a report.
+    #[derive(Copy, Eq)]
+    pub struct Heard {
+        /// Whether every other VM has been told that this VM is leaving.
+        pub withdrawn: bool,
     }
 
     /// All that the entry and the look-up need from the control process.
@@ -45,6 +86,10 @@
         pub steps: IndexMap<Release, Step>,
         /// Backend servers that must get no new work.
         pub draining: IndexSet<Box<str>>,
+        /// Row version of the drains; a lower one is old news.
+        pub drains_version: u64,
+        /// VMs that are stopping and must not be named to callers.
+        pub leaving: IndexSet<Vm>,
         /// Last known list of VMs and backend servers.
         pub list: List,
         /// Time of the last confirmation of keys by the store or a peer.
@@ -60,6 +105,9 @@
 pub trait Local {
     /// Returns the state as soon as its generation differs from `have`, or after [`SYNC_WAIT`].
     async fn sync(have: u64) -> Frame<State>;
+
+    /// Takes the entry's report.
+    async fn report(report: Frame<Report>) -> Frame<Heard>;
 }
 
 /// Connects to the control process.
--- a/crates/steering/src/release/plan.rs
+++ b/crates/steering/src/release/plan.rs
@@ -3,6 +3,7 @@
 use super::{Halt, Put, Reason, Record, State, Verdict};
 use base::clock::Millis;
 use base::id::Operation;
+use std::fmt;
 
 /// Part of the time that the steps are spread over; the rest is kept for missing evidence and
 /// changes of the owner.
@@ -12,8 +13,8 @@
 /// load is reached only half of the time.
 const LOAD_PART: f64 = 0.9;
 
-/// Shortest time in a step, so that the results of its first requests are known everywhere.
-pub(super) const SOAK_MILLIS: Millis = 5_000;
+/// Usual shortest time in a step, so that the results of its first requests are known everywhere.
+pub const SOAK_MILLIS: Millis = 5_000;
 
 /// Time for which the owner may act without renewal before another may take over.
 const LEASE_MILLIS: Millis = 3_000;
@@ -113,6 +114,17 @@
     }
 }
 
+impl fmt::Display for Hold {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Pace => f.write_str("the time of the next step"),
+            Self::Evidence(route) => write!(f, "good evidence of route `{route}`"),
+            Self::Load => f.write_str("the load of the next step"),
+            Self::Confirmation => f.write_str("confirmation by every VM"),
+        }
+    }
+}
+
 impl<S> Plan<S> {
     /// Returns the record as last written.
     pub fn record(&self) -> &Record {
@@ -137,7 +149,7 @@
         if now < self.record.start {
             return Next::Wait(self, Hold::Pace);
         }
-        let shortest = SOAK_MILLIS * self.record.steps.len() as Millis;
+        let shortest = self.record.soak * self.record.steps.len() as Millis;
         let state = match halt.reason(&self.record.id) {
             Some(reason) => State::RolledBack(reason.clone()),
             None if now + shortest > self.record.finish_by => {
@@ -182,7 +194,7 @@
             return Ok(State::RolledBack(reason.clone()));
         }
         let left = (judged - self.state.step) as Millis;
-        let latest = self.record.finish_by.saturating_sub(SOAK_MILLIS * left);
+        let latest = self.record.finish_by.saturating_sub(self.record.soak * left);
         let Err(hold) = self.may_advance(input, judged) else {
             return Ok(State::Stepping {
                 step: self.state.step + 1,
@@ -204,7 +216,7 @@
         let time = self.record.finish_by.saturating_sub(self.record.start) as f64;
         let part = (self.state.step + 1) as f64 / judged as f64;
         let planned = self.record.start + (time * PACED_PART * part) as Millis;
-        if input.now < planned.max(self.state.since + SOAK_MILLIS) {
+        if input.now < planned.max(self.state.since + self.record.soak) {
             return Err(Hold::Pace);
         }
         if let Verdict::Undecided(route) = input.verdict {
--- a/crates/steering/src/release/record.rs
+++ b/crates/steering/src/release/record.rs
@@ -4,10 +4,11 @@
 //! has no meaning on another VM. Clock differences affect the pace only; safety rests on the row
 //! version that each write expects.
 
-use super::plan::{Pending, SOAK_MILLIS};
+use super::plan::Pending;
 use super::{Cap, Halt, Reason};
 use base::clock::Millis;
 use base::id::{Incarnation, Label, Operation, Release, Service};
+use std::fmt;
 
 base::message! {
     /// State of a release.
@@ -42,6 +43,8 @@
         pub start: Millis,
         /// Time by which the new version must have taken over.
         pub finish_by: Millis,
+        /// Shortest time in a step.
+        pub soak: Millis,
         /// Caps of the steps; they rise and end with 100%.
         pub steps: Box<[Cap]>,
         /// Incarnation of the owner.
@@ -75,6 +78,16 @@
     }
 }
 
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::TooFewServers => "the new version needs at least 2 listed servers",
+            Self::Steps => "the steps must rise and end with 100%",
+            Self::TooLittleTime => "the steps don't fit before the finish time",
+        })
+    }
+}
+
 impl Record {
     /// Plans a release over `servers` backend servers of the new version.
     ///
@@ -102,7 +115,7 @@
             steps.push(*cap);
         }
         self.steps = steps.into();
-        let shortest = SOAK_MILLIS * self.steps.len() as Millis;
+        let shortest = self.soak * self.steps.len() as Millis;
         if self.finish_by < self.start + shortest {
             return Err(Refusal::TooLittleTime);
         }
--- a/crates/steering/src/release/watch.rs
+++ b/crates/steering/src/release/watch.rs
@@ -8,7 +8,7 @@
 /// Time without a beat of the owner after which a VM stops using the new version, because it may
 /// have missed a halt. It is longer than the owner's lease, so that a change of the owner does not
 /// move the traffic.
-const CONTACT: Duration = Duration::from_secs(5);
+pub const CONTACT: Duration = Duration::from_secs(5);
 
 base::label! {
     /// Sign of life of a release's owner. Copies are merged by maximum.
--- a/crates/steering/tests/release.rs
+++ b/crates/steering/tests/release.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 use steering::release::{
     Answer, Beat, Cap, Confirmed, Evidence, Halt, Input, Load, Next, Owned, Put, Quota, Reason,
-    Record, Refusal, Settings, Settled, Side, State, Test, Verdict, Watch,
+    Record, Refusal, SOAK_MILLIS, Settings, Settled, Side, State, Test, Verdict, Watch,
 };
 
 const FAST: Duration = Duration::from_millis(20);
@@ -20,6 +20,7 @@
         new: "v2".into(),
         start: 0,
         finish_by: time,
+        soak: SOAK_MILLIS,
         steps: [1, 5, 25, 50, 100].map(Cap::percent).into(),
         owner: 0,
         leased_until: 0,
--- a/programs/entry/src/forward.rs
+++ b/programs/entry/src/forward.rs
@@ -3,6 +3,7 @@
 use crate::authorise::Grant;
 use crate::metrics::Metrics;
 use crate::receive::Call;
+use crate::release::{Releases, Trial};
 use crate::route;
 use crate::server::Flight;
 use crate::settings::Settings;
@@ -10,6 +11,7 @@
 use backends::client::{After, Before, Failure, NotRun};
 use base::http::Body;
 use hyper::Response;
+use std::sync::Arc;
 use steering::attempt::{self, Attempt, Outcome, Refusal, Retry, Step, Uncertainty};
 
 /// Most servers that one request is sent to.
@@ -22,6 +24,8 @@
     pub response: Response<Body>,
     /// Request in flight; ends with the body.
     pub flight: Flight,
+    /// Evidence of a release, recorded when the answer has ended.
+    pub trial: Option<Trial>,
 }
 
 /// Result of forwarding: an answer, or the outcome that the caller is told.
@@ -37,13 +41,15 @@
     grant: &Grant<'_>,
     snapshot: &Snapshot,
     settings: &Settings,
+    releases: &Arc<Releases>,
     metrics: &Metrics,
 ) -> Forwarded {
     let mut attempt = Attempt::new(grant.path.idempotent);
     let mut tried = Vec::new();
     for _ in 0..ATTEMPTS {
-        let label = &grant.service.current;
-        let chosen = route::choose(snapshot, grant.service, label, settings, &tried);
+        let start = releases.start(snapshot, grant.service, &grant.path.name);
+        let chosen =
+            route::choose(snapshot, grant.service, &start.label, settings, &tried).cloned();
         let Some(server) = chosen else {
             break;
         };
@@ -51,15 +57,27 @@
         let flight = server.start();
         let sent = attempt.send();
         match server.pool.send(call.request(), call.deadline).await {
-            Ok(response) => return Ok(Answer { response, flight }),
-            Err(failure) => match sent.fail(classify(failure)) {
-                Step::Retry(next, retry) => {
-                    log::debug!("request {}: {retry} on {}", call.id, server.listed.name);
-                    metrics.retry(retry);
-                    attempt = next;
+            Ok(response) => {
+                let trial = start.answered(response.status().as_u16());
+                return Ok(Answer {
+                    response,
+                    flight,
+                    trial,
+                });
+            }
+            Err(failure) => {
+                if matches!(failure, Failure::After(_)) {
+                    start.lost();
                 }
-                Step::Done(outcome) => return Err(outcome),
-            },
+                match sent.fail(classify(failure)) {
+                    Step::Retry(next, retry) => {
+                        log::debug!("request {}: {retry} on {}", call.id, server.listed.name);
+                        metrics.retry(retry);
+                        attempt = next;
+                    }
+                    Step::Done(outcome) => return Err(outcome),
+                }
+            }
         }
     }
     let reason = if tried.is_empty() {
--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -4,6 +4,7 @@
 use crate::forward::{Forwarded, forward};
 use crate::metrics::Metrics;
 use crate::receive::{Call, receive};
+use crate::release::Releases;
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use crate::{authorise, reply};
@@ -20,6 +21,7 @@
     settings: Settings,
     snapshot: watch::Receiver<Arc<Snapshot>>,
     admission: Admission,
+    releases: Arc<Releases>,
     metrics: Arc<Metrics>,
 }
 
@@ -28,12 +30,14 @@
     pub fn new(
         settings: Settings,
         snapshot: watch::Receiver<Arc<Snapshot>>,
+        releases: Arc<Releases>,
         metrics: Arc<Metrics>,
     ) -> Self {
         Self {
             settings,
             snapshot,
             admission: Admission::default(),
+            releases,
             metrics,
         }
     }
@@ -65,7 +69,8 @@
         // The key may have been withdrawn, and servers may have left, while the request waited.
         let snapshot = self.snapshot.borrow().clone();
         let grant = authorise::authorise(call, &snapshot, secret).map_err(refused)?;
-        forward(call, &grant, &snapshot, &self.settings, &self.metrics).await
+        let (settings, releases) = (&self.settings, &self.releases);
+        forward(call, &grant, &snapshot, settings, releases, &self.metrics).await
     }
 }
 
--- /dev/null
+++ b/programs/entry/src/release.rs
@@ -0,0 +1,289 @@
+//! Decides the version of each attempt and keeps the evidence of releases.
+
+use crate::server::Server;
+use crate::settings::Settings;
+use crate::snapshot::Snapshot;
+use base::id::{Incarnation, Label, Release, Route};
+use indexmap::IndexMap;
+use operators::service::Service;
+use peers::local::{self, LocalClient, Report, Standing, Step};
+use peers::wire::{Error, Frame};
+use rand::RngExt;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use steering::release::{CONTACT, Cap, Evidence, Quota, Side};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Number of shards; a service's counters are in one of them.
+const SHARDS: usize = 16;
+
+/// Time between two reports to the control process.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest time for one report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Part of the newest sample in the averaged demand; averages over about 2 s.
+const DEMAND_PART: f64 = 0.125;
+
+/// Counters and evidence of all releases on this VM.
+#[derive(Debug)]
+pub struct Releases {
+    incarnation: Incarnation,
+    shards: [Mutex<Shard>; SHARDS],
+    /// Time of the last report that the control process answered.
+    contact: Mutex<Option<Instant>>,
+    demand: Mutex<IndexMap<Box<str>, f64>>,
+}
+
+#[derive(Debug, Default)]
+struct Shard {
+    quotas: IndexMap<Box<str>, Quota>,
+    evidence: IndexMap<Release, Evidence>,
+}
+
+/// Version that an attempt uses, and what is recorded when it ends.
+#[derive(Debug)]
+pub struct Start {
+    /// Label of the version.
+    pub label: Label,
+    trial: Option<Trial>,
+}
+
+/// An attempt on one of the versions that a release compares; recorded when it is dropped.
+#[derive(Debug)]
+pub struct Trial {
+    releases: Arc<Releases>,
+    service: Box<str>,
+    release: Release,
+    step: usize,
+    route: Route,
+    side: Side,
+    begin: Instant,
+    result: Option<(bool, Duration)>,
+}
+
+impl Default for Releases {
+    fn default() -> Self {
+        Self {
+            incarnation: rand::rng().random(),
+            shards: Default::default(),
+            contact: Mutex::default(),
+            demand: Mutex::default(),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Releases {
+    /// Counts an attempt and decides its version.
+    pub fn start(self: &Arc<Self>, snapshot: &Snapshot, service: &Service, route: &str) -> Start {
+        let Some(step) = snapshot.step(service) else {
+            return Start::plain(&service.current);
+        };
+        if step.standing == Standing::Complete {
+            return Start::plain(&step.to);
+        }
+        let name = &service.service.value;
+        let cap = self.cap(step);
+        let side = {
+            let mut shard = lock(self.shard(name));
+            let quota = shard.quotas.entry(name.clone()).or_default();
+            quota.set(cap);
+            quota.start()
+        };
+        let usable = snapshot.servers(name, &step.to).next().is_some();
+        let side = if usable { side } else { Side::Old };
+        let release = service.release.as_ref().map(|release| &release.value.id);
+        let trial = release.map(|release| Trial {
+            releases: self.clone(),
+            service: name.clone(),
+            release: release.clone(),
+            step: step.step,
+            route: route.into(),
+            side,
+            begin: Instant::now(),
+            result: None,
+        });
+        let label = match side {
+            Side::Old => &service.current,
+            Side::New => &step.to,
+        };
+        Start {
+            label: label.clone(),
+            trial,
+        }
+    }
+
+    /// Returns the cap of a step; none while the control process, which hears of halts, is silent.
+    fn cap(&self, step: &Step) -> Cap {
+        let fresh = lock(&self.contact).is_some_and(|at| at.elapsed() < CONTACT);
+        if fresh || step.standing != Standing::Stepping {
+            step.cap
+        } else {
+            Cap::NONE
+        }
+    }
+
+    fn shard(&self, service: &str) -> &Mutex<Shard> {
+        let mut hasher = DefaultHasher::new();
+        service.hash(&mut hasher);
+        &self.shards[(hasher.finish() % SHARDS as u64) as usize]
+    }
+
+    /// Drops what belongs to releases and services that are no longer configured or are over.
+    fn forget(&self, snapshot: &Snapshot) {
+        for shard in &self.shards {
+            let mut shard = lock(shard);
+            shard.quotas.retain(|name, _| {
+                let service = snapshot.service(name);
+                service.is_some_and(|service| service.release.is_some())
+            });
+            shard.evidence.retain(|release, evidence| {
+                let step = snapshot.step_of(release);
+                if let Some(step) = step {
+                    evidence.forget_before(step.step);
+                }
+                step.is_some_and(|step| step.standing != Standing::Complete)
+            });
+        }
+    }
+
+    /// Makes the next report.
+    fn report(&self, snapshot: &Snapshot, leaving: bool) -> Report {
+        self.forget(snapshot);
+        let mut evidence = IndexMap::new();
+        for shard in &self.shards {
+            evidence.extend(lock(shard).evidence.clone());
+        }
+        let used = |server: &&Arc<Server>| {
+            server.in_flight() > 0 || snapshot.draining(&server.listed.name)
+        };
+        let in_flight: IndexMap<_, _> = snapshot
+            .all_servers()
+            .filter(used)
+            .map(|server| (server.listed.name.clone(), server.in_flight()))
+            .collect();
+        Report {
+            incarnation: self.incarnation,
+            evidence,
+            in_flight,
+            demand: self.averaged(snapshot),
+            leaving,
+        }
+    }
+
+    fn averaged(&self, snapshot: &Snapshot) -> IndexMap<Box<str>, f64> {
+        let mut now: IndexMap<&str, f64> = IndexMap::new();
+        for server in snapshot.all_servers() {
+            *now.entry(&server.listed.service).or_default() += f64::from(server.in_flight());
+        }
+        let mut demand = lock(&self.demand);
+        demand.retain(|service, _| now.contains_key(&**service));
+        for (service, sample) in now {
+            let known = demand.entry(service.into()).or_default();
+            *known += DEMAND_PART * (sample - *known);
+        }
+        demand.clone()
+    }
+}
+
+impl Start {
+    fn plain(label: &Label) -> Self {
+        Self {
+            label: label.clone(),
+            trial: None,
+        }
+    }
+
+    /// Notes an answer with this status and returns what records it when the answer has ended.
+    pub fn answered(mut self, status: u16) -> Option<Trial> {
+        if let Some(trial) = &mut self.trial {
+            trial.result = Some((status >= 500, trial.begin.elapsed()));
+        }
+        self.trial
+    }
+
+    /// Notes that the attempt may have run and that no whole answer came.
+    pub fn lost(self) {
+        if let Some(mut trial) = self.trial {
+            trial.interrupted();
+        }
+    }
+}
+
+impl Trial {
+    /// Notes that the answer was interrupted.
+    pub fn interrupted(&mut self) {
+        self.result = Some((true, self.begin.elapsed()));
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        // Without a result the attempt was refused or its caller left; neither says anything of
+        // the version.
+        let Some((failed, latency)) = self.result else {
+            return;
+        };
+        let mut shard = lock(self.releases.shard(&self.service));
+        let evidence = shard.evidence.entry(self.release.clone()).or_default();
+        let key = (self.releases.incarnation, self.step);
+        evidence.record(key, &self.route, self.side, failed, latency);
+    }
+}
+
+/// Reports to the control process until `end` is cancelled.
+///
+/// `leaving` is cancelled when the VM begins to stop; `withdrawn` when every other VM knows.
+pub async fn run(
+    releases: Arc<Releases>,
+    snapshot: watch::Receiver<Arc<Snapshot>>,
+    settings: &Settings,
+    (leaving, withdrawn): (CancellationToken, CancellationToken),
+    end: CancellationToken,
+) {
+    let mut client = None;
+    while !end.is_cancelled() {
+        let current = snapshot.borrow().clone();
+        let report = releases.report(&current, leaving.is_cancelled());
+        match send(&mut client, settings, report).await {
+            Ok(heard) => {
+                *lock(&releases.contact) = Some(Instant::now());
+                if heard.withdrawn && leaving.is_cancelled() {
+                    withdrawn.cancel();
+                }
+            }
+            Err(error) => {
+                log::debug!("the report was not taken: {error}");
+                client = None;
+            }
+        }
+        end.run_until_cancelled(tokio::time::sleep(REPORT_INTERVAL))
+            .await;
+    }
+}
+
+async fn send(
+    client: &mut Option<LocalClient>,
+    settings: &Settings,
+    report: Report,
+) -> Result<local::Heard, Error> {
+    let connected = match client.take() {
+        Some(connected) => connected,
+        None => local::connect(settings.control).await?,
+    };
+    let mut context = tarpc::context::current();
+    context.deadline = Instant::now() + REPORT_TIMEOUT;
+    let heard = connected
+        .report(context, Frame::new(report))
+        .await?
+        .open()?;
+    *client = Some(connected);
+    Ok(heard)
+}
--- a/programs/entry/src/reply.rs
+++ b/programs/entry/src/reply.rs
@@ -1,6 +1,7 @@
 //! Answers the caller.
 
 use crate::forward::{Answer, Forwarded};
+use crate::release::Trial;
 use crate::server::Flight;
 use base::http::{Body, BodyError};
 use bytes::Bytes;
@@ -28,11 +29,16 @@
 }
 
 fn served(answer: Answer) -> Response<Body> {
-    let Answer { response, flight } = answer;
+    let Answer {
+        response,
+        flight,
+        trial,
+    } = answer;
     let mut response = response.map(|body| {
         Streamed {
             body,
             _flight: flight,
+            trial,
         }
         .boxed_unsync()
     });
@@ -44,6 +50,7 @@
 struct Streamed {
     body: Body,
     _flight: Flight,
+    trial: Option<Trial>,
 }
 
 impl hyper::body::Body for Streamed {
@@ -54,7 +61,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if let (Poll::Ready(Some(Err(_))), Some(trial)) = (&polled, &mut self.trial) {
+            trial.interrupted();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -2,9 +2,10 @@
 
 use crate::metrics::Metrics;
 use crate::pipeline::Pipeline;
+use crate::release::{self, Releases};
 use crate::settings::Settings;
-use crate::share;
 use crate::snapshot::Snapshot;
+use crate::{share, stop};
 use backends::client;
 use base::http::server::Limits;
 use peers::local;
@@ -15,7 +16,8 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-/// Runs until `stop` is cancelled, then lets the requests in flight finish.
+/// Runs until `stop` is cancelled, then leaves the look-up answers and lets the requests in flight
+/// finish.
 ///
 /// # Errors
 ///
@@ -28,11 +30,14 @@
     let mut registry = Registry::with_prefix("cardamomhall");
     metrics.register(&mut registry);
     let snapshot = watch::Sender::new(Arc::new(Snapshot::default()));
+    let releases = Arc::new(Releases::default());
     let pipeline = Arc::new(Pipeline::new(
         settings.clone(),
         snapshot.subscribe(),
+        releases.clone(),
         metrics.clone(),
     ));
+    let seen = snapshot.subscribe();
     let pool = client::Settings {
         read_timeout: settings.read_timeout.0,
         ..client::Settings::default()
@@ -51,11 +56,20 @@
         async move { pipeline.handle(request).await }
     };
     log::info!("vm {} serving on {}", settings.vm, settings.listen);
+    let (withdrawn, refuse, end) =
+        <(CancellationToken, CancellationToken, CancellationToken)>::default();
+    let signs = (stop.clone(), withdrawn.clone());
+    let serve = async {
+        base::http::server::serve(listener, limits, refuse.clone(), handler).await;
+        end.cancel();
+    };
     tokio::join!(
-        local::follow(settings.control, stop.clone(), update),
-        base::http::server::serve(listener, limits, stop.clone(), handler),
-        share::run(share, served, stop.clone()),
-        base::metrics::serve(exposed, registry, stop),
+        stop::run(&settings, stop, withdrawn, refuse.clone()),
+        serve,
+        release::run(releases, seen, &settings, signs, end.clone()),
+        local::follow(settings.control, end.clone(), update),
+        share::run(share, served, end.clone()),
+        base::metrics::serve(exposed, registry, end.clone()),
     );
     log::info!("stopped");
     Ok(())
--- a/programs/entry/src/settings.rs
+++ b/programs/entry/src/settings.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
+use steering::drain::Times;
 
 /// Settings of the entry.
 #[derive(Clone, PartialEq, Deserialize)]
@@ -35,6 +36,10 @@
     pub connections: usize,
     /// Longest time that a stopping entry waits for requests in flight.
     pub drain_timeout: Span,
+    /// Longest time for every other VM to learn that this VM is stopping.
+    pub stop_spread: Span,
+    /// Time for which callers may still use a cached look-up answer that names this VM.
+    pub stop_cached: Span,
     /// Time without a byte after which a backend server's connection is retired.
     pub read_timeout: Span,
     /// Log specification.
@@ -57,6 +62,8 @@
             body_timeout: Span(Duration::from_secs(10)),
             connections: 4096,
             drain_timeout: Span(Duration::from_secs(30)),
+            stop_spread: Span(Times::default().spread),
+            stop_cached: Span(Times::default().cached),
             read_timeout: Span(Duration::from_secs(5)),
             log: "info".into(),
         }
--- a/programs/entry/src/snapshot.rs
+++ b/programs/entry/src/snapshot.rs
@@ -6,7 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use operators::bundle::Bundle;
 use operators::service::Service;
-use peers::local::{Key, State, Step};
+use peers::local::{Key, Standing, State, Step};
 use platform::list;
 use std::sync::Arc;
 
@@ -21,6 +21,9 @@
     halted: IndexSet<Box<str>>,
     steps: IndexMap<Box<str>, Step>,
     draining: IndexSet<Box<str>>,
+    drains_version: u64,
+    /// Servers of new versions that the current step leaves unused.
+    idle: IndexSet<Box<str>>,
     servers: IndexMap<Box<str>, Arc<Server>>,
 }
 
@@ -31,6 +34,7 @@
     /// entries of growing sets are never removed.
     pub fn next(&self, state: &State, pool: &Settings) -> Self {
         let (version, bundle) = self.newer(state);
+        let newer_drains = state.drains_version >= self.drains_version;
         Self {
             version,
             bundle,
@@ -41,12 +45,37 @@
             },
             withdrawn: &self.withdrawn | &state.withdrawn,
             halted: &self.halted | &state.halted,
-            steps: state.steps.clone(),
-            draining: &self.draining | &state.draining,
+            steps: self.steps(state),
+            draining: if newer_drains {
+                state.draining.clone()
+            } else {
+                self.draining.clone()
+            },
+            drains_version: self.drains_version.max(state.drains_version),
+            idle: idle(state),
             servers: self.connected(&state.list, pool),
         }
     }
 
+    /// Keeps completed releases that a restarted control process does not know yet.
+    fn steps(&self, state: &State) -> IndexMap<Box<str>, Step> {
+        let complete = |step: &Step| step.standing == Standing::Complete;
+        let kept = self.steps.iter().filter(|(_, step)| complete(step));
+        let mut steps = state.steps.clone();
+        for (release, step) in kept {
+            steps.insert(release.clone(), step.clone());
+        }
+        let Some(bundle) = &self.bundle else {
+            return steps;
+        };
+        let named = |id: &str| {
+            let mut releases = bundle.services.values().filter_map(|s| s.release.as_ref());
+            releases.any(|release| *release.value.id == *id)
+        };
+        steps.retain(|id, _| state.steps.contains_key(id) || named(id));
+        steps
+    }
+
     fn newer(&self, state: &State) -> (Version, Option<Arc<Bundle>>) {
         if state.version <= self.version {
             return (self.version, self.bundle.clone());
@@ -97,10 +126,20 @@
     /// Returns the step of a service's release, unless the release is halted.
     pub fn step(&self, service: &Service) -> Option<&Step> {
         let release = &service.release.as_ref()?.value.id;
-        if self.halted.contains(release) {
-            return None;
-        }
-        self.steps.get(release)
+        let step = self.steps.get(release)?;
+        // A halt that comes after the completion is a new release of the old version.
+        let halted = self.halted.contains(release) && step.standing != Standing::Complete;
+        (!halted).then_some(step)
+    }
+
+    /// Returns the step of a release, unless it is halted.
+    pub fn step_of(&self, release: &str) -> Option<&Step> {
+        let bundle = self.bundle.as_ref()?;
+        let named = |service: &&Service| {
+            let takeover = service.release.as_ref();
+            takeover.is_some_and(|takeover| *takeover.value.id == *release)
+        };
+        self.step(bundle.services.values().find(named)?)
     }
 
     /// Returns the servers of a service and version that may get new work.
@@ -115,6 +154,38 @@
                 && listed.label == *label
                 && listed.state == list::State::Live
                 && !self.draining.contains(&listed.name)
+                && !self.idle.contains(&listed.name)
         })
     }
+
+    /// Returns all servers.
+    pub fn all_servers(&self) -> impl Iterator<Item = &Arc<Server>> {
+        self.servers.values()
+    }
+
+    /// Returns whether a server is being drained.
+    pub fn draining(&self, server: &str) -> bool {
+        self.draining.contains(server)
+    }
+}
+
+/// Returns the servers of new versions beyond the width of their steps.
+fn idle(state: &State) -> IndexSet<Box<str>> {
+    let unused = state
+        .steps
+        .values()
+        .filter(|step| step.standing == Standing::Stepping)
+        .flat_map(|step| {
+            let of_step =
+                |b: &&list::Backend| b.service == step.service && b.label == step.to && usable(b);
+            let mut names: Vec<_> = state.list.backends.iter().filter(of_step).collect();
+            names.retain(|backend| !state.draining.contains(&backend.name));
+            names.sort_by(|a, b| a.name.cmp(&b.name));
+            names.into_iter().skip(step.width as usize)
+        });
+    unused.map(|backend| backend.name.clone()).collect()
+}
+
+fn usable(backend: &list::Backend) -> bool {
+    backend.state == list::State::Live
 }
--- /dev/null
+++ b/programs/entry/src/stop.rs
@@ -0,0 +1,41 @@
+//! Order of the steps of the entry's own stop.
+
+use crate::settings::Settings;
+use std::time::{Duration, Instant};
+use steering::drain::{Stop, Times};
+use tokio_util::sync::CancellationToken;
+
+/// Time between two looks at whether the next step may begin.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Waits for `stop`, then until no caller can have a cached answer that names this VM, and then
+/// cancels `refuse`, on which the server stops accepting and finishes what is in flight.
+pub async fn run(
+    settings: &Settings,
+    stop: CancellationToken,
+    withdrawn: CancellationToken,
+    refuse: CancellationToken,
+) {
+    stop.cancelled().await;
+    let times = Times {
+        spread: settings.stop_spread.0,
+        cached: settings.stop_cached.0,
+        request: settings.drain_timeout.0,
+    };
+    log::info!("leaving the look-up answers");
+    let mut step = Stop::begin(Instant::now(), times);
+    let mut cached = loop {
+        match step.withdrawn(Instant::now(), withdrawn.is_cancelled()) {
+            Ok(next) => break next,
+            Err(same) => step = same,
+        }
+        tokio::time::sleep(LOOK).await;
+    };
+    log::info!("waiting until cached look-up answers have expired");
+    while let Err(same) = cached.refuse(Instant::now()) {
+        cached = same;
+        tokio::time::sleep(LOOK).await;
+    }
+    log::info!("refusing new connections");
+    refuse.cancel();
+}
--- a/tools/bench/src/experiment/release.rs
+++ b/tools/bench/src/experiment/release.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 use steering::release::{
     Answer, Beat, Cap, Confirmed, Evidence, Halt, Input, Load, Next, Owned, Pending, Quota, Reason,
-    Record, Settings, Settled, State, Verdict, Watch,
+    Record, SOAK_MILLIS, Settings, Settled, State, Verdict, Watch,
 };
 
 /// Share of releases during which a dependency of both versions fails for 5 to 25 s.
@@ -62,6 +62,7 @@
         new: "v2".into(),
         start: 0,
         finish_by: scale.time * 1000,
+        soak: SOAK_MILLIS,
         steps: [1, 5, 25, 50, 100].map(Cap::percent).into(),
         owner: 0,
         leased_until: 0,
