feature: control runs releases and drains

The owner of a release advances it under its lease; every VM judges the evidence that is exchanged with all listed VMs twice a second. Drains are one table row that is checked against headroom. A stopping VM is left out of look-up answers on all VMs.

--- a/crates/base/src/shutdown.rs
+++ b/crates/base/src/shutdown.rs
@@ -3,7 +3,11 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
+/// Exit status after a second stop signal.
+const EXIT_AT_ONCE: i32 = 1;
+
 /// Returns a token that is cancelled when the process receives SIGTERM or SIGINT.
+/// A second signal ends the process at once.
 ///
 /// # Errors
 ///
@@ -20,6 +24,12 @@
         }
         log::info!("received a stop signal");
         stop.cancel();
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        log::warn!("received a second stop signal; stopping at once");
+        std::process::exit(EXIT_AT_ONCE);
     });
     Ok(token)
 }
--- a/crates/operators/src/admin.rs
+++ b/crates/operators/src/admin.rs
@@ -4,7 +4,7 @@
 use crate::check::Finding;
 use base::clock::Millis;
 use base::http::client::{self, Answer, Target};
-use base::id::{DataCentre, Release, Version, Vm, Workspace};
+use base::id::{DataCentre, Operation, Release, Version, Vm, Workspace};
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use indexmap::IndexMap;
@@ -19,7 +19,7 @@
     pub const STATUS: &str = "/admin/status";
     /// Keys: `POST` issues one, `DELETE` withdraws one.
     pub const KEYS: &str = "/admin/keys";
-    /// Drains of backend servers: `POST`.
+    /// Drains of backend servers: `POST` asks for one, `DELETE` ends one.
     pub const DRAINS: &str = "/admin/drains";
     /// Halt of a release: `POST`.
     pub const HALTS: &str = "/admin/halts";
@@ -100,10 +100,23 @@
     /// Request to drain backend servers.
     #[serde(deny_unknown_fields)]
     pub struct Drain {
-        /// Names of the backend servers.
+        /// Names of backend servers and data centres.
         pub servers: Vec<Box<str>>,
     }
 
+    /// An accepted drain.
+    pub struct Drained {
+        /// Id by which the drain is shown and ended.
+        pub id: Operation,
+    }
+
+    /// Request to end a drain.
+    #[serde(deny_unknown_fields)]
+    pub struct Undrain {
+        /// Id of the drain.
+        pub id: Operation,
+    }
+
     /// Request to halt a release.
     #[serde(deny_unknown_fields)]
     pub struct Halt {
@@ -138,6 +151,8 @@
         pub releases: IndexMap<Release, Box<str>>,
         /// Backend servers that are being drained.
         pub draining: Vec<Box<str>>,
+        /// Accepted drains with their progress.
+        pub drains: IndexMap<Operation, Box<str>>,
     }
 
     /// What is known of one VM.
@@ -276,7 +291,7 @@
     /// # Errors
     ///
     /// Fails if the call fails or is refused.
-    pub async fn drain(&self, drain: &Drain) -> Result<Done, Error> {
+    pub async fn drain(&self, drain: &Drain) -> Result<Drained, Error> {
         decode(
             &self
                 .target
@@ -285,6 +300,20 @@
         )
     }
 
+    /// Ends a drain.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails or is refused.
+    pub async fn undrain(&self, undrain: &Undrain) -> Result<Done, Error> {
+        decode(
+            &self
+                .target
+                .call_json(Method::DELETE, path::DRAINS, undrain)
+                .await?,
+        )
+    }
+
     /// Halts a release.
     ///
     /// # Errors
--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -5,8 +5,8 @@
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use steering::config::{Delta, Digest};
-use steering::limits::{Grant, Renew};
 use steering::drain;
+use steering::limits::{Grant, Renew};
 use steering::release::{Beat, Confirmed, Evidence, Halt, Record};
 
 base::message! {
--- a/crates/steering/src/drain/plan.rs
+++ b/crates/steering/src/drain/plan.rs
@@ -175,6 +175,19 @@
             .all(|progress| *progress == Progress::Waiting)
     }
 
+    /// Returns the ids of all drains.
+    pub fn operations(&self) -> impl Iterator<Item = &Operation> {
+        self.drains.keys()
+    }
+
+    /// Returns the servers that get no new work because of a drain.
+    pub fn stopped(&self) -> impl Iterator<Item = &Server> {
+        let servers = self.drains.values().flat_map(|drain| &drain.servers);
+        servers
+            .filter(|(_, progress)| **progress != Progress::Waiting)
+            .map(|(server, _)| server)
+    }
+
     /// Returns the progress of a drain.
     pub fn report(&self, operation: &str, now: Millis) -> Option<Report> {
         let drain = self.drains.get(operation)?;
--- a/crates/steering/src/release/plan.rs
+++ b/crates/steering/src/release/plan.rs
@@ -194,7 +194,10 @@
             return Ok(State::RolledBack(reason.clone()));
         }
         let left = (judged - self.state.step) as Millis;
-        let latest = self.record.finish_by.saturating_sub(self.record.soak * left);
+        let latest = self
+            .record
+            .finish_by
+            .saturating_sub(self.record.soak * left);
         let Err(hold) = self.may_advance(input, judged) else {
             return Ok(State::Stepping {
                 step: self.state.step + 1,
--- a/programs/control/src/admin.rs
+++ b/programs/control/src/admin.rs
@@ -70,7 +70,8 @@
             (Method::POST, path::KEYS) => self.issue(parsed(&body)?).await,
             (Method::DELETE, path::KEYS) => self.withdraw(&parsed(&body)?).await,
             (Method::POST, path::DRAINS) => self.drain(parsed(&body)?).await,
-            (Method::POST, path::HALTS) => Ok(self.halt(parsed(&body)?).await),
+            (Method::DELETE, path::DRAINS) => self.undrain(&parsed(&body)?).await,
+            (Method::POST, path::HALTS) => self.halt(parsed(&body)?).await,
             _ => Err(Refusal::new(StatusCode::NOT_FOUND, "no such interface")),
         }
     }
--- a/programs/control/src/admin/status.rs
+++ b/programs/control/src/admin/status.rs
@@ -24,8 +24,9 @@
                 in_force,
                 confirmed_by_store: known.confirmed,
                 keys: keys(known),
-                releases: known.growing.halted.clone(),
-                draining: known.growing.draining.iter().cloned().collect(),
+                releases: known.releases(),
+                draining: known.board.drains.1.stopped().cloned().collect(),
+                drains: known.drain_texts(),
             }
         });
         http::json(StatusCode::OK, &status)
--- /dev/null
+++ b/programs/control/src/drain.rs
@@ -0,0 +1,261 @@
+//! Drains of backend servers.
+
+use crate::state::{Known, Shared};
+use crate::table;
+use base::clock;
+use base::id::{Operation, Service};
+use indexmap::IndexMap;
+use platform::{Client, Error, list};
+use std::time::{Duration, Instant};
+use steering::drain::{Fleet, Plan, Refusal, Rollout, Settings, Spec, Target};
+use steering::membership::rendezvous;
+
+/// Row of the accepted drains.
+const ROW: &str = "drains";
+
+/// Most attempts to accept a drain while other writers are faster.
+const ATTEMPTS: usize = 8;
+
+/// Age from which a VM's count of requests in flight is not used.
+const FRESH: Duration = Duration::from_secs(3);
+
+/// Why a change of the drains did not succeed.
+#[derive(Debug)]
+pub enum Failure {
+    /// Headroom would not be kept, or a name is unknown.
+    Refused(Refusal),
+    /// The table did not take the change.
+    Store(Error),
+}
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        Self::Store(error)
+    }
+}
+
+/// Reads the drains with the version of their row.
+///
+/// # Errors
+///
+/// As the platform answers.
+pub async fn read(client: &Client) -> Result<(u64, Plan), Error> {
+    match client.read(ROW).await {
+        Ok(row) => Ok((row.version, table::decode(row.value)?)),
+        Err(Error::Absent) => Ok((0, Plan::default())),
+        Err(error) => Err(error),
+    }
+}
+
+/// Accepts a drain of the named servers and data centres.
+///
+/// # Errors
+///
+/// Returns why it is refused.
+pub async fn accept(
+    shared: &Shared,
+    client: &Client,
+    names: &[Box<str>],
+) -> Result<Operation, Failure> {
+    let operation: Operation = base::id::random(&mut rand::rng())[..12].into();
+    change(shared, client, |known, plan| {
+        let settings = Settings::default();
+        let targets: Vec<Target> = names.iter().map(|name| known.target(name)).collect();
+        let fleet = known.fleet();
+        let now = clock::unix_millis();
+        plan.accept(now, operation.clone(), &targets, &fleet, &settings)
+            .map_err(Failure::Refused)
+    })
+    .await?;
+    Ok(operation)
+}
+
+/// Ends a drain; returns whether there was one.
+///
+/// # Errors
+///
+/// Fails if the table does not take the change.
+pub async fn end(shared: &Shared, client: &Client, operation: &str) -> Result<bool, Failure> {
+    change(shared, client, |_, plan| Ok(plan.end(operation))).await
+}
+
+/// Moves the drains on, on one VM at a time.
+pub async fn advance(shared: &Shared, client: &Client) {
+    let due = shared.read(|known| {
+        let (version, plan) = &known.board.drains;
+        let mut next = plan.clone();
+        let now = clock::unix_millis();
+        let begun = next.advance(now, &Settings::default(), |name| known.in_flight(name));
+        // One VM's write is enough; the row version keeps two from both taking effect.
+        let first = known.is_first(&shared.settings.vm);
+        (first && next != *plan).then_some((*version, next, begun))
+    });
+    let Some((version, next, begun)) = due else {
+        return;
+    };
+    let Ok(write) = table::write(version, &next) else {
+        return;
+    };
+    match client.write(ROW, &write).await {
+        Ok(version) => {
+            if !begun.is_empty() {
+                log::info!("draining {}", begun.join(", "));
+            }
+            shared.change(|known| known.board.drains(version, &next));
+        }
+        Err(error) => log::debug!("drains not moved on: {error}"),
+    }
+}
+
+/// Changes the row, starting again if another write came first.
+async fn change<T>(
+    shared: &Shared,
+    client: &Client,
+    change: impl Fn(&Known, &mut Plan) -> Result<T, Failure>,
+) -> Result<T, Failure> {
+    let mut last = Error::Absent;
+    for _ in 0..ATTEMPTS {
+        let (version, mut plan) = read(client).await?;
+        let result = shared.read(|known| change(known, &mut plan))?;
+        match client.write(ROW, &table::write(version, &plan)?).await {
+            Ok(version) => {
+                shared.change(|known| known.board.drains(version, &plan));
+                return Ok(result);
+            }
+            Err(Error::Conflict(version)) => last = Error::Conflict(version),
+            Err(error) => return Err(error.into()),
+        }
+    }
+    Err(last.into())
+}
+
+impl Known {
+    fn target(&self, name: &str) -> Target {
+        if self.list.backends.iter().any(|b| *b.data_centre == *name) {
+            Target::DataCentre(name.into())
+        } else {
+            Target::Server(name.into())
+        }
+    }
+
+    /// Returns whether this VM is the first of those heard of lately in the order for the drains.
+    fn is_first(&self, own: &str) -> bool {
+        let heard = |vm: &Box<str>| {
+            **vm == *own
+                || self
+                    .board
+                    .peers
+                    .get(vm)
+                    .is_some_and(|p| p.heard.elapsed() < FRESH)
+        };
+        let names = self.list.nodes.iter().map(|node| &node.name);
+        rendezvous::rank(ROW, own, names.filter(|vm| heard(vm))) == 0
+    }
+
+    /// Returns the requests that a server runs for any VM, or none if the server is gone.
+    ///
+    /// A VM that has not said that it knows of the drain counts as having a request there.
+    fn in_flight(&self, server: &str) -> Option<u32> {
+        self.list.backends.iter().find(|b| *b.name == *server)?;
+        let own = self.board.report.as_ref();
+        let own = own.filter(|(at, _)| at.elapsed() < FRESH);
+        let own = own.and_then(|(_, report)| report.in_flight.get(server).copied());
+        let others = self.others(&self.vm).len();
+        let fresh = |heard: &Instant| heard.elapsed() < FRESH;
+        let peers = self.board.peers.values().filter(|p| fresh(&p.heard));
+        let counts: Vec<u32> = peers
+            .filter_map(|peer| peer.in_flight.get(server).copied())
+            .collect();
+        let unknown = others.saturating_sub(counts.len()) as u32 + u32::from(own.is_none());
+        Some(counts.iter().sum::<u32>() + own.unwrap_or(0) + unknown)
+    }
+
+    /// Returns capacity and demand as far as this VM knows them.
+    fn fleet(&self) -> Fleet {
+        let live = self
+            .list
+            .backends
+            .iter()
+            .filter(|b| b.state == list::State::Live);
+        let spec = |b: &list::Backend| Spec {
+            service: b.service.clone(),
+            region: b.region.clone(),
+            data_centre: b.data_centre.clone(),
+            slots: b.slots,
+        };
+        let in_use = |b: &&list::Backend| {
+            let service = self.active.as_ref()?.bundle.service(&b.service)?;
+            let takeover = service.release.as_ref();
+            let new = takeover.filter(|t| self.board.steps.contains_key(&t.value.id));
+            Some(b.label == service.current || new.is_some_and(|t| t.value.to == b.label))
+        };
+        let servers = live.filter(|b| in_use(b).unwrap_or(true));
+        let mut fleet = Fleet {
+            servers: servers.map(|b| (b.name.clone(), spec(b))).collect(),
+            ..Fleet::default()
+        };
+        let mut add = |vm: &str, demand: &IndexMap<Service, f64>| {
+            let Some(node) = self.list.nodes.iter().find(|node| *node.name == *vm) else {
+                return;
+            };
+            for (service, used) in demand {
+                let key = (service.clone(), node.region.clone());
+                *fleet.demand.entry(key).or_default() += used;
+            }
+        };
+        for (vm, peer) in &self.board.peers {
+            add(vm, &peer.demand);
+        }
+        if let Some((_, report)) = &self.board.report {
+            add(&self.vm, &report.demand);
+        }
+        for planned in self.planned() {
+            let Some((_, record)) = self.board.rows.get(&planned.id) else {
+                continue;
+            };
+            let Some((_, next)) = record.step() else {
+                continue;
+            };
+            let backends = self.list.backends.iter();
+            let new = backends.filter(|b| b.service == planned.service && b.label == planned.new);
+            let rollout = Rollout {
+                new: new.map(|b| b.name.clone()).collect(),
+                next,
+            };
+            fleet.rollouts.insert(planned.service, rollout);
+        }
+        fleet.spill = self.spill(&fleet);
+        fleet
+    }
+
+    /// Returns the work that each region can send out.
+    ///
+    /// NOTE: the size of answers is not known here, so the links do not limit a drain; the entries
+    /// keep within the byte shares of the links.
+    fn spill(&self, fleet: &Fleet) -> IndexMap<Box<str>, f64> {
+        let regions = fleet.servers.values().map(|spec| spec.region.clone());
+        let demand = fleet.demand.keys().map(|(_, region)| region.clone());
+        regions
+            .chain(demand)
+            .map(|region| (region, f64::MAX))
+            .collect()
+    }
+
+    /// Describes the drains.
+    pub fn drain_texts(&self) -> IndexMap<Operation, Box<str>> {
+        let now = clock::unix_millis();
+        let plan = &self.board.drains.1;
+        let describe = |operation: &Operation| {
+            let report = plan.report(operation, now)?;
+            let mut text = format!("{} of {} servers done", report.done, report.servers);
+            if let Some(took) = report.took {
+                text += &format!(", took {:.1} s", took as f64 / 1e3);
+            }
+            if !report.overdue.is_empty() {
+                text += &format!(", overdue: {}", report.overdue.join(", "));
+            }
+            Some((operation.clone(), text.into()))
+        };
+        plan.operations().filter_map(describe).collect()
+    }
+}
--- a/programs/control/src/gossip.rs
+++ b/programs/control/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Serves control processes and entries of other VMs.
 
-use crate::state::Shared;
+use crate::release::exchange;
+use crate::state::{Known, Shared};
 use peers::gossip::{Exchange, Gossip, Releases, Reply};
 use peers::wire::{self, Frame};
 use steering::limits::{Grant, Renew};
@@ -10,8 +11,7 @@
 
 #[derive(Clone)]
 struct Server {
-    // TODO: the calls below answer from it.
-    _shared: Shared,
+    shared: Shared,
 }
 
 impl Gossip for Server {
@@ -19,8 +19,12 @@
         Frame::new(None)
     }
 
-    async fn releases(self, _: Context, _news: Frame<Releases>) -> Frame<Releases> {
-        Frame::new(Releases::default())
+    async fn releases(self, _: Context, news: Frame<Releases>) -> Frame<Releases> {
+        if let Ok(news) = news.open() {
+            exchange::hear(&self.shared, news);
+        }
+        let news = |known: &Known| known.board.news(&self.shared.settings.vm);
+        Frame::new(self.shared.read(news))
     }
 
     async fn renew(self, _: Context, _renew: Frame<Renew>) -> Frame<Option<Grant>> {
@@ -30,7 +34,7 @@
 
 /// Serves until `stop` is cancelled.
 pub async fn run(listener: TcpListener, shared: Shared, stop: CancellationToken) {
-    let server = Server { _shared: shared };
+    let server = Server { shared };
     wire::accept(listener, stop, |stream| {
         wire::serve(stream, server.clone().serve())
     })
--- a/programs/control/src/lib.rs
+++ b/programs/control/src/lib.rs
@@ -2,10 +2,12 @@
 
 pub mod admin;
 pub mod args;
+pub mod drain;
 pub mod gossip;
 pub mod local;
 pub mod reader;
 pub mod record;
+pub mod release;
 pub mod run;
 pub mod settings;
 pub mod state;
--- a/programs/control/src/local.rs
+++ b/programs/control/src/local.rs
@@ -1,8 +1,9 @@
 //! Serves the processes of this VM.
 
 use crate::state::Shared;
-use peers::local::{Local, SYNC_WAIT, State};
+use peers::local::{Heard, Local, Report, SYNC_WAIT, State};
 use peers::wire::{self, Frame};
+use std::time::Instant;
 use tarpc::context::Context;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -20,6 +21,25 @@
         let state = State::clone(&states.borrow());
         Frame::new(state)
     }
+
+    async fn report(self, _: Context, report: Frame<Report>) -> Frame<Heard> {
+        let Ok(report) = report.open() else {
+            return Frame::new(Heard { withdrawn: false });
+        };
+        let leaving = report.leaving;
+        let vm = &self.shared.settings.vm;
+        let (heard, new) = self.shared.touch(|known| {
+            let new = leaving && !known.board.leaving;
+            let others = known.others(vm);
+            let heard = known.board.reported(report, Instant::now(), &others);
+            (heard, new)
+        });
+        if new {
+            log::info!("vm {vm} is leaving");
+            self.shared.change(|_| ());
+        }
+        Frame::new(heard)
+    }
 }
 
 /// Serves until `stop` is cancelled.
--- /dev/null
+++ b/programs/control/src/release/exchange.rs
@@ -0,0 +1,77 @@
+//! Exchange of news with the control processes of other VMs.
+
+use crate::state::Shared;
+use futures::future::join_all;
+use peers::gossip::{GossipClient, Releases};
+use peers::link::Links;
+use peers::wire::Frame;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+/// Time between two exchanges with each VM.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Longest time for one exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(450);
+
+/// Exchanges news with all listed VMs until `stop` is cancelled.
+///
+/// NOTE: every VM talks to every other one. At the target size, evidence has to be summed per data
+/// centre before it crosses to another.
+pub async fn run(shared: &Shared, stop: &CancellationToken) {
+    let links = Links::<GossipClient>::default();
+    while !stop.is_cancelled() {
+        let others: Vec<SocketAddr> = shared.read(|known| {
+            let own = &shared.settings.vm;
+            let others = known.list.nodes.iter().filter(|node| node.name != *own);
+            others.map(|node| node.gossip).collect()
+        });
+        let calls = others
+            .iter()
+            .map(|address| exchange(shared, &links, *address));
+        join_all(calls).await;
+        stop.run_until_cancelled(tokio::time::sleep(EXCHANGE_INTERVAL))
+            .await;
+    }
+}
+
+async fn exchange(shared: &Shared, links: &Links<GossipClient>, address: SocketAddr) {
+    let news = shared.read(|known| known.board.news(&shared.settings.vm));
+    let leaving = news.leaving;
+    let call = |client: GossipClient, context| async move {
+        client.releases(context, Frame::new(news)).await
+    };
+    let answer = links.call(address, EXCHANGE_TIMEOUT, call).await;
+    match answer.and_then(Frame::open) {
+        Ok(news) => {
+            let vm = news.vm.clone();
+            hear(shared, news);
+            shared.touch(|known| {
+                if let Some(peer) = known.board.peers.get_mut(&vm) {
+                    peer.told = leaving;
+                }
+            });
+        }
+        Err(error) => log::debug!("no news from {address}: {error}"),
+    }
+}
+
+/// Takes up the news of another VM; what this VM must act upon is published at once.
+pub fn hear(shared: &Shared, news: Releases) {
+    let now = Instant::now();
+    let act = shared.touch(|known| {
+        let before = (known.board.halt.clone(), known.board.drains.0);
+        let was_leaving = known
+            .board
+            .peers
+            .get(&news.vm)
+            .is_some_and(|peer| peer.leaving);
+        let leaving = news.leaving;
+        known.board.hear(news, now);
+        before != (known.board.halt.clone(), known.board.drains.0) || leaving != was_leaving
+    });
+    if act {
+        shared.change(|known| known.look(now));
+    }
+}
--- a/programs/control/src/run.rs
+++ b/programs/control/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::settings::Settings;
 use crate::state::Shared;
-use crate::{admin, gossip, local, reader};
+use crate::{admin, gossip, local, reader, release};
 use base::http::client::Target;
 use std::io;
 use tokio::net::TcpListener;
@@ -24,11 +24,14 @@
         authorization: None,
     });
     let shared = Shared::new(settings);
+    let (signal, stop) = (stop, CancellationToken::new());
     tokio::join!(
         reader::run(shared.clone(), client.clone(), stop.clone()),
         gossip::run(gossip, shared.clone(), stop.clone()),
         local::run(local, shared.clone(), stop.clone()),
-        admin::run(admin, shared, client, stop),
+        release::outlast(&shared, signal, stop.clone()),
+        release::run(shared.clone(), client.clone(), stop.clone()),
+        admin::run(admin, shared.clone(), client, stop.clone()),
     );
     log::info!("stopped");
     Ok(())
--- a/programs/control/src/settings.rs
+++ b/programs/control/src/settings.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
+use steering::release::{self, SOAK_MILLIS};
 
 /// Settings of the control process.
 #[derive(Clone, PartialEq, Deserialize)]
@@ -33,6 +34,10 @@
     pub platform_timeout: Span,
     /// Time between two reads of the platform's table.
     pub poll_interval: Span,
+    /// Shortest time in a step of a release; recorded in the release when it is planned.
+    pub release_soak: Span,
+    /// Requests on the new version that each route needs before a release's step to 100%.
+    pub release_requests: u64,
     /// Log specification.
     pub log: Box<str>,
 }
@@ -52,6 +57,8 @@
             platform: loopback(7000),
             platform_timeout: Span(Duration::from_secs(2)),
             poll_interval: Span(Duration::from_millis(500)),
+            release_soak: Span(Duration::from_millis(SOAK_MILLIS)),
+            release_requests: release::Settings::default().requests,
             log: "info".into(),
         }
     }
@@ -69,6 +76,9 @@
         if self.admin_token.len() < SECRET_BYTES || self.key_secret.len() < SECRET_BYTES {
             return Some("`admin_token` and `key_secret` need at least 16 bytes each");
         }
+        if self.release_soak.0.is_zero() || self.release_requests == 0 {
+            return Some("`release_soak` and `release_requests` must be above zero");
+        }
         None
     }
 }
--- a/programs/control/src/state.rs
+++ b/programs/control/src/state.rs
@@ -1,10 +1,11 @@
 //! What the control process knows, and its publication to the processes of the VM.
 
 use crate::record::{Growing, Key};
+use crate::release::Board;
 use crate::settings::Settings;
 use base::clock::Millis;
-use base::id::Version;
-use indexmap::IndexMap;
+use base::id::{Version, Vm};
+use indexmap::{IndexMap, IndexSet};
 use operators::bundle::{Bundle, Files};
 use peers::local::{self, State};
 use platform::list::List;
@@ -35,6 +36,12 @@
     pub recorded: Growing,
     /// Last list of VMs and backend servers.
     pub list: List,
+    /// Releases, drains and stops.
+    pub board: Board,
+    /// Requests on the new version that each route needs before a step to 100%.
+    pub board_requests: u64,
+    /// Name of this VM.
+    pub vm: Vm,
     /// Time of the last successful read of the table.
     pub confirmed: Millis,
 }
@@ -52,9 +59,14 @@
     /// Starts with nothing known.
     pub fn new(settings: Settings) -> Self {
         let published = watch::Sender::new(Arc::new(State::default()));
+        let known = Known {
+            board_requests: settings.release_requests,
+            vm: settings.vm.clone(),
+            ..Known::default()
+        };
         Self {
             settings: Arc::new(settings),
-            known: Arc::default(),
+            known: Arc::new(Mutex::new(known)),
             published,
         }
     }
@@ -89,12 +101,23 @@
         result
     }
 
+    /// Changes what is known without publishing it; the next change does that.
+    pub fn touch<T>(&self, change: impl FnOnce(&mut Known) -> T) -> T {
+        change(&mut self.known.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Returns a receiver of published states.
     pub fn subscribe(&self) -> watch::Receiver<Arc<State>> {
         self.published.subscribe()
     }
 }
 
+fn leaving(known: &Known) -> IndexSet<Vm> {
+    let peers = known.board.peers.iter().filter(|(_, peer)| peer.leaving);
+    let own = known.board.leaving.then_some(&known.vm);
+    peers.map(|(vm, _)| vm).chain(own).cloned().collect()
+}
+
 fn published(known: &Known) -> State {
     let key = |key: &Key| local::Key {
         workspace: key.workspace.clone(),
@@ -114,7 +137,10 @@
             .collect(),
         withdrawn: known.growing.withdrawn.clone(),
         halted: known.growing.halted.keys().cloned().collect(),
-        draining: known.growing.draining.clone(),
+        draining: known.board.drains.1.stopped().cloned().collect(),
+        drains_version: known.board.drains.0,
+        steps: known.board.steps.clone(),
+        leaving: leaving(known),
         list: known.list.clone(),
         ..State::default()
     }
--- a/programs/ctl/src/args.rs
+++ b/programs/ctl/src/args.rs
@@ -55,9 +55,14 @@
         /// Id of the key.
         id: Box<str>,
     },
+    /// Ends a drain.
+    Undrain {
+        /// Id of the drain.
+        id: Box<str>,
+    },
     /// Drains backend servers.
     Drain {
-        /// Names of the servers.
+        /// Names of servers and data centres.
         servers: Vec<Box<str>>,
     },
     /// Halts a release for good.
@@ -124,17 +129,21 @@
         .to_options()
         .descr("Withdraw a key")
         .command("withdraw");
-    let drain = text("SERVER").some("name at least one server");
+    let drain = text("NAME").some("name at least one server or data centre");
     let drain = drain.map(|servers| Command::Drain { servers });
     let drain = drain
         .to_options()
-        .descr("Drain backend servers")
+        .descr("Drain backend servers or a data centre")
         .command("drain");
+    let undrain = text("DRAIN_ID").map(|id| Command::Undrain { id });
+    let undrain = undrain.to_options().descr("End a drain").command("undrain");
     let halt = halt()
         .to_options()
         .descr("Halt a release for good")
         .command("halt");
-    construct!([check, diff, publish, status, issue, withdraw, drain, halt])
+    construct!([
+        check, diff, publish, status, issue, withdraw, drain, undrain, halt
+    ])
 }
 
 fn publish() -> impl Parser<Command> {
--- a/programs/ctl/src/output.rs
+++ b/programs/ctl/src/output.rs
@@ -77,6 +77,8 @@
             .iter()
             .map(|(id, state)| format!("release {id}: {state}")),
     );
+    let drains = status.drains.iter();
+    lines.extend(drains.map(|(id, text)| format!("drain {id}: {text}")));
     lines.push(format!(
         "keys: {} valid, {} withdrawn",
         keys.valid, keys.withdrawn
--- a/programs/ctl/src/run.rs
+++ b/programs/ctl/src/run.rs
@@ -4,7 +4,9 @@
 use crate::exit::Exit;
 use crate::{diff, files, output};
 use base::http::client::Target;
-use operators::admin::{Client, Drain, Error, Halt, Issue, Proposal, Status, Verdict, Withdraw};
+use operators::admin::{
+    Client, Drain, Error, Halt, Issue, Proposal, Status, Undrain, Verdict, Withdraw,
+};
 use operators::bundle::{Bundle, Files};
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -65,7 +67,14 @@
                 Ok(self.done(&done))
             }
             Command::Drain { servers } => {
-                let done = self.client.drain(&Drain { servers }).await?;
+                let drained = self.client.drain(&Drain { servers }).await?;
+                output::print(self.json, &drained, |d| {
+                    format!("accepted as drain {}", d.id)
+                });
+                Ok(Exit::Done)
+            }
+            Command::Undrain { id } => {
+                let done = self.client.undrain(&Undrain { id }).await?;
                 Ok(self.done(&done))
             }
             Command::Halt { release, reason } => {
--- a/programs/lookup/src/index.rs
+++ b/programs/lookup/src/index.rs
@@ -35,7 +35,7 @@
         let Ok(bundle) = Bundle::parse(&state.files) else {
             return Self::default();
         };
-        let entries: Vec<Entry> = live(&state.list.nodes).collect();
+        let entries: Vec<Entry> = live(state).collect();
         let fleet = &bundle.fleet;
         let mut index = Self::default();
         let mut numbers: IndexMap<&DataCentre, map::Site> = IndexMap::new();
@@ -83,10 +83,10 @@
     (bits.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as usize
 }
 
-fn live(nodes: &[list::Node]) -> impl Iterator<Item = Entry> {
+fn live(state: &State) -> impl Iterator<Item = Entry> {
+    let nodes = state.list.nodes.iter();
     nodes
-        .iter()
-        .filter(|node| node.state == list::State::Live)
+        .filter(|node| node.state == list::State::Live && !state.leaving.contains(&node.name))
         .map(|node| Entry {
             vm: node.name.clone(),
             region: node.region.clone(),
--- a/programs/lookup/src/run.rs
+++ b/programs/lookup/src/run.rs
@@ -8,6 +8,8 @@
 use prometheus_client::registry::Registry;
 use std::io;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
+use steering::drain::{Stop, Times};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -30,7 +32,14 @@
         index.send_replace(Arc::new(Index::build(state, &home)));
     };
     log::info!("answering on {}", settings.listen);
+    let (signal, stop) = (stop, CancellationToken::new());
+    let times = Times {
+        spread: Duration::ZERO,
+        cached: settings.stop_wait.0,
+        request: Duration::ZERO,
+    };
     tokio::join!(
+        outlast(signal, times, stop.clone()),
         local::follow(settings.control, stop.clone(), update),
         server::run(listener, receiver, metrics, stop.clone()),
         base::metrics::serve(exposed, registry, stop),
@@ -38,3 +47,14 @@
     log::info!("stopped");
     Ok(())
 }
+
+/// Waits for `signal`, then for as long as callers may have an answer that names this VM, and then
+/// cancels `stop`.
+async fn outlast(signal: CancellationToken, times: Times, stop: CancellationToken) {
+    signal.cancelled().await;
+    let now = Instant::now();
+    if let Ok(cached) = Stop::begin(now, times).withdrawn(now, true) {
+        tokio::time::sleep_until(cached.until().into()).await;
+    }
+    stop.cancel();
+}
--- a/programs/lookup/src/settings.rs
+++ b/programs/lookup/src/settings.rs
@@ -1,8 +1,11 @@
 //! Settings of the look-up.
 
+use crate::index::TTL_MS;
 use base::id::DataCentre;
+use base::unit::Span;
 use serde::Deserialize;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 /// Settings of the look-up.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -16,6 +19,9 @@
     pub metrics: SocketAddr,
     /// Address of this VM's control process.
     pub control: SocketAddr,
+    /// Time for which a stopping look-up goes on answering, so that callers that ask while their
+    /// entry stops get an answer.
+    pub stop_wait: Span,
     /// Log specification.
     pub log: Box<str>,
 }
@@ -28,6 +34,7 @@
             listen: loopback(7200),
             metrics: loopback(7201),
             control: loopback(7100),
+            stop_wait: Span(Duration::from_millis(TTL_MS)),
             log: "info".into(),
         }
     }
--- a/tests/integration/src/lib.rs
+++ b/tests/integration/src/lib.rs
@@ -36,8 +36,25 @@
     ///
     /// Panics if a file can't be written or a program can't be started.
     pub fn start(deployment: Deployment, port: u16) -> Self {
+        Self::start_with(deployment, port, &[])
+    }
+
+    /// Starts a deployment with additional settings, given as program and lines.
+    ///
+    /// # Panics
+    ///
+    /// Panics as [`Fleet::start`] does.
+    pub fn start_with(deployment: Deployment, port: u16, settings: &[(&str, &str)]) -> Self {
         let directory = std::env::temp_dir().join(format!("cardamomhall-{port}"));
         topology::write(deployment, &directory, port).expect("files of the deployment");
+        for (program, lines) in settings {
+            for index in 0..deployment.nodes {
+                let name = format!("vm-{:02}-{program}.yaml", index + 1);
+                let file = directory.join(name);
+                let text = std::fs::read_to_string(&file).expect("settings");
+                std::fs::write(file, text + lines).expect("settings");
+            }
+        }
         let lines = std::fs::read_to_string(directory.join("processes")).expect("process list");
         let mut fleet = Self {
             directory,
@@ -164,21 +181,64 @@
             .expect("the stand-in answers")
     }
 
+    /// Calls a backend server's stand-in.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such server or it does not answer.
+    pub async fn backend(&self, name: &str, path: &str, body: &serde_json::Value) -> Answer {
+        let lines = std::fs::read_to_string(self.directory.join("processes")).expect("list");
+        let line = lines
+            .lines()
+            .find(|line| line.starts_with(&format!("{name} ")));
+        let mut words = line.expect("process of this name").split(' ');
+        words.find(|word| *word == "--listen");
+        let target = Target {
+            address: words.next().expect("address").parse().expect("address"),
+            timeout: CALL_TIMEOUT,
+            authorization: None,
+        };
+        target
+            .call_json(Method::PUT, path, body)
+            .await
+            .expect("the stand-in answers")
+    }
+
+    /// Returns the number of requests that a backend server has served.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such server or it does not answer.
+    pub async fn served(&self, name: &str) -> u64 {
+        let answer = self.backend(name, "/counts", &serde_json::Value::Null);
+        let counts: serde_json::Value = answer.await.decode().expect("counts");
+        counts["served"].as_u64().expect("number")
+    }
+
     /// Publishes the example files of a deployment through a VM, against version 0.
     ///
     /// # Panics
     ///
     /// Panics if they are not accepted.
     pub async fn publish(&self, vm: &str, example: &str) -> u64 {
+        self.publish_files(vm, 0, examples(example)).await
+    }
+
+    /// Publishes files through a VM, against a version.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they are not accepted.
+    pub async fn publish_files(&self, vm: &str, base: u64, files: Files) -> u64 {
         let admin = self.admin(vm);
         until("the administration API answers", async || {
             admin.status().await.is_ok()
         })
         .await;
         let proposal = Proposal {
-            base: 0,
+            base,
             author: "test".into(),
-            files: examples(example),
+            files,
         };
         match admin.publish(&proposal).await.expect("an answer") {
             Verdict::Accepted { version } => version,
--- /dev/null
+++ b/tests/integration/tests/release.rs
@@ -0,0 +1,284 @@
+//! Releases under load through separate processes.
+
+use base::unit::Moment;
+use bench::args::Load;
+use bench::topology::{ATLAS, Deployment, Service};
+use hyper::Method;
+use integration::{Fleet, examples, until};
+use operators::admin::Halt;
+use operators::bundle::Files;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime};
+
+const SMALL: Deployment = Deployment {
+    nodes: 4,
+    services: &[Service {
+        name: "lookup",
+        servers: 6,
+        slots: 3,
+        service_ms: 1,
+    }],
+    ..ATLAS
+};
+
+/// Servers of each version.
+const SERVERS: usize = 6;
+
+/// Connections of the load, over all VMs.
+const CONNECTIONS: u64 = 8;
+
+/// Paths of the service's routes; a release needs evidence on each.
+const PATHS: [&str; 2] = ["/lookup/permits", "/lookup/notices"];
+
+const PACE: &[(&str, &str)] = &[(
+    "control",
+    "release_soak: 500ms\nrelease_requests: 100\npoll_interval: 200ms\n",
+)];
+
+/// Returns the example files with a release of `lookup` that has `seconds` to finish.
+fn files(seconds: u64) -> Files {
+    let mut files = examples("atlas");
+    let finish = Moment(SystemTime::now() + Duration::from_secs(seconds));
+    let name: Box<str> = "lookup.yaml".into();
+    let text = format!(
+        "{}\nrelease: {{ id: r1, to: v2, steps: [10%, 50%, 100%], finish_by: {finish} }}\n",
+        files[&name]
+    );
+    files.insert(name, text.into());
+    files
+}
+
+/// Sends requests on both routes through two VMs until `done`; returns answers other than `served`.
+async fn load(fleet: &Fleet, key: &str, done: &AtomicBool) -> Vec<String> {
+    let through = async |vm: &str, path: &str| {
+        let mut odd = Vec::new();
+        while !done.load(Ordering::Relaxed) {
+            let load = Load {
+                lookup: None,
+                address: None,
+                path: path.into(),
+                method: "GET".into(),
+                key: Some(key.into()),
+                requests: 50,
+                connections: 2,
+            };
+            let summary = fleet.load(vm, load).await;
+            let outcomes = summary.outcomes.into_iter();
+            let other = outcomes.filter(|(name, _)| &**name != "served");
+            odd.extend(other.map(|(name, count)| format!("{vm} {path} {name}: {count}")));
+        }
+        odd
+    };
+    let (a, b, c, d) = tokio::join!(
+        through("vm-02", PATHS[0]),
+        through("vm-02", PATHS[1]),
+        through("vm-03", PATHS[0]),
+        through("vm-03", PATHS[1]),
+    );
+    [a, b, c, d].concat()
+}
+
+async fn state(fleet: &Fleet, vm: &str) -> String {
+    let status = fleet.admin(vm).status().await;
+    let text = status.ok().and_then(|s| s.releases.get("r1").cloned());
+    text.map(String::from).unwrap_or_default()
+}
+
+async fn served(fleet: &Fleet, label: &str) -> u64 {
+    let mut sum = 0;
+    for index in 1..=SERVERS {
+        sum += fleet.served(&format!("lookup-{label}-{index:02}")).await;
+    }
+    sum
+}
+
+/// Returns the cap that a state names, as a part of the whole.
+fn cap(state: &str) -> f64 {
+    if state.starts_with("complete") {
+        return 1.0;
+    }
+    let percent = state
+        .split_once("at most ")
+        .and_then(|(_, rest)| rest.split_once('%'));
+    percent.map_or(0.0, |(number, _)| {
+        number.parse::<f64>().expect("number") / 100.0
+    })
+}
+
+async fn ready(fleet: &Fleet, seconds: u64) -> Box<str> {
+    fleet.publish("vm-01", "atlas").await;
+    let key = fleet.issue("vm-01", "toubkal").await.key;
+    fleet.publish_files("vm-01", 1, files(seconds)).await;
+    key
+}
+
+/// Guards the whole way of a good version: its share stays within the cap at each sampled point,
+/// and after completion every request uses it although the service file names the old one.
+#[tokio::test(flavor = "multi_thread")]
+async fn good_version_takes_over_within_its_caps() {
+    let fleet = Fleet::start_with(SMALL, 28_000, PACE);
+    let key = ready(&fleet, 20).await;
+    let done = AtomicBool::new(false);
+    let sampled = async {
+        let (mut samples, mut highest) = (0, 0f64);
+        loop {
+            let new = served(&fleet, "v2").await;
+            let old = served(&fleet, "v1").await;
+            let state = state(&fleet, "vm-04").await;
+            highest = highest.max(cap(&state));
+            let most = highest * (old + new + CONNECTIONS) as f64;
+            assert!(new as f64 <= most, "{new} of {old}+{new}: {state}");
+            samples += 1;
+            assert!(!state.starts_with("rolled back"), "{state}");
+            if state.starts_with("complete") {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        done.store(true, Ordering::Relaxed);
+        samples
+    };
+    let (odd, samples) = tokio::join!(load(&fleet, &key, &done), sampled);
+    assert!(odd.is_empty(), "{odd:?}");
+    assert!(samples > 10, "{samples} samples");
+    until("every VM knows that the release is complete", async || {
+        let mut all = true;
+        for vm in ["vm-01", "vm-02", "vm-03", "vm-04"] {
+            all &= state(&fleet, vm).await.starts_with("complete");
+        }
+        all
+    })
+    .await;
+    // The states reach the entries right after they are shown.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = served(&fleet, "v1").await;
+    let done = AtomicBool::new(false);
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        done.store(true, Ordering::Relaxed);
+    };
+    let (odd, ()) = tokio::join!(load(&fleet, &key, &done), stop);
+    assert!(odd.is_empty(), "{odd:?}");
+    assert_eq!(served(&fleet, "v1").await, before);
+}
+
+/// Guards that a failing version is rolled back and gets nothing once the halt is in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_version_is_rolled_back() {
+    let fleet = Fleet::start_with(SMALL, 28_200, PACE);
+    let failing = serde_json::json!({ "failures": 0.5 });
+    for index in 1..=SERVERS {
+        let name = format!("lookup-v2-{index:02}");
+        fleet.backend(&name, "/switch", &failing).await;
+    }
+    let key = ready(&fleet, 30).await;
+    let done = AtomicBool::new(false);
+    let watched = async {
+        until("the release is rolled back", async || {
+            state(&fleet, "vm-04").await.starts_with("rolled back")
+        })
+        .await;
+        for vm in ["vm-02", "vm-03"] {
+            until("the VM that serves knows it", async || {
+                state(&fleet, vm).await.starts_with("rolled back")
+            })
+            .await;
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let (new, old) = (served(&fleet, "v2").await, served(&fleet, "v1").await);
+        until("more requests are served", async || {
+            served(&fleet, "v1").await > old + 500
+        })
+        .await;
+        assert_eq!(served(&fleet, "v2").await, new);
+        assert!(new > 0, "the new version got no request");
+        done.store(true, Ordering::Relaxed);
+    };
+    tokio::join!(load(&fleet, &key, &done), watched);
+    let text = state(&fleet, "vm-01").await;
+    assert!(text.contains("fails more often"), "{text}");
+}
+
+/// Guards that a release survives its owner: another VM takes over and completes it.
+#[tokio::test(flavor = "multi_thread")]
+async fn another_vm_finishes_when_the_owner_dies() {
+    let mut fleet = Fleet::start_with(SMALL, 28_400, PACE);
+    let key = ready(&fleet, 40).await;
+    let done = AtomicBool::new(false);
+    until("the first step is under way", async || {
+        state(&fleet, "vm-04").await.starts_with("step 1")
+    })
+    .await;
+    let row = fleet
+        .platform(Method::GET, "/table/release/r1", &serde_json::Value::Null)
+        .await;
+    let row: serde_json::Value = row.decode().expect("row");
+    let owner = row["value"]["owner"].as_u64().expect("owner");
+    let names = ["vm-01", "vm-02", "vm-03", "vm-04"];
+    let writes = |vm: &&&str| {
+        let log = fleet.log(&format!("{vm}-control"));
+        log.contains(&format!("release r1: owner is this run, {owner}"))
+    };
+    let name = *names.iter().find(writes).expect("an owner");
+    let control = format!("{name}-control");
+    fleet.signal(&control, "KILL");
+    fleet.wait(&control);
+    fleet.restart(&control);
+    let other = if name == "vm-04" { "vm-01" } else { "vm-04" };
+    let finished = async {
+        until("the release is complete", async || {
+            state(&fleet, other).await.starts_with("complete")
+        })
+        .await;
+        done.store(true, Ordering::Relaxed);
+    };
+    tokio::join!(load(&fleet, &key, &done), finished);
+    let row = fleet
+        .platform(Method::GET, "/table/release/r1", &serde_json::Value::Null)
+        .await;
+    let row: serde_json::Value = row.decode().expect("row");
+    assert_ne!(row["value"]["owner"].as_u64(), Some(owner));
+}
+
+/// Guards that a halt needs no store: the new version stops on other VMs during an outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn halt_spreads_while_the_store_is_down() {
+    let fleet = Fleet::start_with(SMALL, 28_600, PACE);
+    let key = ready(&fleet, 40).await;
+    let done = AtomicBool::new(false);
+    let halted = async {
+        until("the new version serves", async || {
+            served(&fleet, "v2").await > 0
+        })
+        .await;
+        let outage = serde_json::json!({ "outage": true });
+        fleet.platform(Method::PUT, "/switch", &outage).await;
+        let halt = Halt {
+            release: "r1".into(),
+            reason: "test".into(),
+        };
+        let halted = fleet.admin("vm-01").halt(&halt).await.expect("halted");
+        assert!(!halted.durable);
+        for vm in ["vm-02", "vm-03"] {
+            until("the halt is known", async || {
+                state(&fleet, vm).await.starts_with("halted")
+            })
+            .await;
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let (new, old) = (served(&fleet, "v2").await, served(&fleet, "v1").await);
+        until("more requests are served", async || {
+            served(&fleet, "v1").await > old + 500
+        })
+        .await;
+        assert_eq!(served(&fleet, "v2").await, new);
+        let back = serde_json::json!({ "outage": false });
+        fleet.platform(Method::PUT, "/switch", &back).await;
+        until("the roll-back is recorded", async || {
+            state(&fleet, "vm-03").await.starts_with("rolled back")
+        })
+        .await;
+        done.store(true, Ordering::Relaxed);
+    };
+    tokio::join!(load(&fleet, &key, &done), halted);
+}
