--- a/tests/integration/src/lib.rs
+++ b/tests/integration/src/lib.rs
@@ -1,6 +1,6 @@
 //! Starts deployments of real processes on loopback for the tests of this package.
 
-use base::http::client::{Answer, Target};
+use base::http::client::{Answer, Error, Target};
 use bench::args::Load;
 use bench::load::Summary;
 use bench::topology::{self, ADMIN_TOKEN, Deployment};
@@ -198,10 +198,14 @@
             timeout: CALL_TIMEOUT,
             authorization: None,
         };
-        target
-            .call_json(Method::PUT, path, body)
-            .await
-            .expect("the stand-in answers")
+        let end = Instant::now() + PATIENCE;
+        loop {
+            match target.call_json(Method::PUT, path, body).await {
+                // The stand-in may not listen yet.
+                Err(Error::Connect(_)) if Instant::now() < end => tokio::time::sleep(LOOK).await,
+                answer => return answer.expect("the stand-in answers"),
+            }
+        }
     }
 
     /// Returns the number of requests that a backend server has served.
@@ -210,9 +214,17 @@
     ///
     /// Panics if there is no such server or it does not answer.
     pub async fn served(&self, name: &str) -> u64 {
+        self.counts(name).await["served"].as_u64().expect("number")
+    }
+
+    /// Returns all counts of a backend server.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such server or it does not answer.
+    pub async fn counts(&self, name: &str) -> serde_json::Value {
         let answer = self.backend(name, "/counts", &serde_json::Value::Null);
-        let counts: serde_json::Value = answer.await.decode().expect("counts");
-        counts["served"].as_u64().expect("number")
+        answer.await.decode().expect("counts")
     }
 
     /// Publishes the example files of a deployment through a VM, against version 0.
--- /dev/null
+++ b/tests/integration/tests/drain.rs
@@ -0,0 +1,213 @@
+//! Drains of backend servers and stops of VMs through separate processes.
+
+use base::http::client::Target;
+use bench::args::Load;
+use bench::topology::{ATLAS, Deployment, Service};
+use callers::answer::Answer;
+use hyper::{Method, StatusCode};
+use integration::{Fleet, until};
+use operators::admin::{Drain, Error, Undrain};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+const SMALL: Deployment = Deployment {
+    nodes: 4,
+    services: &[Service {
+        name: "lookup",
+        servers: 6,
+        slots: 3,
+        service_ms: 5,
+    }],
+    ..ATLAS
+};
+
+const VMS: [&str; 4] = ["vm-01", "vm-02", "vm-03", "vm-04"];
+
+/// Times of a stop that fit tests; the cached time covers one burst of the load.
+const STOP: &[(&str, &str)] = &[
+    ("entry", "stop_cached: 2s\n"),
+    ("lookup", "stop_wait: 2s\n"),
+];
+
+async fn ready(fleet: &Fleet) -> Box<str> {
+    fleet.publish("vm-01", "atlas").await;
+    let key = fleet.issue("vm-01", "toubkal").await.key;
+    for vm in VMS {
+        until("the VM serves the key", async || {
+            let summary = fleet.load(vm, requests(&key, 1)).await;
+            summary.outcomes.get("served") == Some(&1)
+        })
+        .await;
+    }
+    key
+}
+
+fn requests(key: &str, requests: usize) -> Load {
+    Load {
+        lookup: None,
+        address: None,
+        path: "/lookup/permits".into(),
+        method: "GET".into(),
+        key: Some(key.into()),
+        requests,
+        connections: 4,
+    }
+}
+
+/// Returns the VMs that a VM's look-up names.
+async fn named(fleet: &Fleet, vm: &str) -> Vec<Box<str>> {
+    let target = Target {
+        address: fleet.address(&format!("{vm}-lookup"), "listen"),
+        timeout: Duration::from_secs(5),
+        authorization: None,
+    };
+    let answer = target.call(Method::GET, "/v1/entries", "").await;
+    let answer: Answer = answer.expect("an answer").decode().expect("entries");
+    answer.entries.into_iter().map(|entry| entry.vm).collect()
+}
+
+/// Guards that a drained server gets no more work from any VM, that status shows the drain time,
+/// and that a drain that leaves too little is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_servers_get_no_more_work() {
+    let fleet = Fleet::start(SMALL, 28_800);
+    let key = ready(&fleet).await;
+    let admin = fleet.admin("vm-02");
+    let servers = vec!["lookup-v1-01".into(), "lookup-v1-02".into()];
+    let drained = admin.drain(&Drain { servers }).await.expect("accepted");
+    let text = async || {
+        let status = fleet.admin("vm-03").status().await.expect("status");
+        status.drains.get(&drained.id).cloned().unwrap_or_default()
+    };
+    until("the drain is done", async || {
+        text().await.contains("2 of 2 servers done, took")
+    })
+    .await;
+    let served = async || {
+        (
+            fleet.served("lookup-v1-01").await,
+            fleet.served("lookup-v1-02").await,
+        )
+    };
+    let before = served().await;
+    for vm in VMS {
+        let summary = fleet.load(vm, requests(&key, 100)).await;
+        assert_eq!(summary.outcomes.get("served"), Some(&100), "{summary:?}");
+    }
+    assert_eq!(served().await, before);
+
+    let servers = vec!["no-such".into()];
+    let refused = admin.drain(&Drain { servers }).await;
+    assert!(
+        matches!(&refused, Err(Error::Refused(StatusCode::NOT_FOUND, _))),
+        "{refused:?}"
+    );
+    let id = drained.id.clone();
+    admin.undrain(&Undrain { id }).await.expect("ended");
+    until("the server serves again", async || {
+        fleet.load("vm-01", requests(&key, 50)).await;
+        served().await.0 > before.0
+    })
+    .await;
+}
+
+/// Guards headroom: under load, a drain of all servers but one is refused with the reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_without_headroom_is_refused() {
+    let fleet = Fleet::start(SMALL, 28_870);
+    let key = ready(&fleet).await;
+    let done = AtomicBool::new(false);
+    let load = async {
+        while !done.load(Ordering::Relaxed) {
+            fleet.load("vm-01", requests(&key, 200)).await;
+        }
+    };
+    let refused = async {
+        let admin = fleet.admin("vm-01");
+        until("the demand is known and the drain refused", async || {
+            let servers = (1..=5).map(|n| format!("lookup-v1-{n:02}").into());
+            let servers = servers.collect();
+            match admin.drain(&Drain { servers }).await {
+                Err(Error::Refused(StatusCode::CONFLICT, reason)) => {
+                    assert!(reason.contains("service `lookup` would keep"), "{reason}");
+                    true
+                }
+                Ok(drained) => {
+                    let id = drained.id;
+                    admin.undrain(&Undrain { id }).await.expect("ended");
+                    false
+                }
+                Err(error) => panic!("{error}"),
+            }
+        })
+        .await;
+        done.store(true, Ordering::Relaxed);
+    };
+    tokio::join!(load, refused);
+}
+
+/// Guards a planned stop: callers that follow the look-up lose no request when an entry stops.
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_entry_cuts_no_request() {
+    let mut fleet = Fleet::start_with(SMALL, 28_940, STOP);
+    let key = ready(&fleet).await;
+    assert!(named(&fleet, "vm-02").await.contains(&"vm-01".into()));
+    let done = AtomicBool::new(false);
+    let lookup = Some(fleet.address("vm-02-lookup", "listen"));
+    let vm = fleet.address("vm-01-entry", "listen");
+    let load = async {
+        let mut odd = Vec::new();
+        let mut sent = 0;
+        while !done.load(Ordering::Relaxed) {
+            // Each burst asks the look-up anew and ends long before its answer expires.
+            let load = Load {
+                lookup,
+                connections: 8,
+                ..requests(&key, 40)
+            };
+            let summary = bench::load::run(load).await.expect("a summary");
+            sent += 40;
+            odd.extend(
+                summary
+                    .outcomes
+                    .into_iter()
+                    .filter(|(n, _)| &**n != "served"),
+            );
+        }
+        (odd, sent)
+    };
+    let stopped = async {
+        fleet.signal("vm-01-entry", "TERM");
+        until("no look-up names the VM", async || {
+            let mut none = true;
+            for other in VMS {
+                none &= !named(&fleet, other).await.contains(&"vm-01".into());
+            }
+            none
+        })
+        .await;
+        until("the entry is gone", async || {
+            tokio::net::TcpStream::connect(vm).await.is_err()
+        })
+        .await;
+        done.store(true, Ordering::Relaxed);
+    };
+    let ((odd, sent), ()) = tokio::join!(load, stopped);
+    assert!(odd.is_empty(), "{odd:?}");
+    assert!(sent > 0);
+    assert!(fleet.wait("vm-01-entry"), "the entry ends with success");
+}
+
+/// Guards that a second signal ends a stopping entry at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn second_signal_stops_at_once() {
+    let mut fleet = Fleet::start_with(SMALL, 28_120, &[("entry", "stop_cached: 1h\n")]);
+    ready(&fleet).await;
+    fleet.signal("vm-01-entry", "TERM");
+    until("the entry has begun to stop", async || {
+        fleet.log("vm-01-entry").contains("cached look-up answers")
+    })
+    .await;
+    fleet.signal("vm-01-entry", "TERM");
+    assert!(!fleet.wait("vm-01-entry"), "the entry reports the cut");
+}
--- a/tests/integration/tests/release.rs
+++ b/tests/integration/tests/release.rs
@@ -48,21 +48,24 @@
     files
 }
 
+fn requests(path: &str, key: &str, requests: usize) -> Load {
+    Load {
+        lookup: None,
+        address: None,
+        path: path.into(),
+        method: "GET".into(),
+        key: Some(key.into()),
+        requests,
+        connections: 2,
+    }
+}
+
 /// Sends requests on both routes through two VMs until `done`; returns answers other than `served`.
 async fn load(fleet: &Fleet, key: &str, done: &AtomicBool) -> Vec<String> {
     let through = async |vm: &str, path: &str| {
         let mut odd = Vec::new();
         while !done.load(Ordering::Relaxed) {
-            let load = Load {
-                lookup: None,
-                address: None,
-                path: path.into(),
-                method: "GET".into(),
-                key: Some(key.into()),
-                requests: 50,
-                connections: 2,
-            };
-            let summary = fleet.load(vm, load).await;
+            let summary = fleet.load(vm, requests(path, key, 50)).await;
             let outcomes = summary.outcomes.into_iter();
             let other = outcomes.filter(|(name, _)| &**name != "served");
             odd.extend(other.map(|(name, count)| format!("{vm} {path} {name}: {count}")));
@@ -92,6 +95,19 @@
     sum
 }
 
+/// Returns the attempts that the servers of a version received; shed ones count as starts.
+async fn started(fleet: &Fleet, label: &str) -> u64 {
+    let mut sum = 0;
+    for index in 1..=SERVERS {
+        let counts = fleet.counts(&format!("lookup-{label}-{index:02}")).await;
+        sum += ["served", "shed", "cancelled"]
+            .map(|name| counts[name].as_u64().expect("number"))
+            .iter()
+            .sum::<u64>();
+    }
+    sum
+}
+
 /// Returns the cap that a state names, as a part of the whole.
 fn cap(state: &str) -> f64 {
     if state.starts_with("complete") {
@@ -108,6 +124,15 @@
 async fn ready(fleet: &Fleet, seconds: u64) -> Box<str> {
     fleet.publish("vm-01", "atlas").await;
     let key = fleet.issue("vm-01", "toubkal").await.key;
+    for vm in ["vm-02", "vm-03"] {
+        for path in PATHS {
+            until("the VM serves the key", async || {
+                let summary = fleet.load(vm, requests(path, &key, 1)).await;
+                summary.outcomes.get("served") == Some(&1)
+            })
+            .await;
+        }
+    }
     fleet.publish_files("vm-01", 1, files(seconds)).await;
     key
 }
@@ -122,8 +147,8 @@
     let sampled = async {
         let (mut samples, mut highest) = (0, 0f64);
         loop {
-            let new = served(&fleet, "v2").await;
-            let old = served(&fleet, "v1").await;
+            let new = started(&fleet, "v2").await;
+            let old = started(&fleet, "v1").await;
             let state = state(&fleet, "vm-04").await;
             highest = highest.max(cap(&state));
             let most = highest * (old + new + CONNECTIONS) as f64;
