--- a/programs/control/src/drain.rs
+++ b/programs/control/src/drain.rs
@@ -140,8 +140,8 @@
 
     /// Returns whether this VM is the first of those heard of lately in the order for the drains.
     fn is_first(&self, own: &str) -> bool {
-        let heard = |vm: &Box<str>| {
-            **vm == *own
+        let heard = |vm: &str| {
+            *vm == *own
                 || self
                     .board
                     .peers
--- a/programs/control/src/release/owner.rs
+++ b/programs/control/src/release/owner.rs
@@ -1,7 +1,7 @@
 //! The part of a release's owner, and of the VM that moves the drains on.
 
 use super::Planned;
-use crate::state::Shared;
+use crate::state::{Known, Shared};
 use crate::{drain, table};
 use base::clock;
 use base::id::{Operation, Release, Vm};
@@ -56,7 +56,7 @@
             reachable = owner.read().await.is_ok();
             next_read = Instant::now() + shared.settings.poll_interval.0;
         }
-        let planned = shared.read(|known| known.planned());
+        let planned = shared.read(Known::planned);
         owner
             .held
             .retain(|id, _| planned.iter().any(|p| p.id == *id));
