--- a/crates/peers/src/local.rs
+++ b/crates/peers/src/local.rs
@@ -1,24 +1,17 @@
 //! Messages between the control process and the other processes of its VM.
 
 use crate::wire::{self, Error, Frame};
-use base::clock::Millis;
-use base::id::{Incarnation, Label, Release, Server, Service, Version, Vm, Workspace};
+use base::id::{Incarnation, Label, Release, Server, Service, Version, Vm};
 use indexmap::{IndexMap, IndexSet};
 use platform::list::List;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use steering::keys::Digest;
+use steering::keys::ring::Entry;
 use steering::release::{Cap, Evidence};
 use tokio_util::sync::CancellationToken;
 
 base::message! {
-    /// A key as the entry knows it.
-    pub struct Key {
-        /// Workspace of the key.
-        pub workspace: Workspace,
-        /// Time from which the key is no longer accepted, if it is being replaced.
-        pub expires: Option<Millis>,
-    }
-
     /// How far a release has come on this VM.
     #[derive(Copy, Eq)]
     pub enum Standing {
@@ -76,10 +69,10 @@
         pub version: Version,
         /// Steering files of that version.
         pub files: IndexMap<Box<str>, Box<str>>,
-        /// Keys by the hexadecimal form of their digest.
-        pub keys: IndexMap<Box<str>, Key>,
+        /// Keys of that version.
+        pub keys: Vec<Entry>,
         /// Digests of withdrawn keys.
-        pub withdrawn: IndexSet<Box<str>>,
+        pub withdrawn: IndexSet<Digest>,
         /// Ids of halted releases.
         pub halted: IndexSet<Release>,
         /// Releases under way.
@@ -92,8 +85,6 @@
         pub leaving: IndexSet<Vm>,
         /// Last known list of VMs and backend servers.
         pub list: List,
-        /// Time of the last confirmation of keys by the store or a peer.
-        pub confirmed: Millis,
     }
 }
 
@@ -108,6 +99,11 @@
 
     /// Takes the entry's report.
     async fn report(report: Frame<Report>) -> Frame<Heard>;
+
+    /// Returns the time since the store or a peer of another data centre confirmed the keys. It
+    /// is not part of the state, which would be sent anew with each confirmation. None if there
+    /// was no confirmation since the control process started.
+    async fn confirmed() -> Frame<Option<Duration>>;
 }
 
 /// Connects to the control process.
@@ -170,3 +166,38 @@
         }
     }
 }
+
+/// Interval of questions for the confirmation of the keys.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Follows the confirmation of the keys until `stop` is cancelled and hands on its time.
+///
+/// While the control process can't be reached, nothing is handed on and the last time ages.
+pub async fn confirmations(address: SocketAddr, stop: CancellationToken, update: impl Fn(Instant)) {
+    let mut client = None;
+    while !stop.is_cancelled() {
+        let asked = confirmation(address, &mut client);
+        match stop.run_until_cancelled(asked).await {
+            Some(Ok(Some(at))) => update(at),
+            Some(Ok(None)) => {}
+            // `follow` logs that the control process can't be reached.
+            Some(Err(_)) => client = None,
+            None => return,
+        }
+        let pause = tokio::time::sleep(CONFIRMATION_INTERVAL);
+        stop.run_until_cancelled(pause).await;
+    }
+}
+
+async fn confirmation(
+    address: SocketAddr,
+    client: &mut Option<LocalClient>,
+) -> Result<Option<Instant>, Error> {
+    let client = match client {
+        Some(client) => client,
+        None => client.insert(connect(address).await?),
+    };
+    let now = Instant::now();
+    let age = client.confirmed(tarpc::context::current()).await?.open()?;
+    Ok(age.and_then(|age| now.checked_sub(age)))
+}
--- a/crates/steering/src/release/halt.rs
+++ b/crates/steering/src/release/halt.rs
@@ -73,6 +73,11 @@
             })
     }
 
+    /// Returns the halted releases with their reasons.
+    pub fn reasons(&self) -> impl Iterator<Item = (&Release, &Reason)> {
+        self.reasons.iter()
+    }
+
     /// Returns why a release is halted, if it is.
     pub fn reason(&self, release: &str) -> Option<&Reason> {
         self.reasons.get(release)
--- a/programs/control/src/admin/safe.rs
+++ b/programs/control/src/admin/safe.rs
@@ -1,4 +1,4 @@
-//! Drains backend servers and halts releases.
+//! Changes that need no permission: they only grow, and are in force at once on this VM.
 
 use super::{Admin, Refusal};
 use crate::drain::{self, Failure};
@@ -6,10 +6,16 @@
 use base::http::{self, Body};
 use hyper::{Response, StatusCode};
 use operators::admin::{Done, Drain, Drained, Halt, Undrain};
-use std::time::Instant;
+use std::time::{Duration, Instant};
+use steering::config::Mark;
 use steering::drain::Refusal as Headroom;
 use steering::release::Reason;
 
+/// Longest wait for a peer to have a change that the store can't record.
+const SHARE_WAIT: Duration = Duration::from_secs(2);
+/// Interval of looks at whether a peer has it.
+const SHARE_LOOK: Duration = Duration::from_millis(20);
+
 impl Admin {
     pub(super) async fn drain(&self, drain: Drain) -> Result<Response<Body>, Refusal> {
         let accepted = drain::accept(&self.shared, &self.client, &drain.servers).await;
@@ -25,7 +31,13 @@
             return Err(Refusal::new(StatusCode::NOT_FOUND, error));
         }
         log::info!("drain {} ended", undrain.id);
-        Ok(http::json(StatusCode::OK, &Done { durable: true }))
+        Ok(http::json(
+            StatusCode::OK,
+            &Done {
+                durable: true,
+                shared: true,
+            },
+        ))
     }
 
     pub(super) async fn halt(&self, halt: Halt) -> Result<Response<Body>, Refusal> {
@@ -34,9 +46,6 @@
         let halted = self.shared.change(|known| {
             let halted = known.board.stop(&release, &text);
             if halted {
-                let text = serde_json::to_string(&text).unwrap_or_default();
-                let set = &mut known.growing.halted;
-                set.entry(release.clone()).or_insert(text.into());
                 known.look(Instant::now());
             }
             halted
@@ -49,12 +58,27 @@
             return Err(Refusal::new(StatusCode::CONFLICT, error));
         }
         log::info!("release {release} halted: {text}");
-        Ok(self.done().await)
+        Ok(self.mark([Mark::Halted(release)]).await)
     }
 
-    async fn done(&self) -> Response<Body> {
+    /// Puts changes in force on this VM, and answers once the store or a peer has them too:
+    /// before that, they would be lost if this VM restarted.
+    pub(super) async fn mark(&self, marks: impl IntoIterator<Item = Mark>) -> Response<Body> {
+        let count = self.shared.change(|known| known.mark(marks));
         let durable = reader::record_now(&self.shared, &self.client).await;
-        http::json(StatusCode::OK, &Done { durable })
+        let shared = durable || self.shared_with_peer(count).await;
+        http::json(StatusCode::OK, &Done { durable, shared })
+    }
+
+    async fn shared_with_peer(&self, count: u32) -> bool {
+        let deadline = Instant::now() + SHARE_WAIT;
+        while self.shared.read(|known| known.shared < count) {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            tokio::time::sleep(SHARE_LOOK).await;
+        }
+        true
     }
 }
 
--- a/programs/control/src/lib.rs
+++ b/programs/control/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod drain;
 pub mod gossip;
 pub mod local;
+pub mod metrics;
+pub mod publish;
 pub mod reader;
 pub mod record;
 pub mod release;
--- a/programs/control/src/local.rs
+++ b/programs/control/src/local.rs
@@ -3,7 +3,7 @@
 use crate::state::Shared;
 use peers::local::{Heard, Local, Report, SYNC_WAIT, State};
 use peers::wire::{self, Frame};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tarpc::context::Context;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -40,6 +40,11 @@
         }
         Frame::new(heard)
     }
+
+    async fn confirmed(self, _: Context) -> Frame<Option<Duration>> {
+        let confirmed = self.shared.read(|known| known.confirmed);
+        Frame::new(confirmed.map(|at| at.elapsed()))
+    }
 }
 
 /// Serves until `stop` is cancelled.
--- a/programs/control/src/release.rs
+++ b/programs/control/src/release.rs
@@ -36,7 +36,9 @@
 /// Judges the evidence and publishes the caps, several times a second.
 async fn watch(shared: &Shared, stop: &CancellationToken) {
     while !stop.is_cancelled() {
-        shared.change(|known| known.look(Instant::now()));
+        if shared.touch(|known| known.look(Instant::now())) {
+            shared.change(|_| ());
+        }
         stop.run_until_cancelled(tokio::time::sleep(LOOK_INTERVAL))
             .await;
     }
--- a/programs/control/src/release/board.rs
+++ b/programs/control/src/release/board.rs
@@ -8,6 +8,7 @@
 use peers::local::{Heard, Report, Standing, Step};
 use rand::RngExt;
 use std::time::Instant;
+use steering::config::Mark;
 use steering::drain;
 use steering::release::{
     Confirmed, Evidence, Halt, Load, Reason, Record, Settings, State, Verdict, Watch,
@@ -169,6 +170,13 @@
         self.peers.insert(news.vm, peer);
     }
 
+    /// Returns the VMs that are stopping.
+    pub fn leaving(&self, own: &Vm) -> IndexSet<Vm> {
+        let peers = self.peers.iter().filter(|(_, peer)| peer.leaving);
+        let own = self.leaving.then_some(own);
+        peers.map(|(vm, _)| vm).chain(own).cloned().collect()
+    }
+
     /// Returns whether all these VMs confirmed the last step.
     pub fn all_confirmed(&self, id: &str, own: &str, nodes: &IndexSet<Vm>) -> bool {
         let incarnation = |vm: &Vm| match self.peers.get(vm) {
@@ -297,14 +305,16 @@
 }
 
 impl Known {
-    /// Judges the evidence and exchanges halts with the growing set.
-    pub fn look(&mut self, now: Instant) {
-        for (id, text) in &self.growing.halted {
+    /// Judges the evidence and exchanges halts with the growing set; returns whether a cap changed.
+    pub fn look(&mut self, now: Instant) -> bool {
+        let before = self.board.steps.clone();
+        for mark in self.replica.sets.marks() {
+            let Mark::Halted(id) = mark else { continue };
             if self.board.halt.reason(id).is_none() {
-                // Older rows hold the operator's words instead of a structured reason.
-                let reason = serde_json::from_str(text);
-                let reason = reason.unwrap_or_else(|_| Reason::Operator(text.clone()));
-                self.board.stop(id, &reason);
+                let known = self.reasons.get(id);
+                let reason = known.and_then(|text| serde_json::from_str(text).ok());
+                let unknown = || Reason::Operator("reason not known here".into());
+                self.board.stop(id, &reason.unwrap_or_else(unknown));
             }
         }
         let nodes = self.list.nodes.len();
@@ -315,17 +325,16 @@
         let planned = self.planned();
         let settings = Settings {
             observers: u32::try_from(nodes.max(1)).unwrap_or(u32::MAX),
-            requests: self.board_requests,
+            requests: self.release_requests,
             ..Settings::default()
         };
         self.board.look(now, &planned, &settings);
-        for planned in &planned {
-            if let Some(reason) = self.board.halt.reason(&planned.id) {
-                let text = || serde_json::to_string(reason).unwrap_or_default().into();
-                let halted = &mut self.growing.halted;
-                halted.entry(planned.id.clone()).or_insert_with(text);
-            }
+        for (id, reason) in self.board.halt.reasons() {
+            let text = || serde_json::to_string(reason).unwrap_or_default().into();
+            self.reasons.entry(id.clone()).or_insert_with(text);
+            self.replica.sets.add(Mark::Halted(id.clone()));
         }
+        self.board.steps != before
     }
 
     /// Returns the names of the listed VMs other than `own`.
@@ -336,10 +345,8 @@
 
     /// Describes the releases.
     pub fn releases(&self) -> IndexMap<Release, Box<str>> {
-        let halted = self.growing.halted.keys().filter_map(|id| {
-            let reason = self.board.halt.reason(id)?;
-            Some((id.clone(), format!("halted: {reason}").into()))
-        });
+        let halted = self.board.halt.reasons();
+        let halted = halted.map(|(id, reason)| (id.clone(), format!("halted: {reason}").into()));
         let mut texts: IndexMap<Release, Box<str>> = halted.collect();
         for planned in self.planned() {
             let text = self.board.text(&planned).into();
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::Registry;
 use std::io;
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -31,10 +32,12 @@
     metrics.register(&mut registry);
     let snapshot = watch::Sender::new(Arc::new(Snapshot::default()));
     let releases = Arc::new(Releases::default());
+    let confirmed = watch::Sender::new(None::<Instant>);
     let pipeline = Arc::new(Pipeline::new(
         settings.clone(),
         snapshot.subscribe(),
         releases.clone(),
+        confirmed.subscribe(),
         metrics.clone(),
     ));
     let seen = snapshot.subscribe();
@@ -45,6 +48,9 @@
     let update = move |state: &local::State| {
         snapshot.send_modify(|current| *current = Arc::new(current.next(state, &pool)));
     };
+    let confirm = move |at: Instant| {
+        confirmed.send_modify(|last| *last = Some(at).max(*last));
+    };
     let limits = Limits {
         connections: settings.connections,
         drain_timeout: settings.drain_timeout.0,
@@ -68,6 +74,7 @@
         serve,
         release::run(releases, seen, &settings, signs, end.clone()),
         local::follow(settings.control, end.clone(), update),
+        local::confirmations(settings.control, end.clone(), confirm),
         share::run(share, served, end.clone()),
         base::metrics::serve(exposed, registry, end.clone()),
     );
--- a/programs/lookup/src/index.rs
+++ b/programs/lookup/src/index.rs
@@ -1,13 +1,14 @@
 //! Prepared answers for every data centre.
 
-use base::id::DataCentre;
+use base::id::{DataCentre, Version, Vm};
 use bytes::Bytes;
 use callers::answer;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use operators::bundle::Bundle;
 use peers::local::State;
 use platform::list;
 use std::net::IpAddr;
+use std::sync::Arc;
 use steering::lookup::{Answer, Entry, Map, map};
 
 /// Time for which callers may use an answer, in milliseconds.
@@ -18,6 +19,10 @@
 /// Prepared answers; replaced whole when the configuration or the list changes.
 #[derive(Debug, Default)]
 pub struct Index {
+    version: Version,
+    bundle: Option<Arc<Bundle>>,
+    list: list::List,
+    leaving: IndexSet<Vm>,
     map: Map,
     sites: Vec<Site>,
     home: usize,
@@ -30,14 +35,41 @@
 }
 
 impl Index {
+    /// Prepares the successor of `self` from a state of the control process.
+    ///
+    /// A lower configuration version and an empty list, as from a restarted control process, are
+    /// not taken up.
+    pub fn next(&self, state: &State, home: &str) -> Self {
+        let newer = (state.version > self.version)
+            .then(|| Bundle::parse(&state.files).ok())
+            .flatten();
+        let (version, bundle) = match newer {
+            Some(bundle) => (state.version, Some(Arc::new(bundle))),
+            None => (self.version, self.bundle.clone()),
+        };
+        let list = if state.list.nodes.is_empty() {
+            &self.list
+        } else {
+            &state.list
+        };
+        let index = Self {
+            version,
+            bundle,
+            list: list.clone(),
+            leaving: state.leaving.clone(),
+            ..Self::default()
+        };
+        index.prepared(home)
+    }
+
     /// Prepares all answers.
-    pub fn build(state: &State, home: &str) -> Self {
-        let Ok(bundle) = Bundle::parse(&state.files) else {
-            return Self::default();
+    fn prepared(self, home: &str) -> Self {
+        let Some(bundle) = self.bundle.clone() else {
+            return self;
         };
-        let entries: Vec<Entry> = live(state).collect();
+        let mut index = self;
+        let entries: Vec<Entry> = live(&index.list.nodes, &index.leaving).collect();
         let fleet = &bundle.fleet;
-        let mut index = Self::default();
         let mut numbers: IndexMap<&DataCentre, map::Site> = IndexMap::new();
         for centre in fleet.data_centres() {
             let region = fleet.region(centre).map_or("", |region| region);
@@ -83,10 +115,10 @@
     (bits.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as usize
 }
 
-fn live(state: &State) -> impl Iterator<Item = Entry> {
-    let nodes = state.list.nodes.iter();
+fn live(nodes: &[list::Node], leaving: &IndexSet<Vm>) -> impl Iterator<Item = Entry> {
     nodes
-        .filter(|node| node.state == list::State::Live && !state.leaving.contains(&node.name))
+        .iter()
+        .filter(|node| node.state == list::State::Live && !leaving.contains(&node.name))
         .map(|node| Entry {
             vm: node.name.clone(),
             region: node.region.clone(),
