feature: capacity of versions in service, counters of drains, tests of contact and retirement

After a completion the servers of the old version no longer count as capacity of the service. A test stops two control processes, halts on a third VM and expects their entries to leave the new version.

--- a/programs/control/src/drain.rs
+++ b/programs/control/src/drain.rs
@@ -5,6 +5,7 @@
 use base::clock;
 use base::id::{Operation, Service};
 use indexmap::IndexMap;
+use peers::local::Standing;
 use platform::{Client, Error, list};
 use std::time::{Duration, Instant};
 use steering::drain::{Fleet, Plan, Refusal, Rollout, Settings, Spec, Target};
@@ -28,6 +29,17 @@
     Store(Error),
 }
 
+impl Failure {
+    fn text(&self) -> &'static str {
+        match self {
+            Self::Refused(Refusal::Unknown(_)) => "unknown-target",
+            Self::Refused(Refusal::Headroom { .. }) => "headroom",
+            Self::Refused(Refusal::Spill { .. }) => "spill",
+            Self::Store(_) => "store",
+        }
+    }
+}
+
 impl From<Error> for Failure {
     fn from(error: Error) -> Self {
         Self::Store(error)
@@ -66,7 +78,9 @@
         plan.accept(now, operation.clone(), &targets, &fleet, &settings)
             .map_err(Failure::Refused)
     })
-    .await?;
+    .await
+    .inspect(|()| shared.metrics.drain("accepted"))
+    .inspect_err(|failure| shared.metrics.drain(failure.text()))?;
     Ok(operation)
 }
 
@@ -177,21 +191,9 @@
             .backends
             .iter()
             .filter(|b| b.state == list::State::Live);
-        let spec = |b: &list::Backend| Spec {
-            service: b.service.clone(),
-            region: b.region.clone(),
-            data_centre: b.data_centre.clone(),
-            slots: b.slots,
-        };
-        let in_use = |b: &&list::Backend| {
-            let service = self.active.as_ref()?.bundle.service(&b.service)?;
-            let takeover = service.release.as_ref();
-            let new = takeover.filter(|t| self.board.steps.contains_key(&t.value.id));
-            Some(b.label == service.current || new.is_some_and(|t| t.value.to == b.label))
-        };
-        let servers = live.filter(|b| in_use(b).unwrap_or(true));
+        let servers = live.map(|b| (b.name.clone(), self.spec(b)));
         let mut fleet = Fleet {
-            servers: servers.map(|b| (b.name.clone(), spec(b))).collect(),
+            servers: servers.collect(),
             ..Fleet::default()
         };
         let mut add = |vm: &str, demand: &IndexMap<Service, f64>| {
@@ -228,6 +230,32 @@
         fleet
     }
 
+    /// Describes a server; one whose version is not in service carries no demand of its service.
+    fn spec(&self, backend: &list::Backend) -> Spec {
+        let bundle = self.active.as_ref().map(|active| &active.bundle);
+        let service = bundle.and_then(|bundle| bundle.service(&backend.service));
+        let serves = service.is_none_or(|service| {
+            let takeover = service.release.as_ref().map(|release| &release.value);
+            let step = takeover.and_then(|takeover| self.board.steps.get(&takeover.id));
+            match step {
+                Some(step) if step.standing == Standing::Complete => backend.label == step.to,
+                Some(step) => backend.label == step.to || backend.label == service.current,
+                None => backend.label == service.current,
+            }
+        });
+        let service = if serves {
+            backend.service.clone()
+        } else {
+            format!("{} {}", backend.service, backend.label).into()
+        };
+        Spec {
+            service,
+            region: backend.region.clone(),
+            data_centre: backend.data_centre.clone(),
+            slots: backend.slots,
+        }
+    }
+
     /// Returns the work that each region can send out.
     ///
     /// NOTE: the size of answers is not known here, so the links do not limit a drain; the entries
--- a/programs/control/src/metrics.rs
+++ b/programs/control/src/metrics.rs
@@ -77,6 +77,8 @@
     list_reads: Family<Label, Counter>,
     records: Family<Label, Counter>,
     publications: Family<Label, Counter>,
+    drains: Family<Label, Counter>,
+    halts: Counter,
 }
 
 impl Metrics {
@@ -114,6 +116,22 @@
             "Publications through this VM",
             self.publications.clone(),
         );
+        registry.register("drains", "Requests for drains", self.drains.clone());
+        registry.register(
+            "releases_halted",
+            "Halts by this VM's evidence or found in the growing set",
+            self.halts.clone(),
+        );
+    }
+
+    /// Counts a request for a drain by its result.
+    pub fn drain(&self, result: &'static str) {
+        self.drains.get_or_create(&label(result)).inc();
+    }
+
+    /// Counts halts by this VM's evidence or found in the growing set.
+    pub fn halted(&self, count: usize) {
+        self.halts.inc_by(count as u64);
     }
 
     /// Counts a head read from the table, if it was refused.
--- a/programs/control/src/release.rs
+++ b/programs/control/src/release.rs
@@ -36,7 +36,13 @@
 /// Judges the evidence and publishes the caps, several times a second.
 async fn watch(shared: &Shared, stop: &CancellationToken) {
     while !stop.is_cancelled() {
-        if shared.touch(|known| known.look(Instant::now())) {
+        let (changed, halts) = shared.touch(|known| {
+            let before = known.board.halt.reasons().count();
+            let changed = known.look(Instant::now());
+            (changed, known.board.halt.reasons().count() - before)
+        });
+        shared.metrics.halted(halts);
+        if changed {
             shared.change(|_| ());
         }
         stop.run_until_cancelled(tokio::time::sleep(LOOK_INTERVAL))
--- a/tests/integration/tests/release.rs
+++ b/tests/integration/tests/release.rs
@@ -185,6 +185,62 @@
     let (odd, ()) = tokio::join!(load(&fleet, &key, &done), stop);
     assert!(odd.is_empty(), "{odd:?}");
     assert_eq!(served(&fleet, "v1").await, before);
+
+    let mut files = examples("atlas");
+    let name: Box<str> = "lookup.yaml".into();
+    let named = files[&name].replace("current: v1", "current: v2");
+    files.insert(name, named.into());
+    let version = fleet.status("vm-01").await.version;
+    let version = fleet.publish_files("vm-01", version, files).await;
+    until(
+        "the publication that names the new version is done",
+        async || {
+            let status = fleet.status("vm-04").await;
+            status.version == version && status.missing.is_empty()
+        },
+    )
+    .await;
+    for path in PATHS {
+        let summary = fleet.load("vm-02", requests(path, &key, 100)).await;
+        assert_eq!(summary.outcomes.get("served"), Some(&100), "{summary:?}");
+    }
+    assert_eq!(served(&fleet, "v1").await, before);
+}
+
+/// Guards that an entry whose control process is silent stops using the new version: it may have
+/// missed a halt.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_without_contact_uses_the_old_version() {
+    let fleet = Fleet::start_with(SMALL, 28_060, PACE);
+    let key = ready(&fleet, 60).await;
+    let done = AtomicBool::new(false);
+    let silent = async {
+        until("the new version serves", async || {
+            served(&fleet, "v2").await > 0
+        })
+        .await;
+        fleet.signal("vm-02-control", "STOP");
+        fleet.signal("vm-03-control", "STOP");
+        let halt = Halt {
+            release: "r1".into(),
+            reason: "test".into(),
+        };
+        fleet.admin("vm-01").halt(&halt).await.expect("halted");
+        until("the new version gets nothing any more", async || {
+            let (new, old) = (served(&fleet, "v2").await, served(&fleet, "v1").await);
+            until("more requests are served", async || {
+                served(&fleet, "v1").await > old + 500
+            })
+            .await;
+            served(&fleet, "v2").await == new
+        })
+        .await;
+        for control in ["vm-02-control", "vm-03-control"] {
+            fleet.signal(control, "CONT");
+        }
+        done.store(true, Ordering::Relaxed);
+    };
+    tokio::join!(load(&fleet, &key, &done), silent);
 }
 
 /// Guards that a failing version is rolled back and gets nothing once the halt is in force.
