--- a/crates/peers/src/local.rs
+++ b/crates/peers/src/local.rs
@@ -11,6 +11,9 @@
 use steering::release::{Cap, Evidence};
 use tokio_util::sync::CancellationToken;
 
+/// Incarnations of entries by VM.
+pub type Runs = IndexMap<Vm, Incarnation>;
+
 base::message! {
     /// How far a release has come on this VM.
     #[derive(Copy, Eq)]
@@ -85,6 +88,8 @@
         pub leaving: IndexSet<Vm>,
         /// Last known list of VMs and backend servers.
         pub list: List,
+        /// Live incarnations of entries as this VM's entry knows them.
+        pub runs: Runs,
     }
 }
 
@@ -104,6 +109,9 @@
     /// is not part of the state, which would be sent anew with each confirmation. None if there
     /// was no confirmation since the control process started.
     async fn confirmed() -> Frame<Option<Duration>>;
+
+    /// Reports the live incarnations of entries, the caller's own among them.
+    async fn runs(runs: Frame<Runs>);
 }
 
 /// Connects to the control process.
--- a/crates/steering/tests/quarantine.rs
+++ b/crates/steering/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 use steering::attempt::Refusal;
-use steering::quarantine::{Admit, Register, Settings, digest};
+use steering::quarantine::{Admit, KNOWN, Register, Settings, digest};
 
 const A: [u8; 16] = [1; 16];
 const B: [u8; 16] = [2; 16];
@@ -104,3 +104,18 @@
         assert_eq!(&*merged.delta().suspects[&A].origin, "dc-1");
     }
 }
+
+/// Guards against memory that grows with each crash; cleared suspicions go first.
+#[test]
+fn known_digests_are_bounded() {
+    let now = Instant::now();
+    let mut register = Register::new("north-1".into(), Settings::default());
+    let numbered = |n: usize| digest("atlas", "GET", &n.to_string(), b"");
+    register.crashed(&[numbered(0), numbered(1)], now);
+    register.completed(&numbered(1));
+    let more: Vec<_> = (2..=KNOWN).map(numbered).collect();
+    register.crashed(&more, now);
+    let suspects = &register.delta().suspects;
+    assert_eq!(suspects.len(), KNOWN);
+    assert!(suspects.contains_key(&numbered(0)) && !suspects.contains_key(&numbered(1)));
+}
--- a/programs/control/src/gossip.rs
+++ b/programs/control/src/gossip.rs
@@ -4,7 +4,10 @@
 
 use crate::release::exchange;
 use crate::state::{Known, Peer, Shared};
-use peers::gossip::{Exchange, Gossip, Releases, Reply, Seen};
+use crate::versions;
+use base::id::{Version, Vm};
+use indexmap::IndexMap;
+use peers::gossip::{Exchange, Gossip, Releases, Reply};
 use peers::wire::{self, Frame};
 use spread::Spread;
 use std::time::Instant;
@@ -38,8 +41,12 @@
         Frame::new(Some(reply))
     }
 
-    async fn versions(self, _: Context) -> Frame<Vec<Seen>> {
-        Frame::new(self.shared.read(|known| known.versions(Instant::now())))
+    async fn version(self, _: Context) -> Frame<Version> {
+        Frame::new(self.shared.read(Known::version))
+    }
+
+    async fn versions(self, _: Context) -> Frame<IndexMap<Vm, Version>> {
+        Frame::new(versions::centre(&self.shared).await)
     }
 
     async fn releases(self, _: Context, news: Frame<Releases>) -> Frame<Releases> {
--- a/programs/control/src/local.rs
+++ b/programs/control/src/local.rs
@@ -1,7 +1,7 @@
 //! Serves the processes of this VM.
 
 use crate::state::Shared;
-use peers::local::{Heard, Local, Report, SYNC_WAIT, State};
+use peers::local::{Heard, Local, Report, Runs, SYNC_WAIT, State};
 use peers::wire::{self, Frame};
 use std::time::{Duration, Instant};
 use tarpc::context::Context;
@@ -45,6 +45,12 @@
         let confirmed = self.shared.read(|known| known.confirmed);
         Frame::new(confirmed.map(|at| at.elapsed()))
     }
+
+    async fn runs(self, _: Context, runs: Frame<Runs>) {
+        if let Ok(runs) = runs.open() {
+            self.shared.change(|known| known.runs = runs);
+        }
+    }
 }
 
 /// Serves until `stop` is cancelled.
--- a/programs/control/src/state/known.rs
+++ b/programs/control/src/state/known.rs
@@ -3,23 +3,20 @@
 use crate::record::{self, Ring as Row};
 use crate::release::Board;
 use crate::settings::Settings;
-use ::peers::gossip::{Listing, Seen};
-use ::peers::local::State;
+use ::peers::gossip::Listing;
+use ::peers::local::{Runs, State};
 use base::clock::Millis;
 use base::id::{Release, Version, Vm};
 use indexmap::IndexMap;
 use operators::bundle::{Bundle, Files};
 use operators::fleet;
 use platform::list::{self, List};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use steering::config::sets::Summary;
 use steering::config::{Head, Manifest, Mark, Readiness, Replica, Sets};
 use steering::keys::{Confirmation, Isolated, Policy, Ring, Standing};
 use steering::membership::{self, Listed, Place, View};
 
-/// Age from which the version of a VM counts as unknown.
-const SEEN_FOR: Duration = Duration::from_secs(10);
-
 /// Configuration in force.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Active {
@@ -48,6 +45,8 @@
     pub recorded_version: u64,
     /// Reasons of halted releases, as far as they are known.
     pub reasons: IndexMap<Release, Box<str>>,
+    /// Live incarnations of entries as the VM's entry reported them.
+    pub runs: Runs,
     /// Last list of VMs and backend servers.
     pub list: List,
     /// Releases, drains and stops.
@@ -65,7 +64,6 @@
     pub shared: u32,
     /// Growing changes of this VM's operators are told to other data centres as well.
     pub tell_all: bool,
-    pub(super) versions: IndexMap<Vm, (Version, Instant)>,
     listing: (u64, Instant),
     refused: Version,
     started: Instant,
@@ -103,6 +101,7 @@
             recorded: Sets::default(),
             recorded_version: 0,
             reasons: IndexMap::new(),
+            runs: Runs::default(),
             list: List::default(),
             board: Board::default(),
             release_requests: settings.release_requests,
@@ -111,7 +110,6 @@
             table_read: 0,
             shared: 0,
             tell_all: false,
-            versions: IndexMap::new(),
             listing: (0, now),
             refused: 0,
             started: now,
@@ -187,10 +185,13 @@
     }
 
     /// Returns the state for the other processes of the VM. Before the process is ready it holds
-    /// only the growing changes, which no one has to take back.
+    /// only the growing changes, which no one has to take back, and what the VM's entry reported.
     pub(super) fn published(&self) -> State {
         let sets = &self.replica.sets;
-        let mut state = State::default();
+        let mut state = State {
+            runs: self.runs.clone(),
+            ..State::default()
+        };
         for mark in sets.marks() {
             match mark {
                 Mark::Withdrawn(digest) => drop(state.withdrawn.insert(*digest)),
@@ -257,7 +258,6 @@
             .collect();
         for vm in self.view.list(&listed, now) {
             log::info!("vm {vm} is gone");
-            self.versions.swap_remove(&vm);
         }
         self.listing = (hash(&list), at);
         self.list = list;
@@ -296,40 +296,6 @@
     pub fn confirm(&mut self, at: Instant) {
         self.confirmed = self.confirmed.max(Some(at));
     }
-
-    /// Returns the versions in force on the VMs of the data centre, this one included.
-    pub fn versions(&self, now: Instant) -> Vec<Seen> {
-        let own = Seen {
-            vm: self.view.place().vm.clone(),
-            version: self.version(),
-            age: Duration::ZERO,
-        };
-        let others = self.versions.iter().map(|(vm, (version, at))| Seen {
-            vm: vm.clone(),
-            version: *version,
-            age: now.saturating_duration_since(*at),
-        });
-        std::iter::once(own)
-            .chain(others.filter(|seen| seen.age < SEEN_FOR))
-            .collect()
-    }
-
-    /// Takes versions heard from a VM of the data centre; the latest word on a VM counts, since a
-    /// restarted VM has none.
-    pub(super) fn hear_versions(&mut self, seen: Vec<Seen>, now: Instant) {
-        let own = &self.view.place().vm;
-        for Seen { vm, version, age } in seen.into_iter().filter(|seen| seen.vm != *own) {
-            let Some(at) = now.checked_sub(age) else {
-                continue;
-            };
-            let known = self.versions.entry(vm).or_insert((version, at));
-            if at >= known.1 {
-                *known = (version, at);
-            }
-        }
-        self.versions
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) < SEEN_FOR);
-    }
 }
 
 fn hash(list: &List) -> u64 {
--- a/programs/entry/src/forward.rs
+++ b/programs/entry/src/forward.rs
@@ -2,8 +2,9 @@
 
 use crate::authorise::Grant;
 use crate::metrics::Metrics;
+use crate::quarantine::track::Track;
 use crate::receive::Call;
-use crate::release::{Releases, Trial};
+use crate::release::{Releases, Start, Trial};
 use crate::route;
 use crate::server::Flight;
 use crate::settings::Settings;
@@ -25,7 +26,7 @@
     /// Request in flight; ends with the body.
     pub flight: Flight,
     /// Evidence of a release, recorded when the answer has ended.
-    pub trial: Option<Trial>,
+    pub trial: Option<Box<Trial>>,
 }
 
 /// Result of forwarding: an answer, or the outcome that the caller is told.
@@ -43,20 +44,35 @@
     settings: &Settings,
     releases: &Arc<Releases>,
     metrics: &Metrics,
+    track: &Track,
 ) -> Forwarded {
     let mut attempt = Attempt::new(grant.path.idempotent);
     let mut tried = Vec::new();
     for _ in 0..ATTEMPTS {
-        let start = releases.start(snapshot, grant.service, &grant.path.name);
-        let chosen =
-            route::choose(snapshot, grant.service, &start.label, settings, &tried).cloned();
+        let reserved = track.trial();
+        let start = match reserved {
+            Some(_) => Start::plain(&grant.service.current),
+            None => releases.start(snapshot, grant.service, &grant.path.name),
+        };
+        let chosen = match reserved {
+            Some(server) => Some(server).filter(|_| tried.is_empty()),
+            None => route::choose(snapshot, grant.service, &start.label, settings, &tried),
+        };
+        let chosen = chosen.cloned();
         let Some(server) = chosen else {
             break;
         };
         tried.push(server.listed.name.clone());
-        let flight = server.start();
+        let flight = server.start(track.digest());
         let sent = attempt.send();
-        match server.pool.send(call.request(), call.deadline).await {
+        track.sent(true);
+        let deadline = track.deadline(call.deadline);
+        let answer = server.pool.send(call.request(), deadline).await;
+        let crashed = match &answer {
+            Err(Failure::After(After::Interrupted)) => track.interrupted(&flight).await,
+            _ => false,
+        };
+        match answer {
             Ok(response) => {
                 let trial = start.answered(response.status().as_u16());
                 return Ok(Answer {
@@ -70,7 +86,11 @@
                     start.lost();
                 }
                 match sent.fail(classify(failure)) {
+                    // Another server would crash, too.
+                    Step::Retry(next, _) if crashed => return Err(next.give_up(Refusal::Suspected)),
                     Step::Retry(next, retry) => {
+                        // Only an idempotent route, which has no claim, goes on after it may have run.
+                        track.sent(false);
                         log::debug!("request {}: {retry} on {}", call.id, server.listed.name);
                         metrics.retry(retry);
                         attempt = next;
--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -2,16 +2,22 @@
 
 use crate::admission::Admission;
 use crate::authorise::{self, Grant};
+use crate::claims::Claims;
 use crate::forward::{Forwarded, forward};
 use crate::metrics::Metrics;
+use crate::quarantine::track::Track;
+use crate::quarantine::{Quarantine, pass};
 use crate::receive::{Call, receive};
 use crate::release::Releases;
-use crate::reply;
+use crate::reply::{self, Ended};
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use base::http::Body;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use peers::link::Links;
+use peers::share::ShareClient;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 use steering::attempt::{Attempt, Outcome, Refusal};
@@ -25,6 +31,9 @@
     pepper: Pepper,
     snapshot: watch::Receiver<Arc<Snapshot>>,
     confirmed: watch::Receiver<Option<Instant>>,
+    quarantine: Arc<Quarantine>,
+    claims: Claims,
+    links: Links<ShareClient>,
     admission: Admission,
     releases: Arc<Releases>,
     metrics: Arc<Metrics>,
@@ -39,8 +48,12 @@
         confirmed: watch::Receiver<Option<Instant>>,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let incarnation = rand::random();
         Self {
             pepper: Pepper::derive(&settings.key_secret),
+            quarantine: Arc::new(Quarantine::new(&settings, incarnation, metrics.clone())),
+            claims: Claims::new(&settings, incarnation, metrics.clone()),
+            links: Links::default(),
             settings,
             snapshot,
             confirmed,
@@ -50,6 +63,16 @@
         }
     }
 
+    /// Returns what is known of requests that crash servers.
+    pub fn quarantine(&self) -> &Arc<Quarantine> {
+        &self.quarantine
+    }
+
+    /// Returns the claims on request ids.
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
     /// Answers one request.
     pub async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
         let (id, forwarded) = match receive(request, &self.settings).await {
@@ -69,15 +92,101 @@
         reply::reply(&id, forwarded)
     }
 
-    async fn run(&self, call: &Call) -> Forwarded {
+    /// Answers a suspected request that another entry passed on; the other one keeps its claim
+    /// and has counted it against its limits.
+    pub async fn passed(&self, call: &Call) -> Response<Body> {
+        let snapshot = self.snapshot.borrow().clone();
+        let ended = async {
+            let grant = self.authorise(call, &snapshot)?;
+            let track = self.admitted(call, &grant, &snapshot).await?;
+            if track.keeper().is_some() {
+                // The two entries disagree on the keeper for a moment.
+                return Err(refused(Refusal::Suspected));
+            }
+            let forwarded = forward(
+                call,
+                &grant,
+                &snapshot,
+                &self.settings,
+                &self.releases,
+                &self.metrics,
+                &track,
+            );
+            let answer = forwarded.await?;
+            Ok(Ended::Streamed(answer, track))
+        };
+        reply::reply(&call.id, ended.await)
+    }
+
+    async fn run(&self, call: &Call) -> Result<Ended, Outcome> {
         let snapshot = self.snapshot.borrow().clone();
         let grant = self.authorise(call, &snapshot)?;
-        self.admission.admit(call, &grant).await.map_err(refused)?;
+        let mut track = self.track(call, &grant, &snapshot).await?;
+        let result = match track.keeper() {
+            None => match self.proceed(call, &grant, &track).await {
+                Ok(answer) => return Ok(Ended::Streamed(answer, track)),
+                Err(outcome) => Err(outcome),
+            },
+            Some(keeper) => self.pass(call, &grant, &track, keeper).await,
+        };
+        track.end(result.as_ref().err().unwrap_or(&Outcome::Served));
+        result.map(Ended::Whole)
+    }
+
+    async fn pass(
+        &self,
+        call: &Call,
+        grant: &Grant<'_>,
+        track: &Track,
+        keeper: SocketAddr,
+    ) -> Result<Response<Body>, Outcome> {
+        self.admission.admit(call, grant).await.map_err(refused)?;
+        track.sent(true);
+        self.metrics.pass();
+        pass::send(&self.links, keeper, call).await
+    }
+
+    async fn track(
+        &self,
+        call: &Call,
+        grant: &Grant<'_>,
+        snapshot: &Snapshot,
+    ) -> Result<Track, Outcome> {
+        let mut track = self.admitted(call, grant, snapshot).await?;
+        track.claimed(self.claims.claim(call, grant, snapshot).await?);
+        Ok(track)
+    }
+
+    async fn admitted(
+        &self,
+        call: &Call,
+        grant: &Grant<'_>,
+        snapshot: &Snapshot,
+    ) -> Result<Track, Outcome> {
+        let workspace = grant.workspace.as_deref().unwrap_or_default();
+        let admitted = self
+            .quarantine
+            .admit(call, workspace, grant.service, snapshot);
+        let admitted = admitted.await.map_err(refused)?;
+        Ok(Track::new(self.quarantine.clone(), admitted))
+    }
+
+    async fn proceed(&self, call: &Call, grant: &Grant<'_>, track: &Track) -> Forwarded {
+        self.admission.admit(call, grant).await.map_err(refused)?;
         // The key may have been withdrawn, and servers may have left, while the request waited.
         let snapshot = self.snapshot.borrow().clone();
         let grant = self.authorise(call, &snapshot)?;
         let (settings, releases) = (&self.settings, &self.releases);
-        forward(call, &grant, &snapshot, settings, releases, &self.metrics).await
+        forward(
+            call,
+            &grant,
+            &snapshot,
+            settings,
+            releases,
+            &self.metrics,
+            track,
+        )
+        .await
     }
 
     fn authorise<'a>(&self, call: &Call, snapshot: &'a Snapshot) -> Result<Grant<'a>, Outcome> {
--- a/programs/entry/src/release.rs
+++ b/programs/entry/src/release.rs
@@ -49,7 +49,7 @@
 pub struct Start {
     /// Label of the version.
     pub label: Label,
-    trial: Option<Trial>,
+    trial: Option<Box<Trial>>,
 }
 
 /// An attempt on one of the versions that a release compares; recorded when it is dropped.
@@ -100,15 +100,17 @@
         let usable = snapshot.servers(name, &step.to).next().is_some();
         let side = if usable { side } else { Side::Old };
         let release = service.release.as_ref().map(|release| &release.value.id);
-        let trial = release.map(|release| Trial {
-            releases: self.clone(),
-            service: name.clone(),
-            release: release.clone(),
-            step: step.step,
-            route: route.into(),
-            side,
-            begin: Instant::now(),
-            result: None,
+        let trial = release.map(|release| {
+            Box::new(Trial {
+                releases: self.clone(),
+                service: name.clone(),
+                release: release.clone(),
+                step: step.step,
+                route: route.into(),
+                side,
+                begin: Instant::now(),
+                result: None,
+            })
         });
         let label = match side {
             Side::Old => &service.current,
@@ -194,7 +196,8 @@
 }
 
 impl Start {
-    fn plain(label: &Label) -> Self {
+    /// Makes the start of an attempt that no release counts.
+    pub fn plain(label: &Label) -> Self {
         Self {
             label: label.clone(),
             trial: None,
@@ -202,7 +205,7 @@
     }
 
     /// Notes an answer with this status and returns what records it when the answer has ended.
-    pub fn answered(mut self, status: u16) -> Option<Trial> {
+    pub fn answered(mut self, status: u16) -> Option<Box<Trial>> {
         if let Some(trial) = &mut self.trial {
             trial.result = Some((status >= 500, trial.begin.elapsed()));
         }
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::metrics::Metrics;
 use crate::pipeline::Pipeline;
+use crate::quarantine::exchange;
 use crate::release::{self, Releases};
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
@@ -33,6 +34,7 @@
     let snapshot = watch::Sender::new(Arc::new(Snapshot::default()));
     let releases = Arc::new(Releases::default());
     let confirmed = watch::Sender::new(None::<Instant>);
+    let followed = snapshot.subscribe();
     let pipeline = Arc::new(Pipeline::new(
         settings.clone(),
         snapshot.subscribe(),
@@ -57,6 +59,7 @@
         ..Limits::default()
     };
     let served = pipeline.clone();
+    let quarantine = pipeline.quarantine().clone();
     let handler = move |request, _| {
         let pipeline = pipeline.clone();
         async move { pipeline.handle(request).await }
@@ -75,6 +78,7 @@
         release::run(releases, seen, &settings, signs, end.clone()),
         local::follow(settings.control, end.clone(), update),
         local::confirmations(settings.control, end.clone(), confirm),
+        exchange::run(quarantine, followed, settings.control, end.clone()),
         share::run(share, served, end.clone()),
         base::metrics::serve(exposed, registry, end.clone()),
     );
--- a/programs/entry/src/share.rs
+++ b/programs/entry/src/share.rs
@@ -1,7 +1,8 @@
 //! Serves the entries of other VMs.
 
 use crate::pipeline::Pipeline;
-use peers::share::{Answer, Question, Servers, Share, Suspects};
+use crate::quarantine::pass;
+use peers::share::{Answer, Passed, Question, Reply, Servers, Share, Suspects};
 use peers::wire::{self, Frame};
 use std::sync::Arc;
 use steering::limits::{Borrow, Lent};
@@ -11,8 +12,7 @@
 
 #[derive(Clone)]
 struct Server {
-    // TODO: the calls below answer from it.
-    _pipeline: Arc<Pipeline>,
+    pipeline: Arc<Pipeline>,
 }
 
 impl Share for Server {
@@ -20,8 +20,17 @@
         Frame::new(None)
     }
 
-    async fn claim(self, _: Context, _question: Frame<Question>) -> Frame<Option<Answer>> {
-        Frame::new(None)
+    async fn claim(self, _: Context, question: Frame<Question>) -> Frame<Option<Answer>> {
+        let question = question.open().ok();
+        Frame::new(question.map(|question| self.pipeline.claims().settle(&question)))
+    }
+
+    async fn pass(self, _: Context, passed: Frame<Passed>) -> Frame<Option<Reply>> {
+        let call = passed.open().ok().and_then(pass::call);
+        Frame::new(match call {
+            Some(call) => pass::reply(self.pipeline.passed(&call).await).await,
+            None => None,
+        })
     }
 
     async fn servers(self, _: Context, _news: Frame<Servers>) -> Frame<Servers> {
@@ -29,15 +38,15 @@
     }
 
     async fn suspects(self, _: Context, news: Frame<Suspects>) -> Frame<Suspects> {
-        news
+        let quarantine = self.pipeline.quarantine();
+        let fresh = news.open().is_ok_and(|news| quarantine.take(&news));
+        Frame::new(quarantine.answer(fresh))
     }
 }
 
 /// Serves until `stop` is cancelled.
 pub async fn run(listener: TcpListener, pipeline: Arc<Pipeline>, stop: CancellationToken) {
-    let server = Server {
-        _pipeline: pipeline,
-    };
+    let server = Server { pipeline };
     wire::accept(listener, stop, |stream| {
         wire::serve(stream, server.clone().serve())
     })
--- a/programs/entry/src/snapshot.rs
+++ b/programs/entry/src/snapshot.rs
@@ -28,6 +28,7 @@
     /// Servers of new versions that the current step leaves unused.
     idle: IndexSet<Box<str>>,
     servers: IndexMap<Box<str>, Arc<Server>>,
+    nodes: Vec<list::Node>,
 }
 
 impl Snapshot {
@@ -60,6 +61,11 @@
             drains_version: self.drains_version.max(state.drains_version),
             idle: idle(state),
             servers: self.connected(&state.list, pool),
+            nodes: if state.list.nodes.is_empty() {
+                self.nodes.clone()
+            } else {
+                state.list.nodes.clone()
+            },
         }
     }
 
@@ -162,6 +168,13 @@
         (!halted).then_some(step)
     }
 
+    /// Returns the version that serves apart from the share of a release under way.
+    pub fn label<'a>(&'a self, service: &'a Service) -> &'a Label {
+        let step = self.step(service);
+        let complete = step.filter(|step| step.standing == Standing::Complete);
+        complete.map_or(&service.current, |step| &step.to)
+    }
+
     /// Returns the step of a release, unless it is halted.
     pub fn step_of(&self, release: &str) -> Option<&Step> {
         let bundle = self.bundle.as_ref()?;
@@ -172,6 +185,16 @@
         self.step(bundle.services.values().find(named)?)
     }
 
+    /// Returns the VMs of the system.
+    pub fn nodes(&self) -> &[list::Node] {
+        &self.nodes
+    }
+
+    /// Returns all backend servers.
+    pub fn all_servers(&self) -> impl Iterator<Item = &Arc<Server>> {
+        self.servers.values()
+    }
+
     /// Returns the servers of a service and version that may get new work.
     pub fn servers<'a>(
         &'a self,
@@ -185,14 +208,10 @@
                 && listed.state == list::State::Live
                 && !self.draining.contains(&listed.name)
                 && !self.idle.contains(&listed.name)
+                && !server.reserved()
         })
     }
 
-    /// Returns all servers.
-    pub fn all_servers(&self) -> impl Iterator<Item = &Arc<Server>> {
-        self.servers.values()
-    }
-
     /// Returns whether a server is being drained.
     pub fn draining(&self, server: &str) -> bool {
         self.draining.contains(server)
--- a/programs/lookup/tests/index.rs
+++ b/programs/lookup/tests/index.rs
@@ -43,15 +43,15 @@
 fn restarted_control_process_takes_nothing_away() {
     let index = Index::default();
     assert!(index.answer(CLIENT).is_none());
-    let index = index.next(&state(2, &["vm-01"]), "north-1");
+    let index = index.next(&state(2, &["vm-01"]), "north-1", 0);
     let answer = index.answer(CLIENT);
     assert!(answer.is_some());
-    let index = index.next(&State::default(), "north-1");
+    let index = index.next(&State::default(), "north-1", 0);
     assert_eq!(index.answer(CLIENT), answer);
     let mut older = state(1, &["vm-01"]);
     older.files[0] = older.files[0].replace("north-1", "north-9").into();
-    let index = index.next(&older, "north-1");
+    let index = index.next(&older, "north-1", 0);
     assert_eq!(index.answer(CLIENT), answer);
-    let index = index.next(&state(3, &["vm-01", "vm-02"]), "north-1");
+    let index = index.next(&state(3, &["vm-01", "vm-02"]), "north-1", 0);
     assert_ne!(index.answer(CLIENT), answer);
 }
