--- a/crates/peers/src/local.rs
+++ b/crates/peers/src/local.rs
@@ -1,7 +1,7 @@
 //! Messages between the control process and the other processes of its VM.
 
 use crate::wire::{self, Error, Frame};
-use base::id::{Incarnation, Label, Release, Version, Vm};
+use base::id::{Incarnation, Label, Release, Server, Service, Version, Vm};
 use indexmap::{IndexMap, IndexSet};
 use platform::list::List;
 use std::net::SocketAddr;
@@ -10,18 +10,59 @@
 use steering::keys::ring::Entry;
 use steering::limits::Settings;
 use steering::membership::rendezvous;
+use steering::release::{Cap, Evidence};
 use tokio_util::sync::CancellationToken;
 
 /// Incarnations of entries by VM.
 pub type Runs = IndexMap<Vm, Incarnation>;
 
 base::message! {
+    /// How far a release has come on this VM.
+    #[derive(Copy, Eq)]
+    pub enum Standing {
+        /// Both versions serve; without contact the old version serves alone.
+        Stepping,
+        /// This VM has confirmed the last step and no longer halts the release.
+        Confirmed,
+        /// The new version has taken over.
+        Complete,
+    }
+
     /// Current state of a release.
     pub struct Step {
+        /// Service.
+        pub service: Service,
         /// New version.
         pub to: Label,
-        /// Largest share of the service's starts that the new version gets, from 0 to 1.
-        pub cap: f64,
+        /// Largest share of the service's starts that the new version gets.
+        pub cap: Cap,
+        /// Index of the step, under which evidence is recorded.
+        pub step: usize,
+        /// Servers of the new version that are used in this step.
+        pub width: u32,
+        /// How far the release has come.
+        pub standing: Standing,
+    }
+
+    /// What the entry tells its control process several times a second.
+    pub struct Report {
+        /// This run of the entry.
+        pub incarnation: Incarnation,
+        /// Results of the requests of each release under way.
+        pub evidence: IndexMap<Release, Evidence>,
+        /// Requests in flight per server that is in use or being drained.
+        pub in_flight: IndexMap<Server, u32>,
+        /// Requests in flight per service, averaged over some seconds.
+        pub demand: IndexMap<Service, f64>,
+        /// Whether the entry is stopping.
+        pub leaving: bool,
+    }
+
+    /// Answer to a report.
+    #[derive(Copy, Eq)]
+    pub struct Heard {
+        /// Whether every other VM has been told that this VM is leaving.
+        pub withdrawn: bool,
     }
 
     /// How all limits are divided; fixed by the row `floors` once that exists.
@@ -65,6 +106,10 @@
         pub steps: IndexMap<Release, Step>,
         /// Backend servers that must get no new work.
         pub draining: IndexSet<Box<str>>,
+        /// Row version of the drains; a lower one is old news.
+        pub drains_version: u64,
+        /// VMs that are stopping and must not be named to callers.
+        pub leaving: IndexSet<Vm>,
         /// Last known list of VMs and backend servers.
         pub list: List,
         /// Live incarnations of entries as this VM's entry knows them.
@@ -114,6 +159,9 @@
     /// Reports the live incarnations of entries, the caller's own among them.
     async fn runs(runs: Frame<Runs>);
 
+    /// Takes the entry's report.
+    async fn report(report: Frame<Report>) -> Frame<Heard>;
+
     /// Returns the time since the store or a peer of another data centre confirmed the keys. It
     /// is not part of the state, which would be sent anew with each confirmation. None if there
     /// was no confirmation since the control process started.
--- a/programs/control/src/admin/status.rs
+++ b/programs/control/src/admin/status.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 use operators::admin::{KeyState, Keys, Report, Stage, Status};
 use std::time::Instant;
-use steering::config::{Force, Mark};
+use steering::config::Force;
 use steering::keys::Standing;
 
 impl Admin {
@@ -20,15 +20,6 @@
         let status = self.shared.read(|known| {
             let version = known.version();
             let force = force(known, &heard);
-            let reasons = |release| known.reasons.get(release).cloned();
-            let releases = known.replica.sets.marks().filter_map(|mark| match mark {
-                Mark::Halted(id) => Some((id.clone(), reasons(id).unwrap_or("halted".into()))),
-                _ => None,
-            });
-            let draining = known.replica.sets.marks().filter_map(|mark| match mark {
-                Mark::Drained(name) => Some(name.clone()),
-                _ => None,
-            });
             Status {
                 vm: settings.vm.clone(),
                 version,
@@ -39,8 +30,9 @@
                 in_force: reports(known, heard),
                 confirmed_by_store: known.table_read,
                 keys: keys(known),
-                releases: releases.collect(),
-                draining: draining.collect(),
+                releases: known.releases(),
+                draining: known.board.drains.1.stopped().cloned().collect(),
+                drains: known.drain_texts(),
             }
         });
         http::json(StatusCode::OK, &status)
--- a/programs/control/src/gossip.rs
+++ b/programs/control/src/gossip.rs
@@ -3,6 +3,7 @@
 mod spread;
 
 use crate::granter;
+use crate::release::exchange;
 use crate::state::{Known, Peer, Shared};
 use crate::versions;
 use base::id::{Version, Vm};
@@ -49,8 +50,12 @@
         Frame::new(versions::centre(&self.shared).await)
     }
 
-    async fn releases(self, _: Context, _news: Frame<Releases>) -> Frame<Releases> {
-        Frame::new(Releases::default())
+    async fn releases(self, _: Context, news: Frame<Releases>) -> Frame<Releases> {
+        if let Ok(news) = news.open() {
+            exchange::hear(&self.shared, news);
+        }
+        let news = |known: &Known| known.board.news(&self.shared.settings.vm);
+        Frame::new(self.shared.read(news))
     }
 
     async fn renew(self, _: Context, renew: Frame<Renew>) -> Frame<Option<Grant>> {
--- a/programs/control/src/lib.rs
+++ b/programs/control/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod args;
+pub mod drain;
 pub mod gossip;
 pub mod granter;
 pub mod local;
@@ -9,6 +10,7 @@
 pub mod publish;
 pub mod reader;
 pub mod record;
+pub mod release;
 pub mod run;
 pub mod settings;
 pub mod state;
--- a/programs/control/src/local.rs
+++ b/programs/control/src/local.rs
@@ -2,9 +2,9 @@
 
 use crate::state::Shared;
 use base::id::Incarnation;
-use peers::local::{Local, Runs, SYNC_WAIT, State};
+use peers::local::{Heard, Local, Report, Runs, SYNC_WAIT, State};
 use peers::wire::{self, Frame};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tarpc::context::Context;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -26,6 +26,25 @@
         Frame::new(state)
     }
 
+    async fn report(self, _: Context, report: Frame<Report>) -> Frame<Heard> {
+        let Ok(report) = report.open() else {
+            return Frame::new(Heard { withdrawn: false });
+        };
+        let leaving = report.leaving;
+        let vm = &self.shared.settings.vm;
+        let (heard, new) = self.shared.touch(|known| {
+            let new = leaving && !known.board.leaving;
+            let others = known.others(vm);
+            let heard = known.board.reported(report, Instant::now(), &others);
+            (heard, new)
+        });
+        if new {
+            log::info!("vm {vm} is leaving");
+            self.shared.change(|_| ());
+        }
+        Frame::new(heard)
+    }
+
     async fn runs(self, _: Context, runs: Frame<Runs>) {
         if let Ok(runs) = runs.open() {
             self.shared.change(|known| known.runs = runs);
--- a/programs/control/src/run.rs
+++ b/programs/control/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::settings::Settings;
 use crate::state::Shared;
-use crate::{admin, gossip, granter, local, reader};
+use crate::{admin, gossip, granter, local, reader, release};
 use base::http::client::Target;
 use prometheus_client::registry::Registry;
 use std::io;
@@ -26,6 +26,7 @@
         authorization: None,
     });
     let shared = Shared::new(settings);
+    let (signal, stop) = (stop, CancellationToken::new());
     let mut registry = Registry::with_prefix("cardamomhall");
     shared.metrics.register(&mut registry);
     tokio::join!(
@@ -33,8 +34,10 @@
         granter::run(shared.clone(), client.clone(), stop.clone()),
         gossip::run(gossip, shared.clone(), stop.clone()),
         local::run(local, shared.clone(), stop.clone()),
-        admin::run(admin, shared, client, stop.clone()),
-        base::metrics::serve(metrics, registry, stop),
+        release::outlast(&shared, signal, stop.clone()),
+        release::run(shared.clone(), client.clone(), stop.clone()),
+        admin::run(admin, shared.clone(), client, stop.clone()),
+        base::metrics::serve(metrics, registry, stop.clone()),
     );
     log::info!("stopped");
     Ok(())
--- a/programs/control/src/settings.rs
+++ b/programs/control/src/settings.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
+use steering::release::{self, SOAK_MILLIS};
 
 /// Settings of the control process.
 #[derive(Clone, PartialEq, Deserialize)]
@@ -45,6 +46,10 @@
     /// Longest time by which the platform's list of VMs lags. A floor is reclaimed when its VM was
     /// absent for longer, so that a VM that joins doesn't lose the floor that it has just claimed.
     pub list_lag: Span,
+    /// Shortest time in a step of a release; recorded in the release when it is planned.
+    pub release_soak: Span,
+    /// Requests on the new version that each route needs before a release's step to 100%.
+    pub release_requests: u64,
     /// Log specification.
     pub log: Box<str>,
 }
@@ -69,6 +74,8 @@
             granter_interval: Span(Duration::from_millis(500)),
             granter_shards: 4,
             list_lag: Span(Duration::from_secs(30)),
+            release_soak: Span(Duration::from_millis(SOAK_MILLIS)),
+            release_requests: release::Settings::default().requests,
             log: "info".into(),
         }
     }
@@ -106,6 +113,9 @@
         if self.granter_interval.0.is_zero() || self.granter_interval.0 > LONGEST_INTERVAL {
             return Some("`granter_interval` must be above 0 and at most 1s");
         }
+        if self.release_soak.0.is_zero() || self.release_requests == 0 {
+            return Some("`release_soak` and `release_requests` must be above zero");
+        }
         if !(SHORTEST_POLL..=LONGEST_POLL).contains(&self.poll_interval.0) {
             return Some("`poll_interval` must lie between 250ms and 3s");
         }
--- a/programs/control/src/state/known.rs
+++ b/programs/control/src/state/known.rs
@@ -1,6 +1,7 @@
 //! Knowledge of the control process.
 
 use crate::record::{self, Ring as Row};
+use crate::release::Board;
 use crate::settings::Settings;
 use ::peers::gossip::Listing;
 use ::peers::local::{Division, Runs, Shares, State};
@@ -48,6 +49,12 @@
     pub runs: Runs,
     /// Last list of VMs and backend servers.
     pub list: List,
+    /// Releases, drains and stops.
+    pub board: Board,
+    /// Requests on the new version that each route needs before a step to 100%.
+    pub release_requests: u64,
+    /// Name of this VM.
+    pub vm: Vm,
     /// Time of the last confirmation of the keys by the store or another data centre; none since
     /// the start. It isn't the start: a VM that restarts while it is cut off confirms nothing.
     pub confirmed: Option<Instant>,
@@ -104,6 +111,9 @@
             reasons: IndexMap::new(),
             runs: Runs::default(),
             list: List::default(),
+            board: Board::default(),
+            release_requests: settings.release_requests,
+            vm: settings.vm.clone(),
             confirmed: None,
             table_read: 0,
             shared: 0,
@@ -201,7 +211,12 @@
                 Mark::Drained(name) => drop(state.draining.insert(name.clone())),
             }
         }
+        let stopped = self.board.drains.1.stopped();
+        state.draining.extend(stopped.cloned());
+        state.drains_version = self.board.drains.0;
+        state.leaving = self.board.leaving(&self.vm);
         if let Some(active) = &self.active {
+            state.steps.clone_from(&self.board.steps);
             state.version = active.version;
             state.files.clone_from(&active.files);
             state.keys = active.ring.entries().cloned().collect();
--- a/programs/ctl/src/run.rs
+++ b/programs/ctl/src/run.rs
@@ -5,7 +5,7 @@
 use crate::{diff, files, output};
 use base::http::client::Target;
 use operators::admin::{
-    Client, Drain, Error, Halt, Issue, Proposal, Rotate, Stage, Status, Verdict, Withdraw,
+    Client, Drain, Error, Halt, Issue, Proposal, Rotate, Stage, Status, Undrain, Verdict, Withdraw,
 };
 use operators::bundle::{Bundle, Files};
 use std::path::Path;
@@ -71,7 +71,14 @@
                 Ok(self.done(&done))
             }
             Command::Drain { servers } => {
-                let done = self.client.drain(&Drain { servers }).await?;
+                let drained = self.client.drain(&Drain { servers }).await?;
+                output::print(self.json, &drained, |d| {
+                    format!("accepted as drain {}", d.id)
+                });
+                Ok(Exit::Done)
+            }
+            Command::Undrain { id } => {
+                let done = self.client.undrain(&Undrain { id }).await?;
                 Ok(self.done(&done))
             }
             Command::Halt { release, reason } => {
--- a/programs/entry/src/forward.rs
+++ b/programs/entry/src/forward.rs
@@ -4,6 +4,7 @@
 use crate::metrics::Metrics;
 use crate::quarantine::track::Track;
 use crate::receive::Call;
+use crate::release::{Releases, Start, Trial};
 use crate::route::{self, Flight, Router};
 use crate::server::Running;
 use backends::client::{After, Before, Failure, NotRun};
@@ -24,6 +25,8 @@
     pub flight: Flight,
     /// Request in flight on the server; ends with the body.
     pub running: Running,
+    /// Evidence of a release, recorded when the answer has ended.
+    pub trial: Option<Box<Trial>>,
 }
 
 /// Result of forwarding: an answer, or the outcome that the caller is told.
@@ -38,6 +41,7 @@
     call: &Call,
     grant: &Grant<'_>,
     router: &Arc<Router>,
+    releases: &Arc<Releases>,
     metrics: &Metrics,
     track: &Track,
 ) -> Forwarded {
@@ -46,10 +50,18 @@
     let shard = router.shard(&grant.service.service.value);
     let deadline = track.deadline(route::deadline(call, grant));
     while tried.len() < ATTEMPTS {
-        let placed = match track.trial() {
+        let (start, placed) = match track.trial() {
             Some(_) if !tried.is_empty() => break,
-            Some(server) => Ok(router.trial(grant, server)),
-            None => router.place(call, grant, &tried).await,
+            Some(server) => (
+                Start::plain(&grant.service.current),
+                Ok(router.trial(grant, server)),
+            ),
+            None => {
+                let service = grant.service;
+                let start = releases.start(&router.current(), service, &grant.path.name);
+                let placed = router.place(call, grant, &tried, &start.label).await;
+                (start, placed)
+            }
         };
         let mut flight = match placed {
             Ok(flight) => flight,
@@ -60,6 +72,11 @@
             flight.unused();
             return Err(attempt.give_up(Refusal::Unauthorised));
         }
+        // A version without a usable server gives way to the one in service.
+        let start = match *flight.label() == start.label {
+            true => start,
+            false => Start::plain(flight.label()),
+        };
         let running = flight.server().start(track.digest());
         let sent = attempt.send();
         track.sent(true);
@@ -70,10 +87,12 @@
                 if tried.is_empty() && !response.status().is_server_error() {
                     shard.succeeded();
                 }
+                let trial = start.answered(response.status().as_u16());
                 return Ok(Answer {
                     response,
                     flight,
                     running,
+                    trial,
                 });
             }
             Err(failure) => failure,
@@ -82,6 +101,9 @@
             Failure::After(After::Interrupted) => track.interrupted(&running).await,
             _ => false,
         };
+        if matches!(failure, Failure::After(_)) {
+            start.lost();
+        }
         flight.failed(failure);
         let name = flight.server().listed.name.clone();
         drop((running, flight));
--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -8,6 +8,7 @@
 use crate::quarantine::track::Track;
 use crate::quarantine::{Quarantine, pass};
 use crate::receive::{Call, receive};
+use crate::release::Releases;
 use crate::reply::{self, Ended};
 use crate::route::Router;
 use crate::settings::Settings;
@@ -38,6 +39,7 @@
     /// Admission of requests.
     pub admission: Admission,
     router: Arc<Router>,
+    releases: Arc<Releases>,
     metrics: Arc<Metrics>,
 }
 
@@ -47,6 +49,7 @@
         settings: Settings,
         incarnation: Incarnation,
         snapshot: watch::Receiver<Arc<Snapshot>>,
+        releases: Arc<Releases>,
         confirmed: watch::Receiver<Option<Instant>>,
         metrics: Arc<Metrics>,
     ) -> Self {
@@ -71,6 +74,7 @@
             snapshot,
             confirmed,
             admission,
+            releases,
             metrics,
         }
     }
@@ -123,7 +127,14 @@
             // The key may have been withdrawn while the request waited for its trial.
             let snapshot = self.snapshot.borrow().clone();
             let grant = self.authorise(call, &snapshot)?;
-            let forwarded = forward(call, &grant, &self.router, &self.metrics, &track);
+            let forwarded = forward(
+                call,
+                &grant,
+                &self.router,
+                &self.releases,
+                &self.metrics,
+                &track,
+            );
             let answer = forwarded.await?;
             Ok(Ended::Streamed(Box::new(answer), track))
         };
@@ -188,7 +199,14 @@
         // The key may have been withdrawn, and servers may have left, while the request waited.
         let snapshot = self.snapshot.borrow().clone();
         let grant = self.authorise(call, &snapshot)?;
-        let forwarded = forward(call, &grant, &self.router, &self.metrics, track);
+        let forwarded = forward(
+            call,
+            &grant,
+            &self.router,
+            &self.releases,
+            &self.metrics,
+            track,
+        );
         let mut answer = forwarded.await?;
         answer.response = answer.response.map(|body| held::hold(body, slot));
         Ok(answer)
--- a/programs/entry/src/quarantine/trial.rs
+++ b/programs/entry/src/quarantine/trial.rs
@@ -36,7 +36,7 @@
             }
         }
         let own = snapshot.nodes().iter().find(|node| node.name == self.vm)?;
-        let mut candidates: Vec<_> = snapshot.servers(name, &service.current).collect();
+        let mut candidates: Vec<_> = snapshot.servers(name, snapshot.label(service)).collect();
         candidates.sort_by_key(|server| {
             let listed = &server.listed;
             let far = listed.data_centre != own.data_centre;
--- a/programs/entry/src/reply.rs
+++ b/programs/entry/src/reply.rs
@@ -2,6 +2,7 @@
 
 use crate::forward::Answer;
 use crate::quarantine::track::Track;
+use crate::release::Trial;
 use crate::route::Flight;
 use crate::server::Running;
 use base::http::{Body, BodyError};
@@ -44,6 +45,7 @@
         response,
         flight,
         running,
+        trial,
     } = answer;
     let mut response = response.map(|body| {
         let mut streamed = Streamed {
@@ -53,6 +55,7 @@
                 running,
                 track,
             }),
+            trial,
             cut: None,
         };
         streamed.close_at_end();
@@ -73,6 +76,8 @@
 struct Streamed {
     body: Body,
     open: Option<Open>,
+    /// Evidence of a release; recorded when the answer ends.
+    trial: Option<Box<Trial>>,
     /// Set once the answer was interrupted; ends with the error for the caller.
     cut: Option<Pin<Box<dyn Future<Output = BodyError> + Send>>>,
 }
@@ -90,6 +95,7 @@
             open.flight.finish();
             open.track.served();
         }
+        self.trial = None;
     }
 }
 
@@ -113,6 +119,9 @@
         if self.cut.is_none() {
             match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
                 Some(Err(error)) => {
+                    if let Some(mut trial) = self.trial.take() {
+                        trial.interrupted();
+                    }
                     let open = self.open.take();
                     self.cut = Some(Box::pin(cut(open, error)));
                 }
--- a/programs/entry/src/route.rs
+++ b/programs/entry/src/route.rs
@@ -32,11 +32,9 @@
 /// Longest pause of a waiting request between two looks for a slot.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Returns the version that gets a request.
-// TODO: the quota of a release decides.
-pub fn version(service: &Service) -> Label {
-    service.current.clone()
-}
+/// Longest wait for a server while the listed ones don't answer; two rounds of probes find out
+/// whether one is back.
+const PATIENCE: Duration = Duration::from_secs(2);
 
 /// Returns the time by which a request ends.
 pub fn deadline(call: &Call, grant: &Grant<'_>) -> Instant {
@@ -137,13 +135,14 @@
         call: &Call,
         grant: &Grant<'_>,
         tried: &[id::Server],
+        label: &Label,
     ) -> Result<Flight, Refusal> {
         let service = &grant.service.service.value;
         let shard = self.shard(service);
         let mut seek = Seek {
             router: self,
             shard: &shard,
-            label: version(grant.service),
+            label: label.clone(),
             class: class(grant.service),
             route: &grant.path.name,
             bytes: call.body.len(),
@@ -210,6 +209,7 @@
             }
             None => None,
         };
+        let give_up = Instant::now() + PATIENCE;
         loop {
             let now = Instant::now();
             if now >= self.deadline {
@@ -222,7 +222,14 @@
                 return Ok(self.flight(server, Hold::Own(unit)));
             }
             if !self.shard.usable(&self.label, self.tried, &self.snapshot()) {
-                return self.elsewhere().await.ok_or(Refusal::NoServer);
+                if let Some(flight) = self.elsewhere().await {
+                    return Ok(flight);
+                }
+                if now >= give_up || !self.listed() {
+                    return Err(Refusal::NoServer);
+                }
+                self.shard.freed(LOOK.min(self.deadline - now)).await;
+                continue;
             }
             if let Some(flight) = self.borrow(&self.router.settings.data_centre).await {
                 return Ok(flight);
@@ -231,6 +238,13 @@
         }
     }
 
+    /// Whether a server is listed, in service and not tried, here or elsewhere.
+    fn listed(&self) -> bool {
+        let snapshot = self.snapshot();
+        let mut servers = snapshot.servers(&self.shard.service, &self.label);
+        servers.any(|server| !self.tried.contains(&server.listed.name))
+    }
+
     /// Looks in the other data centres: those of the plan, then those with room. The plan follows
     /// measurements, and a data centre that has just lost its servers can't wait for them.
     async fn elsewhere(&self) -> Option<Flight> {
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -3,9 +3,10 @@
 use crate::metrics::Metrics;
 use crate::pipeline::Pipeline;
 use crate::quarantine::exchange;
+use crate::release::{self, Releases};
 use crate::settings::Settings;
-use crate::share;
 use crate::snapshot::Snapshot;
+use crate::{share, stop};
 use backends::client;
 use base::http::server::Limits;
 use base::id::Incarnation;
@@ -18,7 +19,8 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-/// Runs until `stop` is cancelled, then lets the requests in flight finish.
+/// Runs until `stop` is cancelled, then leaves the look-up answers and lets the requests in flight
+/// finish.
 ///
 /// # Errors
 ///
@@ -37,15 +39,18 @@
     let mut registry = Registry::with_prefix("cardamomhall");
     metrics.register(&mut registry);
     let snapshot = watch::Sender::new(Arc::new(Snapshot::default()));
+    let releases = Arc::new(Releases::default());
     let followed = snapshot.subscribe();
     let confirmed = watch::Sender::new(None::<Instant>);
     let pipeline = Arc::new(Pipeline::new(
         settings.clone(),
         incarnation,
         snapshot.subscribe(),
+        releases.clone(),
         confirmed.subscribe(),
         metrics.clone(),
     ));
+    let seen = snapshot.subscribe();
     let pool = client::Settings {
         read_timeout: settings.read_timeout.0,
         ..client::Settings::default()
@@ -69,15 +74,24 @@
         async move { pipeline.handle(request).await }
     };
     log::info!("vm {} serving on {}", settings.vm, settings.listen);
+    let (withdrawn, refuse, end) =
+        <(CancellationToken, CancellationToken, CancellationToken)>::default();
+    let signs = (stop.clone(), withdrawn.clone());
+    let serve = async {
+        base::http::server::serve(listener, limits, refuse.clone(), handler).await;
+        end.cancel();
+    };
     tokio::join!(
-        local::follow(settings.control, Some(incarnation), stop.clone(), update),
-        renewing.admission.run(stop.clone()),
-        local::confirmations(settings.control, stop.clone(), confirm),
-        base::http::server::serve(listener, limits, stop.clone(), handler),
-        exchange::run(quarantine, followed, settings.control, stop.clone()),
-        router.run(stop.clone()),
-        share::run(share, served, stop.clone()),
-        base::metrics::serve(exposed, registry, stop),
+        stop::run(&settings, stop, withdrawn, refuse.clone()),
+        serve,
+        release::run(releases, seen, &settings, signs, end.clone()),
+        local::follow(settings.control, Some(incarnation), end.clone(), update),
+        renewing.admission.run(end.clone()),
+        local::confirmations(settings.control, end.clone(), confirm),
+        exchange::run(quarantine, followed, settings.control, end.clone()),
+        router.run(end.clone()),
+        share::run(share, served, end.clone()),
+        base::metrics::serve(exposed, registry, end.clone()),
     );
     log::info!("stopped");
     Ok(())
--- a/programs/lookup/src/index.rs
+++ b/programs/lookup/src/index.rs
@@ -3,7 +3,7 @@
 use base::id::{DataCentre, Incarnation, Version, Vm};
 use bytes::Bytes;
 use callers::answer;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use operators::bundle::Bundle;
 use peers::local::State;
 use platform::list;
@@ -34,6 +34,7 @@
     version: Version,
     bundle: Option<Arc<Bundle>>,
     list: list::List,
+    leaving: IndexSet<Vm>,
     map: Map,
     sites: Vec<Site>,
     home: usize,
@@ -67,6 +68,7 @@
             version,
             bundle,
             list: list.clone(),
+            leaving: state.leaving.clone(),
             ..Self::default()
         };
         let expires = unix_seconds + ID_SECONDS;
@@ -82,7 +84,7 @@
             return self;
         };
         let mut index = self;
-        let entries: Vec<Entry> = live(&index.list.nodes).collect();
+        let entries: Vec<Entry> = live(&index.list.nodes, &index.leaving).collect();
         let fleet = &bundle.fleet;
         let mut numbers: IndexMap<&DataCentre, map::Site> = IndexMap::new();
         for centre in fleet.data_centres() {
@@ -132,10 +134,10 @@
     (bits.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as usize
 }
 
-fn live(nodes: &[list::Node]) -> impl Iterator<Item = Entry> {
+fn live(nodes: &[list::Node], leaving: &IndexSet<Vm>) -> impl Iterator<Item = Entry> {
     nodes
         .iter()
-        .filter(|node| node.state == list::State::Live)
+        .filter(|node| node.state == list::State::Live && !leaving.contains(&node.name))
         .map(|node| Entry {
             vm: node.name.clone(),
             region: node.region.clone(),
--- a/tests/integration/src/lib.rs
+++ b/tests/integration/src/lib.rs
@@ -2,7 +2,7 @@
 
 pub mod call;
 
-use base::http::client::{Answer, Target};
+use base::http::client::{Answer, Error, Target};
 use bench::args::Load;
 use bench::load::Summary;
 use bench::topology::{self, ADMIN_TOKEN, Deployment};
@@ -39,27 +39,31 @@
     ///
     /// Panics if a file can't be written or a program can't be started.
     pub fn start(deployment: Deployment, port: u16) -> Self {
-        Self::start_with(deployment, port, "")
+        Self::start_with(deployment, port, &[])
     }
 
-    /// Starts all processes of a deployment with further settings of the entries, in YAML.
+    /// Starts a deployment with additional settings, given as program and lines.
     ///
     /// # Panics
     ///
     /// Panics as [`Fleet::start`] does.
-    pub fn start_with(deployment: Deployment, port: u16, entry_settings: &str) -> Self {
+    pub fn start_with(deployment: Deployment, port: u16, settings: &[(&str, &str)]) -> Self {
         let directory = std::env::temp_dir().join(format!("cardamomhall-{port}"));
         topology::write(deployment, &directory, port).expect("files of the deployment");
+        for (program, lines) in settings {
+            for index in 0..deployment.nodes {
+                let name = format!("vm-{:02}-{program}.yaml", index + 1);
+                let file = directory.join(name);
+                let text = std::fs::read_to_string(&file).expect("settings");
+                std::fs::write(file, text + lines).expect("settings");
+            }
+        }
         let lines = std::fs::read_to_string(directory.join("processes")).expect("process list");
         let mut fleet = Self {
             directory,
             processes: Vec::new(),
         };
         for line in lines.lines() {
-            if let Some((_, file)) = line.split_once(" entry --settings ") {
-                let settings = std::fs::read_to_string(file).expect("settings");
-                std::fs::write(file, settings + entry_settings).expect("settings");
-            }
             fleet.spawn(line);
         }
         fleet
@@ -251,6 +255,52 @@
             .expect("the stand-in answers")
     }
 
+    /// Sends a value to a backend server's stand-in, once that listens.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such server or it does not answer.
+    pub async fn put_backend(&self, name: &str, path: &str, body: &serde_json::Value) -> Answer {
+        let lines = std::fs::read_to_string(self.directory.join("processes")).expect("list");
+        let line = lines
+            .lines()
+            .find(|line| line.starts_with(&format!("{name} ")));
+        let mut words = line.expect("process of this name").split(' ');
+        words.find(|word| *word == "--listen");
+        let target = Target {
+            address: words.next().expect("address").parse().expect("address"),
+            timeout: CALL_TIMEOUT,
+            authorization: None,
+        };
+        let end = Instant::now() + PATIENCE;
+        loop {
+            match target.call_json(Method::PUT, path, body).await {
+                // The stand-in may not listen yet.
+                Err(Error::Connect(_)) if Instant::now() < end => tokio::time::sleep(LOOK).await,
+                answer => return answer.expect("the stand-in answers"),
+            }
+        }
+    }
+
+    /// Returns the number of requests that a backend server has served.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such server or it does not answer.
+    pub async fn served(&self, name: &str) -> u64 {
+        self.counts(name).await["served"].as_u64().expect("number")
+    }
+
+    /// Returns all counts of a backend server.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such server or it does not answer.
+    pub async fn counts(&self, name: &str) -> serde_json::Value {
+        let answer = self.put_backend(name, "/counts", &serde_json::Value::Null);
+        answer.await.decode().expect("counts")
+    }
+
     /// Switches an outage of the platform on or off.
     ///
     /// # Panics
@@ -318,15 +368,24 @@
     ///
     /// Panics if they are not accepted.
     pub async fn publish(&self, vm: &str, example: &str) -> u64 {
+        self.publish_files(vm, 0, examples(example)).await
+    }
+
+    /// Publishes files through a VM, against a version.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they are not accepted.
+    pub async fn publish_files(&self, vm: &str, base: u64, files: Files) -> u64 {
         let admin = self.admin(vm);
         until("the administration API answers", async || {
             admin.status().await.is_ok()
         })
         .await;
         let proposal = Proposal {
-            base: 0,
+            base,
             author: "test".into(),
-            files: examples(example),
+            files,
         };
         match admin.publish(&proposal).await.expect("an answer") {
             Verdict::Accepted { version } => version,
--- a/tests/integration/tests/answers.rs
+++ b/tests/integration/tests/answers.rs
@@ -27,7 +27,7 @@
 
 /// A fleet with a key that all its entries know.
 async fn start(port: u16, settings: &str) -> (Fleet, String) {
-    let fleet = Fleet::start_with(SMALL, port, settings);
+    let fleet = Fleet::start_with(SMALL, port, &[("entry", settings)]);
     fleet.publish("vm-01", "atlas").await;
     let key = String::from(fleet.issue("vm-01", "toubkal").await.key);
     for vm in ["vm-01", "vm-02", "vm-03"] {
--- a/tests/integration/tests/quarantine.rs
+++ b/tests/integration/tests/quarantine.rs
@@ -78,7 +78,7 @@
     port: u16,
     settings: &str,
 ) -> (Fleet, String, Vec<SocketAddr>) {
-    let fleet = Fleet::start_with(deployment, port, settings);
+    let fleet = Fleet::start_with(deployment, port, &[("entry", settings)]);
     fleet.publish("vm-01", "atlas").await;
     let key = String::from(fleet.issue("vm-01", "toubkal").await.key);
     let vms: Vec<_> = (1..=8).map(|n| format!("vm-{n:02}-entry")).collect();
--- a/tools/bench/src/matrix/release.rs
+++ b/tools/bench/src/matrix/release.rs
@@ -4,7 +4,7 @@
 use base::clock::Millis;
 use steering::release::{
     Answer, Cap, Halt, Input, Load, Next, Owned, Pending, Plan, Planned, Put, Reason, Record,
-    Settled, State, Verdict,
+    SOAK_MILLIS, Settled, State, Verdict,
 };
 
 pub const STEPS: [&str; 4] = ["judge", "write", "read-answer", "apply"];
@@ -203,6 +203,7 @@
         new: "v2".into(),
         start: 0,
         finish_by: FINISH,
+        soak: SOAK_MILLIS,
         steps: [1, 5, 25, 50, 100].map(Cap::percent).into(),
         owner: 0,
         leased_until: 0,
