bug: a release got no request, and was judged by the wait for slots

Cause: after the choice of servers was wired in, a version without a usable server in the own data centre gave way to the one in service, and a step of a release uses few servers; the latency of an attempt began before its slot was found, so borrowed slots made the new version look slow. Ruled out: more servers per step (the width puts the load of the next step on each server). Change: servers of the label in other data centres are tried first, nearest first; an attempt's latency begins when the request is sent. Known: an attempt that finds no slot counts as a start.

--- a/programs/entry/src/forward.rs
+++ b/programs/entry/src/forward.rs
@@ -73,10 +73,11 @@
             return Err(attempt.give_up(Refusal::Unauthorised));
         }
         // A version without a usable server gives way to the one in service.
-        let start = match *flight.label() == start.label {
+        let mut start = match *flight.label() == start.label {
             true => start,
             false => Start::plain(flight.label()),
         };
+        start.sent();
         let running = flight.server().start(track.digest());
         let sent = attempt.send();
         track.sent(true);
--- a/programs/entry/src/release.rs
+++ b/programs/entry/src/release.rs
@@ -204,6 +204,13 @@
         }
     }
 
+    /// Notes that the request is sent now: the wait for a slot is no fault of the version.
+    pub fn sent(&mut self) {
+        if let Some(trial) = &mut self.trial {
+            trial.begin = Instant::now();
+        }
+    }
+
     /// Notes an answer with this status and returns what records it when the answer has ended.
     pub fn answered(mut self, status: u16) -> Option<Box<Trial>> {
         if let Some(trial) = &mut self.trial {
--- a/programs/entry/src/route.rs
+++ b/programs/entry/src/route.rs
@@ -153,6 +153,11 @@
             shard.arrived();
         }
         if !shard.usable(&seek.label, tried, &self.current()) {
+            // A step of a release uses few servers of the new version, which other data centres may
+            // have.
+            if let Some(flight) = seek.abroad().await {
+                return Ok(flight);
+            }
             seek.label = grant.service.current.clone();
         }
         let drawn = self.spill.draw(service, &mut rand::rng());
@@ -257,6 +262,28 @@
         None
     }
 
+    /// Takes a slot in another data centre that has servers of the label, nearest first.
+    async fn abroad(&self) -> Option<Flight> {
+        let settings = &self.router.settings;
+        let snapshot = self.snapshot();
+        let servers = snapshot.servers(&self.shard.service, &self.label);
+        let others = servers.filter(|server| server.listed.data_centre != settings.data_centre);
+        let mut centres: Vec<_> = others
+            .map(|server| {
+                let listed = &server.listed;
+                (listed.region != settings.region, &listed.data_centre)
+            })
+            .collect();
+        centres.sort_unstable();
+        centres.dedup();
+        for (_, data_centre) in centres {
+            if let Some(flight) = self.away(data_centre).await {
+                return Some(flight);
+            }
+        }
+        None
+    }
+
     /// Takes a slot in another data centre and charges the link to it.
     async fn away(&self, data_centre: &DataCentre) -> Option<Flight> {
         let mut flight = self.borrow(data_centre).await?;
