bug: a VM restarted with the store down had no floor

Cause: a control process learned the division of limits and its floor from the table only, so a VM whose processes restarted during an outage refused every keyed request. Ruled out: waiting for the granter (its lease can't be renewed either); a floor without a claim (two VMs could use one). A floor is taken back only once its VM is gone, so an old copy that names a running VM is right.

--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Messages between control processes, and from entries to the control process that grants shares.
 
+use crate::local::Division;
 use crate::wire::{self, Error, Frame};
 use base::id::{DataCentre, Incarnation, Release, Server, Service, Version, Vm};
 use indexmap::IndexMap;
@@ -63,6 +64,16 @@
         pub list: Option<(List, Duration)>,
     }
 
+    /// Floor of a VM as another VM knows it.
+    pub struct Floor {
+        /// Version of the row `floors` that it is from.
+        pub version: u64,
+        /// Division of limits.
+        pub division: Division,
+        /// Whether the row names the VM as an owner.
+        pub owned: bool,
+    }
+
     /// Sign of life of a release's owner, with what the release waits for.
     #[derive(Default)]
     pub struct Sign {
@@ -115,6 +126,9 @@
     /// Exchanges news of releases.
     async fn releases(news: Frame<Releases>) -> Frame<Releases>;
 
+    /// Returns what the receiver knows of a VM's floor; none if it has not read the row `floors`.
+    async fn floor(vm: Frame<Vm>) -> Frame<Option<Floor>>;
+
     /// Renews an entry's part of a workspace's limit; none if this process does not grant it.
     async fn renew(renew: Frame<Renew>) -> Frame<Option<Grant>>;
 }
--- a/programs/control/src/gossip.rs
+++ b/programs/control/src/gossip.rs
@@ -8,7 +8,7 @@
 use crate::versions;
 use base::id::{Version, Vm};
 use indexmap::IndexMap;
-use peers::gossip::{Exchange, Gossip, Releases, Reply};
+use peers::gossip::{Exchange, Floor, Gossip, Releases, Reply};
 use peers::wire::{self, Frame};
 use spread::Spread;
 use std::time::Instant;
@@ -58,6 +58,12 @@
         Frame::new(self.shared.read(news))
     }
 
+    async fn floor(self, _: Context, vm: Frame<Vm>) -> Frame<Option<Floor>> {
+        let vm = vm.open().ok();
+        let answer = |vm: Vm| self.shared.read(|known| granter::ask::answer(known, &vm));
+        Frame::new(vm.and_then(answer))
+    }
+
     async fn renew(self, _: Context, renew: Frame<Renew>) -> Frame<Option<Grant>> {
         let grant = renew.open().ok();
         Frame::new(grant.and_then(|renew| granter::renew(&self.shared, &renew)))
--- a/programs/control/src/granter.rs
+++ b/programs/control/src/granter.rs
@@ -1,5 +1,6 @@
 //! Grants parts of workspaces' limits for the granter shards whose lease this process holds.
 
+pub mod ask;
 mod floors;
 mod leases;
 
@@ -167,6 +168,7 @@
         let (floors, ()) = tokio::join!(floors, leases.step(&shared, &client));
         if let Err(error) = floors {
             log::debug!("floors can't be read or written: {error}");
+            ask::floor(&shared).await;
         }
         forget(&shared);
         let pause = tokio::time::sleep(shared.settings.granter_interval.0);
--- a/programs/control/src/granter/floors.rs
+++ b/programs/control/src/granter/floors.rs
@@ -43,16 +43,15 @@
         return Ok(());
     };
     if ledger.is_some() {
-        publish(shared, &known, read);
+        publish(shared, &known, version, read);
     }
     let wanted = change(shared, known.clone(), absent, Instant::now());
     if ledger.is_some() && wanted == known {
         return Ok(());
     }
-    client
-        .write(FLOORS, &table::write(version, &wanted)?)
-        .await?;
-    publish(shared, &wanted, read);
+    let write = table::write(version, &wanted)?;
+    let version = client.write(FLOORS, &write).await?;
+    publish(shared, &wanted, version, read);
     Ok(())
 }
 
@@ -148,18 +147,19 @@
     }
 }
 
-fn publish(shared: &Shared, ledger: &Ledger, read: Instant) {
+fn publish(shared: &Shared, ledger: &Ledger, version: u64, read: Instant) {
     shared
         .granters
         .set_pooled(usable(ledger), read, Instant::now());
     let vm = &shared.settings.vm;
-    let owned = ledger.floors.owners().any(|claim| claim.vm == *vm);
+    let owners: IndexSet<Vm> = ledger.floors.owners().map(|c| c.vm.clone()).collect();
     shared.change(|known| {
         if known.division.is_none() {
             warn_of_difference(shared, known.active.as_ref(), ledger);
         }
         known.division = Some(ledger.division);
-        known.floor = owned;
+        known.floor = owners.contains(vm);
+        known.owners = Some((version, owners));
     });
 }
 
--- a/programs/control/src/state/known.rs
+++ b/programs/control/src/state/known.rs
@@ -7,7 +7,7 @@
 use ::peers::local::{Division, Runs, Shares, State};
 use base::clock::Millis;
 use base::id::{Incarnation, Release, Version, Vm};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use operators::bundle::{Bundle, Files};
 use operators::fleet;
 use platform::list::{self, List};
@@ -66,6 +66,8 @@
     pub division: Option<Division>,
     /// Whether that row says that this VM owns a floor.
     pub floor: bool,
+    /// Version and owners of floors of the row `floors` as it was read last.
+    pub owners: Option<(u64, IndexSet<Vm>)>,
     /// Incarnation that this VM's entry reported.
     pub entry: Option<Incarnation>,
     /// Holder of each granter shard.
@@ -119,6 +121,7 @@
             shared: 0,
             division: None,
             floor: false,
+            owners: None,
             entry: None,
             granters: Vec::new(),
             tell_all: false,
