refactor: one start for the programs with settings

Cause: three programs had the same command line and the same main function. Ruled out: a macro (a trait for the settings and one function suffice). Change: `base::program` reads the command line, checks the settings, starts logs and signals; three args.rs go.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod id;
 pub mod logging;
 pub mod metrics;
+pub mod program;
 pub mod settings;
 pub mod shutdown;
 pub mod unit;
--- /dev/null
+++ b/crates/base/src/program.rs
@@ -0,0 +1,69 @@
+//! Start of a program that is configured by a settings file.
+
+use crate::{logging, settings, shutdown};
+use bpaf::{OptionParser, Parser, construct, long};
+use flexi_logger::LoggerHandle;
+use serde::de::DeserializeOwned;
+use std::error::Error;
+use std::path::PathBuf;
+use tokio_util::sync::CancellationToken;
+
+/// Settings of a program.
+pub trait Settings: DeserializeOwned {
+    /// Says what is wrong with the settings, if anything.
+    fn problem(&self) -> Option<&'static str>;
+
+    /// Returns the log specification.
+    fn log(&self) -> &str;
+}
+
+/// What a started program has; logging ends when it is dropped.
+pub struct Start<S> {
+    /// Checked settings.
+    pub settings: S,
+    /// Cancelled when the process receives a stop signal.
+    pub stop: CancellationToken,
+    _log: LoggerHandle,
+}
+
+/// Command line of the program.
+#[derive(Debug, Clone, PartialEq)]
+struct Args {
+    settings: PathBuf,
+    check: bool,
+}
+
+fn parser(description: &'static str) -> OptionParser<Args> {
+    let settings = long("settings")
+        .help("YAML file with the settings")
+        .argument("FILE");
+    let check = long("check").help("Check the settings and exit").switch();
+    construct!(Args { settings, check })
+        .to_options()
+        .descr(description)
+}
+
+/// Reads the command line and the settings, and starts logging and signal handling.
+///
+/// Returns nothing if the settings were only to be checked.
+///
+/// # Errors
+///
+/// Fails if the settings are not valid or logging can't be started.
+pub fn start<S: Settings>(description: &'static str) -> Result<Option<Start<S>>, Box<dyn Error>> {
+    let args = parser(description).run();
+    let settings: S = settings::load(&args.settings)?;
+    if let Some(problem) = settings.problem() {
+        return Err(format!("{}: {problem}", args.settings.display()).into());
+    }
+    if args.check {
+        return Ok(None);
+    }
+    let _log = logging::start(settings.log())?;
+    let stop = shutdown::on_signal()?;
+    Ok(Some(Start {
+        settings,
+        stop,
+        _log,
+    }))
+}
--- a/programs/control/src/lib.rs
+++ b/programs/control/src/lib.rs
@@ -1,7 +1,6 @@
 //! Control process of a VM: configuration, keys, membership, releases and drains.
 
 pub mod admin;
-pub mod args;
 pub mod drain;
 pub mod gossip;
 pub mod granter;
--- a/programs/control/src/settings.rs
+++ b/programs/control/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the control process.
 
 use base::id::{DataCentre, Region, Vm};
+use base::program;
 use base::unit::Span;
 use serde::Deserialize;
 use std::fmt;
@@ -98,9 +99,8 @@
 /// Most seeds; all of them are asked at once.
 const SEEDS: usize = 16;
 
-impl Settings {
-    /// Says what is wrong with the settings, if anything.
-    pub fn problem(&self) -> Option<&'static str> {
+impl program::Settings for Settings {
+    fn problem(&self) -> Option<&'static str> {
         if self.vm.is_empty() || self.region.is_empty() || self.data_centre.is_empty() {
             return Some("`vm`, `region` and `data_centre` are needed");
         }
@@ -124,6 +124,10 @@
         }
         None
     }
+
+    fn log(&self) -> &str {
+        &self.log
+    }
 }
 
 /// Shows no secrets.
--- a/programs/entry/src/lib.rs
+++ b/programs/entry/src/lib.rs
@@ -4,7 +4,6 @@
 //! in this order; `pipeline` puts them together.
 
 pub mod admission;
-pub mod args;
 pub mod authorise;
 pub mod claims;
 pub mod forward;
--- a/programs/entry/src/main.rs
+++ b/programs/entry/src/main.rs
@@ -1,21 +1,17 @@
 //! Entry of the system.
 
+use base::program;
+use entry::run;
 use entry::settings::Settings;
-use entry::{args, run};
 use std::error::Error;
 
+/// Purpose of the program, shown by `--help`.
+const DESCRIPTION: &str = "Receives requests and forwards them to backend servers";
+
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
-    let args = args::parser().run();
-    let settings: Settings = base::settings::load(&args.settings)?;
-    if let Some(problem) = settings.problem() {
-        return Err(format!("{}: {problem}", args.settings.display()).into());
-    }
-    if args.check {
-        return Ok(());
+    if let Some(start) = program::start::<Settings>(DESCRIPTION)? {
+        run::run(start.settings, start.stop).await?;
     }
-    let _log = base::logging::start(&settings.log)?;
-    let stop = base::shutdown::on_signal()?;
-    run::run(settings, stop).await?;
     Ok(())
 }
--- a/programs/entry/src/settings.rs
+++ b/programs/entry/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the entry.
 
 use base::id::{DataCentre, Region, Vm};
+use base::program;
 use base::unit::{Share, Span};
 use serde::Deserialize;
 use std::fmt;
@@ -105,9 +106,8 @@
 /// Least length of a secret, in bytes.
 const SECRET_BYTES: usize = 16;
 
-impl Settings {
-    /// Says what is wrong with the settings, if anything.
-    pub fn problem(&self) -> Option<&'static str> {
+impl program::Settings for Settings {
+    fn problem(&self) -> Option<&'static str> {
         if self.vm.is_empty() || self.region.is_empty() || self.data_centre.is_empty() {
             return Some("`vm`, `region` and `data_centre` are needed");
         }
@@ -123,6 +123,10 @@
         }
         None
     }
+
+    fn log(&self) -> &str {
+        &self.log
+    }
 }
 
 /// Shows no secrets.
--- a/programs/lookup/src/lib.rs
+++ b/programs/lookup/src/lib.rs
@@ -1,6 +1,5 @@
 //! Answers callers' question which entry VMs to use, from memory.
 
-pub mod args;
 pub mod index;
 pub mod metrics;
 pub mod run;
--- a/programs/lookup/src/settings.rs
+++ b/programs/lookup/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::index::TTL_MS;
 use base::id::DataCentre;
+use base::program;
 use base::unit::Span;
 use serde::Deserialize;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -40,11 +41,14 @@
     }
 }
 
-impl Settings {
-    /// Says what is wrong with the settings, if anything.
-    pub fn problem(&self) -> Option<&'static str> {
+impl program::Settings for Settings {
+    fn problem(&self) -> Option<&'static str> {
         self.data_centre
             .is_empty()
             .then_some("`data_centre` is needed")
     }
+
+    fn log(&self) -> &str {
+        &self.log
+    }
 }
