--- a/crates/peers/src/share.rs
+++ b/crates/peers/src/share.rs
@@ -3,6 +3,8 @@
 use crate::wire::{self, Error, Frame};
 use base::id::{DataCentre, Incarnation, Label, Request, Server, Service, Vm, Workspace};
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use steering::balance::{Loan, Notice, Summary, Verdict};
@@ -79,8 +81,8 @@
     pub struct Passed {
         /// Request id.
         pub request: Request,
-        /// Key of the caller; never logged.
-        pub key: Option<Box<str>>,
+        /// Key of the caller.
+        pub key: Option<Secret>,
         /// Service.
         pub service: Service,
         /// Method.
@@ -118,6 +120,16 @@
     }
 }
 
+/// Text that its debug form hides, so that a logged message shows no key.
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
+pub struct Secret(pub Box<str>);
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(hidden)")
+    }
+}
+
 /// Service of an entry towards the entries of other VMs.
 #[tarpc::service]
 pub trait Share {
--- a/programs/entry/src/quarantine/pass.rs
+++ b/programs/entry/src/quarantine/pass.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
 use peers::link::Links;
-use peers::share::{Header, Passed, REPLY_BYTES, Reply, ShareClient};
+use peers::share::{Header, Passed, REPLY_BYTES, Reply, Secret, ShareClient};
 use peers::wire::{Error, Frame};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -28,7 +28,7 @@
     let left = call.deadline.saturating_duration_since(Instant::now());
     let passed = Frame::new(Passed {
         request: call.id.clone(),
-        key: call.key.as_ref().map(|key| key.expose().into()),
+        key: call.key.as_ref().map(|key| Secret(key.expose().into())),
         service: call.service.clone(),
         method: call.method.as_str().into(),
         target: call.target.to_string().into(),
@@ -83,7 +83,7 @@
     Some(Call {
         id: passed.request,
         named: true,
-        key: passed.key.as_deref().and_then(Key::parse),
+        key: passed.key.and_then(|key| Key::parse(&key.0)),
         service: passed.service,
         target: passed.target.parse().ok()?,
         method: passed.method.parse().ok()?,
