bug: many requests at once were refused inside their rate

Cause: every request joined the line for tokens before it looked whether there are any, and the line is bounded by token_waiters (128): of 400 at once, 272 were refused with full buckets. Change: a request spends at once while no earlier one waits.

--- a/programs/entry/src/admission.rs
+++ b/programs/entry/src/admission.rs
@@ -119,6 +119,11 @@
         let account = self.known(workspace, end).await?;
         account.holder(|holder| holder.offer(COST, arrived));
         account.mark(arrived);
+        // Many requests at once are no queue as long as there are tokens for them.
+        if account.waiting() == 0 && account.holder(|holder| holder.spend(COST, arrived)) {
+            self.metrics.spent(workspace);
+            return Ok(());
+        }
         let paid = match account.queue(self.settings.token_waiters) {
             Some(waiting) => {
                 // The time to wait for the turn counts as well.
