refactor: fault matrix speaks of injection

Cause: the field's term for a planned fault is fault injection; the code said trouble and strike. Change: renamed; no behaviour.

--- a/tools/bench/src/matrix.rs
+++ b/tools/bench/src/matrix.rs
@@ -127,7 +127,7 @@
     }
 
     /// Faults that happen just before a step.
-    pub struct Trouble {
+    pub struct Injection {
         /// Index of the step.
         pub step: usize,
         /// Faults.
@@ -147,7 +147,7 @@
     }
 }
 
-impl Trouble {
+impl Injection {
     /// Says whether `fault` happens before this step.
     fn at(&self, step: usize, fault: Fault) -> bool {
         self.step == step && self.faults.contains(&fault)
@@ -210,16 +210,16 @@
         }
     }
 
-    fn run(self, trouble: &Trouble) -> Result<(), Box<str>> {
+    fn run(self, injection: &Injection) -> Result<(), Box<str>> {
         match self {
-            Self::Request => request::run(trouble),
-            Self::Publish => publish::run(trouble),
-            Self::Withdraw => withdraw::run(trouble),
-            Self::Transfer => transfer::run(trouble),
-            Self::ReleaseStep => release::run(trouble),
-            Self::Drain => drain::run(trouble),
-            Self::VmStart => start::run(trouble),
-            Self::VmStop => stop::run(trouble),
+            Self::Request => request::run(injection),
+            Self::Publish => publish::run(injection),
+            Self::Withdraw => withdraw::run(injection),
+            Self::Transfer => transfer::run(injection),
+            Self::ReleaseStep => release::run(injection),
+            Self::Drain => drain::run(injection),
+            Self::VmStart => start::run(injection),
+            Self::VmStop => stop::run(injection),
         }
     }
 }
@@ -229,7 +229,7 @@
     let excluded = faults.iter().find_map(|fault| operation.excludes(*fault));
     let verdict = match excluded {
         Some(reason) => Verdict::NotApplicable(reason),
-        None => match operation.run(&Trouble {
+        None => match operation.run(&Injection {
             step,
             faults: faults.to_vec(),
         }) {
--- a/tools/bench/src/matrix/drain.rs
+++ b/tools/bench/src/matrix/drain.rs
@@ -1,6 +1,6 @@
 //! Drain of a backend server, recognised by any of three signs on each VM.
 
-use super::{Fault, Trouble, require};
+use super::{Fault, Injection, require};
 use std::time::{Duration, Instant};
 use steering::config::{Mark, Replica};
 use steering::drain::Leaving;
@@ -42,7 +42,7 @@
     }
 }
 
-pub fn run(trouble: &Trouble) -> Result<(), Box<str>> {
+pub fn run(injection: &Injection) -> Result<(), Box<str>> {
     let start = Instant::now();
     let mut vms = [(); 3].map(|()| Vm::new(start));
     let (mut asked, mut in_flight) = (None, 2_u32);
@@ -51,20 +51,20 @@
         let now = start + PERIOD * period;
         // One step per period, then the faults stay for three more periods before they end.
         let step = usize::try_from(period).unwrap_or(0);
-        if trouble.dies(step) {
+        if injection.dies(step) {
             vms[0] = Vm::new(now);
         }
-        let ongoing = step >= trouble.step && step < trouble.step + 4;
-        let cut = ongoing && trouble.faults.contains(&Fault::Partition);
+        let ongoing = step >= injection.step && step < injection.step + 4;
+        let cut = ongoing && injection.faults.contains(&Fault::Partition);
         let blind = ongoing
-            && (trouble.faults.contains(&Fault::MeasurementsStop)
-                || trouble.faults.contains(&Fault::SilentConnection));
+            && (injection.faults.contains(&Fault::MeasurementsStop)
+                || injection.faults.contains(&Fault::SilentConnection));
         // An operator whose call was not confirmed asks again; a second operator may ask too.
         if step >= 1 && !vms[0].replica.sets.contains(&Mark::Drained(SERVER.into())) {
             vms[0].replica.sets.add(Mark::Drained(SERVER.into()));
             asked = asked.or(Some(now));
         }
-        if trouble.at(step, Fault::OperatorRace) {
+        if injection.at(step, Fault::OperatorRace) {
             vms[1].replica.sets.add(Mark::Drained(SERVER.into()));
             asked = asked.or(Some(now));
         }
--- a/tools/bench/src/matrix/publish.rs
+++ b/tools/bench/src/matrix/publish.rs
@@ -1,6 +1,6 @@
 //! Publication of a configuration by one control process, with a rival at another.
 
-use super::{Fault, Trouble, require};
+use super::{Fault, Injection, require};
 use std::time::Instant;
 use steering::config::publication::Answer;
 use steering::config::{Files, Head, Manifest, Publication, Replica, Stage, head};
@@ -59,17 +59,17 @@
     )
 }
 
-pub fn run(trouble: &Trouble) -> Result<(), Box<str>> {
+pub fn run(injection: &Injection) -> Result<(), Box<str>> {
     let mut table = Table::default();
     let mut publication = propose("ours", "operation-1");
     let mut dead = false;
     for step in 0..=3 {
-        dead |= trouble.dies(step);
-        if trouble.at(step, Fault::OperatorRace) {
+        dead |= injection.dies(step);
+        if injection.at(step, Fault::OperatorRace) {
             table.write(propose("theirs", "operation-2").head());
         }
         if step == 2 && !dead {
-            write(&mut table, &mut publication, trouble);
+            write(&mut table, &mut publication, injection);
         }
     }
     let ours = table
@@ -77,7 +77,7 @@
         .as_ref()
         .is_some_and(|row| &*row.operation == "operation-1");
     if !dead {
-        settle(&table, &mut publication, trouble);
+        settle(&table, &mut publication, injection);
         let accepted = *publication.stage() == Stage::Accepted;
         require(!accepted || ours, "an accepted publication is in the table")?;
         let conflict = matches!(publication.stage(), Stage::Conflict { .. });
@@ -96,21 +96,21 @@
         "of two publications against one base at most one takes effect",
     )?;
     match table.row {
-        Some(row) => spread(&row, if ours { "ours" } else { "theirs" }, trouble),
+        Some(row) => spread(&row, if ours { "ours" } else { "theirs" }, injection),
         None => Ok(()),
     }
 }
 
 /// Writes the head row; a store that can't be reached is tried again with the same operation.
-fn write(table: &mut Table, publication: &mut Publication, trouble: &Trouble) {
+fn write(table: &mut Table, publication: &mut Publication, injection: &Injection) {
     let head = publication.head().clone();
     for attempt in 0..TRIES {
         let fails = attempt == 0;
         let answer = match () {
             // Down: no effect. The caller can't tell this from a lost answer.
-            () if fails && trouble.at(2, Fault::StoreDown) => Answer::Lost,
+            () if fails && injection.at(2, Fault::StoreDown) => Answer::Lost,
             () if fails
-                && (trouble.at(2, Fault::StoreSlow) || trouble.at(2, Fault::AnswerLost)) =>
+                && (injection.at(2, Fault::StoreSlow) || injection.at(2, Fault::AnswerLost)) =>
             {
                 table.write(&head);
                 Answer::Lost
@@ -118,7 +118,7 @@
             () => table.write(&head),
         };
         publication.answered(&answer);
-        settle(table, publication, trouble);
+        settle(table, publication, injection);
         if *publication.stage() != Stage::Proposed {
             return;
         }
@@ -126,15 +126,15 @@
 }
 
 /// Reads the row back, also when the answer to the first read is lost.
-fn settle(table: &Table, publication: &mut Publication, trouble: &Trouble) {
-    let unreachable = usize::from(trouble.no_store(3) || trouble.at(3, Fault::AnswerLost));
+fn settle(table: &Table, publication: &mut Publication, injection: &Injection) {
+    let unreachable = usize::from(injection.no_store(3) || injection.at(3, Fault::AnswerLost));
     for _ in unreachable..=1 {
         publication.read_back(table.row.as_ref());
     }
 }
 
 /// Spreads the head from a VM that has it to one that lags and to one that restarts.
-fn spread(row: &Head, text: &str, trouble: &Trouble) -> Result<(), Box<str>> {
+fn spread(row: &Head, text: &str, injection: &Injection) -> Result<(), Box<str>> {
     let now = Instant::now();
     let (manifest, content) = manifest(text);
     let mut source = Replica::new([], now);
@@ -144,7 +144,7 @@
         "the VM that published has the version",
     )?;
     let mut others = [Replica::new([], now), Replica::new([], now)];
-    let cut = trouble.at(4, Fault::Partition);
+    let cut = injection.at(4, Fault::Partition);
     for round in 0..4 {
         for (index, other) in others.iter_mut().enumerate() {
             // The second VM is in the other data centre; the partition heals after two rounds.
@@ -158,7 +158,7 @@
             exchange(&source, other);
         }
     }
-    if trouble.dies(4) {
+    if injection.dies(4) {
         others[0] = Replica::new([], now);
         exchange(&source, &mut others[0]);
     }
--- a/tools/bench/src/matrix/release.rs
+++ b/tools/bench/src/matrix/release.rs
@@ -1,6 +1,6 @@
 //! One step of a release by its owner, with a second VM that may take over.
 
-use super::{Fault, Trouble, require};
+use super::{Fault, Injection, require};
 use base::clock::Millis;
 use steering::release::{
     Answer, Cap, Halt, Input, Load, Next, Owned, Pending, Plan, Planned, Put, Reason, Record,
@@ -44,7 +44,7 @@
     }
 }
 
-pub fn run(trouble: &Trouble) -> Result<(), Box<str>> {
+pub fn run(injection: &Injection) -> Result<(), Box<str>> {
     let mut table = Table {
         version: 1,
         operation: "planned".into(),
@@ -62,9 +62,9 @@
             break;
         }
         // The faults hit the second write, with which the release enters its second step.
-        let struck = writes == 2;
-        let hit = |step, fault| struck && trouble.at(step, fault);
-        let bad = trouble.faults.contains(&Fault::BadVersion) && writes >= 2;
+        let injected = writes == 2;
+        let hit = |step, fault| injected && injection.at(step, fault);
+        let bad = injection.faults.contains(&Fault::BadVersion) && writes >= 2;
         if bad {
             halt.add(&table.record.id, &Reason::Failures("book".into()));
         }
@@ -73,7 +73,7 @@
             Decision::Write(pending) => pending,
             Decision::Wait(waiting) => {
                 owner = waiting;
-                writes += usize::from(struck);
+                writes += usize::from(injected);
                 continue;
             }
             Decision::Ended => break,
@@ -81,8 +81,8 @@
         writes += 1;
         let raced =
             (1..=2).any(|step| hit(step, Fault::OperatorRace) || hit(step, Fault::HolderPaused));
-        let dies = struck && (0..4).any(|step| trouble.dies(step));
-        if raced || (dies && trouble.step <= 1) {
+        let dies = injected && (0..4).any(|step| injection.dies(step));
+        if raced || (dies && injection.step <= 1) {
             // Another VM takes over before the write of the paused or dead owner arrives.
             now += TICK;
             owner = take(&mut table, 2, now).ok_or("another owner takes over")?;
@@ -100,7 +100,7 @@
             owner = take(&mut table, 2, now).ok_or("another owner takes over")?;
         }
     }
-    check(&table, &halt, trouble)
+    check(&table, &halt, injection)
 }
 
 /// Sends a write until its outcome is known.
@@ -214,7 +214,7 @@
         .map_err(|refusal| format!("planned: {refusal:?}").into())
 }
 
-fn check(table: &Table, halt: &Halt, trouble: &Trouble) -> Result<(), Box<str>> {
+fn check(table: &Table, halt: &Halt, injection: &Injection) -> Result<(), Box<str>> {
     let ends: Vec<&State> = table
         .history
         .iter()
@@ -237,7 +237,7 @@
         .windows(2)
         .all(|pair| pair[1] <= pair[0] + 1 && pair[1] >= pair[0]);
     require(by_one, "steps are taken one after the other")?;
-    let bad = trouble.faults.contains(&Fault::BadVersion);
+    let bad = injection.faults.contains(&Fault::BadVersion);
     let rolled_back = matches!(ends[0], State::RolledBack(_));
     require(!bad || rolled_back, "a bad version is rolled back")?;
     require(
--- a/tools/bench/src/matrix/request.rs
+++ b/tools/bench/src/matrix/request.rs
@@ -1,6 +1,6 @@
 //! A non-idempotent request, sent again by its caller after each outcome but `served`.
 
-use super::{Fault, Trouble, require};
+use super::{Fault, Injection, require};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::time::{Duration, Instant};
@@ -37,20 +37,20 @@
     runs: u32,
 }
 
-pub fn run(trouble: &Trouble) -> Result<(), Box<str>> {
+pub fn run(injection: &Injection) -> Result<(), Box<str>> {
     let mut world = World::new();
     let id = format!("{}1", claims::prefix("a1", INCARNATION, EXPIRES));
-    let first = world.attempt(&id, trouble);
+    let first = world.attempt(&id, injection);
     if let Some(outcome) = &first {
         world.check(outcome)?;
     }
-    let withdrawn_early = trouble.step <= 2 && trouble.faults.contains(&Fault::KeyWithdrawn);
+    let withdrawn_early = injection.step <= 2 && injection.faults.contains(&Fault::KeyWithdrawn);
     require(
         !withdrawn_early || world.runs == 0,
         "a withdrawn key runs no request",
     )?;
     if first != Some(Outcome::Served) {
-        world.resend(&id, trouble)?;
+        world.resend(&id, injection)?;
     }
     require(
         world.runs <= 1,
@@ -91,14 +91,14 @@
     }
 
     /// Applies the faults before a step; returns whether the entry died.
-    fn strike(&mut self, step: usize, trouble: &Trouble) -> bool {
-        if trouble.at(step, Fault::KeyWithdrawn) {
+    fn inject(&mut self, step: usize, injection: &Injection) -> bool {
+        if injection.at(step, Fault::KeyWithdrawn) {
             self.withdrawn.add(self.digest);
         }
-        if trouble.at(step, Fault::HolderPaused) {
+        if injection.at(step, Fault::HolderPaused) {
             self.now += Duration::from_secs(30);
         }
-        let dies = trouble.dies(step);
+        let dies = injection.dies(step);
         if dies {
             self.incarnation += 1;
             let settings = claims::Settings::default();
@@ -108,15 +108,15 @@
     }
 
     /// Runs the request once; returns what the caller is told, or nothing if the entry died.
-    fn attempt(&mut self, id: &str, trouble: &Trouble) -> Option<Outcome> {
+    fn attempt(&mut self, id: &str, injection: &Injection) -> Option<Outcome> {
         let refuse = |reason| Some(Attempt::new(false).give_up(reason));
-        if self.strike(0, trouble) {
+        if self.inject(0, injection) {
             return None;
         }
         if !self.authorised() {
             return refuse(Refusal::Unauthorised);
         }
-        if self.strike(1, trouble) {
+        if self.inject(1, injection) {
             return None;
         }
         match self.register.claim(WORKSPACE, id, |_| None, NOW) {
@@ -128,7 +128,7 @@
         if !self.holder.spend(TOKEN, self.now) {
             return self.end(id, Attempt::new(false).give_up(Refusal::RateLimited));
         }
-        if self.strike(2, trouble) {
+        if self.inject(2, injection) {
             return None;
         }
         // The key is checked again after the wait for tokens and for a slot.
@@ -136,14 +136,14 @@
             return self.end(id, Attempt::new(false).give_up(Refusal::Unauthorised));
         }
         let sent = Attempt::new(false).send();
-        if self.strike(3, trouble) {
+        if self.inject(3, injection) {
             // The request was handed over before the entry died.
             self.runs += 1;
             return None;
         }
         self.runs += 1;
-        let failure = self.failure(3, trouble).or(self.failure(4, trouble));
-        if self.strike(4, trouble) {
+        let failure = self.failure(3, injection).or(self.failure(4, injection));
+        if self.inject(4, injection) {
             return None;
         }
         let outcome = match failure {
@@ -161,11 +161,11 @@
     }
 
     /// Returns how the server fails the request that it runs.
-    fn failure(&self, step: usize, trouble: &Trouble) -> Option<Failure> {
-        if trouble.at(step, Fault::CrashingRequest) {
+    fn failure(&self, step: usize, injection: &Injection) -> Option<Failure> {
+        if injection.at(step, Fault::CrashingRequest) {
             return Some(Failure::MayHaveRun(Uncertainty::Interrupted));
         }
-        let silent = trouble.at(step, Fault::SilentConnection);
+        let silent = injection.at(step, Fault::SilentConnection);
         silent.then_some(Failure::MayHaveRun(Uncertainty::Silent))
     }
 
@@ -175,8 +175,8 @@
     }
 
     /// Sends the request again to the same VM and to another one.
-    fn resend(&mut self, id: &str, trouble: &Trouble) -> Result<(), Box<str>> {
-        let calm = Trouble {
+    fn resend(&mut self, id: &str, injection: &Injection) -> Result<(), Box<str>> {
+        let calm = Injection {
             step: usize::MAX,
             faults: Vec::new(),
         };
@@ -184,7 +184,7 @@
             self.check(&outcome)?;
         }
         let other = Register::new("a2".into(), 9, claims::Settings::default());
-        let cut = trouble.faults.contains(&Fault::Partition);
+        let cut = injection.faults.contains(&Fault::Partition);
         let live = (!cut).then_some(self.incarnation);
         match other.claim(WORKSPACE, id, |_| live, NOW) {
             Claim::Run | Claim::Table => Err("another VM runs an id that names a VM".into()),
--- a/tools/bench/src/matrix/start.rs
+++ b/tools/bench/src/matrix/start.rs
@@ -1,6 +1,6 @@
 //! Start of a VM with empty memory beside a ready VM.
 
-use super::{Fault, Trouble, require};
+use super::{Fault, Injection, require};
 use std::time::{Duration, Instant};
 use steering::config::{Files, Head, Manifest, Mark, Readiness, Replica, head};
 
@@ -23,10 +23,10 @@
     }
 }
 
-pub fn run(trouble: &Trouble) -> Result<(), Box<str>> {
+pub fn run(injection: &Injection) -> Result<(), Box<str>> {
     let begin = Instant::now();
     let mut peer = ready_peer(begin);
-    if trouble.faults.contains(&Fault::KeyWithdrawn) {
+    if injection.faults.contains(&Fault::KeyWithdrawn) {
         peer.sets.add(Mark::Halted("withdrawn-meanwhile".into()));
     }
     let mut vm = Replica::new(["peer".into()], begin);
@@ -34,12 +34,12 @@
     for period in 0..24_u32 {
         let now = begin + PERIOD * period;
         let step = usize::try_from(period).unwrap_or(0);
-        if trouble.dies(step) {
+        if injection.dies(step) {
             vm = Replica::new(["peer".into()], now);
             served_at = None;
         }
-        let ongoing = step >= trouble.step && step < trouble.step + 6;
-        let faulty = |fault| ongoing && trouble.faults.contains(&fault);
+        let ongoing = step >= injection.step && step < injection.step + 6;
+        let faulty = |fault| ongoing && injection.faults.contains(&fault);
         let store =
             !(faulty(Fault::StoreDown) || faulty(Fault::StoreSlow) || faulty(Fault::Partition));
         // The read is stale; the VM must not serve by it alone.
--- a/tools/bench/src/matrix/stop.rs
+++ b/tools/bench/src/matrix/stop.rs
@@ -1,6 +1,6 @@
 //! Planned stop of a VM.
 
-use super::{Fault, Trouble, require};
+use super::{Fault, Injection, require};
 use std::time::{Duration, Instant};
 use steering::drain::{Stop, Times};
 
@@ -20,15 +20,15 @@
     }
 }
 
-pub fn run(trouble: &Trouble) -> Result<(), Box<str>> {
+pub fn run(injection: &Injection) -> Result<(), Box<str>> {
     let times = Times::default();
     let begin = Instant::now();
     let mut now = begin;
     let mut stop = Stop::begin(now, times);
     // Without contact to the other VMs nobody confirms; the stop then waits for the spread time.
-    let reachable = !trouble.at(0, Fault::Partition) && !trouble.no_store(0);
+    let reachable = !injection.at(0, Fault::Partition) && !injection.no_store(0);
     let cached = loop {
-        now += pause(0, trouble);
+        now += pause(0, injection);
         match stop.withdrawn(now, reachable) {
             Ok(next) => break next,
             Err(same) => stop = same,
@@ -41,7 +41,7 @@
     )?;
     let mut cached = cached;
     let refusing = loop {
-        now += pause(1, trouble);
+        now += pause(1, injection);
         match cached.refuse(now) {
             Ok(next) => break next,
             Err(same) => cached = same,
@@ -53,7 +53,7 @@
     )?;
     let refused = now;
     // One request is silent until its deadline if its connection went silent.
-    let silent = (2..4).any(|step| trouble.at(step, Fault::SilentConnection));
+    let silent = (2..4).any(|step| injection.at(step, Fault::SilentConnection));
     let ends = refused
         + if silent {
             times.request
@@ -62,7 +62,7 @@
         };
     let mut refusing = refusing;
     loop {
-        now += pause(2, trouble) + pause(3, trouble);
+        now += pause(2, injection) + pause(3, injection);
         let in_flight = u32::from(now < ends);
         match refusing.finish(now, in_flight) {
             Ok(_) => {
@@ -75,8 +75,8 @@
 }
 
 /// Time between two looks at a step; a paused process looks late.
-fn pause(step: usize, trouble: &Trouble) -> Duration {
-    if trouble.at(step, Fault::HolderPaused) {
+fn pause(step: usize, injection: &Injection) -> Duration {
+    if injection.at(step, Fault::HolderPaused) {
         Duration::from_secs(20)
     } else {
         Duration::from_millis(250)
--- a/tools/bench/src/matrix/transfer.rs
+++ b/tools/bench/src/matrix/transfer.rs
@@ -1,6 +1,6 @@
 //! Transfer of tokens from one VM to another.
 
-use super::{Fault, Trouble, require};
+use super::{Fault, Injection, require};
 use std::time::{Duration, Instant};
 use steering::limits::{Borrow, Grant, Granter, Holder, Identity, Lent, Part, Settings, TOKEN};
 
@@ -32,24 +32,24 @@
     in_transit: u64,
 }
 
-pub fn run(trouble: &Trouble) -> Result<(), Box<str>> {
+pub fn run(injection: &Injection) -> Result<(), Box<str>> {
     let mut world = World::new();
-    world.strike(0, trouble);
+    world.inject(0, injection);
     world.spend_all();
     let ask = world.borrower.borrow(TOKEN, world.now);
     world.check("after the request")?;
-    world.strike(1, trouble);
-    let lost = trouble.at(1, Fault::Partition);
+    world.inject(1, injection);
+    let lost = injection.at(1, Fault::Partition);
     let ask = ask.filter(|_| !lost);
     let lent = ask.and_then(|ask| world.lend(&ask.borrow));
     world.check("after the loan")?;
-    world.strike(2, trouble);
+    world.inject(2, injection);
     world.now += Duration::from_millis(24);
     world.check("in transit")?;
-    world.strike(3, trouble);
+    world.inject(3, injection);
     world.in_transit = 0;
     if let Some(lent) = lent
-        && !trouble.since(2, Fault::Partition)
+        && !injection.since(2, Fault::Partition)
     {
         // The message arrives twice.
         world.borrower.lent(&lent, world.now);
@@ -95,8 +95,8 @@
     }
 
     /// Applies the faults before a step.
-    fn strike(&mut self, step: usize, trouble: &Trouble) {
-        if trouble.dies(step) {
+    fn inject(&mut self, step: usize, injection: &Injection) {
+        if injection.dies(step) {
             // The lender dies at even steps, the borrower at odd ones.
             self.incarnations += 1;
             let fresh = holder(self.incarnations, self.now);
@@ -106,11 +106,11 @@
                 self.borrower = fresh;
             }
         }
-        if trouble.at(step, Fault::HolderPaused) {
+        if injection.at(step, Fault::HolderPaused) {
             self.now += Duration::from_secs(10);
         }
-        let store = trouble.no_store(step) || trouble.at(step, Fault::AnswerLost);
-        let renews = !store && !trouble.since(step, Fault::Partition);
+        let store = injection.no_store(step) || injection.at(step, Fault::AnswerLost);
+        let renews = !store && !injection.since(step, Fault::Partition);
         if renews && let Some(grant) = granted(&mut self.granter, &mut self.borrower, self.now) {
             self.borrower.grant(&grant, self.now);
         }
--- a/tools/bench/src/matrix/withdraw.rs
+++ b/tools/bench/src/matrix/withdraw.rs
@@ -1,6 +1,6 @@
 //! Withdrawal of a key at one VM, spread by gossip and recorded in the table.
 
-use super::{Fault, Trouble, require};
+use super::{Fault, Injection, require};
 use std::time::Instant;
 use steering::config::{Mark, Replica, Sets};
 use steering::keys::{Digest, Key, Pepper};
@@ -23,13 +23,13 @@
     recorded: Sets,
 }
 
-pub fn run(trouble: &Trouble) -> Result<(), Box<str>> {
+pub fn run(injection: &Injection) -> Result<(), Box<str>> {
     let mut world = World::new();
     let mut confirmed = false;
     // An operator whose call gives no confirmation calls again, at the same or another VM.
     for call in 0..2 {
         if !confirmed {
-            confirmed = world.call(call, trouble);
+            confirmed = world.call(call, injection);
         }
     }
     require(confirmed, "a repeated call is confirmed")?;
@@ -57,9 +57,9 @@
     }
 
     /// Runs one call; returns whether the operator gets a confirmation.
-    fn call(&mut self, call: usize, trouble: &Trouble) -> bool {
-        let hit = |step: usize, fault: Fault| call == 0 && trouble.at(step, fault);
-        let dies = |step: usize| call == 0 && trouble.dies(step);
+    fn call(&mut self, call: usize, injection: &Injection) -> bool {
+        let hit = |step: usize, fault: Fault| call == 0 && injection.at(step, fault);
+        let dies = |step: usize| call == 0 && injection.dies(step);
         let mut dead = dies(0) || dies(1);
         if !dead {
             self.vms[0].sets.add(self.mark.clone());
@@ -79,7 +79,7 @@
             self.vms[0] = Replica::new([], Instant::now());
             return false;
         }
-        let store = call > 0 || !(trouble.no_store(3) || trouble.at(3, Fault::Partition));
+        let store = call > 0 || !(injection.no_store(3) || injection.at(3, Fault::Partition));
         if store {
             self.recorded.merge(&self.vms[0].sets);
         }
