refactor: one function locks a mutex after a panic

Ruled out: a lock type without poisoning (one more dependency for one line). Change: `base::sync::lock`; the six copies go.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod program;
 pub mod settings;
 pub mod shutdown;
+pub mod sync;
 pub mod unit;
--- a/programs/control/src/granter.rs
+++ b/programs/control/src/granter.rs
@@ -6,10 +6,11 @@
 
 use crate::state::Shared;
 use base::id::{Version, Workspace};
+use base::sync::lock;
 use indexmap::IndexMap;
 use peers::local::Division;
 use platform::Client;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 use steering::limits::{Grant, Granter, Part, Renew};
 use tokio_util::sync::CancellationToken;
@@ -33,10 +34,6 @@
     tenures: Arc<Mutex<IndexMap<usize, Arc<Mutex<Tenure>>>>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Granters {
     /// Begins or extends the tenure of a shard whose lease is held until `until`.
     fn hold(&self, shard: usize, until: Instant, now: Instant) {
--- a/programs/entry/src/admission.rs
+++ b/programs/entry/src/admission.rs
@@ -13,12 +13,13 @@
 use crate::snapshot::Snapshot;
 use account::{Account, COST};
 use base::id::{Incarnation, Service, Workspace};
+use base::sync::lock;
 use indexmap::IndexMap;
 use line::{Line, Slot};
 use peers::link::Links;
 use peers::share::ShareClient;
 use peers::wire::Frame;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use steering::attempt::Refusal;
 use steering::limits::{Ask, Borrow, Lent};
@@ -52,10 +53,6 @@
     metrics: Arc<Metrics>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Admission {
     /// Starts without tokens and without queues.
     pub fn new(
--- a/programs/entry/src/quarantine.rs
+++ b/programs/entry/src/quarantine.rs
@@ -16,6 +16,7 @@
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use base::id::{self, DataCentre, Incarnation, Service, Vm};
+use base::sync::lock;
 use indexmap::IndexMap;
 use operators::service;
 use peers::local::Runs;
@@ -23,7 +24,7 @@
 use platform::list::Node;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use steering::attempt::Refusal;
 use steering::quarantine::{self, Admit, Delta, Digest, Register, Served};
@@ -95,10 +96,6 @@
     Keeper(SocketAddr),
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Quarantine {
     /// Starts with nothing known.
     pub fn new(settings: &Settings, incarnation: Incarnation, metrics: Arc<Metrics>) -> Self {
--- a/programs/entry/src/release.rs
+++ b/programs/entry/src/release.rs
@@ -4,13 +4,14 @@
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use base::id::{Incarnation, Label, Release, Route};
+use base::sync::lock;
 use indexmap::IndexMap;
 use operators::service::Service;
 use peers::local::{self, LocalClient, Report, Standing, Step};
 use peers::wire::{Error, Frame};
 use rand::RngExt;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use steering::release::{CONTACT, Cap, Evidence, Quota, Side};
 use tokio::sync::watch;
@@ -76,10 +77,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Releases {
     /// Counts an attempt and decides its version.
     pub fn start(self: &Arc<Self>, snapshot: &Snapshot, service: &Service, route: &str) -> Start {
--- a/standins/backend/src/server.rs
+++ b/standins/backend/src/server.rs
@@ -3,11 +3,12 @@
 use crate::args::Args;
 use crate::behaviour::{Behaviour, Counts};
 use base::http::{self, Body};
+use base::sync::lock;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -38,10 +39,6 @@
     running: Mutex<usize>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Serves the stand-in until `stop` is cancelled.
 pub async fn run(listener: TcpListener, args: Args, stop: CancellationToken) {
     let limits = http::server::Limits {
--- a/standins/platform/src/server.rs
+++ b/standins/platform/src/server.rs
@@ -3,13 +3,14 @@
 use crate::fault::Fault;
 use crate::store::{Change, Store};
 use base::http::{self, Body};
+use base::sync::lock;
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use platform::list::List;
 use platform::table::{Write, Written};
 use serde::de::DeserializeOwned;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -24,10 +25,6 @@
     fault: Mutex<Fault>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Serves the stand-in until `stop` is cancelled.
 pub async fn run(listener: TcpListener, list: List, stop: CancellationToken) {
     let store = Mutex::new(Store::new(list, Instant::now()));
