feature: decisions for the users' platform in steering

Cause: the product knows nothing of objects that servers handled lately, chooses servers without the expected end, and has no synchronous code for limits, warm-ups, registrations and takeovers on a platform whose store is the only shared state. Ruled out: leases of limits through the store (each renewal is a priced call), claims per request (every send of a caller has an id of its own). Change: affinity, placement, work, split, spending, warmup, registry, routing, takeover and crashes, each a synchronous module with time and randomness passed in.

--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -3,10 +3,12 @@
 //! Nothing here does I/O or reads a clock: methods take the time and, where needed, a random
 //! number generator, and return what is to be done.
 
+pub mod affinity;
 pub mod attempt;
 pub mod balance;
 pub mod claims;
 pub mod config;
+pub mod crashes;
 pub mod drain;
 pub mod fairness;
 pub mod keys;
@@ -14,7 +16,15 @@
 pub mod limits;
 pub mod lookup;
 pub mod membership;
+pub mod placement;
 pub mod quarantine;
+pub mod registry;
 pub mod release;
 pub mod retry;
+pub mod routing;
+pub mod spending;
 pub mod spill;
+pub mod split;
+pub mod takeover;
+pub mod warmup;
+pub mod work;
--- /dev/null
+++ b/crates/steering/src/registry.rs
@@ -0,0 +1,110 @@
+//! Registered backend servers, from reports that arrive late, twice, out of order, or not at all
+//! while the store is away.
+
+use crate::routing::Registration;
+use base::id::Server;
+use indexmap::IndexMap;
+use std::time::{Duration, Instant};
+
+/// Time after the return of the store in which entries that lapsed meanwhile may come back. The
+/// platform promises about two seconds.
+pub const RETURN: Duration = Duration::from_millis(2_000);
+
+base::value! {
+    /// A registered server.
+    pub struct Entry {
+        /// Newest report.
+        pub registration: Registration,
+        /// When the newest report was read.
+        pub read: Instant,
+        /// Time until which the server is cold.
+        pub cold_until: Option<Instant>,
+    }
+
+    /// What an update changed.
+    pub enum Change {
+        /// A server, or a new run of a known one, is registered.
+        Joined(Server),
+        /// The server is leaving.
+        Leaving(Server),
+        /// The entry of the server is gone.
+        Gone(Server),
+    }
+}
+
+/// Registered servers by id.
+#[derive(Debug, Clone, Default)]
+pub struct Registry {
+    entries: IndexMap<Server, Entry>,
+    /// Missing entries are kept until then.
+    grace: Option<Instant>,
+}
+
+impl Registry {
+    /// Returns the registered servers, those that are leaving included.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Keeps missing entries for a while, because the store was away and entries may have lapsed.
+    pub fn store_returned(&mut self, now: Instant) {
+        self.grace = Some(now + RETURN);
+    }
+
+    /// Takes in the whole list of reports and returns what changed.
+    pub fn update(&mut self, listed: Vec<Registration>, now: Instant) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let mut present = Vec::with_capacity(listed.len());
+        for registration in listed {
+            present.push(registration.server.clone());
+            self.take(registration, now, &mut changes);
+        }
+        let is_kept = self.grace.is_some_and(|until| now < until);
+        self.entries.retain(|server, entry| {
+            let kept = is_kept && !entry.registration.leaving;
+            let stays = kept || present.contains(server);
+            if !stays {
+                changes.push(Change::Gone(server.clone()));
+            }
+            stays
+        });
+        changes
+    }
+
+    fn take(&mut self, mut new: Registration, now: Instant, changes: &mut Vec<Change>) {
+        let known = self.entries.get_mut(&new.server);
+        if let Some(entry) = known.filter(|entry| entry.registration.born >= new.born) {
+            let old = &mut entry.registration;
+            // A report of an earlier run, or one that was overtaken by a later report.
+            if old.born > new.born || old.sequence > new.sequence {
+                return;
+            }
+            if new.leaving && !old.leaving {
+                changes.push(Change::Leaving(new.server.clone()));
+            }
+            // A server that said that it leaves does not come back in the same run.
+            new.leaving |= old.leaving;
+            if new.sequence > old.sequence {
+                entry.read = now;
+                entry.cold_until = cold_until(&new, now);
+            }
+            *old = new;
+            return;
+        }
+        changes.push(match new.leaving {
+            true => Change::Leaving(new.server.clone()),
+            false => Change::Joined(new.server.clone()),
+        });
+        let entry = Entry {
+            read: now,
+            cold_until: cold_until(&new, now),
+            registration: new,
+        };
+        self.entries
+            .insert(entry.registration.server.clone(), entry);
+    }
+}
+
+fn cold_until(registration: &Registration, now: Instant) -> Option<Instant> {
+    (!registration.warmup_left.is_zero()).then(|| now + registration.warmup_left)
+}
--- a/crates/steering/src/retry.rs
+++ b/crates/steering/src/retry.rs
@@ -48,6 +48,12 @@
         self.saved = (self.saved + self.settings.ratio).min(self.settings.most);
     }
 
+    /// Changes the number of retries that may be saved up.
+    pub fn limit(&mut self, most: f64) {
+        self.settings.most = most;
+        self.saved = self.saved.min(most);
+    }
+
     /// Takes one retry from the budget; returns false if there is none.
     pub fn take(&mut self) -> bool {
         let allowed = self.saved >= 1.0;
--- /dev/null
+++ b/crates/steering/src/warmup.rs
@@ -0,0 +1,62 @@
+//! Rate of requests to a cold backend server, over all VMs together.
+//!
+//! Load: servers that start, or come back, while traffic runs; each tolerates a few requests a
+//! second and crashes well above that. One VM is the owner of a cold server: the first that is
+//! alive in the server's rendezvous order. Only the owner sends, so the rate holds without a
+//! message. A VM that hears less than half of the others owns nothing: on the other side of the
+//! cut another VM is the owner.
+
+use crate::membership::rendezvous;
+use base::id::Vm;
+use std::time::{Duration, Instant};
+
+/// Returns whether `own` is the owner of a cold server.
+///
+/// `alive` are the VMs heard lately, `own` among them, out of `members` known ones.
+pub fn is_owner<'a>(
+    server: &str,
+    own: &str,
+    alive: impl IntoIterator<Item = &'a Vm>,
+    members: usize,
+) -> bool {
+    let alive: Vec<&Vm> = alive.into_iter().collect();
+    alive.len() * 2 > members && rendezvous::rank(server, own, alive) == 0
+}
+
+base::value! {
+    /// Warm-up of one server.
+    pub struct Warmup {
+        until: Instant,
+        next: Instant,
+    }
+}
+
+impl Warmup {
+    /// Starts a warm-up that ends at `until`.
+    pub fn new(until: Instant, now: Instant) -> Self {
+        Self { until, next: now }
+    }
+
+    /// Moves the end to `until`, if that is later.
+    pub fn extend(&mut self, until: Instant) {
+        self.until = self.until.max(until);
+    }
+
+    /// Returns whether the server is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now < self.until
+    }
+
+    /// Returns whether a request may be sent now; always for a warm server.
+    pub fn admits(&self, now: Instant) -> bool {
+        !self.is_cold(now) || now >= self.next
+    }
+
+    /// Counts a request against the `rate` a second that the cold server tolerates.
+    pub fn sent(&mut self, rate: f64, now: Instant) {
+        if self.is_cold(now) {
+            let gap = Duration::from_secs_f64(1.0 / rate.max(0.01));
+            self.next = self.next.max(now) + gap;
+        }
+    }
+}
