--- a/crates/backends/src/client.rs
+++ b/crates/backends/src/client.rs
@@ -33,9 +33,36 @@
 /// A connection that is still sending the previous body is not usable.
 const SETTLE: Duration = Duration::from_millis(20);
 
+/// Names of the headers that a pool reads and writes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Names {
+    /// Id of the request; an answer that echoes another id is refused.
+    pub request_id: HeaderName,
+    /// Time left for the request in milliseconds.
+    pub deadline: HeaderName,
+    /// Present on answers of servers that did not run the request.
+    pub not_run: HeaderName,
+}
+
+impl Default for Names {
+    fn default() -> Self {
+        Self {
+            request_id: HeaderName::from_static(REQUEST_ID),
+            deadline: HeaderName::from_static(DEADLINE),
+            not_run: HeaderName::from_static(NOT_RUN),
+        }
+    }
+}
+
 /// Bounds of a pool.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
+    /// Names of headers.
+    pub names: Names,
+    /// Whether an answer without a length is whole when its connection ends in order.
+    pub accept_unmarked: bool,
+    /// Longest time for which sent bytes may stay unacknowledged; a silent path shows by it.
+    pub unacknowledged: Option<Duration>,
     /// Most connections open at once; this VM's part of the server's limit.
     pub connections: usize,
     /// Longest time to make a connection.
@@ -53,6 +80,9 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            names: Names::default(),
+            accept_unmarked: false,
+            unacknowledged: None,
             connections: 32,
             connect_timeout: Duration::from_secs(1),
             read_timeout: Duration::from_secs(5),
@@ -191,12 +221,12 @@
             Ok(Ok(permit)) => permit,
             _ => return Err(Before::Busy),
         };
-        let oldest = Instant::now().checked_sub(shared.settings.idle_timeout);
+        let now = Instant::now();
         loop {
             let Some(mut connection) = shared.idle().pop() else {
                 break;
             };
-            let fresh = oldest.is_none_or(|oldest| connection.idle_since() >= oldest);
+            let fresh = connection.idle_until(shared.settings.idle_timeout) >= now;
             if fresh && connection.usable(SETTLE).await {
                 count(&shared.counts.reused);
                 return Ok(Lease::new(connection, permit, self.clone()));
@@ -204,7 +234,7 @@
             count(&shared.counts.dropped);
         }
         let limit = deadline.min(Instant::now() + shared.settings.connect_timeout);
-        let connection = timeout_at(limit, Connection::open(shared.address))
+        let connection = timeout_at(limit, Connection::open(shared.address, &shared.settings))
             .await
             .map_err(|_| Before::ConnectTimeout)?
             .map_err(|_| Before::ConnectRefused)?;
@@ -221,7 +251,8 @@
         let headers = request.headers_mut();
         headers.remove(AUTHORIZATION);
         remove_hop_headers(headers);
-        headers.insert(HeaderName::from_static(DEADLINE), HeaderValue::from(millis));
+        let deadline = self.0.settings.names.deadline.clone();
+        headers.insert(deadline, HeaderValue::from(millis));
         if !headers.contains_key(HOST)
             && let Ok(host) = HeaderValue::from_str(&self.0.address.to_string())
         {
--- a/crates/backends/src/client/answer.rs
+++ b/crates/backends/src/client/answer.rs
@@ -1,7 +1,7 @@
 //! Exchange of one request and its streamed answer.
 
 use super::connection::Lease;
-use super::{After, Before, Failure, NOT_RUN, NotRun, REQUEST_ID, count, remove_hop_headers};
+use super::{After, Before, Failure, NotRun, count, remove_hop_headers};
 use base::http::{Body, BodyError};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -47,7 +47,8 @@
     request: Request<Body>,
     deadline: Instant,
 ) -> Result<Response<Body>, Failure> {
-    let id = request.headers().get(REQUEST_ID).cloned();
+    let name = &lease.pool().0.settings.names.request_id;
+    let id = request.headers().get(name).cloned();
     let Some(connection) = lease.connection() else {
         return Err(Failure::Before(Before::Stale));
     };
@@ -80,17 +81,18 @@
 
 /// Checks the head of an answer and wraps its body.
 async fn accept(
-    lease: Lease,
+    mut lease: Lease,
     mut response: Response<Incoming>,
     id: Option<&HeaderValue>,
     deadline: Instant,
 ) -> Result<Response<Body>, Failure> {
-    let echo = response.headers().get(REQUEST_ID);
+    let names = lease.pool().0.settings.names.clone();
+    let echo = response.headers().get(&names.request_id);
     if echo.is_some() && echo != id {
         lease.end().await;
         return Err(Failure::After(After::WrongAnswer));
     }
-    let not_run = response.headers().get(NOT_RUN).map(|value| {
+    let not_run = response.headers().get(&names.not_run).map(|value| {
         let text = value.to_str().unwrap_or_default();
         NotRun::parse(text)
     });
@@ -101,6 +103,7 @@
         .next_back();
     let chunked = coding.is_some_and(|c| c.as_bytes().to_ascii_lowercase().ends_with(b"chunked"));
     let marked = chunked || response.body().size_hint().exact().is_some();
+    lease.announced(response.headers());
     remove_hop_headers(response.headers_mut());
     let response = response.map(|body| Answer::new(body, lease, deadline, marked).boxed_unsync());
     match not_run {
@@ -205,7 +208,16 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => self.cut(error),
-            Poll::Ready(None) if !self.marked => self.cut(Cut::Unmarked),
+            Poll::Ready(None) if !self.marked => {
+                let accepted = self.lease.as_ref().map(Lease::accepts_unmarked);
+                match accepted {
+                    Some(true) => {
+                        self.lease = None;
+                        Poll::Ready(None)
+                    }
+                    _ => self.cut(Cut::Unmarked),
+                }
+            }
             Poll::Ready(None) => {
                 if let Some(lease) = self.lease.take() {
                     lease.release();
--- a/crates/backends/src/client/connection.rs
+++ b/crates/backends/src/client/connection.rs
@@ -1,10 +1,13 @@
 //! One connection, and its use by one request.
 
 use super::stream::{Socket, Stream};
-use super::{Pool, count};
+use super::{Pool, Settings, count};
 use base::http::Body;
+use hyper::HeaderMap;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
+use socket2::TcpKeepalive;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,12 +27,27 @@
     pub(super) socket: Arc<Socket>,
     driver: JoinHandle<()>,
     idle_since: Instant,
+    /// Longest idle time that the server announced.
+    idle_limit: Option<Duration>,
 }
 
+/// Time before the announced end of an idle connection from which it is no longer used: the time
+/// for a request to arrive.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
 impl Connection {
-    pub(super) async fn open(address: SocketAddr) -> io::Result<Self> {
+    pub(super) async fn open(address: SocketAddr, settings: &Settings) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         let _ = stream.set_nodelay(true);
+        if let Some(limit) = settings.unacknowledged {
+            let socket = socket2::SockRef::from(&stream);
+            // NOTE: a platform without these options still ends requests by their deadlines.
+            let probes = TcpKeepalive::new().with_time(limit).with_interval(limit);
+            let set = socket.set_tcp_user_timeout(Some(limit));
+            if let Err(error) = set.and_then(|()| socket.set_tcp_keepalive(&probes)) {
+                log::debug!("connection to {address} has no time-out of its own: {error}");
+            }
+        }
         let socket = Socket::new(stream);
         let io = TokioIo::new(Stream(socket.clone()));
         let (sender, connection) = http1::Builder::new()
@@ -50,11 +68,14 @@
             socket,
             driver,
             idle_since: Instant::now(),
+            idle_limit: None,
         })
     }
 
-    pub(super) fn idle_since(&self) -> Instant {
-        self.idle_since
+    /// Returns until when the connection may be used, if it may stay idle for `most`.
+    pub(super) fn idle_until(&self, most: Duration) -> Instant {
+        let announced = self.idle_limit.map(|l| l.saturating_sub(IDLE_MARGIN));
+        self.idle_since + announced.map_or(most, |limit| limit.min(most))
     }
 
     /// Returns whether the next request can be sent on this idle connection.
@@ -105,6 +126,26 @@
         self.connection.as_mut()
     }
 
+    /// Takes in what the server announced about the connection.
+    pub(super) fn announced(&mut self, headers: &HeaderMap) {
+        let text = headers.get("keep-alive").map(HeaderValue::to_str);
+        let Some(Ok(text)) = text else {
+            return;
+        };
+        let seconds = text
+            .split(',')
+            .filter_map(|part| part.trim().strip_prefix("timeout="))
+            .find_map(|seconds| seconds.parse().ok());
+        if let (Some(connection), Some(seconds)) = (&mut self.connection, seconds) {
+            connection.idle_limit = Some(Duration::from_secs(seconds));
+        }
+    }
+
+    /// Returns whether an answer without a length may end with its connection.
+    pub(super) fn accepts_unmarked(&self) -> bool {
+        self.pool.0.settings.accept_unmarked
+    }
+
     /// Gives the connection back after a whole answer.
     pub(super) fn release(mut self) {
         if let Some(mut connection) = self.connection.take() {
--- a/crates/base/src/logging.rs
+++ b/crates/base/src/logging.rs
@@ -1,5 +1,7 @@
 //! Log set-up: one line per record with a fixed prefix for each part.
 
+mod bounded;
+
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
 use log::Record;
 use std::io::Write;
@@ -18,6 +20,17 @@
         .start()
 }
 
+/// Starts logging to standard output through a bounded queue; a full pipe never blocks the caller.
+///
+/// # Errors
+///
+/// Fails as [`start`] does.
+pub fn start_bounded(level: &str) -> Result<LoggerHandle, FlexiLoggerError> {
+    Logger::try_with_str(level)?
+        .log_to_writer(Box::new(bounded::Queue::start()))
+        .start()
+}
+
 /// Writes `TIME LEVEL [part] message`; the part is the first segment of the module path.
 fn line(out: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> std::io::Result<()> {
     let part = record.target().split("::").next().unwrap_or("?");
--- a/crates/base/src/program.rs
+++ b/crates/base/src/program.rs
@@ -15,12 +15,19 @@
 
     /// Returns the log specification.
     fn log(&self) -> &str;
+
+    /// Whether logs go to standard output through a bounded queue.
+    fn has_bounded_log(&self) -> bool {
+        false
+    }
 }
 
 /// What a started program has; logging ends when it is dropped.
 pub struct Start<S> {
     /// Checked settings.
     pub settings: S,
+    /// File that the settings were read from.
+    pub file: PathBuf,
     /// Cancelled when the process receives a stop signal.
     pub stop: CancellationToken,
     _log: LoggerHandle,
@@ -59,10 +66,14 @@
     if args.check {
         return Ok(None);
     }
-    let _log = logging::start(settings.log())?;
+    let _log = match settings.has_bounded_log() {
+        true => logging::start_bounded(settings.log())?,
+        false => logging::start(settings.log())?,
+    };
     let stop = shutdown::on_signal()?;
     Ok(Some(Start {
         settings,
+        file: args.settings,
         stop,
         _log,
     }))
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod gossip;
 pub mod link;
 pub mod local;
+pub mod report;
 pub mod share;
 pub mod wire;
--- /dev/null
+++ b/programs/gateway/src/admit.rs
@@ -0,0 +1,139 @@
+//! Right of a request to be sent: route, key, limit, and whether it crashes servers.
+
+use crate::receive::Call;
+use crate::shared::Shared;
+use base::id::Service;
+use base::sync::lock;
+use std::time::{Duration, Instant};
+use steering::affinity::{self, Digest};
+use steering::attempt::Refusal;
+use steering::routing::{Account, Denied, Route, Table};
+use steering::spending::Limit;
+use steering::split::Split;
+
+/// A request that may be sent.
+#[derive(Debug)]
+pub struct Grant<'a> {
+    /// Its route.
+    pub route: &'a Route,
+    /// Holder of its key.
+    pub account: Option<&'a Account>,
+    /// Service that it goes to.
+    pub service: &'a Service,
+    /// Latest time of the final answer.
+    pub deadline: Instant,
+    /// Digest by which crashes of servers are counted.
+    pub digest: Digest,
+}
+
+/// Why a request may not be sent, and when it may come back.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Refused {
+    /// Reason.
+    pub reason: Refusal,
+    /// Time after which the same request may succeed.
+    pub retry: Option<Duration>,
+}
+
+impl From<Refusal> for Refused {
+    fn from(reason: Refusal) -> Self {
+        Self {
+            reason,
+            retry: None,
+        }
+    }
+}
+
+/// Returns the route of a request and the holder of its key.
+///
+/// # Errors
+///
+/// Fails if there is no such route, or the route asks for a key that nobody holds.
+pub fn find<'a>(
+    call: &Call,
+    table: &'a Table,
+) -> Result<(&'a Route, Option<&'a Account>), Refused> {
+    let denied = |denied: Denied| {
+        Refused::from(match denied {
+            Denied::NoRoute => Refusal::NoRoute,
+            Denied::Unauthorised => Refusal::Unauthorised,
+        })
+    };
+    let route = table.route(&call.host, call.uri.path()).map_err(denied)?;
+    let account = table
+        .authorise(route, call.key.as_deref())
+        .map_err(denied)?;
+    Ok((route, account))
+}
+
+/// Counts a request against its limits and chooses its service.
+///
+/// # Errors
+///
+/// Fails if the workspace is over its limit, or the request crashes servers.
+pub fn admit<'a>(
+    call: &Call,
+    (route, account): (&'a Route, Option<&'a Account>),
+    shared: &Shared,
+) -> Result<Grant<'a>, Refused> {
+    let now = Instant::now();
+    let digest = digest(call, account);
+    if lock(&shared.crashes).refuses(digest, now) {
+        return Err(Refusal::Quarantined.into());
+    }
+    if let Some(account) = account
+        && let Some(rate) = account.rate
+    {
+        let limit = Limit {
+            rate,
+            burst: account.burst,
+        };
+        let reach = shared.reach(now);
+        let mut ledger = lock(&shared.ledger);
+        let admitted = ledger.admit(&account.name, &limit, &reach, now);
+        admitted.map_err(|retry| Refused {
+            reason: Refusal::RateLimited,
+            retry: Some(retry),
+        })?;
+    }
+    let service = part(route, shared).ok_or(Refused::from(Refusal::NoServer))?;
+    Ok(Grant {
+        route,
+        account,
+        service,
+        deadline: call.deadline.min(call.arrival + route.timeout),
+        digest,
+    })
+}
+
+fn part<'a>(route: &'a Route, shared: &Shared) -> Option<&'a Service> {
+    if let [only] = route.parts.as_slice() {
+        return Some(&only.service);
+    }
+    let weights: Vec<u32> = route.parts.iter().map(|part| part.weight).collect();
+    let key = format!("{}{}", route.host, route.prefix);
+    let mut splits = lock(&shared.splits);
+    let new = || Split::new(&weights, &mut rand::rng());
+    let split = splits.entry(key.into()).or_insert_with(new);
+    split
+        .next(&weights)
+        .map(|index| &route.parts[index].service)
+}
+
+/// Returns the digest of what a repeated request has in common with its first send.
+fn digest(call: &Call, account: Option<&Account>) -> Digest {
+    let workspace = account.map_or("", |account| &account.name);
+    let path = call.uri.path_and_query().map_or("", |path| path.as_str());
+    let object = call.object.unwrap_or_default();
+    let head = affinity::digest(&format!(
+        "{workspace} {} {} {path} {object}",
+        call.method, call.host
+    ));
+    match call.body.is_empty() {
+        true => head,
+        false => {
+            let body = String::from_utf8_lossy(&call.body);
+            head ^ affinity::digest(&body)
+        }
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/directory.rs
@@ -0,0 +1,86 @@
+//! Readiness, and the answer to callers that ask which VMs to use.
+
+use crate::shared::Shared;
+use adapter::call;
+use base::http::{Body, full, text};
+use base::id::Region;
+use base::sync::lock;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use indexmap::IndexSet;
+use peers::report::Phase;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time for which callers may use an answer; some use it three times as long.
+const TTL: Duration = Duration::from_secs(2);
+/// Most VMs in one answer.
+const MOST: usize = 64;
+
+/// Answers a readiness check.
+pub fn readiness(request: &Request<Incoming>, shared: &Shared) -> Response<Body> {
+    match (request.uri().path(), shared.phase()) {
+        (call::READINESS, Phase::Ready) => text(StatusCode::OK, "ready\n"),
+        (call::READINESS, phase) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{phase:?}\n")),
+        _ => text(StatusCode::NOT_FOUND, "no such interface\n"),
+    }
+}
+
+/// Answers a look-up.
+pub fn lookup(request: &Request<Incoming>, shared: &Arc<Shared>) -> Response<Body> {
+    if request.uri().path() != call::LOOKUP {
+        return text(StatusCode::NOT_FOUND, "no such interface\n");
+    }
+    let Some(lookup) = call::lookup(request.uri()) else {
+        return text(StatusCode::BAD_REQUEST, "the question names no host\n");
+    };
+    let addresses = entries(shared, &lookup.host, lookup.region.as_ref());
+    if addresses.is_empty() {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "no VM serves\n");
+    }
+    let ttl = TTL.min(Duration::from_secs_f64(
+        shared.settings.bounds.lookup_ttl_s.max(0.1),
+    ));
+    let mut response = Response::new(full(call::found(&addresses, ttl)));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+/// Returns the VMs for callers of a region: those of the region, or else of regions in which all
+/// routes of the host may run, or else all.
+fn entries(shared: &Shared, host: &str, region: Option<&Region>) -> Vec<SocketAddr> {
+    let now = Instant::now();
+    let settings = &shared.settings;
+    let mut serving: Vec<(SocketAddr, Region)> = {
+        let fleet = lock(&shared.fleet);
+        let others = fleet.serving(now);
+        others
+            .map(|(address, region)| (address, region.clone()))
+            .collect()
+    };
+    if shared.phase() == Phase::Ready {
+        serving.push((settings.listen.callers, settings.region.clone()));
+    }
+    let near = region.map(|region| IndexSet::from([region.clone()]));
+    let homes = shared.table().and_then(|table| {
+        table
+            .routes_of(host)
+            .filter(|route| !route.regions.is_empty())
+            .map(|route| route.regions.iter().cloned().collect::<IndexSet<Region>>())
+            .reduce(|a, b| a.intersection(&b).cloned().collect())
+    });
+    [near, homes]
+        .into_iter()
+        .flatten()
+        .map(|regions| within(&serving, &regions))
+        .find(|addresses| !addresses.is_empty())
+        .unwrap_or_else(|| serving.iter().map(|(a, _)| *a).take(MOST).collect())
+}
+
+fn within(serving: &[(SocketAddr, Region)], regions: &IndexSet<Region>) -> Vec<SocketAddr> {
+    let inside = serving.iter().filter(|(_, r)| regions.contains(r));
+    inside.map(|(address, _)| *address).take(MOST).collect()
+}
--- /dev/null
+++ b/programs/gateway/src/forward.rs
@@ -0,0 +1,357 @@
+//! Sending of a request to backend servers until one answers or no other may be tried.
+
+use crate::admit::{Grant, Refused};
+use crate::receive::Call;
+use crate::servers::{Flight, Placed, Query, Shard, Version};
+use crate::shared::Shared;
+use adapter::header;
+use backends::client::{After, Before, Failure};
+use base::http::Body;
+use base::id;
+use base::sync::lock;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Response, StatusCode};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use steering::attempt::{self, Attempt, Outcome, Refusal, Retry, Step, Uncertainty};
+use steering::placement::Demand;
+use steering::routing;
+use steering::takeover;
+
+/// Largest answer that is passed on, in bytes; an answer is whole before its first byte is sent.
+const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Time between two looks at a server that does not answer.
+const SILENCE_CHECK: Duration = Duration::from_millis(200);
+/// Wait told to callers while no server may be used.
+const NO_SERVER_WAIT: Duration = Duration::from_millis(300);
+/// Least time for which a send is worth while.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
+
+/// Whole answer of a server.
+pub type Answer = Response<Bytes>;
+
+/// Why a request got no answer of a server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Unserved {
+    /// What the caller is told.
+    pub outcome: Outcome,
+    /// Time after which the same request may succeed.
+    pub retry: Option<Duration>,
+}
+
+impl From<Refused> for Unserved {
+    fn from(refused: Refused) -> Self {
+        Self {
+            outcome: Attempt::new(false).give_up(refused.reason),
+            retry: refused.retry,
+        }
+    }
+}
+
+/// Result of one send.
+enum Sent {
+    Answered(Answer),
+    Failed(Failure),
+    /// Another server now has the address, or the server refused for its own reasons.
+    NotRun,
+    /// The server may be dead: it answers nobody.
+    Silent,
+}
+
+/// Sends a request until it is answered.
+///
+/// # Errors
+///
+/// Returns what the caller is told if no server answered.
+pub async fn forward(call: &Call, grant: &Grant<'_>, shared: &Shared) -> Result<Answer, Unserved> {
+    let Some(shard) = shared.services.shard(grant.service) else {
+        return Err(Refused::from(Refusal::NoServer).into());
+    };
+    let mut attempt = Attempt::new(grant.route.idempotent);
+    let mut tried: Vec<id::Server> = Vec::new();
+    let mut arrivals = 0;
+    // A failure that a server answered with; passed on if no other server does better.
+    let mut answered: Option<Answer> = None;
+    loop {
+        let flight = match place(call, grant, shared, &shard, &tried) {
+            Ok(flight) => flight,
+            Err((reason, retry)) => {
+                if let Some(answer) = answered {
+                    return Ok(answer);
+                }
+                let outcome = attempt.give_up(reason);
+                return Err(Unserved { outcome, retry });
+            }
+        };
+        if arrivals > 0 && !shard.may_retry() {
+            shared.metrics.denied();
+            if let Some(answer) = answered {
+                return Ok(answer);
+            }
+            let outcome = attempt.give_up(Refusal::BudgetSpent);
+            let retry = Some(NO_SERVER_WAIT);
+            return Err(Unserved { outcome, retry });
+        }
+        let sent = attempt.send();
+        let result = send(call, grant, &flight, shared, arrivals + 1).await;
+        tried.push(flight.server.clone());
+        let may_go_on = arrivals + 1 < grant.route.attempts;
+        let failure = match result {
+            Sent::Answered(answer) if !answer.status().is_server_error() => {
+                if arrivals == 0 {
+                    shard.succeeded();
+                }
+                return Ok(answer);
+            }
+            Sent::Answered(answer) => {
+                arrivals += 1;
+                if !grant.route.idempotent || !may_go_on {
+                    return Ok(answer);
+                }
+                answered = Some(answer);
+                attempt::Failure::MayHaveRun(Uncertainty::Interrupted)
+            }
+            Sent::NotRun => {
+                arrivals += 1;
+                attempt::Failure::Refused(Retry::ServerRefused)
+            }
+            Sent::Silent => {
+                arrivals += 1;
+                attempt::Failure::MayHaveRun(Uncertainty::Silent)
+            }
+            Sent::Failed(failure) => {
+                arrivals += u32::from(!matches!(failure, Failure::Before(_)));
+                classify(failure)
+            }
+        };
+        drop(flight);
+        match sent.fail(failure) {
+            Step::Retry(next, retry) if arrivals < grant.route.attempts => {
+                shared.metrics.retry(retry);
+                attempt = next;
+            }
+            Step::Retry(next, _) => {
+                if let Some(answer) = answered {
+                    return Ok(answer);
+                }
+                let outcome = next.give_up(Refusal::ServersRefused);
+                let retry = Some(NO_SERVER_WAIT);
+                return Err(Unserved { outcome, retry });
+            }
+            Step::Done(outcome) => {
+                return Err(Unserved {
+                    outcome,
+                    retry: None,
+                });
+            }
+        }
+    }
+}
+
+/// Chooses a server; an error says why there is none and when the caller may come back.
+fn place(
+    call: &Call,
+    grant: &Grant<'_>,
+    shared: &Shared,
+    shard: &Arc<Shard>,
+    tried: &[id::Server],
+) -> Result<Box<Flight>, (Refusal, Option<Duration>)> {
+    let now = Instant::now();
+    let left = grant.deadline.saturating_duration_since(now);
+    if left < LEAST_LEFT {
+        return Err((Refusal::DeadlinePassed, None));
+    }
+    let (evacuated, alive) = {
+        let evacuated = lock(&shared.orders).evacuated.clone();
+        (evacuated, shared.alive(now))
+    };
+    let reach = shared.reach(now);
+    let ask = |version: &Version| {
+        let query = Query {
+            demand: Demand {
+                object: call.object.filter(|_| grant.route.sticky),
+                objective: grant.route.objective,
+                left,
+            },
+            version,
+            tried,
+            evacuated: &evacuated,
+            alive: &alive,
+            members: reach.members,
+            own: &shared.settings.vm,
+        };
+        let may_run = |region: &str| routing::may_run(grant.route, grant.account, region);
+        shard.place(&query, may_run, now)
+    };
+    let version = match tried.is_empty() {
+        true => shared.takeovers.start(grant.service),
+        false => shared.takeovers.fall_back(grant.service),
+    };
+    let placed = match (ask(&version), &version) {
+        (Placed::Empty | Placed::Late(_), Version::Only(_)) => {
+            ask(&shared.takeovers.fall_back(grant.service))
+        }
+        (placed, _) => placed,
+    };
+    match placed {
+        Placed::Sent(flight) => Ok(flight),
+        Placed::Late(excess) => Err((Refusal::Overloaded, Some(excess))),
+        Placed::Empty => Err((Refusal::NoServer, Some(NO_SERVER_WAIT))),
+    }
+}
+
+async fn send(
+    call: &Call,
+    grant: &Grant<'_>,
+    flight: &Flight,
+    shared: &Shared,
+    number: u32,
+) -> Sent {
+    let began = Instant::now();
+    let result = exchange(call, grant, flight).await;
+    let now = Instant::now();
+    let took = now.saturating_duration_since(began);
+    let (text, status) = match &result {
+        Sent::Answered(answer) => ("answered", answer.status().as_u16()),
+        Sent::Failed(_) => ("failed", 0),
+        Sent::NotRun => ("not-run", 0),
+        Sent::Silent => ("silent", 0),
+    };
+    let reason = match &result {
+        Sent::Failed(failure) => format!(" reason={:?}", failure.to_string()),
+        _ => String::new(),
+    };
+    log::info!(
+        "event=send id={} number={number} service={} server={} data_centre={} version={} load={} warm={} expected_ms={} result={text} status={status} took_ms={}{reason}",
+        call.id,
+        grant.service,
+        flight.server,
+        flight.data_centre,
+        flight.label,
+        flight.load,
+        flight.warm,
+        flight.expected.as_millis(),
+        took.as_millis()
+    );
+    let settings = takeover::Settings::default();
+    let is_late = took > grant.route.objective.mul_f64(settings.late);
+    match &result {
+        Sent::Answered(answer) => {
+            flight.answered(header::load(answer.headers()), now);
+            lock(&shared.crashes).answered(grant.digest);
+            let is_failure = answer.status().is_server_error();
+            if is_failure {
+                flight.failed(now);
+            }
+            let bad = is_failure || is_late;
+            shared.takeovers.ended(grant.service, &flight.label, bad);
+        }
+        Sent::Failed(Failure::Before(before)) => {
+            if matches!(before, Before::ConnectRefused | Before::ConnectTimeout) {
+                flight.refused(now);
+            }
+        }
+        Sent::Failed(Failure::After(After::Deadline)) => {
+            shared.takeovers.ended(grant.service, &flight.label, true);
+        }
+        Sent::Failed(Failure::After(after)) => {
+            flight.failed(now);
+            if *after == After::Interrupted {
+                lock(&shared.crashes).crashed(grant.digest, now);
+            }
+            shared.takeovers.ended(grant.service, &flight.label, true);
+        }
+        Sent::NotRun | Sent::Failed(Failure::NotRun(_)) => flight.failed(now),
+        Sent::Silent => flight.failed(now),
+    }
+    result
+}
+
+/// Sends a request to one server and reads the whole answer.
+async fn exchange(call: &Call, grant: &Grant<'_>, flight: &Flight) -> Sent {
+    let workspace = grant.account.map(|account| &*account.name);
+    let request = call.request(workspace, &flight.server);
+    let whole = async {
+        let response = flight.pool.send(request, grant.deadline).await?;
+        let (parts, body) = response.into_parts();
+        let body = read(body)
+            .await
+            .ok_or(match Instant::now() >= grant.deadline {
+                true => Failure::After(After::Deadline),
+                false => Failure::After(After::Interrupted),
+            })?;
+        Ok(Response::from_parts(parts, body))
+    };
+    tokio::pin!(whole);
+    let result = loop {
+        tokio::select! {
+            result = &mut whole => break result,
+            () = tokio::time::sleep(SILENCE_CHECK) => {
+                if grant.route.idempotent && flight.is_silent(Instant::now()) {
+                    return Sent::Silent;
+                }
+            }
+        }
+    };
+    match result {
+        Ok(answer) => check(answer),
+        Err(Failure::NotRun(_)) => {
+            flight.shed(None, Instant::now());
+            Sent::NotRun
+        }
+        Err(failure) => Sent::Failed(failure),
+    }
+}
+
+/// Reads a body to its end; none if it is cut or too large.
+async fn read(mut body: Body) -> Option<Bytes> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Some(data) = frame.ok()?.data_ref() {
+            whole.extend_from_slice(data);
+        }
+        if whole.len() > ANSWER_BYTES {
+            return None;
+        }
+    }
+    Some(whole.freeze())
+}
+
+/// Checks that an answer is one of a server to this request.
+fn check(mut answer: Answer) -> Sent {
+    let headers = answer.headers();
+    if answer.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Sent::NotRun;
+    }
+    let is_signed = headers.contains_key(header::SIGNATURE);
+    let is_encoded = headers.contains_key(CONTENT_ENCODING);
+    if answer.status().is_success() && (!is_signed || is_encoded) {
+        return Sent::Failed(Failure::After(After::WrongAnswer));
+    }
+    if answer.status().is_informational() {
+        return Sent::Failed(Failure::After(After::WrongAnswer));
+    }
+    let headers = answer.headers_mut();
+    headers.remove(TRANSFER_ENCODING);
+    headers.remove(CONTENT_LENGTH);
+    Sent::Answered(answer)
+}
+
+/// Says what a failed send means for the request.
+fn classify(failure: Failure) -> attempt::Failure {
+    use attempt::Failure::{MayHaveRun, Refused, Unsent};
+    match failure {
+        Failure::Before(Before::Busy) => Unsent(Retry::ConnectionsBusy),
+        Failure::Before(Before::ConnectRefused | Before::ConnectTimeout | Before::Deadline) => {
+            Unsent(Retry::ConnectFailed)
+        }
+        Failure::Before(Before::Stale) => Unsent(Retry::StaleConnection),
+        Failure::NotRun(_) => Refused(Retry::ServerRefused),
+        Failure::After(After::Silent) => MayHaveRun(Uncertainty::Silent),
+        Failure::After(After::Interrupted) => MayHaveRun(Uncertainty::Interrupted),
+        Failure::After(After::Deadline) => MayHaveRun(Uncertainty::DeadlinePassed),
+        Failure::After(After::WrongAnswer) => MayHaveRun(Uncertainty::WrongAnswer),
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/metrics.rs
@@ -0,0 +1,99 @@
+//! Counters and histograms of the gateway.
+
+use base::sync::lock;
+use hyper::StatusCode;
+use indexmap::IndexMap;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use std::sync::Mutex;
+use std::time::Duration;
+use steering::attempt::Retry;
+
+type Labels = Vec<(&'static str, String)>;
+
+/// Shortest latency that a bucket tells apart, in seconds.
+const SHORTEST: f64 = 0.005;
+/// Number of buckets; each is twice as long as the one before, up to 10 s.
+const BUCKETS: u16 = 12;
+
+/// Metrics of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    answers: Family<Labels, Counter>,
+    refusals: Family<Labels, Counter>,
+    retries: Family<Labels, Counter>,
+    retries_denied: Counter,
+    latency: Histogram,
+    /// Requests ended since the start by status class, for the stop line.
+    ended: Mutex<IndexMap<u16, u64>>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self {
+            answers: Family::default(),
+            refusals: Family::default(),
+            retries: Family::default(),
+            retries_denied: Counter::default(),
+            latency: Histogram::new(exponential_buckets(SHORTEST, 2.0, BUCKETS)),
+            ended: Mutex::default(),
+        }
+    }
+}
+
+impl Metrics {
+    /// Returns a registry with all metrics.
+    pub fn registry(&self) -> Registry {
+        let mut registry = Registry::with_prefix("gateway");
+        registry.register("answers", "Answers to callers", self.answers.clone());
+        registry.register(
+            "refusals",
+            "Answers without a server",
+            self.refusals.clone(),
+        );
+        registry.register("retries", "Sends beyond the first", self.retries.clone());
+        registry.register(
+            "retries_denied",
+            "Sends beyond the first that the budget denied",
+            self.retries_denied.clone(),
+        );
+        registry.register(
+            "latency_seconds",
+            "Time from a request's head to its answer",
+            self.latency.clone(),
+        );
+        registry
+    }
+
+    /// Counts an answer to a caller.
+    pub fn ended(&self, status: StatusCode, took: Duration) {
+        let label = vec![("status", status.as_str().to_owned())];
+        self.answers.get_or_create(&label).inc();
+        self.latency.observe(took.as_secs_f64());
+        *lock(&self.ended).entry(status.as_u16()).or_default() += 1;
+    }
+
+    /// Counts an answer that no server gave.
+    pub fn refused(&self, reason: &str) {
+        let label = vec![("reason", reason.to_owned())];
+        self.refusals.get_or_create(&label).inc();
+    }
+
+    /// Counts a send beyond the first.
+    pub fn retry(&self, retry: Retry) {
+        let label = vec![("reason", retry.text().to_owned())];
+        self.retries.get_or_create(&label).inc();
+    }
+
+    /// Counts a send beyond the first that the budget denied.
+    pub fn denied(&self) {
+        self.retries_denied.inc();
+    }
+
+    /// Returns the answers since the start by status.
+    pub fn totals(&self) -> IndexMap<u16, u64> {
+        lock(&self.ended).clone()
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/pipeline.rs
@@ -0,0 +1,127 @@
+//! Path of a request through the gateway, and its answer.
+
+use crate::admit::{self, Refused};
+use crate::forward::{self, Answer, Unserved};
+use crate::receive::{self, BODY_BYTES, Call, Head};
+use crate::shared::Shared;
+use base::http::{Body, full, text};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{Request, Response, StatusCode};
+use peers::report::Phase;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use steering::attempt::{Outcome, Refusal, Uncertainty};
+
+/// Wait told to callers of a VM without a configuration; another VM can serve them now.
+const STARTING_WAIT: Duration = Duration::from_millis(200);
+/// Shortest wait told to callers: less brings them back before anything has changed.
+const LEAST_WAIT: Duration = Duration::from_millis(50);
+/// Callers wait for at most a third of the time that they have left.
+const WAIT_DIVISOR: u32 = 3;
+
+/// Answers one request of a caller.
+pub async fn handle(request: Request<Incoming>, shared: Arc<Shared>) -> Response<Body> {
+    let _running = shared.run();
+    let head = receive::head(request);
+    let (call, result) = run(head, &shared).await;
+    let took = call.arrival.elapsed();
+    let mut response = match result {
+        Ok(answer) => answer.map(full),
+        Err(unserved) => refusal(&call, &unserved, &shared),
+    };
+    shared.metrics.ended(response.status(), took);
+    if shared.phase() == Phase::Leaving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn run(head: Head, shared: &Shared) -> (Call, Result<Answer, Unserved>) {
+    let Some(table) = shared.table() else {
+        let unserved = Refused {
+            reason: Refusal::NoServer,
+            retry: Some(STARTING_WAIT),
+        };
+        let (Ok(call) | Err((call, _))) = head.whole(BODY_BYTES).await;
+        return (call, Err(unserved.into()));
+    };
+    let bounds = table.configuration().bounds;
+    let call = match head.whole(bounds.body_bytes).await {
+        Ok(call) => call,
+        Err((call, reason)) => return (call, Err(Refused::from(reason).into())),
+    };
+    let admitted = admit::find(&call, &table).and_then(|found| admit::admit(&call, found, shared));
+    let grant = match admitted {
+        Ok(grant) => grant,
+        Err(refused) => return (call, Err(refused.into())),
+    };
+    let result = match tokio::time::timeout_at(
+        grant.deadline.into(),
+        forward::forward(&call, &grant, shared),
+    )
+    .await
+    {
+        Ok(result) => result,
+        Err(_) => Err(Unserved {
+            outcome: Outcome::Unknown(Uncertainty::DeadlinePassed),
+            retry: None,
+        }),
+    };
+    (call, result)
+}
+
+/// Builds the answer to a request that no server answered.
+fn refusal(call: &Call, unserved: &Unserved, shared: &Shared) -> Response<Body> {
+    let now = Instant::now();
+    let (status, reason) = match &unserved.outcome {
+        Outcome::NotRun(proof) => (status(proof.reason()), proof.reason().text()),
+        Outcome::Unknown(Uncertainty::DeadlinePassed) => (
+            StatusCode::GATEWAY_TIMEOUT,
+            Uncertainty::DeadlinePassed.text(),
+        ),
+        Outcome::Unknown(cause) => (StatusCode::BAD_GATEWAY, cause.text()),
+        Outcome::Served | Outcome::ServedBefore => (StatusCode::BAD_GATEWAY, "served"),
+    };
+    shared.metrics.refused(reason);
+    let configuration = shared.table().map_or(0, |t| t.configuration().version);
+    let left = call.deadline.saturating_duration_since(now);
+    let retry = unserved
+        .retry
+        .map(|wait| wait.max(LEAST_WAIT).min(left / WAIT_DIVISOR));
+    log::info!(
+        "event=refused id={} host={} path={} status={} reason={reason} retry_ms={} configuration={configuration} took_ms={} left_ms={}",
+        call.id,
+        call.host,
+        call.uri.path(),
+        status.as_u16(),
+        retry.map_or(0, |wait| wait.as_millis()),
+        call.arrival.elapsed().as_millis(),
+        left.as_millis()
+    );
+    let mut response = text(status, format!("{reason}\n"));
+    let headers = response.headers_mut();
+    if let Some(retry) = retry {
+        let seconds = format!("{:.3}", retry.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    if let Ok(id) = HeaderValue::from_str(&call.id) {
+        headers.insert(HeaderName::from_static(adapter::header::REQUEST_ID), id);
+    }
+    response
+}
+
+fn status(reason: Refusal) -> StatusCode {
+    match reason {
+        Refusal::Invalid => StatusCode::BAD_REQUEST,
+        Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Refusal::Unauthorised => StatusCode::UNAUTHORIZED,
+        Refusal::Forbidden => StatusCode::FORBIDDEN,
+        Refusal::NoRoute => StatusCode::NOT_FOUND,
+        Refusal::RateLimited => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/reader.rs
@@ -0,0 +1,294 @@
+//! Reading of the store: orders by a feed, registrations by a poll, and this VM's own entry.
+
+use crate::shared::Shared;
+use adapter::store::{self, Client, OPERATIONS, Put, REGISTRATIONS, RowVersion, Rows, Transacted};
+use adapter::{desired, registration};
+use base::id::{DataCentre, Vm};
+use base::sync::lock;
+use indexmap::IndexMap;
+use peers::report::Phase;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use steering::registry::{Change, Registry};
+use steering::routing::{Operations, Registration, Table};
+
+/// Longest wait of the feed of orders for a change. A connection that fell silent is noticed after
+/// this and the call's own time-out, within the bound for putting a configuration in force.
+const FEED_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Time without a read after which the store counts as having been away.
+const AWAY: Duration = Duration::from_millis(2_500);
+/// Table in which VMs find each other.
+const MEMBERS: &str = "members";
+/// Time between two reads of that table; VMs that appear meanwhile send reports themselves.
+const MEMBERS_PERIOD: Duration = Duration::from_secs(10);
+/// Time without a report after which a VM's entry is removed by the first VM by name.
+const LOST: Duration = Duration::from_secs(20);
+
+/// Reads orders and registrations and puts them in force.
+#[derive(Debug)]
+pub struct Reader {
+    shared: Arc<Shared>,
+    client: Client,
+    registry: Mutex<Registry>,
+}
+
+impl Reader {
+    /// Makes a reader; nothing is read yet.
+    pub fn new(shared: Arc<Shared>, client: Client) -> Self {
+        Self {
+            shared,
+            client,
+            registry: Mutex::default(),
+        }
+    }
+
+    /// Follows the operator's orders until the task is dropped.
+    pub async fn follow_orders(&self) {
+        let mut is_lost = false;
+        loop {
+            let result = self.read_orders().await;
+            let mut version = match result {
+                Ok(version) => version,
+                Err(error) => {
+                    dependency(&mut is_lost, "orders", Some(&error));
+                    tokio::time::sleep(PAUSE).await;
+                    continue;
+                }
+            };
+            dependency(&mut is_lost, "orders", None);
+            loop {
+                let feed = self.client.changes(OPERATIONS, version, FEED_WAIT);
+                let changed = tokio::select! {
+                    changed = feed => changed,
+                    // Another VM has a newer configuration.
+                    () = self.shared.stale.notified() => break,
+                };
+                match changed {
+                    Ok(rows) if rows.rows.is_empty() => {
+                        version = rows.version;
+                        self.confirmed();
+                    }
+                    Ok(_) | Err(store::Error::HistoryGone) => break,
+                    Err(error) => {
+                        dependency(&mut is_lost, "orders", Some(&error));
+                        tokio::time::sleep(PAUSE).await;
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read_orders(&self) -> Result<RowVersion, store::Error> {
+        let Rows { rows, version, .. } = self.client.rows(OPERATIONS).await?;
+        self.put_in_force(desired::decode(&rows), version, "store");
+        self.confirmed();
+        Ok(version)
+    }
+
+    fn confirmed(&self) {
+        lock(&self.shared.orders).read = Some(Instant::now());
+    }
+
+    /// Puts orders in force that were read at `version` of the store.
+    pub fn put_in_force(&self, operations: Operations, version: RowVersion, from: &str) {
+        let now = Instant::now();
+        let shared = &self.shared;
+        let mut orders = lock(&shared.orders);
+        if version < orders.version {
+            return;
+        }
+        orders.version = version;
+        let known = orders
+            .table
+            .as_ref()
+            .map_or(0, |t| t.configuration().version);
+        let next = operations.configuration.as_ref();
+        if let Some(next) = next.filter(|next| next.version > known || orders.table.is_none()) {
+            log::info!(
+                "event=configuration from_version={known} to_version={} row_version={version} by={from} routes={} workspaces={} services={}",
+                next.version,
+                next.routes.len(),
+                next.accounts.len(),
+                next.services.len()
+            );
+            shared.services.configure(next);
+            let mut ledger = lock(&shared.ledger);
+            for account in &next.accounts {
+                ledger.open(&account.name, now);
+            }
+            orders.table = Some(Arc::new(Table::new(next.clone())));
+            shared.urgent.notify_one();
+        }
+        let returned: Vec<DataCentre> = orders
+            .evacuated
+            .iter()
+            .filter(|d| !operations.evacuated.contains(*d))
+            .cloned()
+            .collect();
+        if returned.is_empty() && orders.evacuated == operations.evacuated {
+            // Nothing changed.
+        } else {
+            log::info!(
+                "event=evacuation evacuated={:?} returned={returned:?} row_version={version} by={from}",
+                operations.evacuated
+            );
+        }
+        shared.services.returned(&returned, now);
+        orders.evacuated.clone_from(&operations.evacuated);
+        let members = shared.reach(now).members;
+        shared
+            .takeovers
+            .order(&operations.takeovers, &shared.settings.bounds, members);
+        orders.operations = operations;
+        drop(orders);
+        self.ready();
+    }
+
+    /// Reads the registrations again and again until the task is dropped.
+    pub async fn follow_registrations(&self) {
+        let mut is_lost = false;
+        loop {
+            let began = Instant::now();
+            match self.client.rows(REGISTRATIONS).await {
+                Ok(rows) => {
+                    dependency(&mut is_lost, "registrations", None);
+                    self.list(decode(&rows), Some(Instant::now()));
+                }
+                Err(error) => dependency(&mut is_lost, "registrations", Some(&error)),
+            }
+            let period = match is_lost {
+                true => PAUSE,
+                false => self.shared.settings.list_period(),
+            };
+            tokio::time::sleep_until((began + period).into()).await;
+        }
+    }
+
+    /// Takes in all registrations; `read` is when they came from the store, none if they came from
+    /// another VM.
+    pub fn list(&self, registrations: Vec<Registration>, read: Option<Instant>) {
+        let now = Instant::now();
+        let shared = &self.shared;
+        let mut registry = lock(&self.registry);
+        {
+            let mut listing = lock(&shared.listing);
+            let last = listing.read;
+            if read.is_some() && last.is_some_and(|last| now.duration_since(last) > AWAY) {
+                registry.store_returned(now);
+            }
+            listing.registrations.clone_from(&registrations);
+            listing.read = read.or(last);
+        }
+        for change in registry.update(registrations, now) {
+            match change {
+                Change::Joined(server) => log::info!("event=server-joined server={server}"),
+                Change::Leaving(server) => log::info!("event=server-leaving server={server}"),
+                Change::Gone(server) => log::info!("event=server-gone server={server}"),
+            }
+        }
+        shared.services.update(&registry, now);
+        drop(registry);
+        self.ready();
+    }
+
+    /// Becomes ready when there are a configuration and a list of servers.
+    fn ready(&self) {
+        let has_table = lock(&self.shared.orders).table.is_some();
+        let has_list = !lock(&self.shared.listing).registrations.is_empty();
+        if has_table && has_list && self.shared.phase() == Phase::Starting {
+            self.shared.enter(Phase::Ready);
+        }
+    }
+
+    /// Keeps this VM's entry in the table of VMs, and reads those of the others.
+    pub async fn follow_members(&self) {
+        loop {
+            let period = match self.read_members().await {
+                Ok(()) => MEMBERS_PERIOD,
+                Err(error) => {
+                    log::debug!("event=members-unread error={error:?}");
+                    PAUSE * 2
+                }
+            };
+            tokio::time::sleep(period).await;
+        }
+    }
+
+    async fn read_members(&self) -> Result<(), store::Error> {
+        let shared = &self.shared;
+        let own = &shared.settings.vm;
+        let address = shared.settings.listen.peers.to_string();
+        let rows = self.client.rows(MEMBERS).await?.rows;
+        let mine = rows.iter().find(|row| row.key == *own);
+        let is_current = |value: &Option<Vec<u8>>| value.as_deref() == Some(address.as_bytes());
+        if !mine.is_some_and(|row| is_current(&row.value)) {
+            let put = Put {
+                table: MEMBERS,
+                key: own.clone(),
+                expected: None,
+                value: Some(address.into_bytes()),
+            };
+            self.client.transact(&[put]).await?;
+        }
+        let listed: IndexMap<Vm, SocketAddr> = rows
+            .iter()
+            .filter_map(|row| {
+                let text = std::str::from_utf8(row.value.as_deref()?).ok()?;
+                Some((row.key.clone(), text.parse().ok()?))
+            })
+            .filter(|(vm, _)| vm != own)
+            .collect();
+        let now = Instant::now();
+        let (lost, is_first) = {
+            let mut fleet = lock(&shared.fleet);
+            fleet.list(listed);
+            let is_first = fleet.alive(now).all(|peer| peer.report.vm > *own);
+            (fleet.lost(LOST, now), is_first)
+        };
+        for vm in lost.into_iter().filter(|_| is_first) {
+            let Some(row) = rows.iter().find(|row| row.key == vm) else {
+                continue;
+            };
+            let put = Put {
+                table: MEMBERS,
+                key: vm.clone(),
+                expected: Some(row.version),
+                value: None,
+            };
+            if let Transacted::Applied(version) = self.client.transact(&[put]).await? {
+                log::info!("event=member-removed vm={vm} row_version={version}");
+            }
+        }
+        Ok(())
+    }
+}
+
+fn decode(rows: &Rows) -> Vec<Registration> {
+    let decoded = rows.rows.iter().filter_map(|row| {
+        let result = registration::decode(row);
+        result
+            .inspect_err(|reason| {
+                log::warn!(
+                    "event=registration-unreadable server={} row_version={} reason={reason:?}",
+                    row.key,
+                    row.version
+                );
+            })
+            .ok()
+    });
+    decoded.collect()
+}
+
+/// Logs that a dependency was lost or regained, once for each change.
+fn dependency(is_lost: &mut bool, name: &str, error: Option<&store::Error>) {
+    match (error, *is_lost) {
+        (Some(error), false) => log::warn!("event=store-lost for={name} error=\"{error}\""),
+        (None, true) => log::info!("event=store-regained for={name}"),
+        _ => {}
+    }
+    *is_lost = error.is_some();
+}
--- /dev/null
+++ b/programs/gateway/src/run.rs
@@ -0,0 +1,170 @@
+//! Start and stop of the gateway.
+
+use crate::reader::Reader;
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::{directory, pipeline, relay, reports, takeovers};
+use adapter::store::Client;
+use base::http::server::{self, Limits};
+use base::{metrics, program, settings};
+use peers::report::Phase;
+use std::error::Error;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+/// Part of the grace time in which a stopping gateway takes new connections, because callers know
+/// it from look-ups that they made before.
+const ACCEPTING: f64 = 0.5;
+/// Time before the end of the grace time at which the process ends.
+const MARGIN: Duration = Duration::from_millis(300);
+/// Time for the last log lines to be written.
+const LOG_TIME: Duration = Duration::from_millis(250);
+/// Longest time for which a caller's connection may stay idle or send a head. Above the longest
+/// idle time that configurations allow callers.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// Descriptors for callers' connections; the rest is for servers.
+const CONNECTIONS: usize = 2_500;
+/// Largest request head in bytes, above what configurations allow callers.
+const HEAD_BYTES: usize = 64 * 1024;
+
+/// Runs the gateway until `stop` is cancelled.
+///
+/// # Errors
+///
+/// Fails if an address can't be listened on.
+pub async fn run(
+    settings: Settings,
+    file: PathBuf,
+    stop: CancellationToken,
+) -> Result<(), Box<dyn Error>> {
+    let listen = settings.listen.clone();
+    let grace = Duration::from_secs_f64(settings.bounds.grace_s);
+    let callers = TcpListener::bind(listen.callers).await?;
+    let readiness = TcpListener::bind(listen.readiness).await?;
+    let lookups = TcpListener::bind(listen.lookup).await?;
+    let questions = TcpListener::bind(listen.peers).await?;
+    let socket = Arc::new(UdpSocket::bind(listen.peers).await?);
+    let incarnation = rand::random();
+    log::info!(
+        "event=start vm={} incarnation={incarnation} data_centre={} callers={} store={}",
+        settings.vm,
+        settings.data_centre,
+        listen.callers,
+        settings.store
+    );
+    let client = Client::new(settings.store);
+    let shared = Arc::new(Shared::new(settings, incarnation, Instant::now()));
+    let reader = Arc::new(Reader::new(shared.clone(), client.clone()));
+    let closed = CancellationToken::new();
+
+    // These tasks end with the process.
+    let orders = reader.clone();
+    tokio::spawn(async move { orders.follow_orders().await });
+    let registrations = reader.clone();
+    tokio::spawn(async move { registrations.follow_registrations().await });
+    let members = reader.clone();
+    tokio::spawn(async move { members.follow_members().await });
+    tokio::spawn(relay::follow(shared.clone(), reader));
+    tokio::spawn(reports::send(shared.clone(), socket.clone()));
+    tokio::spawn(reports::receive(shared.clone(), socket));
+    tokio::spawn(takeovers::drive(shared.clone(), client));
+    tokio::spawn(reload(file));
+    serve_inner(&shared, readiness, lookups, questions, &closed);
+    match TcpListener::bind(listen.metrics).await {
+        Ok(listener) => {
+            let registry = shared.metrics.registry();
+            tokio::spawn(metrics::serve(listener, registry, closed.clone()));
+        }
+        // Serving callers matters more than being watched.
+        Err(error) => log::warn!("event=metrics-unserved error=\"{error}\""),
+    }
+
+    let accepting = grace.mul_f64(ACCEPTING);
+    let limits = Limits {
+        connections: CONNECTIONS,
+        head_bytes: HEAD_BYTES,
+        head_timeout: HEAD_TIMEOUT,
+        drain_timeout: grace.saturating_sub(accepting + MARGIN + LOG_TIME),
+        ..Limits::default()
+    };
+    let front = shared.clone();
+    let closing = CancellationToken::new();
+    let serving = tokio::spawn(server::serve(
+        callers,
+        limits,
+        closing.clone(),
+        move |request, _| pipeline::handle(request, front.clone()),
+    ));
+    stop.cancelled().await;
+    log::info!("event=stopping running={}", shared.running());
+    shared.enter(Phase::Leaving);
+    tokio::time::sleep(accepting).await;
+    closing.cancel();
+    if let Err(error) = serving.await {
+        log::error!("event=server-failed error=\"{error}\"");
+    }
+    closed.cancel();
+    log::info!(
+        "event=stop running={} answers={:?}",
+        shared.running(),
+        shared.metrics.totals()
+    );
+    tokio::time::sleep(LOG_TIME).await;
+    Ok(())
+}
+
+fn serve_inner(
+    shared: &Arc<Shared>,
+    readiness: TcpListener,
+    lookups: TcpListener,
+    questions: TcpListener,
+    closed: &CancellationToken,
+) {
+    let limits = Limits::default();
+    let own = shared.clone();
+    tokio::spawn(server::serve(
+        readiness,
+        limits,
+        closed.clone(),
+        move |request, _| std::future::ready(directory::readiness(&request, &own)),
+    ));
+    let own = shared.clone();
+    tokio::spawn(server::serve(
+        lookups,
+        limits,
+        closed.clone(),
+        move |request, _| std::future::ready(directory::lookup(&request, &own)),
+    ));
+    let own = shared.clone();
+    tokio::spawn(server::serve(
+        questions,
+        limits,
+        closed.clone(),
+        move |request, _| std::future::ready(relay::answer(&request, &own)),
+    ));
+}
+
+/// Checks the settings file on each SIGHUP. Addresses and bounds are those of the start: the
+/// platform restarts a process whose addresses change.
+async fn reload(file: PathBuf) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            log::error!("event=reload-unavailable error=\"{error}\"");
+            return;
+        }
+    };
+    while hangup.recv().await.is_some() {
+        match settings::load::<Settings>(&file) {
+            Ok(settings) => {
+                let problem = program::Settings::problem(&settings);
+                log::info!("event=reload problem={problem:?}");
+            }
+            Err(error) => log::warn!("event=reload-failed error=\"{error}\""),
+        }
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/settings.rs
@@ -0,0 +1,121 @@
+//! Settings file of the gateway.
+
+use base::id::{DataCentre, Region, Vm};
+use base::program;
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use steering::placement;
+
+base::message! {
+    /// Addresses on which the gateway listens.
+    #[serde(deny_unknown_fields)]
+    pub struct Listen {
+        /// Requests of callers.
+        pub callers: SocketAddr,
+        /// Readiness checks.
+        pub readiness: SocketAddr,
+        /// Look-ups of callers.
+        pub lookup: SocketAddr,
+        /// Reports of other VMs (UDP), and their questions while the store is away (TCP).
+        pub peers: SocketAddr,
+        /// Metrics.
+        pub metrics: SocketAddr,
+    }
+
+    /// Bounds that the operator states; times in milliseconds unless named otherwise.
+    #[serde(deny_unknown_fields)]
+    pub struct Bounds {
+        /// Time from SIGTERM to SIGKILL, in seconds.
+        pub grace_s: f64,
+        /// Sends beyond the first, as a share of requests, over all VMs.
+        pub retry_ratio: f64,
+        /// Sends beyond the first that are allowed besides, over all VMs.
+        pub retry_slack: f64,
+        /// Share of a service's requests that a new version may get before its deadline.
+        pub exposure_share: f64,
+        /// Requests that a new version may get besides, over all VMs.
+        pub exposure_slack: f64,
+        /// Longest time in seconds for which callers use a look-up.
+        pub lookup_ttl_s: f64,
+    }
+
+    /// Settings of the gateway.
+    #[serde(deny_unknown_fields)]
+    pub struct Settings {
+        /// Name of this VM.
+        pub vm: Vm,
+        /// Its data centre.
+        pub data_centre: DataCentre,
+        /// Its region.
+        pub region: Region,
+        /// Region of each data centre.
+        pub data_centres: IndexMap<DataCentre, Region>,
+        /// Addresses to listen on.
+        pub listen: Listen,
+        /// Other VMs that may be up, by any address of theirs.
+        #[serde(default)]
+        pub seeds: Vec<SocketAddr>,
+        /// Address of the platform's store.
+        pub store: SocketAddr,
+        /// Operator's bounds.
+        pub bounds: Bounds,
+        /// Time in milliseconds between two reads of the registrations.
+        #[serde(default = "list_period")]
+        pub list_period_ms: u64,
+        /// Log specification of flexi_logger.
+        #[serde(default = "log")]
+        pub log: Box<str>,
+    }
+}
+
+/// A leaving server must get nothing 2 s after its report; one read, and one that failed, fit in.
+fn list_period() -> u64 {
+    900
+}
+
+fn log() -> Box<str> {
+    "info".into()
+}
+
+impl Settings {
+    /// Returns the time between two reads of the registrations.
+    pub fn list_period(&self) -> Duration {
+        Duration::from_millis(self.list_period_ms)
+    }
+
+    /// Returns the region of a data centre; an unknown one counts as a region of its own.
+    pub fn region_of(&self, data_centre: &str) -> Region {
+        let known = self.data_centres.get(data_centre);
+        known.cloned().unwrap_or_else(|| data_centre.into())
+    }
+
+    /// Returns the settings of the choice of servers.
+    pub fn placement(&self) -> placement::Settings {
+        placement::Settings::default()
+    }
+}
+
+impl program::Settings for Settings {
+    fn problem(&self) -> Option<&'static str> {
+        if !self.data_centres.contains_key(&self.data_centre) {
+            return Some("data_centre is not one of data_centres");
+        }
+        if self.list_period_ms == 0 {
+            return Some("list_period_ms must not be 0");
+        }
+        let shares = [self.bounds.retry_ratio, self.bounds.exposure_share];
+        if shares.iter().any(|share| !(0.0..=1.0).contains(share)) {
+            return Some("retry_ratio and exposure_share lie between 0 and 1");
+        }
+        (self.bounds.grace_s <= 0.0).then_some("grace_s must be above 0")
+    }
+
+    fn log(&self) -> &str {
+        &self.log
+    }
+
+    fn has_bounded_log(&self) -> bool {
+        true
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/takeovers.rs
@@ -0,0 +1,378 @@
+//! Takeovers of services by new versions: what each VM acts by, and the leader's writes.
+
+use crate::servers::Version;
+use crate::settings::Bounds;
+use crate::shared::Shared;
+use adapter::status;
+use adapter::store::{self, Client, Put, Row, RowVersion, STATUS, Transacted};
+use base::id::{Incarnation, Service, Vm};
+use base::sync::lock;
+use indexmap::IndexMap;
+use peers::report::{self, Report};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use steering::membership::rendezvous;
+use steering::release::Cap;
+use steering::routing::TakeoverOrder;
+use steering::takeover::{self, Evidence, Exposure, Order, Settings, Stage};
+
+/// Table of when takeovers began.
+const TABLE: &str = "takeovers";
+/// Time between two looks at the evidence.
+const PERIOD: Duration = Duration::from_millis(250);
+/// Longest time since the last read of the store for a VM that may lead.
+const CONTACT: Duration = Duration::from_millis(2_500);
+/// Part of the operator's bound on requests to a new version that VMs use together.
+const EXPOSURE_PART: f64 = 0.8;
+
+base::message! {
+    /// Begin of a takeover, kept in the store, so that another VM can lead it to its end.
+    struct Begin {
+        /// Order of the operator.
+        order: Order,
+        /// Time of the store's clock in milliseconds when the order was first seen.
+        began_ms: u64,
+    }
+}
+
+#[derive(Debug)]
+struct Active {
+    order: TakeoverOrder,
+    stage: Option<Stage>,
+    settled: bool,
+    deadline: Option<Instant>,
+    /// Version of the status row that this VM saw last; 0 for none.
+    row: RowVersion,
+    exposure: Exposure,
+    own: Evidence,
+    others: IndexMap<Vm, (Incarnation, Evidence)>,
+}
+
+impl Active {
+    fn evidence(&self) -> Evidence {
+        let mut sum = self.own;
+        self.others.values().for_each(|(_, other)| sum.add(other));
+        sum
+    }
+
+    /// Moves to a later stage; the store's word is final.
+    fn learn(&mut self, stage: Stage, settled: bool, from: &str) -> bool {
+        let is_news = settled || self.stage.is_none_or(|known| known < stage);
+        let later = is_news && !self.settled;
+        if later {
+            log::info!(
+                "event=takeover service={} target={} order={} from={:?} to={stage:?} settled={settled} by={from} evidence={:?}",
+                self.order.service,
+                self.order.label,
+                self.order.order,
+                self.stage,
+                self.evidence()
+            );
+            self.stage = Some(stage);
+            self.settled |= settled;
+        }
+        later
+    }
+}
+
+/// Takeovers that are ordered, by service.
+#[derive(Debug, Default)]
+pub struct Takeovers {
+    active: Mutex<IndexMap<Service, Active>>,
+}
+
+impl Takeovers {
+    /// Takes in the orders of the operator.
+    pub fn order(&self, orders: &[TakeoverOrder], bounds: &Bounds, members: usize) {
+        let mut active = lock(&self.active);
+        active.retain(|service, known| {
+            let same = |order: &TakeoverOrder| {
+                order.service == *service && order.order == known.order.order
+            };
+            orders.iter().any(same)
+        });
+        for order in orders {
+            if active.contains_key(&order.service) {
+                continue;
+            }
+            log::info!(
+                "event=takeover-ordered service={} target={} order={} term_ms={}",
+                order.service,
+                order.label,
+                order.order,
+                order.term.as_millis()
+            );
+            let slack = bounds.exposure_slack * EXPOSURE_PART / members.max(1) as f64;
+            let cap = Cap::millionths((bounds.exposure_share * EXPOSURE_PART * 1e6) as u32);
+            let settings = Settings::default();
+            let entry = Active {
+                order: order.clone(),
+                stage: None,
+                settled: false,
+                deadline: None,
+                row: 0,
+                exposure: Exposure::new(settings.share, cap, slack as u64),
+                own: Evidence::default(),
+                others: IndexMap::new(),
+            };
+            active.insert(order.service.clone(), entry);
+        }
+    }
+
+    /// Returns the version that the next request of a service may use, and counts it.
+    pub fn start(&self, service: &str) -> Version {
+        let mut active = lock(&self.active);
+        let Some(takeover) = active.get_mut(service) else {
+            return Version::Current;
+        };
+        let label = takeover.order.label.clone();
+        let is_new = takeover
+            .stage
+            .is_some_and(|stage| takeover.exposure.start(stage));
+        match is_new {
+            true => Version::Only(label),
+            false => Version::Except(label),
+        }
+    }
+
+    /// Returns the version for a request that the new one can't take.
+    pub fn fall_back(&self, service: &str) -> Version {
+        let active = lock(&self.active);
+        let label = active.get(service).map(|t| t.order.label.clone());
+        label.map_or(Version::Current, Version::Except)
+    }
+
+    /// Takes in the end of a request on a version of a service.
+    pub fn ended(&self, service: &str, label: &str, bad: bool) {
+        let mut active = lock(&self.active);
+        let Some(takeover) = active.get_mut(service) else {
+            return;
+        };
+        let tally = match *takeover.order.label == *label {
+            true => &mut takeover.own.new,
+            false => &mut takeover.own.old,
+        };
+        tally.ended += 1;
+        tally.bad += u64::from(bad);
+    }
+
+    /// Returns what to tell the other VMs.
+    pub fn report(&self) -> Vec<report::Takeover> {
+        let active = lock(&self.active);
+        let report = active.values().map(|takeover| report::Takeover {
+            service: takeover.order.service.clone(),
+            order: takeover.order.order,
+            stage: takeover.stage,
+            settled: takeover.settled,
+            evidence: takeover.own,
+        });
+        report.collect()
+    }
+
+    /// Takes in what another VM saw and decided.
+    pub fn hear(&self, report: &Report) {
+        let mut active = lock(&self.active);
+        for theirs in &report.takeovers {
+            let known = active.get_mut(&theirs.service);
+            let Some(takeover) = known.filter(|t| t.order.order == theirs.order) else {
+                continue;
+            };
+            let seen = (report.incarnation, theirs.evidence);
+            takeover.others.insert(report.vm.clone(), seen);
+            if let Some(stage) = theirs.stage {
+                takeover.learn(stage, theirs.settled, &report.vm);
+            }
+        }
+    }
+
+    /// Stops new versions that this VM's evidence condemns; returns whether it stopped one.
+    fn judge(&self) -> bool {
+        let settings = Settings::default();
+        let mut active = lock(&self.active);
+        let mut stopped = false;
+        for takeover in active.values_mut() {
+            let undecided = takeover.stage.is_none_or(|s| s < Stage::Completed);
+            if undecided && !takeover.settled && takeover.evidence().is_bad(&settings) {
+                stopped |= takeover.learn(Stage::RolledBack, false, "own evidence");
+            }
+        }
+        stopped
+    }
+
+    fn unsettled(&self) -> Vec<Service> {
+        let active = lock(&self.active);
+        let unsettled = active.iter().filter(|(_, takeover)| !takeover.settled);
+        unsettled.map(|(service, _)| service.clone()).collect()
+    }
+}
+
+/// Judges takeovers and, where this VM leads, tells the operator, until the task is dropped.
+pub async fn drive(shared: Arc<Shared>, client: Client) {
+    loop {
+        tokio::time::sleep(PERIOD).await;
+        if shared.takeovers.judge() {
+            shared.urgent.notify_one();
+        }
+        for service in shared.takeovers.unsettled() {
+            if !leads(&shared, &service) {
+                continue;
+            }
+            if let Err(error) = lead(&shared, &client, &service).await {
+                log::warn!("event=takeover-status-failed service={service} error={error:?}");
+            }
+            shared.urgent.notify_one();
+        }
+    }
+}
+
+/// Whether this VM is the first, in the order for the service, of those that reach the store.
+fn leads(shared: &Shared, service: &str) -> bool {
+    let now = Instant::now();
+    let in_contact = lock(&shared.orders)
+        .read
+        .is_some_and(|read| now.saturating_duration_since(read) < CONTACT);
+    let fleet = lock(&shared.fleet);
+    let reaches = |report: &Report| {
+        let limit = CONTACT.as_millis() as u32;
+        report.phase == report::Phase::Ready && report.store_age.is_some_and(|age| age < limit)
+    };
+    let others: Vec<Vm> = fleet
+        .alive(now)
+        .filter(|peer| reaches(&peer.report))
+        .map(|peer| peer.report.vm.clone())
+        .collect();
+    in_contact && rendezvous::rank(service, &shared.settings.vm, &others) == 0
+}
+
+/// Does the leader's next step for a service.
+async fn lead(shared: &Shared, client: &Client, service: &Service) -> Result<(), store::Error> {
+    let (order, known) = {
+        let active = lock(&shared.takeovers.active);
+        let Some(takeover) = active.get(service) else {
+            return Ok(());
+        };
+        let known = takeover.stage.zip(takeover.deadline);
+        (takeover.order.clone(), known)
+    };
+    let Some((stage, deadline)) = known else {
+        return recall(shared, client, &order).await;
+    };
+    let (next, row) = {
+        let active = lock(&shared.takeovers.active);
+        let Some(takeover) = active.get(service) else {
+            return Ok(());
+        };
+        let settings = Settings::default();
+        let evidence = takeover.evidence();
+        let next = takeover::advance(&settings, stage, &evidence, deadline, Instant::now());
+        (next, takeover.row)
+    };
+    match next {
+        Stage::Completed | Stage::RolledBack => {
+            let put = status_put(&order, next, row);
+            match client.transact(&[put]).await? {
+                Transacted::Applied(version) => {
+                    log::info!(
+                        "event=takeover-written service={service} order={} stage={next:?} row_version={version}",
+                        order.order
+                    );
+                    learn(shared, service, next, true);
+                }
+                // Another leader wrote, or an earlier write of this one was applied late.
+                Transacted::Conflict => recall(shared, client, &order).await?,
+            }
+        }
+        _ => learn(shared, service, next, false),
+    }
+    Ok(())
+}
+
+fn learn(shared: &Shared, service: &Service, stage: Stage, settled: bool) {
+    if let Some(takeover) = lock(&shared.takeovers.active).get_mut(service) {
+        takeover.learn(stage, settled, &shared.settings.vm);
+    }
+}
+
+fn status_put(order: &TakeoverOrder, stage: Stage, expected: RowVersion) -> Put {
+    Put {
+        table: STATUS,
+        key: status::key(&order.service),
+        expected: Some(expected),
+        value: Some(status::encode(&order.service, &order.label, stage)),
+    }
+}
+
+/// Reads what the store holds of a takeover, and begins it if the store holds nothing.
+async fn recall(
+    shared: &Shared,
+    client: &Client,
+    order: &TakeoverOrder,
+) -> Result<(), store::Error> {
+    let statuses = client.rows(STATUS).await?;
+    let begins = client.rows(TABLE).await?;
+    let status_key = status::key(&order.service);
+    let status = statuses.rows.iter().find(|row| row.key == status_key);
+    let begin = begins.rows.iter().find(|row| row.key == order.service);
+    let told = status
+        .filter(|row| row.version > order.order)
+        .and_then(|row| told(row, order));
+    let began = begin.and_then(begun).filter(|b| b.order == order.order);
+    let began = match (&told, began) {
+        (Some(_), Some(began)) => began,
+        _ => {
+            let began = Begin {
+                order: order.order,
+                began_ms: begins.now_ms,
+            };
+            let puts = [
+                status_put(order, Stage::Sampling, status.map_or(0, |row| row.version)),
+                Put {
+                    table: TABLE,
+                    key: order.service.clone(),
+                    expected: Some(begin.map_or(0, |row| row.version)),
+                    // Encoding two numbers can't fail.
+                    value: Some(serde_json::to_vec(&began).unwrap_or_default()),
+                },
+            ];
+            if let Transacted::Applied(version) = client.transact(&puts).await? {
+                apply(shared, order, Stage::Sampling, version, order.term);
+            }
+            return Ok(());
+        }
+    };
+    if let (Some(stage), Some(row)) = (told, status) {
+        let passed = begins.now_ms.saturating_sub(began.began_ms);
+        let left = order.term.saturating_sub(Duration::from_millis(passed));
+        apply(shared, order, stage, row.version, left);
+    }
+    Ok(())
+}
+
+/// Returns the stage that the operator was told for this order.
+fn told(row: &Row, order: &TakeoverOrder) -> Option<Stage> {
+    match status::decode(row.value.as_deref()?) {
+        Ok((label, stage)) => (label == order.label).then_some(stage),
+        Err(reason) => {
+            log::warn!("event=status-unreadable key={} reason={reason:?}", row.key);
+            None
+        }
+    }
+}
+
+fn begun(row: &Row) -> Option<Begin> {
+    let parsed = serde_json::from_slice(row.value.as_deref()?);
+    parsed
+        .inspect_err(|error| log::warn!("event=begin-unreadable key={} error={error}", row.key))
+        .ok()
+}
+
+fn apply(shared: &Shared, order: &TakeoverOrder, stage: Stage, row: RowVersion, left: Duration) {
+    let mut active = lock(&shared.takeovers.active);
+    let known = active.get_mut(&order.service);
+    if let Some(takeover) = known.filter(|t| t.order.order == order.order) {
+        takeover.row = row;
+        takeover.deadline = Some(Instant::now() + left);
+        let is_final = stage >= Stage::Completed;
+        takeover.learn(stage, is_final, "store");
+    }
+}
