feature: VMs tell each other which objects servers handled

Both first servers of an object's order counted as warm from the start. Change: steering::warmth keeps the objects of each server, reports carry new pairs, and a second copy is made when the first server's queue is worth it.

--- a/crates/peers/src/report.rs
+++ b/crates/peers/src/report.rs
@@ -10,6 +10,7 @@
 use steering::crashes::Count;
 use steering::spending::Total;
 use steering::takeover::{Evidence, Order, Stage};
+use steering::warmth::Handled;
 
 base::label! {
     /// What callers may expect of a VM.
@@ -60,6 +61,8 @@
         pub store_age: Option<u32>,
         /// Requests that it has on servers, those with none left out.
         pub in_flight: Vec<(Digest, u16)>,
+        /// Objects that servers handled for it lately.
+        pub handled: Vec<Handled>,
         /// Servers that refuse its connections.
         pub down: Vec<Digest>,
         /// Totals of workspaces with a limit.
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod spill;
 pub mod split;
 pub mod takeover;
+pub mod warmth;
 pub mod warmup;
 pub mod work;
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -1,9 +1,11 @@
 //! Choice of a backend server by the expected end of a request.
 //!
 //! Load: requests for objects, of which servers that handled the object lately need about a third
-//! of the work. The first servers of the object's order count as warm, all others as cold. Under
-//! overload a request that no warm server can end in time is refused at once: sent to a cold
-//! server it would take three times the work and push out another object there.
+//! of the work. A server is warm for an object if VMs saw it handle the object. The first server of
+//! the object's order counts as warm even so, because it soon will be; the second counts half, so
+//! that a second copy is made when the first server has a queue worth it. Under overload a request
+//! that cannot end in time is refused at once: sent to a cold server it would take three times the
+//! work and push out another object there.
 
 use crate::affinity::{self, Digest};
 use std::time::Duration;
@@ -12,9 +14,9 @@
     /// Settings of the choice.
     #[derive(Copy)]
     pub struct Settings {
-        /// Servers of an object's order that count as warm. Trials on both sites: three warm
-        /// servers in place of two cost a quarter of the worth on the heaviest day.
-        pub warm_servers: usize,
+        /// Share of the work saved by warmth that is expected of the second server of an object's
+        /// order before it handled the object.
+        pub second_copy: f64,
         /// Latest expected end, in latency objectives, while the service is busy. Trials: 2.0 and
         /// 3.0 cost a tenth of the worth against 1.4.
         pub patience: f64,
@@ -54,6 +56,8 @@
         pub slowdown: f64,
         /// Share of recent requests that it failed, from 0 to 1.
         pub failed: f64,
+        /// Whether it handled the object lately.
+        pub warm: bool,
     }
 
     /// Request to be placed.
@@ -70,13 +74,13 @@
     /// Server chosen for a request, or by how much the best one is too late.
     #[derive(Copy)]
     pub enum Choice {
-        /// Index of the candidate, its expected end, and whether it counts as warm.
+        /// A server that ends the request in time.
         Server {
             /// Index among the candidates.
             index: usize,
             /// Expected time until the answer.
             end: Duration,
-            /// Whether it is among the first of the object's order.
+            /// Whether it handled the object lately.
             warm: bool,
         },
         /// No server ends the request in time; the best one is late by this.
@@ -89,7 +93,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            warm_servers: 2,
+            second_copy: 0.5,
             patience: 1.4,
             idle_patience: 2.5,
             busy_share: 0.5,
@@ -107,31 +111,49 @@
         each.mul_f64(f64::from(before) / f64::from(self.slots.max(1)))
     }
 
-    /// Returns the expected time until the answer, failures included.
-    fn end(&self, work: &Work, warm: bool, failure_weight: f64) -> Duration {
-        let own = if warm { work.warm } else { work.cold };
+    /// Returns the expected time until the answer, failures included; `place` is the server's in
+    /// the order of the object.
+    fn end(&self, settings: &Settings, work: &Work, place: Place) -> Duration {
+        let saved = work.cold.saturating_sub(work.warm);
+        let own = match place {
+            _ if self.warm => work.warm,
+            Place::First | Place::Any => work.warm,
+            Place::Second => work
+                .cold
+                .saturating_sub(saved.mul_f64(settings.second_copy)),
+            Place::Later => work.cold,
+        };
         let end = self.wait(work) + own.mul_f64(self.slowdown) + self.distance;
-        end.mul_f64(1.0 + failure_weight * self.failed)
+        end.mul_f64(1.0 + settings.failure_weight * self.failed)
     }
 }
 
-/// Returns the indices of the servers that count as warm for an object.
-pub fn warm(settings: &Settings, object: Digest, candidates: &[Candidate]) -> Vec<usize> {
-    let mut ranked: Vec<(f64, usize)> = candidates
-        .iter()
-        .enumerate()
-        .map(|(index, c)| (affinity::rank(object, c.server, c.slots), index))
-        .collect();
-    ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
-    ranked.truncate(settings.warm_servers);
-    ranked.into_iter().map(|(_, index)| index).collect()
+/// Place of a server in the order of an object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    First,
+    Second,
+    Later,
+    /// The request concerns no object.
+    Any,
 }
 
-/// Chooses the server with the earliest expected end among `candidates`.
-///
-/// `warm` holds the indices of the servers that are warm for the object, as [`warm`] returns them
-/// for all servers that hold objects, usable for this request or not; a request without an object
-/// is equally fast everywhere.
+/// Returns the indices of the first two servers in the order of an object.
+fn first_two(object: Digest, candidates: &[Candidate]) -> [Option<usize>; 2] {
+    let mut best: [Option<(f64, usize)>; 2] = [None, None];
+    for (index, candidate) in candidates.iter().enumerate() {
+        let rank = affinity::rank(object, candidate.server, candidate.slots);
+        if best[0].is_none_or(|(first, _)| rank > first) {
+            best = [Some((rank, index)), best[0]];
+        } else if best[1].is_none_or(|(second, _)| rank > second) {
+            best[1] = Some((rank, index));
+        }
+    }
+    best.map(|place| place.map(|(_, index)| index))
+}
+
+/// Chooses the server with the earliest expected end among `candidates`, of which only those that
+/// are `usable` may get this request.
 pub fn choose(
     settings: &Settings,
     demand: &Demand,
@@ -139,13 +161,18 @@
     candidates: &[Candidate],
     usable: impl Fn(usize) -> bool,
 ) -> Choice {
-    let ranked = demand.object.map(|o| warm(settings, o, candidates));
-    let is_warm = |index: usize| ranked.as_ref().is_none_or(|r| r.contains(&index));
+    let order = demand.object.map(|object| first_two(object, candidates));
+    let place = |index: usize| match order {
+        None => Place::Any,
+        Some([first, _]) if first == Some(index) => Place::First,
+        Some([_, second]) if second == Some(index) => Place::Second,
+        Some(_) => Place::Later,
+    };
     let best = candidates
         .iter()
         .enumerate()
         .filter(|(index, _)| usable(*index))
-        .map(|(index, c)| (c.end(work, is_warm(index), settings.failure_weight), index))
+        .map(|(index, c)| (c.end(settings, work, place(index)), index))
         .min();
     let Some((end, index)) = best else {
         return Choice::Empty;
@@ -167,6 +194,6 @@
     Choice::Server {
         index,
         end,
-        warm: is_warm(index),
+        warm: candidates[index].warm,
     }
 }
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -224,12 +224,13 @@
         _ => String::new(),
     };
     log::info!(
-        "event=send id={} number={number} service={} server={} data_centre={} version={} load={} warm={} expected_ms={} result={text} status={status} took_ms={}{reason}",
+        "event=send id={} number={number} service={} server={} data_centre={} version={} object={:x} load={} warm={} expected_ms={} result={text} status={status} took_ms={}{reason}",
         call.id,
         grant.service,
         flight.server,
         flight.data_centre,
         flight.label,
+        call.object.unwrap_or_default(),
         flight.load,
         flight.warm,
         flight.expected.as_millis(),
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -86,6 +86,7 @@
         configuration: shared.table().map_or(0, |t| t.configuration().version),
         store_age: age.map(|age| u32::try_from(age).unwrap_or(u32::MAX)),
         in_flight,
+        handled: shared.services.report_handled(now),
         down,
         totals: lock(&shared.ledger)
             .totals()
@@ -160,6 +161,7 @@
             ledger.reported(&vm, report.incarnation, workspace, *total, now);
         }
     }
+    shared.services.handled(&report.handled, now);
     lock(&shared.crashes).reported(&vm, &report.crashes, now);
     shared.takeovers.hear(report);
     let own = shared.table().map_or(0, |t| t.configuration().version);
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -14,6 +14,7 @@
 use steering::registry::Registry;
 use steering::retry::{self, Budget};
 use steering::routing::{Configuration, Registration};
+use steering::warmth::{self, Handled, Warmth};
 use steering::warmup::{self, Warmup};
 use steering::work::{Condition, Estimate};
 
@@ -43,6 +44,8 @@
 const NEW_LABEL_TIME: Duration = Duration::from_secs(5);
 /// Time beyond the warm-up for which servers count as cold after an evacuation: one report.
 const EVACUATION_MARGIN: Duration = Duration::from_millis(1_500);
+/// Time for which a handled object is told: reports to other regions go out every half second.
+const HANDLED_TIME: Duration = Duration::from_millis(600);
 /// Part of the operator's bound on sends beyond the first that VMs use together. Windows of the
 /// bound and of the budget differ.
 const RETRY_PART: f64 = 0.7;
@@ -142,6 +145,9 @@
     servers: IndexMap<ServerId, Server>,
     estimates: IndexMap<Duration, Estimate>,
     budget: Budget,
+    warmth: Warmth,
+    /// Objects that servers handled for this VM lately, to be told to the others.
+    handled: Vec<(Instant, Handled)>,
     /// Versions in service, and those that appeared without an order, with the time.
     labels: IndexSet<Label>,
     appeared: IndexMap<Label, Instant>,
@@ -178,9 +184,14 @@
                 && !server.is_down(now)
         };
         let servers: Vec<&Server> = state.servers.values().filter(is_candidate).collect();
+        let object = query.demand.object.map(warmth::short);
         let candidates: Vec<Candidate> = servers
             .iter()
-            .map(|server| self.candidate(server, now))
+            .map(|server| {
+                let digest = warmth::short(server.digest);
+                let warm = object.is_none_or(|object| state.warmth.is_warm(digest, object));
+                self.candidate(server, warm, now)
+            })
             .collect();
         let estimate = state
             .estimates
@@ -242,12 +253,14 @@
             is_free: found.load < found.slots,
             load: found.load,
             warm,
+            object: query.demand.object,
             sent: now,
         }))
     }
 
-    fn candidate(&self, server: &Server, now: Instant) -> Candidate {
+    fn candidate(&self, server: &Server, warm: bool, now: Instant) -> Candidate {
         Candidate {
+            warm,
             server: server.digest,
             slots: server.registration.slots,
             load: server.load(now),
@@ -358,6 +371,8 @@
                         ratio: self.settings.bounds.retry_ratio * RETRY_PART,
                         most: 1.0,
                     }),
+                    warmth: Warmth::default(),
+                    handled: Vec::new(),
                     labels: IndexSet::new(),
                     appeared: IndexMap::new(),
                     warmup_rate: 1.0,
@@ -426,6 +441,33 @@
         }
     }
 
+    /// Takes in that servers handled objects for other VMs.
+    pub fn handled(&self, pairs: &[Handled], now: Instant) {
+        for shard in self.read().values() {
+            let mut state = lock(&shard.state);
+            let own: Vec<u32> = state
+                .servers
+                .values()
+                .map(|server| warmth::short(server.digest))
+                .collect();
+            for pair in pairs.iter().filter(|pair| own.contains(&pair.server)) {
+                state.warmth.handled(*pair, now);
+            }
+        }
+    }
+
+    /// Returns the objects that servers handled for this VM lately.
+    pub fn report_handled(&self, now: Instant) -> Vec<Handled> {
+        let mut pairs = Vec::new();
+        for shard in self.read().values() {
+            let mut state = lock(&shard.state);
+            let is_new = |at: Instant| now.saturating_duration_since(at) < HANDLED_TIME;
+            state.handled.retain(|(at, _)| is_new(*at));
+            pairs.extend(state.handled.iter().map(|(_, pair)| *pair));
+        }
+        pairs
+    }
+
     /// Returns the servers that have requests of this VM, and those that refuse its connections.
     pub fn report(&self, now: Instant) -> (Vec<(Digest, u16)>, Vec<Digest>) {
         let mut loads = Vec::new();
@@ -452,13 +494,17 @@
     fn replace(&self, entries: &[&steering::registry::Entry], settings: &Settings, now: Instant) {
         let mut state = lock(&self.state);
         let first = state.servers.is_empty() && state.labels.is_empty();
-        state.servers.retain(|id, server| {
+        let State {
+            servers, warmth, ..
+        } = &mut *state;
+        servers.retain(|id, server| {
             let stays = entries.iter().any(|entry| {
                 entry.registration.server == *id
                     && entry.registration.born == server.registration.born
             });
             if !stays {
                 server.pool.close_idle();
+                warmth.forget(warmth::short(server.digest));
             }
             stays
         });
--- a/programs/gateway/src/servers/flight.rs
+++ b/programs/gateway/src/servers/flight.rs
@@ -7,6 +7,8 @@
 use base::sync::lock;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use steering::affinity::{self, Digest};
+use steering::warmth::{self, Handled};
 
 /// Slowdown up to which a server counts as ordinary, so that its times teach a service's work.
 const ORDINARY: f64 = 1.5;
@@ -34,8 +36,9 @@
     pub(super) is_free: bool,
     /// Requests that the server had when it was chosen.
     pub load: u32,
-    /// Whether the server counts as warm for the object.
+    /// Whether the server handled the object lately.
     pub warm: bool,
+    pub(super) object: Option<Digest>,
     pub(super) sent: Instant,
 }
 
@@ -66,6 +69,15 @@
             let expected = self.expected.div_f64(slowdown.max(0.1));
             server.condition.answered(now, took, expected);
         }
+        if let Some(object) = self.object {
+            let pair = Handled {
+                server: warmth::short(affinity::digest(&self.server)),
+                object: warmth::short(object),
+            };
+            if state.warmth.handled(pair, now) {
+                state.handled.push((now, pair));
+            }
+        }
         if is_ordinary
             && self.is_free
             && let Some(estimate) = state.estimates.get_mut(&self.objective)
