feature: limits follow what all VMs have left

Ruled out: shares that follow demand too slowly (shares were near the demand). Change: a VM spends beyond its part while the whole holds more than others can spend before they report, what the whole holds is divided anew each second, and a part holds at least two tokens. Refusals log the inputs.

--- a/crates/steering/src/spending.rs
+++ b/crates/steering/src/spending.rs
@@ -3,8 +3,11 @@
 //! Load: a workspace that sends many times its rate to all VMs at once, and loads that move
 //! between VMs within seconds. Each VM spends from a part of the limit that follows its share of
 //! what callers ask, and stops when the sum of all reports says that the whole is spent. The parts
-//! bound what is spent before a report arrives; the sum corrects what the parts got wrong. A VM
-//! counts those it does not hear as spending their even parts, so a cut cannot double a limit.
+//! bound what is spent before a report arrives; the sum corrects what the parts got wrong. Beyond
+//! its part a VM spends only while the whole holds more than the others can spend before their
+//! next reports arrive; and what the whole holds is divided anew every second, so that tokens which
+//! one VM did not need are not lost to the others. A VM that does not hear most others keeps to its part, and its part shrinks
+//! with the VMs it does not hear, so a cut cannot double a limit.
 
 use base::id::{Incarnation, Vm, Workspace};
 use indexmap::IndexMap;
@@ -14,8 +17,15 @@
 const EVEN: f64 = 0.3;
 /// Time over which demand is averaged.
 const DEMAND_TIME: Duration = Duration::from_secs(2);
-/// Least tokens that a part can hold, so that a VM with little demand can admit a request at all.
-const LEAST_TOKENS: f64 = 1.0;
+/// Time over which this VM's own demand is averaged to notice a sudden rise.
+const RISE_TIME: Duration = Duration::from_millis(300);
+/// Longest time until a report of what was spent arrives: two periods to other regions.
+const REPORT_TIME: Duration = Duration::from_millis(800);
+/// Least tokens that a part can hold, so that two requests that come together to a VM with little
+/// demand are both admitted. The operator tolerates 20 tokens beyond a limit.
+const LEAST_TOKENS: f64 = 2.0;
+/// Time between two divisions of what the whole holds; longer than reports take.
+const DIVIDE_PERIOD: Duration = Duration::from_millis(1_000);
 /// Least wait told to a refused caller.
 const LEAST_WAIT: Duration = Duration::from_millis(100);
 
@@ -29,6 +39,19 @@
         pub burst: f64,
     }
 
+    /// Why a workspace may not spend now.
+    #[derive(Copy)]
+    pub struct Shortage {
+        /// Time after which a token is to be expected.
+        pub wait: Duration,
+        /// Tokens that all VMs together may still spend; negative after late reports.
+        pub whole: f64,
+        /// Tokens that this VM may still spend of its part.
+        pub part: f64,
+        /// Part of the limit that this VM spends from.
+        pub share: f64,
+    }
+
     /// How many VMs there are and how many of them this one hears, itself included.
     #[derive(Copy)]
     pub struct Reach {
@@ -66,14 +89,14 @@
         }
     }
 
-    /// Takes in the total asked so far.
-    fn update(&mut self, asked: u64, now: Instant) {
+    /// Takes in the total asked so far, averaged over `time`.
+    fn update(&mut self, asked: u64, time: Duration, now: Instant) {
         let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
         if elapsed < 0.05 {
             return;
         }
         let sample = asked.saturating_sub(self.counted) as f64 / elapsed;
-        let weight = 1.0 - (-elapsed / DEMAND_TIME.as_secs_f64()).exp();
+        let weight = 1.0 - (-elapsed / time.as_secs_f64()).exp();
         self.per_second += weight * (sample - self.per_second);
         self.counted = asked;
         self.at = now;
@@ -84,11 +107,13 @@
 struct Account {
     total: Total,
     demand: Demand,
+    rise: Demand,
     /// What all VMs together may still spend.
     whole: f64,
     /// What this VM may still spend of its part.
     part: f64,
     filled: Instant,
+    divided: Instant,
     others: IndexMap<Vm, (Incarnation, Total, Demand)>,
 }
 
@@ -97,9 +122,11 @@
         Self {
             total: Total::default(),
             demand: Demand::new(now),
+            rise: Demand::new(now),
             whole: 0.0,
             part: 0.0,
             filled: now,
+            divided: now,
             others: IndexMap::new(),
         }
     }
@@ -116,6 +143,17 @@
         EVEN / members + (1.0 - EVEN) * followed * (heard / members).min(1.0)
     }
 
+    /// Returns what the others may spend before this VM learns of it. Callers spread over VMs, so
+    /// a rise that this VM sees is a rise at all.
+    fn reserve(&self, reach: &Reach) -> f64 {
+        if reach.heard * 2 <= reach.members {
+            return f64::INFINITY;
+        }
+        let others: f64 = self.others.values().map(|(_, _, d)| d.per_second).sum();
+        let risen = self.rise.per_second * reach.heard.saturating_sub(1) as f64;
+        others.max(risen) * REPORT_TIME.as_secs_f64()
+    }
+
     fn fill(&mut self, limit: &Limit, reach: &Reach, now: Instant) {
         let elapsed = now.saturating_duration_since(self.filled).as_secs_f64();
         self.filled = now;
@@ -123,6 +161,10 @@
         let burst = (limit.burst * share).max(LEAST_TOKENS);
         self.part = (self.part + limit.rate * share * elapsed).min(burst);
         self.whole = (self.whole + limit.rate * elapsed).min(limit.burst.max(LEAST_TOKENS));
+        if now.saturating_duration_since(self.divided) >= DIVIDE_PERIOD {
+            self.divided = now;
+            self.part = self.part.max(self.whole * share).min(burst);
+        }
     }
 }
 
@@ -146,32 +188,40 @@
     ///
     /// # Errors
     ///
-    /// Returns the time after which a token is to be expected, if there is none.
+    /// Fails if there is none, or this VM's part is spent.
     pub fn admit(
         &mut self,
         workspace: &Workspace,
         limit: &Limit,
         reach: &Reach,
         now: Instant,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), Shortage> {
         self.open(workspace, now);
         let Some(account) = self.accounts.get_mut(workspace) else {
             return Ok(());
         };
         account.total.asked += 1;
-        account.demand.update(account.total.asked, now);
+        account.demand.update(account.total.asked, DEMAND_TIME, now);
+        account.rise.update(account.total.asked, RISE_TIME, now);
         account.fill(limit, reach, now);
-        if account.whole >= 1.0 && account.part >= 1.0 {
+        let is_beyond = account.part < 1.0 && account.whole - 1.0 >= account.reserve(reach);
+        if account.whole >= 1.0 && (account.part >= 1.0 || is_beyond) {
             account.whole -= 1.0;
-            account.part -= 1.0;
+            account.part = (account.part - 1.0).max(0.0);
             account.total.spent += 1;
             return Ok(());
         }
         let rate = limit.rate.max(0.01);
         let whole = (1.0 - account.whole) / rate;
-        let part = (1.0 - account.part) / (rate * account.share(reach)).max(0.01);
+        let share = account.share(reach);
+        let part = (1.0 - account.part) / (rate * share).max(0.01);
         let wait = Duration::from_secs_f64(whole.max(part).clamp(0.0, 60.0));
-        Err(wait.max(LEAST_WAIT))
+        Err(Shortage {
+            wait: wait.max(LEAST_WAIT),
+            whole: account.whole,
+            part: account.part,
+            share,
+        })
     }
 
     /// Returns what this VM did, for its reports.
@@ -197,7 +247,7 @@
             Some((run, known, demand)) if *run == incarnation => {
                 let spent = total.spent.saturating_sub(known.spent);
                 account.whole -= spent as f64;
-                demand.update(total.asked, now);
+                demand.update(total.asked, DEMAND_TIME, now);
                 *known = total;
             }
             _ => {
--- a/programs/gateway/src/admit.rs
+++ b/programs/gateway/src/admit.rs
@@ -91,9 +91,22 @@
         let reach = shared.reach(now);
         let mut ledger = lock(&shared.ledger);
         let admitted = ledger.admit(&account.name, &limit, &reach, now);
-        admitted.map_err(|retry| Refused {
-            reason: Refusal::RateLimited,
-            retry: Some(retry),
+        admitted.map_err(|shortage| {
+            log::info!(
+                "event=limited id={} workspace={} rate={rate} burst={} whole={:.1} part={:.1} share={:.3} members={} heard={}",
+                call.id,
+                account.name,
+                account.burst,
+                shortage.whole,
+                shortage.part,
+                shortage.share,
+                reach.members,
+                reach.heard
+            );
+            Refused {
+                reason: Refusal::RateLimited,
+                retry: Some(shortage.wait),
+            }
         })?;
     }
     let service = part(route, shared).ok_or(Refused::from(Refusal::NoServer))?;
