--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -224,8 +224,10 @@
         _ => String::new(),
     };
     log::info!(
-        "event=send id={} number={number} service={} server={} data_centre={} version={} object={:x} load={} warm={} expected_ms={} result={text} status={status} took_ms={}{reason}",
+        "event=send id={} number={number} route={} workspace={} service={} server={} data_centre={} version={} object={:x} load={} warm={} expected_ms={} result={text} status={status} took_ms={}{reason}",
         call.id,
+        grant.route.name,
+        grant.account.map_or("-", |account| &account.name),
         grant.service,
         flight.server,
         flight.data_centre,
