--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -93,7 +93,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            second_copy: 0.5,
+            second_copy: 0.25,
             patience: 1.4,
             idle_patience: 2.5,
             busy_share: 0.5,
