feature: one VM of each data centre reads the store and speaks for it

Ruled out: a longer period between reads (a leaving server must get nothing 2 s after its report). Change: VMs of a data centre report to each other; the first of those that read the store is the delegate, reads for all, passes on what changed, and tells the sums of its data centre to the other delegates. Another VM takes over when the delegate's reads fail; a VM without the store asks whoever knows the newest.

--- a/crates/peers/src/report.rs
+++ b/crates/peers/src/report.rs
@@ -1,16 +1,17 @@
-//! Datagram by which each VM tells the others what it knows and does.
+//! Datagrams by which VMs tell each other what they know and do.
 //!
-//! Reports are whole: a lost one is replaced by the next. Their size grows with the servers in use
-//! and the active workspaces, not with the history.
+//! VMs of one data centre report to each other. One of them, the delegate, tells the sums of its
+//! data centre to the delegates of the others, which pass them on to their own VMs; so what a VM
+//! receives grows with the VMs of its data centre and the number of data centres, not with their
+//! product. Reports are whole: a lost one is replaced by the next.
 
-use base::id::{DataCentre, Incarnation, Region, Service, Version, Vm, Workspace};
+use base::id::{DataCentre, Incarnation, Region, Service, Version, Vm};
 use bincode::Options;
 use std::net::SocketAddr;
-use steering::affinity::Digest;
 use steering::crashes::Count;
 use steering::spending::Total;
 use steering::takeover::{Evidence, Order, Stage};
-use steering::warmth::Handled;
+use steering::warmth::{Handled, Short};
 
 base::label! {
     /// What callers may expect of a VM.
@@ -24,6 +25,13 @@
     }
 }
 
+impl Report {
+    /// Returns whether this is the report of a data centre.
+    pub fn is_summary(&self) -> bool {
+        !self.members.is_empty()
+    }
+}
+
 base::message! {
     /// What a VM saw and decided of one takeover.
     pub struct Takeover {
@@ -39,7 +47,31 @@
         pub evidence: Evidence,
     }
 
-    /// Report of one VM.
+    /// What a delegate tells of a VM of its data centre.
+    pub struct Member {
+        /// Name.
+        pub vm: Vm,
+        /// Where callers reach it.
+        pub callers: SocketAddr,
+        /// What callers may expect.
+        pub phase: Phase,
+    }
+
+    /// How much a VM knows of the store, for VMs that read it through this one.
+    #[derive(Copy, Default)]
+    pub struct Known {
+        /// Milliseconds since what the VM knows was read from the store, here or elsewhere; none if
+        /// it knows nothing.
+        pub age: Option<u32>,
+        /// Whether the VM reads the store itself now.
+        pub reads: bool,
+        /// Version of the store at the newest order.
+        pub orders: u64,
+        /// Number of the newest change of the list of servers, counted by this run of the VM.
+        pub listing: u64,
+    }
+
+    /// Report of one VM, or of a data centre by its delegate.
     pub struct Report {
         /// Sender.
         pub vm: Vm,
@@ -51,24 +83,31 @@
         pub data_centre: DataCentre,
         /// Region of the sender.
         pub region: Region,
+        /// Where the sender receives reports.
+        pub address: SocketAddr,
+        /// Bandwidth of the sender's link in Mbit/s; the delegate has the widest.
+        pub link_mbps: u32,
         /// Where callers reach the sender.
         pub callers: SocketAddr,
         /// What callers may expect.
         pub phase: Phase,
         /// Version of its configuration; 0 for none.
         pub configuration: Version,
-        /// Milliseconds since it last read the store; none if it never did.
-        pub store_age: Option<u32>,
-        /// Requests that it has on servers, those with none left out.
-        pub in_flight: Vec<(Digest, u16)>,
-        /// Objects that servers handled for it lately.
+        /// What it knows of the store.
+        pub known: Known,
+        /// VMs of the data centre that are alive, the sender included; empty in the report of one
+        /// VM. The fields below are then sums over these VMs.
+        pub members: Vec<Member>,
+        /// Requests on servers, those with none left out.
+        pub in_flight: Vec<(Short, u16)>,
+        /// Objects that servers handled lately.
         pub handled: Vec<Handled>,
-        /// Servers that refuse its connections.
-        pub down: Vec<Digest>,
-        /// Totals of workspaces with a limit.
-        pub totals: Vec<(Workspace, Total)>,
-        /// Requests in flight at crashes.
-        pub crashes: Vec<Count>,
+        /// Servers that refuse connections.
+        pub down: Vec<Short>,
+        /// Totals of workspaces, by the short digest of their names.
+        pub totals: Vec<(Short, Total)>,
+        /// Requests in flight at crashes, by the VM that saw them.
+        pub crashes: Vec<(Vm, Vec<Count>)>,
         /// Takeovers that are ordered.
         pub takeovers: Vec<Takeover>,
     }
--- a/crates/steering/src/spending.rs
+++ b/crates/steering/src/spending.rs
@@ -9,6 +9,8 @@
 //! one VM did not need are not lost to the others. A VM that does not hear most others keeps to its part, and its part shrinks
 //! with the VMs it does not hear, so a cut cannot double a limit.
 
+use crate::affinity::digest;
+use crate::warmth::{Short, short};
 use base::id::{Incarnation, Vm, Workspace};
 use indexmap::IndexMap;
 use std::time::{Duration, Instant};
@@ -114,6 +116,8 @@
     part: f64,
     filled: Instant,
     divided: Instant,
+    /// Totals of this VM and of the VMs that report to it directly.
+    near: Total,
     others: IndexMap<Vm, (Incarnation, Total, Demand)>,
 }
 
@@ -127,6 +131,7 @@
             part: 0.0,
             filled: now,
             divided: now,
+            near: Total::default(),
             others: IndexMap::new(),
         }
     }
@@ -173,15 +178,34 @@
 /// A restarted VM starts with empty accounts: what it spent before is in the others' reports.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
-    accounts: IndexMap<Workspace, Account>,
+    accounts: IndexMap<Short, Account>,
+}
+
+/// Source of a report of totals.
+#[derive(Debug, Clone, Copy)]
+pub struct Source<'a> {
+    /// VM that reports.
+    pub vm: &'a Vm,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Whether it reports for itself to the VMs of its data centre, which sum it up for others.
+    pub is_near: bool,
+}
+
+/// Returns the short digest by which reports name a workspace.
+pub fn name(workspace: &str) -> Short {
+    short(digest(workspace))
 }
 
 impl Ledger {
     /// Starts the account of a workspace, so that it fills before the first request.
     pub fn open(&mut self, workspace: &Workspace, now: Instant) {
-        if !self.accounts.contains_key(workspace) {
-            self.accounts.insert(workspace.clone(), Account::new(now));
-        }
+        self.account(name(workspace), now);
+    }
+
+    fn account(&mut self, workspace: Short, now: Instant) -> &mut Account {
+        let new = || Account::new(now);
+        self.accounts.entry(workspace).or_insert_with(new)
     }
 
     /// Spends one token of a workspace.
@@ -196,11 +220,9 @@
         reach: &Reach,
         now: Instant,
     ) -> Result<(), Shortage> {
-        self.open(workspace, now);
-        let Some(account) = self.accounts.get_mut(workspace) else {
-            return Ok(());
-        };
+        let account = self.account(name(workspace), now);
         account.total.asked += 1;
+        account.near.asked += 1;
         account.demand.update(account.total.asked, DEMAND_TIME, now);
         account.rise.update(account.total.asked, RISE_TIME, now);
         account.fill(limit, reach, now);
@@ -209,6 +231,7 @@
             account.whole -= 1.0;
             account.part = (account.part - 1.0).max(0.0);
             account.total.spent += 1;
+            account.near.spent += 1;
             return Ok(());
         }
         let rate = limit.rate.max(0.01);
@@ -225,41 +248,40 @@
     }
 
     /// Returns what this VM did, for its reports.
-    pub fn totals(&self) -> impl Iterator<Item = (&Workspace, Total)> {
-        self.accounts.iter().map(|(name, a)| (name, a.total))
+    pub fn totals(&self) -> impl Iterator<Item = (Short, Total)> {
+        self.accounts.iter().map(|(name, a)| (*name, a.total))
     }
 
-    /// Takes in the report of another VM. The first report of a run only sets its starting point:
-    /// what was spent before this VM listened is not known to be recent.
-    pub fn reported(
-        &mut self,
-        vm: &Vm,
-        incarnation: Incarnation,
-        workspace: &Workspace,
-        total: Total,
-        now: Instant,
-    ) {
-        self.open(workspace, now);
-        let Some(account) = self.accounts.get_mut(workspace) else {
-            return;
-        };
-        match account.others.get_mut(vm) {
-            Some((run, known, demand)) if *run == incarnation => {
+    /// Returns what this VM and those near it did, for the report of its data centre.
+    pub fn near_totals(&self) -> impl Iterator<Item = (Short, Total)> {
+        self.accounts.iter().map(|(name, a)| (*name, a.near))
+    }
+
+    /// Takes in a report. The first of a run only sets its starting point: what was spent before
+    /// this VM listened is not known to be recent.
+    pub fn reported(&mut self, source: Source<'_>, workspace: Short, total: Total, now: Instant) {
+        let account = self.account(workspace, now);
+        match account.others.get_mut(source.vm) {
+            Some((run, known, demand)) if *run == source.incarnation => {
                 let spent = total.spent.saturating_sub(known.spent);
                 account.whole -= spent as f64;
+                if source.is_near {
+                    account.near.spent += spent;
+                    account.near.asked += total.asked.saturating_sub(known.asked);
+                }
                 demand.update(total.asked, DEMAND_TIME, now);
                 *known = total;
             }
             _ => {
                 let mut demand = Demand::new(now);
                 demand.counted = total.asked;
-                let entry = (incarnation, total, demand);
-                account.others.insert(vm.clone(), entry);
+                let entry = (source.incarnation, total, demand);
+                account.others.insert(source.vm.clone(), entry);
             }
         }
     }
 
-    /// Forgets a VM that left or is no longer heard; its demand has moved elsewhere.
+    /// Forgets a source that is no longer heard; its demand has moved elsewhere.
     pub fn forget(&mut self, vm: &str) {
         for account in self.accounts.values_mut() {
             account.others.shift_remove(vm);
--- a/programs/gateway/src/directory.rs
+++ b/programs/gateway/src/directory.rs
@@ -56,10 +56,8 @@
     let settings = &shared.settings;
     let mut serving: Vec<(SocketAddr, Region)> = {
         let fleet = lock(&shared.fleet);
-        let others = fleet.serving(now);
-        others
-            .map(|(address, region)| (address, region.clone()))
-            .collect()
+        let others = fleet.alive(now).filter(|vm| vm.phase == Phase::Ready);
+        others.map(|vm| (vm.callers, vm.region.clone())).collect()
     };
     if shared.phase() == Phase::Ready {
         serving.push((settings.listen.callers, settings.region.clone()));
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -1,15 +1,16 @@
 //! One process per VM: receives requests, authorises, limits, places and forwards them, and tells
 //! callers which VMs to use.
 //!
-//! Configuration and servers come from the platform's store (`reader`), or from another VM while
-//! the store can't be reached (`relay`). VMs tell each other what they do by datagrams (`fleet`,
-//! `reports`). A request passes `receive`, `admit` and `forward`; `pipeline` puts them together.
+//! One VM of a data centre reads configuration and servers from the platform's store (`reader`)
+//! and passes them on (`relay`, `listing`). VMs tell each other what they do by datagrams
+//! (`fleet`, `reports`). A request passes `receive`, `admit` and `forward`; `pipeline` puts them together.
 //! Decisions are those of the package `steering`.
 
 pub mod admit;
 pub mod directory;
 pub mod fleet;
 pub mod forward;
+pub mod listing;
 pub mod metrics;
 pub mod pipeline;
 pub mod reader;
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -1,13 +1,14 @@
 //! Reading of the store: orders by a feed, registrations by a poll, and this VM's own entry.
 
+use crate::fleet::Listed;
 use crate::shared::Shared;
-use adapter::store::{self, Client, OPERATIONS, Put, REGISTRATIONS, RowVersion, Rows, Transacted};
+use adapter::store::{
+    self, Client, OPERATIONS, Put, REGISTRATIONS, Row, RowVersion, Rows, Transacted,
+};
 use adapter::{desired, registration};
-use base::id::{DataCentre, Vm};
+use base::id::DataCentre;
 use base::sync::lock;
-use indexmap::IndexMap;
 use peers::report::Phase;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use steering::registry::{Change, Registry};
@@ -18,13 +19,18 @@
 const FEED_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(250);
+/// Time between two looks at whether another VM reads the store for this one.
+const LOOK: Duration = Duration::from_millis(100);
 /// Time without a read after which the store counts as having been away.
 const AWAY: Duration = Duration::from_millis(2_500);
 /// Table in which VMs find each other.
 const MEMBERS: &str = "members";
 /// Time between two reads of that table; VMs that appear meanwhile send reports themselves.
 const MEMBERS_PERIOD: Duration = Duration::from_secs(10);
-/// Time without a report after which a VM's entry is removed by the first VM by name.
+/// Reads of that table that follow each other quickly after the start, and the time between them.
+const EARLY_READS: u32 = 3;
+const EARLY_PERIOD: Duration = Duration::from_secs(1);
+/// Time without a report after which a VM's entry is removed by a delegate.
 const LOST: Duration = Duration::from_secs(20);
 
 /// Reads orders and registrations and puts them in force.
@@ -45,10 +51,30 @@
         }
     }
 
+    /// Returns the state that the reader keeps.
+    pub fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    /// Returns whether the delegate reads the store for this VM.
+    fn is_served(&self) -> bool {
+        let delegate = self.shared.delegate(Instant::now());
+        delegate.is_some_and(|delegate| delegate.known.reads)
+    }
+
+    /// Waits until this VM has to read the store itself.
+    async fn must_read(&self) {
+        while self.is_served() {
+            self.shared.set_read(None);
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     /// Follows the operator's orders until the task is dropped.
     pub async fn follow_orders(&self) {
         let mut is_lost = false;
         loop {
+            self.must_read().await;
             let result = self.read_orders().await;
             let mut version = match result {
                 Ok(version) => version,
@@ -63,45 +89,76 @@
                 let feed = self.client.changes(OPERATIONS, version, FEED_WAIT);
                 let changed = tokio::select! {
                     changed = feed => changed,
-                    // Another VM has a newer configuration.
+                    // Another VM knows of a newer order.
                     () = self.shared.stale.notified() => break,
                 };
                 match changed {
                     Ok(rows) if rows.rows.is_empty() => {
                         version = rows.version;
-                        self.confirmed();
+                        self.confirmed(version);
                     }
-                    Ok(_) | Err(store::Error::HistoryGone) => break,
+                    Ok(rows) => {
+                        let newest = rows.rows.iter().map(|row| row.version).max();
+                        let mut orders = lock(&self.shared.orders);
+                        orders.version = orders.version.max(newest.unwrap_or_default());
+                        break;
+                    }
+                    Err(store::Error::HistoryGone) => break,
                     Err(error) => {
                         dependency(&mut is_lost, "orders", Some(&error));
                         tokio::time::sleep(PAUSE).await;
                         break;
                     }
                 }
+                if self.is_served() {
+                    break;
+                }
             }
         }
     }
 
     async fn read_orders(&self) -> Result<RowVersion, store::Error> {
+        let reported = {
+            let fleet = lock(&self.shared.fleet);
+            let now = Instant::now();
+            let peers = fleet.near(now).chain(fleet.far(now));
+            peers.map(|peer| peer.report.known.orders).max()
+        };
         let Rows { rows, version, .. } = self.client.rows(OPERATIONS).await?;
-        self.put_in_force(desired::decode(&rows), version, "store");
-        self.confirmed();
+        let newest = rows.iter().map(|row| row.version).max();
+        let operations = desired::decode(&rows);
+        self.put_in_force(operations, newest.unwrap_or_default(), version, "store");
+        self.confirmed(version);
+        let mut orders = lock(&self.shared.orders);
+        orders.checked = orders.checked.max(reported.unwrap_or_default());
         Ok(version)
     }
 
-    fn confirmed(&self) {
-        lock(&self.shared.orders).read = Some(Instant::now());
+    fn confirmed(&self, snapshot: RowVersion) {
+        let mut orders = lock(&self.shared.orders);
+        orders.read = Some(Instant::now());
+        orders.snapshot = orders.snapshot.max(snapshot);
     }
 
-    /// Puts orders in force that were read at `version` of the store.
-    pub fn put_in_force(&self, operations: Operations, version: RowVersion, from: &str) {
+    /// Puts orders in force, of which the newest has `version` and which were read at `snapshot`.
+    pub fn put_in_force(
+        &self,
+        operations: Operations,
+        version: RowVersion,
+        snapshot: RowVersion,
+        from: &str,
+    ) {
         let now = Instant::now();
         let shared = &self.shared;
         let mut orders = lock(&shared.orders);
-        if version < orders.version {
+        if snapshot < orders.snapshot {
             return;
         }
-        orders.version = version;
+        orders.snapshot = snapshot;
+        orders.version = orders.version.max(version);
+        if orders.operations != operations {
+            orders.changed = snapshot;
+        }
         let known = orders
             .table
             .as_ref()
@@ -152,13 +209,18 @@
     pub async fn follow_registrations(&self) {
         let mut is_lost = false;
         loop {
+            self.must_read().await;
             let began = Instant::now();
             match self.client.rows(REGISTRATIONS).await {
                 Ok(rows) => {
                     dependency(&mut is_lost, "registrations", None);
+                    self.shared.set_read(Some(Instant::now()));
                     self.list(decode(&rows), Some(Instant::now()));
                 }
-                Err(error) => dependency(&mut is_lost, "registrations", Some(&error)),
+                Err(error) => {
+                    self.shared.set_read(None);
+                    dependency(&mut is_lost, "registrations", Some(&error));
+                }
             }
             let period = match is_lost {
                 true => PAUSE,
@@ -174,14 +236,10 @@
         let now = Instant::now();
         let shared = &self.shared;
         let mut registry = lock(&self.registry);
-        {
-            let mut listing = lock(&shared.listing);
-            let last = listing.read;
-            if read.is_some() && last.is_some_and(|last| now.duration_since(last) > AWAY) {
-                registry.store_returned(now);
-            }
-            listing.registrations.clone_from(&registrations);
-            listing.read = read.or(last);
+        let mut listing = lock(&shared.listing);
+        let last = listing.read;
+        if read.is_some() && last.is_some_and(|last| now.saturating_duration_since(last) > AWAY) {
+            registry.store_returned(now);
         }
         for change in registry.update(registrations, now) {
             match change {
@@ -190,6 +248,12 @@
                 Change::Gone(server) => log::info!("event=server-gone server={server}"),
             }
         }
+        listing.replace(registry.entries().map(|entry| &entry.registration));
+        listing.read = read.or(last);
+        if read.is_some() {
+            listing.followed = None;
+        }
+        drop(listing);
         shared.services.update(&registry, now);
         drop(registry);
         self.ready();
@@ -198,7 +262,7 @@
     /// Becomes ready when there are a configuration and a list of servers.
     fn ready(&self) {
         let has_table = lock(&self.shared.orders).table.is_some();
-        let has_list = !lock(&self.shared.listing).registrations.is_empty();
+        let has_list = !lock(&self.shared.listing).is_empty();
         if has_table && has_list && self.shared.phase() == Phase::Starting {
             self.shared.enter(Phase::Ready);
         }
@@ -206,50 +270,59 @@
 
     /// Keeps this VM's entry in the table of VMs, and reads those of the others.
     pub async fn follow_members(&self) {
+        let mut reads = 0;
         loop {
+            // All VMs start together: those that read first see few others.
+            let is_early = reads < EARLY_READS;
             let period = match self.read_members().await {
+                Ok(()) if is_early => EARLY_PERIOD,
                 Ok(()) => MEMBERS_PERIOD,
                 Err(error) => {
-                    log::debug!("event=members-unread error={error:?}");
+                    log::debug!("event=members-unread error=\"{error}\"");
                     PAUSE * 2
                 }
             };
+            reads += 1;
             tokio::time::sleep(period).await;
+            if !is_early {
+                // The delegate keeps the table; the others hear of VMs from it.
+                self.must_read().await;
+            }
         }
     }
 
     async fn read_members(&self) -> Result<(), store::Error> {
         let shared = &self.shared;
         let own = &shared.settings.vm;
-        let address = shared.settings.listen.peers.to_string();
+        let entry = format!(
+            "{} {}",
+            shared.settings.listen.peers, shared.settings.data_centre
+        );
         let rows = self.client.rows(MEMBERS).await?.rows;
         let mine = rows.iter().find(|row| row.key == *own);
-        let is_current = |value: &Option<Vec<u8>>| value.as_deref() == Some(address.as_bytes());
+        let is_current = |value: &Option<Vec<u8>>| value.as_deref() == Some(entry.as_bytes());
         if !mine.is_some_and(|row| is_current(&row.value)) {
             let put = Put {
                 table: MEMBERS,
                 key: own.clone(),
                 expected: None,
-                value: Some(address.into_bytes()),
+                value: Some(entry.into_bytes()),
             };
             self.client.transact(&[put]).await?;
         }
-        let listed: IndexMap<Vm, SocketAddr> = rows
+        let listed = rows
             .iter()
-            .filter_map(|row| {
-                let text = std::str::from_utf8(row.value.as_deref()?).ok()?;
-                Some((row.key.clone(), text.parse().ok()?))
-            })
-            .filter(|(vm, _)| vm != own)
+            .filter(|row| row.key != *own)
+            .filter_map(|row| Some((row.key.clone(), member(row)?)))
             .collect();
         let now = Instant::now();
-        let (lost, is_first) = {
+        let lost = {
             let mut fleet = lock(&shared.fleet);
             fleet.list(listed);
-            let is_first = fleet.alive(now).all(|peer| peer.report.vm > *own);
-            (fleet.lost(LOST, now), is_first)
+            fleet.lost(LOST, now)
         };
-        for vm in lost.into_iter().filter(|_| is_first) {
+        let is_delegate = shared.delegate(now).is_none();
+        for vm in lost.into_iter().filter(|_| is_delegate) {
             let Some(row) = rows.iter().find(|row| row.key == vm) else {
                 continue;
             };
@@ -267,6 +340,16 @@
     }
 }
 
+/// Reads an entry of the table of VMs: address for reports and data centre.
+fn member(row: &Row) -> Option<Listed> {
+    let text = std::str::from_utf8(row.value.as_deref()?).ok()?;
+    let (address, data_centre) = text.split_once(' ')?;
+    Some(Listed {
+        address: address.parse().ok()?,
+        data_centre: data_centre.into(),
+    })
+}
+
 fn decode(rows: &Rows) -> Vec<Registration> {
     let decoded = rows.rows.iter().filter_map(|row| {
         let result = registration::decode(row);
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -14,7 +14,7 @@
 use steering::registry::Registry;
 use steering::retry::{self, Budget};
 use steering::routing::{Configuration, Registration};
-use steering::warmth::{self, Handled, Warmth};
+use steering::warmth::{self, Handled, Short, Warmth};
 use steering::warmup::{self, Warmup};
 use steering::work::{Condition, Estimate};
 
@@ -140,14 +140,23 @@
     Empty,
 }
 
+/// An object that a server handled.
+#[derive(Debug)]
+struct Told {
+    at: Instant,
+    pair: Handled,
+    /// Whether another VM of the data centre told it; only other data centres are told then.
+    is_near: bool,
+}
+
 #[derive(Debug)]
 struct State {
     servers: IndexMap<ServerId, Server>,
     estimates: IndexMap<Duration, Estimate>,
     budget: Budget,
     warmth: Warmth,
-    /// Objects that servers handled for this VM lately, to be told to the others.
-    handled: Vec<(Instant, Handled)>,
+    /// Objects that servers handled lately, to be told to other VMs.
+    handled: Vec<Told>,
     /// Versions in service, and those that appeared without an order, with the time.
     labels: IndexSet<Label>,
     appeared: IndexMap<Label, Instant>,
@@ -426,50 +435,59 @@
     }
 
     /// Takes in the load that other VMs report, the servers that refuse them, and their number.
-    pub fn reported(&self, loads: &IndexMap<Digest, u32>, down: &[Digest], members: usize) {
+    pub fn reported(&self, loads: &IndexMap<Short, u32>, down: &IndexSet<Short>, members: usize) {
         let now = Instant::now();
         let slack = self.settings.bounds.retry_slack * RETRY_PART;
         for shard in self.read().values() {
             let mut state = lock(&shard.state);
             state.budget.limit(slack / members.max(1) as f64);
             for server in state.servers.values_mut() {
-                server.others = loads.get(&server.digest).copied().unwrap_or(0);
-                if server.down.is_none() && down.contains(&server.digest) {
+                let digest = warmth::short(server.digest);
+                server.others = loads.get(&digest).copied().unwrap_or(0);
+                if server.down.is_none() && down.contains(&digest) {
                     server.down = Some((now, server.registration.sequence));
                 }
             }
         }
     }
 
-    /// Takes in that servers handled objects for other VMs.
-    pub fn handled(&self, pairs: &[Handled], now: Instant) {
+    /// Takes in that servers handled objects for other VMs, of the own data centre or of others.
+    pub fn handled(&self, pairs: &[Handled], is_near: bool, now: Instant) {
         for shard in self.read().values() {
             let mut state = lock(&shard.state);
-            let own: Vec<u32> = state
+            let own: Vec<Short> = state
                 .servers
                 .values()
                 .map(|server| warmth::short(server.digest))
                 .collect();
             for pair in pairs.iter().filter(|pair| own.contains(&pair.server)) {
-                state.warmth.handled(*pair, now);
+                let is_news = state.warmth.handled(*pair, now);
+                if is_near && is_news {
+                    state.handled.push(Told {
+                        at: now,
+                        pair: *pair,
+                        is_near,
+                    });
+                }
             }
         }
     }
 
-    /// Returns the objects that servers handled for this VM lately.
-    pub fn report_handled(&self, now: Instant) -> Vec<Handled> {
+    /// Returns the objects that servers handled lately: for this VM, or for its data centre.
+    pub fn report_handled(&self, is_summary: bool, now: Instant) -> Vec<Handled> {
         let mut pairs = Vec::new();
         for shard in self.read().values() {
             let mut state = lock(&shard.state);
             let is_new = |at: Instant| now.saturating_duration_since(at) < HANDLED_TIME;
-            state.handled.retain(|(at, _)| is_new(*at));
-            pairs.extend(state.handled.iter().map(|(_, pair)| *pair));
+            state.handled.retain(|told| is_new(told.at));
+            let told = state.handled.iter().filter(|t| is_summary || !t.is_near);
+            pairs.extend(told.map(|told| told.pair));
         }
         pairs
     }
 
     /// Returns the servers that have requests of this VM, and those that refuse its connections.
-    pub fn report(&self, now: Instant) -> (Vec<(Digest, u16)>, Vec<Digest>) {
+    pub fn report(&self, now: Instant) -> (Vec<(Short, u16)>, Vec<Short>) {
         let mut loads = Vec::new();
         let mut down = Vec::new();
         for shard in self.read().values() {
@@ -477,12 +495,12 @@
             for server in state.servers.values() {
                 let own = u16::try_from(server.sent.len()).unwrap_or(u16::MAX);
                 if own > 0 {
-                    loads.push((server.digest, own));
+                    loads.push((warmth::short(server.digest), own));
                 }
                 let is_recent =
                     |since: Instant| now.saturating_duration_since(since) < DOWN_TIME / 4;
                 if server.down.is_some_and(|(since, _)| is_recent(since)) {
-                    down.push(server.digest);
+                    down.push(warmth::short(server.digest));
                 }
             }
         }
--- a/programs/gateway/src/servers/flight.rs
+++ b/programs/gateway/src/servers/flight.rs
@@ -1,6 +1,6 @@
 //! One request on its way to a backend server.
 
-use super::{Server, Shard, State};
+use super::{Server, Shard, State, Told};
 use adapter::header::Load;
 use backends::client::Pool;
 use base::id::{DataCentre, Label, Server as ServerId};
@@ -75,7 +75,11 @@
                 object: warmth::short(object),
             };
             if state.warmth.handled(pair, now) {
-                state.handled.push((now, pair));
+                state.handled.push(Told {
+                    at: now,
+                    pair,
+                    is_near: false,
+                });
             }
         }
         if is_ordinary
--- a/programs/gateway/src/settings.rs
+++ b/programs/gateway/src/settings.rs
@@ -58,6 +58,9 @@
         pub seeds: Vec<SocketAddr>,
         /// Address of the platform's store.
         pub store: SocketAddr,
+        /// Bandwidth of this VM's link in Mbit/s; 0 if unknown.
+        #[serde(default)]
+        pub link_mbps: f64,
         /// Operator's bounds.
         pub bounds: Bounds,
         /// Time in milliseconds between two reads of the registrations.
@@ -69,9 +72,10 @@
     }
 }
 
-/// A leaving server must get nothing 2 s after its report; one read, and one that failed, fit in.
+/// A leaving server must get nothing 2 s after its report. Where the VM that reads loses the store
+/// just then, another one notices, reads and tells the others in that time.
 fn list_period() -> u64 {
-    900
+    700
 }
 
 fn log() -> Box<str> {
@@ -79,6 +83,11 @@
 }
 
 impl Settings {
+    /// Returns the bandwidth of this VM's link in whole Mbit/s.
+    pub fn link(&self) -> u32 {
+        self.link_mbps.clamp(0.0, f64::from(u32::MAX)) as u32
+    }
+
     /// Returns the time between two reads of the registrations.
     pub fn list_period(&self) -> Duration {
         Duration::from_millis(self.list_period_ms)
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -1,6 +1,7 @@
 //! State that the parts of the gateway share; each field has a lock of its own.
 
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Rank};
+use crate::listing::Listing;
 use crate::metrics::Metrics;
 use crate::servers::Services;
 use crate::settings::Settings;
@@ -8,12 +9,12 @@
 use base::id::{Incarnation, Vm};
 use base::sync::lock;
 use indexmap::IndexMap;
-use peers::report::Phase;
+use peers::report::{Phase, Report};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use steering::crashes::Crashes;
-use steering::routing::{Operations, Registration, Table};
+use steering::routing::{Operations, Table};
 use steering::spending::{Ledger, Reach};
 use steering::split::Split;
 use tokio::sync::Notify;
@@ -25,23 +26,20 @@
     pub table: Option<Arc<Table>>,
     /// Orders as read, for VMs that can't reach the store.
     pub operations: Operations,
-    /// Version of the store that they were read at.
+    /// Version of the store at the newest order that is known.
     pub version: u64,
+    /// Version of the store at the last change that was put in force here.
+    pub changed: u64,
+    /// Version of the store when they were last read.
+    pub snapshot: u64,
+    /// Highest version that another VM reported and that was looked for in the store since.
+    pub checked: u64,
     /// Data centres whose servers get nothing.
     pub evacuated: Vec<base::id::DataCentre>,
     /// When they were last confirmed.
     pub read: Option<Instant>,
 }
 
-/// Registrations as last read, for VMs that can't reach the store.
-#[derive(Debug, Clone, Default)]
-pub struct Listing {
-    /// All registrations.
-    pub registrations: Vec<Registration>,
-    /// When they were read from the store; none if they came from another VM.
-    pub read: Option<Instant>,
-}
-
 /// State of one gateway process.
 #[derive(Debug)]
 pub struct Shared {
@@ -55,7 +53,7 @@
     phase: Mutex<Phase>,
     /// Operator's orders.
     pub orders: Mutex<Orders>,
-    /// Registrations for other VMs.
+    /// Registered servers.
     pub listing: Mutex<Listing>,
     /// Other VMs.
     pub fleet: Mutex<Fleet>,
@@ -73,11 +71,19 @@
     pub metrics: Metrics,
     /// Wakes the reader of orders, when another VM has a newer configuration.
     pub stale: Notify,
+    /// Wakes the follower of other VMs, when a report came.
+    pub heard: Notify,
     /// Wakes the sender of reports, when something should be known at once.
     pub urgent: Notify,
+    /// When the last read of the store by this VM succeeded; none after one that failed.
+    read: Mutex<Option<Instant>>,
     in_flight: AtomicU64,
 }
 
+/// Time since the last read for which a VM counts as reading the store: the period of the list,
+/// and the time of an answer from a slow store.
+const READING: Duration = Duration::from_millis(1_100);
+
 /// A caller's request inside the process.
 #[derive(Debug)]
 pub struct Running<'a>(&'a Shared);
@@ -100,7 +106,9 @@
             takeovers: Takeovers::default(),
             metrics: Metrics::default(),
             stale: Notify::new(),
+            heard: Notify::new(),
             urgent: Notify::new(),
+            read: Mutex::default(),
             in_flight: AtomicU64::new(0),
         }
     }
@@ -133,12 +141,37 @@
     /// Returns the VMs that serve, this one included.
     pub fn alive(&self, now: Instant) -> Vec<Vm> {
         let fleet = lock(&self.fleet);
-        let others = fleet.alive(now).map(|peer| peer.report.vm.clone());
+        let others = fleet.alive(now).map(|alive| alive.vm.clone());
         others
             .chain(std::iter::once(self.settings.vm.clone()))
             .collect()
     }
 
+    /// Returns the report of the other VM that is the delegate of this data centre; none if this
+    /// VM is the delegate itself.
+    pub fn delegate(&self, now: Instant) -> Option<Report> {
+        let reads = self.reads(now);
+        let own = Rank::new(reads, self.settings.link(), &self.settings.vm);
+        let fleet = lock(&self.fleet);
+        fleet.delegate(&own, now).map(|peer| peer.report.clone())
+    }
+
+    /// Returns whether this VM reads the store itself now.
+    pub fn reads(&self, now: Instant) -> bool {
+        let read = *lock(&self.read);
+        read.is_some_and(|read| now.saturating_duration_since(read) < READING)
+    }
+
+    /// Takes in the end of a read of the store: when it succeeded, or none if it failed or this VM
+    /// leaves the store to another one.
+    pub fn set_read(&self, read: Option<Instant>) {
+        let mut known = lock(&self.read);
+        if known.is_some() != read.is_some() {
+            self.urgent.notify_one();
+        }
+        *known = read;
+    }
+
     /// Counts a caller's request until the guard is dropped.
     pub fn run(&self) -> Running<'_> {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/programs/gateway/src/takeovers.rs
+++ b/programs/gateway/src/takeovers.rs
@@ -5,7 +5,7 @@
 use crate::shared::Shared;
 use adapter::status;
 use adapter::store::{self, Client, Put, Row, RowVersion, STATUS, Transacted};
-use base::id::{Incarnation, Service, Vm};
+use base::id::{DataCentre, Incarnation, Service, Vm};
 use base::sync::lock;
 use indexmap::IndexMap;
 use peers::report::{self, Report};
@@ -20,8 +20,6 @@
 const TABLE: &str = "takeovers";
 /// Time between two looks at the evidence.
 const PERIOD: Duration = Duration::from_millis(250);
-/// Longest time since the last read of the store for a VM that may lead.
-const CONTACT: Duration = Duration::from_millis(2_500);
 /// Part of the operator's bound on requests to a new version that VMs use together.
 const EXPOSURE_PART: f64 = 0.8;
 
@@ -45,13 +43,24 @@
     row: RowVersion,
     exposure: Exposure,
     own: Evidence,
-    others: IndexMap<Vm, (Incarnation, Evidence)>,
+    /// Evidence of the VMs of the own data centre, by VM, which stays when they end.
+    near: IndexMap<(Vm, Incarnation), Evidence>,
+    /// Evidence of other data centres, as their delegates sum it up.
+    far: IndexMap<DataCentre, Evidence>,
 }
 
 impl Active {
-    fn evidence(&self) -> Evidence {
+    /// Returns what the VMs of the own data centre saw.
+    fn near_evidence(&self) -> Evidence {
         let mut sum = self.own;
-        self.others.values().for_each(|(_, other)| sum.add(other));
+        self.near.values().for_each(|other| sum.add(other));
+        sum
+    }
+
+    /// Returns what all VMs saw.
+    fn evidence(&self) -> Evidence {
+        let mut sum = self.near_evidence();
+        self.far.values().for_each(|other| sum.add(other));
         sum
     }
 
@@ -113,7 +122,8 @@
                 row: 0,
                 exposure: Exposure::new(settings.share, cap, slack as u64),
                 own: Evidence::default(),
-                others: IndexMap::new(),
+                near: IndexMap::new(),
+                far: IndexMap::new(),
             };
             active.insert(order.service.clone(), entry);
         }
@@ -156,15 +166,18 @@
         tally.bad += u64::from(bad);
     }
 
-    /// Returns what to tell the other VMs.
-    pub fn report(&self) -> Vec<report::Takeover> {
+    /// Returns what to tell the other VMs, or the other data centres.
+    pub fn report(&self, is_summary: bool) -> Vec<report::Takeover> {
         let active = lock(&self.active);
         let report = active.values().map(|takeover| report::Takeover {
             service: takeover.order.service.clone(),
             order: takeover.order.order,
             stage: takeover.stage,
             settled: takeover.settled,
-            evidence: takeover.own,
+            evidence: match is_summary {
+                true => takeover.near_evidence(),
+                false => takeover.own,
+            },
         });
         report.collect()
     }
@@ -177,8 +190,13 @@
             let Some(takeover) = known.filter(|t| t.order.order == theirs.order) else {
                 continue;
             };
-            let seen = (report.incarnation, theirs.evidence);
-            takeover.others.insert(report.vm.clone(), seen);
+            if report.is_summary() {
+                let centre = report.data_centre.clone();
+                takeover.far.insert(centre, theirs.evidence);
+            } else {
+                let run = (report.vm.clone(), report.incarnation);
+                takeover.near.insert(run, theirs.evidence);
+            }
             if let Some(stage) = theirs.stage {
                 takeover.learn(stage, theirs.settled, &report.vm);
             }
@@ -225,23 +243,20 @@
     }
 }
 
-/// Whether this VM is the first, in the order for the service, of those that reach the store.
+/// Whether this VM is the first, in the order for the service, of the delegates that read the
+/// store.
 fn leads(shared: &Shared, service: &str) -> bool {
     let now = Instant::now();
-    let in_contact = lock(&shared.orders)
-        .read
-        .is_some_and(|read| now.saturating_duration_since(read) < CONTACT);
+    if !shared.reads(now) || shared.delegate(now).is_some() {
+        return false;
+    }
     let fleet = lock(&shared.fleet);
-    let reaches = |report: &Report| {
-        let limit = CONTACT.as_millis() as u32;
-        report.phase == report::Phase::Ready && report.store_age.is_some_and(|age| age < limit)
-    };
     let others: Vec<Vm> = fleet
-        .alive(now)
-        .filter(|peer| reaches(&peer.report))
+        .far(now)
+        .filter(|peer| peer.report.known.reads)
         .map(|peer| peer.report.vm.clone())
         .collect();
-    in_contact && rendezvous::rank(service, &shared.settings.vm, &others) == 0
+    rendezvous::rank(service, &shared.settings.vm, &others) == 0
 }
 
 /// Does the leader's next step for a service.
