bug: a VM kept an old configuration under a new version

Cause: the reader of a data centre told the version of a change when the feed announced it, before it had read the orders again. Ruled out: the outage of the store for some VMs (edge-sud-a-1 was not among them). Change: the version is told with the orders.

--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -73,9 +73,11 @@
     /// Follows the operator's orders until the task is dropped.
     pub async fn follow_orders(&self) {
         let mut is_lost = false;
+        // Version of the newest change that the feed told of; a removed order leaves no row.
+        let mut changed_at = 0;
         loop {
             self.must_read().await;
-            let result = self.read_orders().await;
+            let result = self.read_orders(changed_at).await;
             let mut version = match result {
                 Ok(version) => version,
                 Err(error) => {
@@ -98,9 +100,10 @@
                         self.confirmed(version);
                     }
                     Ok(rows) => {
-                        let newest = rows.rows.iter().map(|row| row.version).max();
-                        let mut orders = lock(&self.shared.orders);
-                        orders.version = orders.version.max(newest.unwrap_or_default());
+                        // Told to nobody before the orders themselves are read: a VM that asked in
+                        // between would take the old orders for the new ones.
+                        let versions = rows.rows.iter().map(|row| row.version);
+                        changed_at = versions.max().unwrap_or_default();
                         break;
                     }
                     Err(store::Error::HistoryGone) => break,
@@ -117,7 +120,7 @@
         }
     }
 
-    async fn read_orders(&self) -> Result<RowVersion, store::Error> {
+    async fn read_orders(&self, changed_at: RowVersion) -> Result<RowVersion, store::Error> {
         let reported = {
             let fleet = lock(&self.shared.fleet);
             let now = Instant::now();
@@ -125,9 +128,12 @@
             peers.map(|peer| peer.report.known.orders).max()
         };
         let Rows { rows, version, .. } = self.client.rows(OPERATIONS).await?;
-        let newest = rows.iter().map(|row| row.version).max();
+        let newest = rows
+            .iter()
+            .map(|row| row.version)
+            .fold(changed_at, u64::max);
         let operations = desired::decode(&rows);
-        self.put_in_force(operations, newest.unwrap_or_default(), version, "store");
+        self.put_in_force(operations, newest, version, "store");
         self.confirmed(version);
         let mut orders = lock(&self.shared.orders);
         orders.checked = orders.checked.max(reported.unwrap_or_default());
