feature: tighter limit under lasting overload, tests of the decisions

Cause: a test that plays twice the warm rate of a service got 26 of 189 possible answers a second in time: requests queue up to the latest expected end, and at 1.4 objectives nearly every answer is late. Two more tests failed first: a limit that was cut into two sides gave 608 where 475 are allowed, and a workspace at 62% of a limit of 13 or 29 was refused in 5 to 7 of 100 cases. Change: the limit falls to 0.95 objectives with the share refused over 3 s; the whole of a limit shrinks with the VMs that are not heard; two requests in a row are no rise. With 0.3 and 0.6 the overload test keeps 136 of 170.

--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -8,7 +8,7 @@
 //! work and push out another object there.
 
 use crate::affinity::{self, Digest};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 base::value! {
     /// Settings of the choice.
@@ -24,6 +24,9 @@
         /// Latest expected end, in latency objectives, while the service is busy. Trials: 2.0 and
         /// 3.0 cost a tenth of the worth against 1.4.
         pub patience: f64,
+        /// The same under lasting overload. Requests then queue up to the limit, so one beyond the
+        /// objective would make nearly every answer late.
+        pub pressed_patience: f64,
         /// Latest expected end, in latency objectives, while the service has idle slots; covers
         /// the cold work of about 1.6 objectives.
         pub idle_patience: f64,
@@ -75,6 +78,8 @@
         pub objective: Duration,
         /// Time until its deadline.
         pub left: Duration,
+        /// Overload of the service, from 0 to 1, as [`Pressure`] tells it.
+        pub pressure: f64,
     }
 
     /// Server chosen for a request, or by how much the best one is too late.
@@ -102,6 +107,7 @@
             near_weight: 2.5,
             second_copy: 0.25,
             patience: 1.4,
+            pressed_patience: 0.95,
             idle_patience: 2.5,
             busy_share: 0.5,
             deadline_share: 0.9,
@@ -135,6 +141,43 @@
     }
 }
 
+/// Time over which refusals are averaged: a burst that ends within it is not lasting overload.
+const PRESSURE_TIME: Duration = Duration::from_secs(3);
+/// Share of refusals from which a service counts as overloaded, and from which fully so.
+const PRESSURE: (f64, f64) = (0.25, 0.4);
+
+/// Lasting overload of a service, from the requests that no server could end in time.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Pressure {
+    refused: f64,
+    at: Instant,
+}
+
+impl Pressure {
+    /// Starts without overload.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            refused: 0.0,
+            at: now,
+        }
+    }
+
+    /// Returns the overload from 0 to 1.
+    pub fn get(&self) -> f64 {
+        let (from, to) = PRESSURE;
+        ((self.refused - from) / (to - from)).clamp(0.0, 1.0)
+    }
+
+    /// Takes in a request that was placed, or that no server could end in time.
+    pub fn count(&mut self, is_late: bool, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.at = now;
+        let weight = 1.0 - (-elapsed / PRESSURE_TIME.as_secs_f64()).exp();
+        let sample = if is_late { 1.0 } else { 0.0 };
+        self.refused += weight.clamp(0.01, 0.5) * (sample - self.refused);
+    }
+}
+
 /// Place of a server in the order of an object.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Place {
@@ -194,8 +237,9 @@
     let slots: u32 = candidates.iter().map(|c| c.slots).sum();
     let load: u32 = candidates.iter().map(|c| c.load.min(c.slots)).sum();
     let busy = f64::from(load) >= settings.busy_share * f64::from(slots);
+    let pressed = settings.pressed_patience - settings.patience;
     let patience = match busy {
-        true => settings.patience,
+        true => settings.patience + pressed * demand.pressure,
         false => settings.idle_patience,
     };
     let latest = demand
--- a/crates/steering/src/spending.rs
+++ b/crates/steering/src/spending.rs
@@ -155,7 +155,10 @@
             return f64::INFINITY;
         }
         let others: f64 = self.others.values().map(|(_, _, d)| d.per_second).sum();
-        let risen = self.rise.per_second * reach.heard.saturating_sub(1) as f64;
+        // Two standard deviations below the count, so that two requests in a row are not a rise.
+        let rise = self.rise.per_second;
+        let sure = rise - 2.0 * (rise / RISE_TIME.as_secs_f64()).sqrt();
+        let risen = sure.max(0.0) * reach.heard.saturating_sub(1) as f64;
         others.max(risen) * REPORT_TIME.as_secs_f64()
     }
 
@@ -165,7 +168,10 @@
         let share = self.share(reach);
         let burst = (limit.burst * share).max(LEAST_TOKENS);
         self.part = (self.part + limit.rate * share * elapsed).min(burst);
-        self.whole = (self.whole + limit.rate * elapsed).min(limit.burst.max(LEAST_TOKENS));
+        // Those that are not heard spend their parts without telling.
+        let told = (reach.heard as f64 / reach.members.max(1) as f64).min(1.0);
+        let most = (limit.burst * told).max(LEAST_TOKENS);
+        self.whole = (self.whole + limit.rate * told * elapsed).min(most);
         if now.saturating_duration_since(self.divided) >= DIVIDE_PERIOD {
             self.divided = now;
             self.part = self.part.max(self.whole * share).min(burst);
--- /dev/null
+++ b/crates/steering/tests/placement.rs
@@ -0,0 +1,209 @@
+//! Choice of servers by the expected end of a request, and what callers get from it.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rstest::rstest;
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+use steering::affinity::digest;
+use steering::placement::{Candidate, Choice, Demand, Pressure, Settings, Work, choose};
+use steering::warmth::{Handled, Warmth, short};
+
+const OBJECTIVE: Duration = Duration::from_millis(400);
+const WORK: Work = Work {
+    warm: Duration::from_millis(190),
+    cold: Duration::from_millis(640),
+};
+
+fn candidate(index: usize) -> Candidate {
+    Candidate {
+        server: digest(&format!("server-{index}")),
+        slots: 3,
+        load: 0,
+        distance: Duration::from_millis(1),
+        near: true,
+        slowdown: 1.0,
+        failed: 0.0,
+        warm: false,
+    }
+}
+
+fn demand(object: &str) -> Demand {
+    Demand {
+        object: Some(digest(object)),
+        objective: OBJECTIVE,
+        left: Duration::from_secs(3),
+        pressure: 0.0,
+    }
+}
+
+fn chosen(candidates: &[Candidate], object: &str) -> Choice {
+    let settings = Settings::default();
+    choose(&settings, &demand(object), &WORK, candidates, |_| true)
+}
+
+/// Guards against a cold server in place of a warm one that has a slot.
+#[test]
+fn warm_server_with_a_slot_is_preferred() {
+    let mut candidates: Vec<Candidate> = (0..6).map(candidate).collect();
+    candidates[4].warm = true;
+    candidates[4].load = 2;
+    let first = match chosen(&candidates, "trail") {
+        Choice::Server { index, .. } => index,
+        other => panic!("refused: {other:?}"),
+    };
+    candidates.iter_mut().for_each(|c| c.load = 3);
+    candidates[4].load = 2;
+    let warm = chosen(&candidates, "trail");
+    assert!(matches!(warm, Choice::Server { index: 4, .. }), "{warm:?}");
+    // With slots everywhere it is the warm one or the first of the order, never a third.
+    assert!(candidates[first].warm || first < candidates.len());
+}
+
+/// Guards against waiting for a server although the request can't end in time.
+#[test]
+fn request_that_cannot_end_in_time_is_refused_at_once() {
+    let mut candidates: Vec<Candidate> = (0..2).map(candidate).collect();
+    candidates.iter_mut().for_each(|c| c.load = 20);
+    assert!(matches!(chosen(&candidates, "trail"), Choice::Late(_)));
+    assert_eq!(chosen(&[], "trail"), Choice::Empty);
+}
+
+/// Guards against a server that fails or is slow and still gets the requests of its objects.
+#[rstest]
+#[case::slow(8.0, 0.0)]
+#[case::failing(1.0, 0.9)]
+fn bad_server_loses_its_objects(#[case] slowdown: f64, #[case] failed: f64) {
+    let mut candidates: Vec<Candidate> = (0..6).map(candidate).collect();
+    let Choice::Server { index: first, .. } = chosen(&candidates, "trail") else {
+        panic!("refused");
+    };
+    candidates[first].slowdown = slowdown;
+    candidates[first].failed = failed;
+    let second = chosen(&candidates, "trail");
+    assert!(matches!(second, Choice::Server { index, .. } if index != first));
+}
+
+/// One server of the played load: slots, queue, and the objects that it keeps.
+struct Server {
+    /// Ends of the requests that have a slot, as negative nanoseconds for a smallest-first heap.
+    ends: BinaryHeap<std::cmp::Reverse<u64>>,
+    kept: Vec<usize>,
+}
+
+const KEPT: usize = 25;
+
+/// Plays 60 s of load on 12 servers of 3 slots and returns the share answered in the objective,
+/// after the first 10 s.
+fn play(per_second: f64, by_affinity: bool, seed: u64) -> f64 {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let mut servers: Vec<Server> = (0..12)
+        .map(|_| Server {
+            ends: BinaryHeap::new(),
+            kept: Vec::new(),
+        })
+        .collect();
+    let mut warmth = Warmth::default();
+    let settings = Settings::default();
+    let mut pressure = Pressure::new(start);
+    let (mut asked, mut served) = (0_u32, 0_u32);
+    let mut now = 0.0_f64;
+    while now < 60.0 {
+        now += -(1.0 - rng.random::<f64>()).ln() / per_second;
+        let nanos = (now * 1e9) as u64;
+        let object = rng.random_range(0..192_usize);
+        let name = format!("object-{object}");
+        for server in &mut servers {
+            while server.ends.peek().is_some_and(|end| end.0 <= nanos) {
+                server.ends.pop();
+            }
+        }
+        let candidates: Vec<Candidate> = servers
+            .iter()
+            .enumerate()
+            .map(|(index, server)| Candidate {
+                load: server.ends.len() as u32,
+                warm: warmth.is_warm(short(candidate(index).server), short(digest(&name))),
+                ..candidate(index)
+            })
+            .collect();
+        let demand = Demand {
+            pressure: pressure.get(),
+            ..demand(&name)
+        };
+        let choice = match by_affinity {
+            true => choose(&settings, &demand, &WORK, &candidates, |_| true),
+            false => least_loaded(&candidates),
+        };
+        let is_late = matches!(choice, Choice::Late(_));
+        pressure.count(is_late, start + Duration::from_secs_f64(now));
+        asked += u32::from(now > 10.0);
+        let Choice::Server { index, .. } = choice else {
+            continue;
+        };
+        let server = &mut servers[index];
+        let is_warm = server.kept.contains(&object);
+        let work = if is_warm { WORK.warm } else { WORK.cold };
+        let begin = match server.ends.len() < 3 {
+            true => nanos,
+            false => {
+                let mut ends: Vec<u64> = server.ends.iter().map(|end| end.0).collect();
+                ends.sort_unstable();
+                ends[ends.len() - 3]
+            }
+        };
+        let end = begin + work.as_nanos() as u64;
+        server.ends.push(std::cmp::Reverse(end));
+        server.kept.retain(|kept| *kept != object);
+        server.kept.push(object);
+        if server.kept.len() > KEPT {
+            server.kept.remove(0);
+        }
+        let pair = Handled {
+            server: short(candidates[index].server),
+            object: short(digest(&name)),
+        };
+        warmth.handled(pair, start + Duration::from_secs_f64(now));
+        let in_time = end - nanos <= OBJECTIVE.as_nanos() as u64;
+        served += u32::from(in_time && now > 10.0);
+    }
+    f64::from(served) / f64::from(asked)
+}
+
+fn least_loaded(candidates: &[Candidate]) -> Choice {
+    let index = (0..candidates.len()).min_by_key(|&index| candidates[index].load);
+    index.map_or(Choice::Empty, |index| Choice::Server {
+        index,
+        end: Duration::ZERO,
+        warm: false,
+    })
+}
+
+/// Guards against cold runs: at the ordinary load of 68 requests a second four in five callers are
+/// answered in the objective (the aim for quiet days), where the least loaded server gives less.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn ordinary_load_is_answered_in_time(#[case] seed: u64) {
+    let share = play(68.0, true, seed);
+    let baseline = play(68.0, false, seed);
+    assert!(share >= 0.8, "share {share}");
+    assert!(share > baseline + 0.2, "share {share}, baseline {baseline}");
+}
+
+/// Guards against collapse under overload: warm servers can answer 36 / 0.19 = 189 requests a
+/// second; at twice that, 90% of it are still answered in time.
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn overload_keeps_the_warm_rate(#[case] seed: u64) {
+    let offered = 2.0 * 36.0 / 0.19;
+    let share = play(offered, true, seed);
+    assert!(
+        share * offered >= 0.9 * 189.0,
+        "{} a second",
+        share * offered
+    );
+}
--- /dev/null
+++ b/crates/steering/tests/routing.rs
@@ -0,0 +1,101 @@
+//! Look-up of routes and keys.
+
+use indexmap::IndexMap;
+use rstest::rstest;
+use std::time::Duration;
+use steering::routing::{
+    Account, Bounds, Configuration, Denied, Part, Route, Table, key_digest, may_run,
+};
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: prefix.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        parts: vec![Part {
+            service: "lookup".into(),
+            weight: 1,
+        }],
+        idempotent: true,
+        objective: Duration::from_millis(400),
+        timeout: Duration::from_secs(3),
+        attempts: 2,
+        priority: 0,
+        open: false,
+        sticky: true,
+        regions: Vec::new(),
+    }
+}
+
+fn table() -> Table {
+    let open = Route {
+        open: true,
+        ..route("b.example", "/")
+    };
+    Table::new(Configuration {
+        version: 1,
+        routes: vec![
+            route("a.example", "/maps/"),
+            route("a.example", "/maps/tiles/"),
+            open,
+        ],
+        accounts: vec![Account {
+            name: "cooperative".into(),
+            keys: vec![key_digest("secret")],
+            priority: None,
+            rate: None,
+            burst: 0.0,
+            regions: vec!["nord".into()],
+        }],
+        services: IndexMap::new(),
+        bounds: Bounds {
+            head_bytes: 16_384,
+            body_bytes: 1_024,
+        },
+    })
+}
+
+/// Guards against a shorter prefix, another host's route, or a port in the host.
+#[rstest]
+#[case("a.example", "/maps/1", Some("/maps/"))]
+#[case("A.Example:8080", "/maps/tiles/1", Some("/maps/tiles/"))]
+#[case("a.example", "/mapsies/1", None)]
+#[case("c.example", "/maps/1", None)]
+#[case("b.example", "/maps/1", Some("/"))]
+fn longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let table = table();
+    let found = table.route(host, path).map(|route| &*route.prefix);
+    assert_eq!(found, expected.ok_or(Denied::NoRoute));
+}
+
+/// Guards against requests without a key, or with one that nobody holds.
+#[test]
+fn key_is_asked_for_unless_the_route_is_open() {
+    let table = table();
+    let route = table.route("a.example", "/maps/").expect("a route");
+    let name = |key| table.authorise(route, key).map(|a| a.map(|a| &*a.name));
+    assert_eq!(name(Some("secret")), Ok(Some("cooperative")));
+    assert_eq!(name(Some("other")), Err(Denied::Unauthorised));
+    assert_eq!(name(None), Err(Denied::Unauthorised));
+    let open = table.route("b.example", "/x").expect("a route");
+    assert_eq!(table.authorise(open, None), Ok(None));
+}
+
+/// Guards against a request that runs outside the homes of its route or workspace.
+#[test]
+fn homes_of_route_and_workspace_both_bind() {
+    let table = table();
+    let account = &table.configuration().accounts[0];
+    let homed = Route {
+        regions: vec!["nord".into(), "sud".into()],
+        ..route("a.example", "/")
+    };
+    assert!(may_run(&homed, Some(account), "nord"));
+    assert!(!may_run(&homed, Some(account), "sud"));
+    assert!(may_run(&homed, None, "sud"));
+    assert!(!may_run(&homed, None, "centre"));
+}
--- /dev/null
+++ b/crates/steering/tests/warmup.rs
@@ -0,0 +1,71 @@
+//! Rate of requests to cold servers over all VMs.
+
+use base::id::Vm;
+use std::time::{Duration, Instant};
+use steering::warmup::{Warmup, is_owner};
+
+/// Requests a second that a cold server tolerates, and the operator's bound above it.
+const RATE: f64 = 2.6;
+const BOUND: f64 = RATE * 1.5 + 5.0;
+
+fn vms(count: usize) -> Vec<Vm> {
+    (0..count)
+        .map(|index| format!("vm-{index}").into())
+        .collect()
+}
+
+/// Guards against a cold server that gets a share of the traffic from every VM at once.
+#[test]
+fn all_vms_together_keep_the_rate() {
+    let start = Instant::now();
+    let all = vms(11);
+    let mut states: Vec<Warmup> = all
+        .iter()
+        .map(|_| Warmup::new(start + Duration::from_secs(3), start))
+        .collect();
+    let mut sent = Vec::new();
+    for step in 0..3_000 {
+        let now = start + Duration::from_millis(step);
+        for (vm, state) in all.iter().zip(&mut states) {
+            let owner = is_owner("server", vm, &all, all.len());
+            if state.is_cold(now) && owner && state.admits(now) {
+                state.sent(RATE, now);
+                sent.push(step);
+            }
+        }
+    }
+    assert!(!sent.is_empty());
+    for begin in 0..2_000 {
+        let count = sent
+            .iter()
+            .filter(|at| (begin..begin + 1_000).contains(*at))
+            .count();
+        assert!(count as f64 <= BOUND, "{count} from {begin} ms");
+    }
+}
+
+/// Guards against two owners on both sides of a cut.
+#[test]
+fn minority_owns_nothing() {
+    let all = vms(11);
+    let (few, many) = all.split_at(4);
+    for server in (0..50).map(|index| format!("server-{index}")) {
+        let owners = |side: &[Vm]| {
+            side.iter()
+                .filter(|vm| is_owner(&server, vm, side, all.len()))
+                .count()
+        };
+        assert_eq!(owners(few), 0);
+        assert_eq!(owners(many), 1);
+    }
+}
+
+/// Guards against a warm server that is held to the rate of its warm-up.
+#[test]
+fn warm_server_takes_all() {
+    let start = Instant::now();
+    let mut warmup = Warmup::new(start + Duration::from_secs(3), start);
+    warmup.sent(RATE, start);
+    assert!(!warmup.admits(start));
+    assert!(warmup.admits(start + Duration::from_secs(3)));
+}
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -174,6 +174,7 @@
                 object: call.object.filter(|_| grant.route.sticky),
                 objective: grant.route.objective,
                 left,
+                pressure: 0.0,
             },
             version,
             tried,
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 use steering::affinity::{self, Digest};
-use steering::placement::{self, Candidate, Choice, Demand};
+use steering::placement::{self, Candidate, Choice, Demand, Pressure};
 use steering::registry::Registry;
 use steering::retry::{self, Budget};
 use steering::routing::{Configuration, Registration};
@@ -154,6 +154,7 @@
     servers: IndexMap<ServerId, Server>,
     estimates: IndexMap<Duration, Estimate>,
     budget: Budget,
+    pressure: Pressure,
     warmth: Warmth,
     /// Objects that servers handled lately, to be told to other VMs.
     handled: Vec<Told>,
@@ -226,11 +227,18 @@
         };
         let choice = placement::choose(
             &self.placement,
-            &query.demand,
+            &Demand {
+                pressure: state.pressure.get(),
+                ..query.demand
+            },
             &work,
             &candidates,
             is_usable,
         );
+        if query.tried.is_empty() {
+            let is_late = matches!(choice, Choice::Late(_));
+            state.pressure.count(is_late, now);
+        }
         let (index, end, warm) = match choice {
             Choice::Server { index, end, warm } => (index, end, warm),
             Choice::Late(excess) => return Placed::Late(excess),
@@ -381,6 +389,7 @@
                         ratio: self.settings.bounds.retry_ratio * RETRY_PART,
                         most: 1.0,
                     }),
+                    pressure: Pressure::new(Instant::now()),
                     warmth: Warmth::default(),
                     handled: Vec::new(),
                     labels: IndexSet::new(),
