--- /dev/null
+++ b/programs/gateway/tests/fleet.rs
@@ -0,0 +1,333 @@
+//! Several gateways: who reads the store, what the others learn, and what remains without it.
+
+mod site;
+
+use adapter::header;
+use hyper::StatusCode;
+use site::{Desired, Gateway, Site, until};
+use standin_site::server::{Behaviour, Entry};
+use standin_site::store::Faults;
+use std::time::{Duration, Instant};
+
+/// Operator's bounds: a configuration is in force, and a leaving server gets nothing, after this.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+async fn status(gateway: &Gateway, key: &str) -> Option<StatusCode> {
+    let answer = gateway.ask_with("1", "/a/", Some(key)).await;
+    answer.map(|(status, _, _)| status)
+}
+
+/// Waits until a gateway refuses a key, and returns how long that took.
+async fn refuses(gateway: &Gateway, key: &str) -> Duration {
+    let begin = Instant::now();
+    until("the key is refused", || async {
+        status(gateway, key).await == Some(StatusCode::UNAUTHORIZED)
+    })
+    .await;
+    begin.elapsed()
+}
+
+/// Guards against a VM that keeps the old orders under the number of the new ones: the reader told
+/// of a change before it had read it (hunt on permis-parcs, mix --seed 197496853880, a VM was
+/// 2.7 s behind).
+#[tokio::test]
+async fn change_is_in_force_on_all_vms_although_it_is_read_slowly() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    site.server("i-1", &Entry::default()).await;
+    let first = site.gateway("vm-1", "nord-a", &door).await;
+    first.ready().await;
+    let second = site.gateway("vm-2", "nord-a", &door).await;
+    second.ready().await;
+    // Time for the second to leave the store to the first.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    door.set(Faults {
+        read_delay: Duration::from_millis(600),
+        ..Faults::default()
+    });
+    site.desire(&Desired {
+        version: 2,
+        keys: &["key-1"],
+        ..Desired::default()
+    });
+    let (a, b) = tokio::join!(refuses(&first, "key-2"), refuses(&second, "key-2"));
+    assert!(a < IN_FORCE && b < IN_FORCE, "{a:?}, {b:?}");
+}
+
+/// Guards against calls to the store by every VM of a data centre.
+#[tokio::test]
+async fn one_vm_of_a_data_centre_reads_the_store() {
+    let site = Site::new();
+    let doors = [site.door().await, site.door().await];
+    site.desire(&Desired::default());
+    site.server("i-1", &Entry::default()).await;
+    let first = site.gateway("vm-1", "nord-a", &doors[0]).await;
+    first.ready().await;
+    let second = site.gateway("vm-2", "nord-a", &doors[1]).await;
+    second.ready().await;
+    // The early reads of the table of VMs end after about three seconds.
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    doors[1].set(Faults {
+        silent: true,
+        ..Faults::default()
+    });
+    let before = site.store.calls();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let calls = site.store.calls() - before;
+    // Lists at 300 ms and a feed of 2 s by one VM; two would make twice as many.
+    assert!(calls <= 10, "{calls} calls in 2 s");
+}
+
+/// Guards against VMs that miss a withdrawn key because the one that reads for them lost the
+/// store, or because they can't reach it themselves.
+#[tokio::test]
+async fn vm_without_the_store_learns_from_others() {
+    let site = Site::new();
+    let doors = [site.door().await, site.door().await, site.door().await];
+    site.desire(&Desired::default());
+    site.server("i-1", &Entry::default()).await;
+    let first = site.gateway("vm-1", "nord-a", &doors[0]).await;
+    let second = site.gateway("vm-2", "nord-a", &doors[1]).await;
+    let far = site.gateway("vm-3", "sud-a", &doors[2]).await;
+    for gateway in [&first, &second, &far] {
+        gateway.ready().await;
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    // All of one data centre lose the store.
+    for door in &doors[..2] {
+        door.set(Faults {
+            down: true,
+            ..Faults::default()
+        });
+    }
+    site.desire(&Desired {
+        version: 2,
+        keys: &["key-1"],
+        ..Desired::default()
+    });
+    let all = [&first, &second, &far].map(|gateway| refuses(gateway, "key-2"));
+    let [a, b, c] = all;
+    let (a, b, c) = tokio::join!(a, b, c);
+    assert!(
+        a < IN_FORCE && b < IN_FORCE && c < IN_FORCE,
+        "{a:?} {b:?} {c:?}"
+    );
+}
+
+/// Guards against a leaving server that still gets requests, from VMs that read the store and from
+/// those that do not.
+#[tokio::test]
+async fn leaving_server_gets_nothing_more() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    let servers = [
+        site.server("i-1", &Entry::default()).await,
+        site.server("i-2", &Entry::default()).await,
+    ];
+    let first = site.gateway("vm-1", "nord-a", &door).await;
+    let second = site.gateway("vm-2", "nord-a", &door).await;
+    first.ready().await;
+    second.ready().await;
+    first.ask("1", "/a/").await;
+    let (leaving, other) = match servers[0].runs().is_empty() {
+        true => (&servers[1], &servers[0]),
+        false => (&servers[0], &servers[1]),
+    };
+    let told = Instant::now();
+    let entry = Entry {
+        leaving: true,
+        sequence: 2,
+        ..Entry::default()
+    };
+    leaving.register(&site.store, &entry);
+    while told.elapsed() < IN_FORCE + Duration::from_millis(500) {
+        first.ask("2", "/a/").await;
+        second.ask("3", "/a/").await;
+    }
+    let late = leaving
+        .runs()
+        .iter()
+        .filter(|run| run.at > told + IN_FORCE)
+        .count();
+    assert_eq!(late, 0);
+    assert!(!other.runs().is_empty());
+}
+
+/// Guards against servers that are lost with their entries while the store is away, and against
+/// servers that did not come back.
+#[tokio::test]
+async fn entries_that_lapse_with_the_store_away_have_time_to_return() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    let server = site.server("i-1", &Entry::default()).await;
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    door.set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    tokio::time::sleep(Duration::from_millis(2_800)).await;
+    site.store.remove(adapter::store::REGISTRATIONS, "i-1");
+    assert_eq!(status(&gateway, "key-1").await, Some(StatusCode::OK));
+    door.set(Faults::default());
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    assert_eq!(status(&gateway, "key-1").await, Some(StatusCode::OK));
+    until("the server counts as gone", || async {
+        status(&gateway, "key-1").await == Some(StatusCode::SERVICE_UNAVAILABLE)
+    })
+    .await;
+    server.register(&site.store, &Entry::default());
+    until("the server is back", || async {
+        status(&gateway, "key-1").await == Some(StatusCode::OK)
+    })
+    .await;
+}
+
+/// Guards against a reader that stops at a forgotten history or at lost answers.
+#[tokio::test]
+async fn forgotten_history_is_read_anew() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    site.server("i-1", &Entry::default()).await;
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    site.desire(&Desired {
+        version: 2,
+        keys: &["key-1"],
+        ..Desired::default()
+    });
+    site.store.forget_history();
+    assert!(refuses(&gateway, "key-2").await < IN_FORCE + Duration::from_secs(1));
+}
+
+/// Guards against a directory that names VMs which ended.
+#[tokio::test]
+async fn lookup_names_the_vms_that_serve() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    site.server("i-1", &Entry::default()).await;
+    let first = site.gateway("vm-1", "nord-a", &door).await;
+    let second = site.gateway("vm-2", "nord-b", &door).await;
+    let far = site.gateway("vm-3", "sud-a", &door).await;
+    for gateway in [&first, &second, &far] {
+        gateway.ready().await;
+    }
+    let named = |region: &'static str| {
+        let address = first.settings.listen.lookup;
+        async move {
+            let path = format!("/-/resolve?name=a.example&region={region}&zone=x");
+            let answer = site::get(address, &path).await.expect("an answer");
+            let found: serde_json::Value = answer.decode().expect("JSON");
+            let addresses = found["addresses"].as_array().cloned().unwrap_or_default();
+            addresses
+                .iter()
+                .filter_map(|a| a.as_str().map(str::to_owned))
+                .collect::<Vec<_>>()
+        }
+    };
+    let callers = |gateway: &Gateway| gateway.settings.listen.callers.to_string();
+    until("both VMs of the region are named", || async {
+        named("nord").await.len() == 2
+    })
+    .await;
+    assert_eq!(named("sud").await, [callers(&far)]);
+    second.stop.cancel();
+    until("the stopping VM is not named", || async {
+        named("nord").await == [callers(&first)]
+    })
+    .await;
+}
+
+/// Plays a takeover under a steady load and returns what the operator was told and whether the
+/// new version got requests after that.
+async fn take_over(new: Behaviour) -> (String, usize, usize) {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    let old = site.server("i-1", &Entry::default()).await;
+    let gateways = [
+        site.gateway("vm-1", "nord-a", &door).await,
+        site.gateway("vm-2", "sud-a", &door).await,
+    ];
+    for gateway in &gateways {
+        gateway.ready().await;
+    }
+    let version = Entry {
+        label: "v2",
+        ..Entry::default()
+    };
+    let server = site.server("i-2", &version).await;
+    server.set(new);
+    site.store.put(
+        "op",
+        "rollout/lookup",
+        r#"{"service":"lookup","target":"v2","durationS":6}"#,
+    );
+    let told = || -> String {
+        let row = site
+            .store
+            .get("status", "rollout/lookup")
+            .unwrap_or_default();
+        let status: serde_json::Value = serde_json::from_slice(&row).unwrap_or_default();
+        status["state"].as_str().unwrap_or_default().to_owned()
+    };
+    let end = Instant::now() + Duration::from_secs(12);
+    let mut number = 0;
+    while !matches!(told().as_str(), "completed" | "rolled_back") && Instant::now() < end {
+        for gateway in &gateways {
+            number += 1;
+            gateway.ask(&number.to_string(), "/a/").await;
+        }
+    }
+    let state = told();
+    // Every VM has been told by then.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let before = (old.runs().len(), server.runs().len());
+    for gateway in &gateways {
+        gateway.ask("after", "/a/").await;
+    }
+    let after = (old.runs().len(), server.runs().len());
+    (state, after.0 - before.0, after.1 - before.1)
+}
+
+/// Guards against a good version that does not take over in time.
+#[tokio::test]
+async fn good_version_takes_over() {
+    let (state, old, new) = take_over(Behaviour::default()).await;
+    assert_eq!((state.as_str(), old, new), ("completed", 0, 2));
+}
+
+/// Guards against a bad version that is kept.
+#[tokio::test]
+async fn bad_version_is_taken_back() {
+    let bad = Behaviour {
+        status: 500,
+        ..Behaviour::default()
+    };
+    let (state, old, new) = take_over(bad).await;
+    assert_eq!((state.as_str(), old, new), ("rolled_back", 2, 0));
+}
+
+/// Guards against a second send of a caller's request through the tables of the fleet: the id on
+/// the server is the caller's.
+#[tokio::test]
+async fn servers_see_the_callers_ids() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    let server = site.server("i-1", &Entry::default()).await;
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    gateway.ask("unique", "/a/").await;
+    let ids: Vec<_> = server
+        .runs()
+        .iter()
+        .map(|run| run.headers[header::REQUEST_ID].clone())
+        .collect();
+    assert_eq!(ids, ["unique"]);
+}
--- /dev/null
+++ b/programs/gateway/tests/path.rs
@@ -0,0 +1,233 @@
+//! Path of a request through a gateway: routes, keys, truth of answers, what may be sent twice.
+
+mod site;
+
+use adapter::header;
+use hyper::StatusCode;
+use rstest::rstest;
+use site::{Desired, Site, until};
+use standin_site::server::{Behaviour, Entry};
+use std::time::Duration;
+
+/// Guards against a request that loses or gains something on its way, or a key that is passed on.
+#[tokio::test]
+async fn request_and_answer_pass_unchanged() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    let server = site.server("i-1", &Entry::default()).await;
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    let (status, headers, body) = gateway.ask("id-1", "/a/x?y=z").await.expect("an answer");
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(headers[header::SIGNATURE], "i-1.id-1");
+    assert_eq!(body, "answer to id-1 from i-1");
+    let runs = server.runs();
+    assert_eq!(runs.len(), 1);
+    let seen = &runs[0].headers;
+    assert_eq!(seen[header::REQUEST_ID], "id-1");
+    assert_eq!(seen[header::WORKSPACE], "cooperative");
+    assert_eq!(seen[header::EXPECTED_SERVER], "i-1");
+    assert!(!seen.contains_key(header::KEY));
+    let left: u64 = seen[header::DEADLINE]
+        .to_str()
+        .expect("text")
+        .parse()
+        .expect("a number");
+    // The route allows 2 s of the caller's 3 s.
+    assert!((1_000..=2_000).contains(&left), "{left} ms left");
+}
+
+/// Guards against requests without a route or a key that run all the same.
+#[tokio::test]
+async fn unknown_routes_and_keys_are_refused() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    let server = site.server("i-1", &Entry::default()).await;
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    let status = |answer: Option<(StatusCode, _, _)>| answer.map(|(status, _, _)| status);
+    assert_eq!(
+        status(gateway.ask("1", "/b/").await),
+        Some(StatusCode::NOT_FOUND)
+    );
+    let unknown = gateway.ask_with("2", "/a/", Some("other")).await;
+    assert_eq!(status(unknown), Some(StatusCode::UNAUTHORIZED));
+    let none = gateway.ask_with("3", "/a/", None).await;
+    assert_eq!(status(none), Some(StatusCode::UNAUTHORIZED));
+    assert!(server.runs().is_empty());
+}
+
+/// Guards against a gateway that denies what it does not know yet.
+#[tokio::test]
+async fn without_a_configuration_requests_are_refused_as_not_run() {
+    let site = Site::new();
+    let door = site.door().await;
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    until("the gateway answers", || async {
+        let answer = gateway.ask("1", "/a/").await;
+        answer.is_some_and(|(status, headers, _)| {
+            status == StatusCode::SERVICE_UNAVAILABLE && headers.contains_key("retry-after")
+        })
+    })
+    .await;
+    let readiness = site::get(gateway.settings.listen.readiness, "/-/readiness").await;
+    assert_eq!(
+        readiness.map(|a| a.status),
+        Some(StatusCode::SERVICE_UNAVAILABLE)
+    );
+}
+
+/// Guards against a second run of a request that may run once, and against "not run" for one that
+/// may have run.
+#[rstest]
+#[case::confused(Behaviour { confuses: true, ..Behaviour::default() })]
+#[case::unsigned(Behaviour { unsigned: true, ..Behaviour::default() })]
+#[tokio::test]
+async fn spoilt_answer_is_not_passed_on(#[case] behaviour: Behaviour) {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired {
+        kind: "unsafe",
+        ..Desired::default()
+    });
+    let servers = [
+        site.server("i-1", &Entry::default()).await,
+        site.server("i-2", &Entry::default()).await,
+    ];
+    servers
+        .iter()
+        .for_each(|server| server.set(behaviour.clone()));
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    let (status, headers, _) = gateway.ask("1", "/a/").await.expect("an answer");
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert!(!headers.contains_key(header::SIGNATURE));
+    let runs: usize = servers.iter().map(|server| server.runs().len()).sum();
+    assert_eq!(runs, 1);
+}
+
+/// Guards against a repeatable request that fails although another server would serve it.
+#[tokio::test]
+async fn repeatable_request_goes_to_another_server() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    let servers = [
+        site.server("i-1", &Entry::default()).await,
+        site.server("i-2", &Entry::default()).await,
+    ];
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    // Successes pay for the second send; the object has one first server.
+    for number in 0..20 {
+        gateway.ask(&format!("warm-{number}"), "/a/").await;
+    }
+    let first = servers
+        .iter()
+        .max_by_key(|server| server.runs().len())
+        .expect("a server");
+    first.set(Behaviour {
+        status: 500,
+        ..Behaviour::default()
+    });
+    let (status, _, body) = gateway.ask("1", "/a/").await.expect("an answer");
+    assert_eq!(status, StatusCode::OK, "{body:?}");
+}
+
+/// Guards against a refusal of all servers that is told as a failure: nothing ran.
+#[tokio::test]
+async fn refusal_of_all_servers_is_not_run() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired {
+        kind: "unsafe",
+        ..Desired::default()
+    });
+    let server = site.server("i-1", &Entry::default()).await;
+    server.set(Behaviour {
+        sheds: true,
+        ..Behaviour::default()
+    });
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    let (status, headers, _) = gateway.ask("1", "/a/").await.expect("an answer");
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(headers.contains_key("retry-after"));
+    assert!(server.runs().is_empty());
+}
+
+/// Guards against a caller that waits beyond the route's time for a silent server.
+#[tokio::test]
+async fn final_answer_comes_at_the_routes_time() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired {
+        kind: "unsafe",
+        timeout_ms: 600,
+        ..Desired::default()
+    });
+    let server = site.server("i-1", &Entry::default()).await;
+    server.set(Behaviour {
+        silent: true,
+        ..Behaviour::default()
+    });
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    let answer = tokio::time::timeout(Duration::from_millis(1_100), gateway.ask("1", "/a/")).await;
+    let (status, _, _) = answer.expect("in time").expect("an answer");
+    assert_eq!(status, StatusCode::GATEWAY_TIMEOUT);
+}
+
+/// Guards against a request that runs outside its home regions.
+#[tokio::test]
+async fn request_stays_in_its_home_regions() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired {
+        homes: &["sud"],
+        ..Desired::default()
+    });
+    let near = site.server("i-1", &Entry::default()).await;
+    let home = Entry {
+        data_centre: "sud-a",
+        ..Entry::default()
+    };
+    let home = site.server("i-2", &home).await;
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    for number in 0..10 {
+        let (status, _, _) = gateway
+            .ask(&number.to_string(), "/a/")
+            .await
+            .expect("an answer");
+        assert_eq!(status, StatusCode::OK);
+    }
+    assert!(near.runs().is_empty());
+    assert_eq!(home.runs().len(), 10);
+}
+
+/// Guards against a stop that cuts requests, or a stopping VM that counts as ready.
+#[tokio::test]
+async fn stop_finishes_what_was_taken() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    let server = site.server("i-1", &Entry::default()).await;
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    server.set(Behaviour {
+        work: Duration::from_millis(700),
+        ..Behaviour::default()
+    });
+    let (answer, ()) = tokio::join!(gateway.ask("1", "/a/"), async {
+        until("the request runs", || async { !server.runs().is_empty() }).await;
+        gateway.stop.cancel();
+    });
+    let (status, headers, _) = answer.expect("an answer");
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(headers["connection"], "close");
+    let readiness = site::get(gateway.settings.listen.readiness, "/-/readiness").await;
+    assert_ne!(readiness.map(|a| a.status), Some(StatusCode::OK));
+}
--- /dev/null
+++ b/programs/gateway/tests/settings.rs
@@ -0,0 +1,61 @@
+//! Settings file, as the platform fills in its template.
+
+use base::program::Settings as _;
+use base::settings::parse;
+use gateway::settings::Settings;
+
+/// The template of the deploy folder.
+const TEMPLATE: &str = include_str!("../../../deploy/gateway.yaml");
+
+/// Fills the template in, as far as it uses the platform's language.
+fn rendered() -> String {
+    let values = [
+        ("{{nodeName|json}}", "\"edge-nord-a-1\""),
+        ("{{zone|json}}", "\"nord-a\""),
+        ("{{region|json}}", "\"nord\""),
+        ("{{zones|json}}", r#"{"nord-a": "nord", "sud-a": "sud"}"#),
+        ("{{listen.frontend|json}}", "\"10.1.0.23:8389\""),
+        ("{{listen.readiness|json}}", "\"10.1.0.23:8384\""),
+        ("{{listen.directory|json}}", "\"10.1.0.23:8385\""),
+        ("{{ip}}", "10.1.0.23"),
+        ("{{portRange.0}}", "7460"),
+        (
+            "{{#seeds}}{{.|json}}{{,}}{{/seeds}}",
+            "\"10.1.0.23:8383\",\"10.2.0.40:8383\"",
+        ),
+        ("{{platform.address|json}}", "\"10.200.1.7:8382\""),
+        ("{{limits.linkMbps}}", "1000.0"),
+        ("{{bounds.graceS}}", "6"),
+        ("{{bounds.retryRatio}}", "0.2"),
+        ("{{bounds.retrySlack}}", "62"),
+        ("{{bounds.canaryShare}}", "0.1"),
+        ("{{bounds.canarySlack}}", "50"),
+        ("{{bounds.ttl_max_s}}", "5"),
+    ];
+    values.iter().fold(TEMPLATE.to_owned(), |text, (from, to)| {
+        text.replace(from, to)
+    })
+}
+
+/// Guards against a template that names what the settings do not know (a link of 1000.0 Mbit/s
+/// was once refused as no whole number, and no process started).
+#[test]
+fn template_gives_valid_settings() {
+    let text = rendered();
+    assert!(!text.contains("{{"), "{text}");
+    let settings: Settings = parse("gateway.yaml", &text).expect("valid settings");
+    assert_eq!(settings.problem(), None);
+    assert_eq!(settings.link(), 1_000);
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.region_of("sud-a"), "sud".into());
+}
+
+/// Guards against settings that make no sense and are accepted.
+#[test]
+fn senseless_settings_are_refused() {
+    let text = rendered().replace("retry_ratio: 0.2", "retry_ratio: 20");
+    let settings: Settings = parse("gateway.yaml", &text).expect("well-formed settings");
+    assert!(settings.problem().is_some());
+    let unknown = format!("{}\nunknown: 1\n", rendered());
+    assert!(parse::<Settings>("gateway.yaml", &unknown).is_err());
+}
--- /dev/null
+++ b/programs/gateway/tests/site/mod.rs
@@ -0,0 +1,228 @@
+//! A site on loopback: store, backend servers, gateways and a caller.
+
+use adapter::header;
+use base::http::client::Answer;
+use bytes::Bytes;
+use gateway::run;
+use gateway::settings::{Bounds, Listen, Settings};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use standin_site::server::{Entry, Server};
+use standin_site::store::{Door, Store};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait for what must happen soon; conditions end it earlier.
+pub const SOON: Duration = Duration::from_secs(10);
+/// Time between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(20);
+
+static NEXT: AtomicU32 = AtomicU32::new(1);
+
+/// Returns a loopback address that no other test of any process uses.
+fn fresh() -> IpAddr {
+    let process = std::process::id() % 65_000;
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    assert!(number < 250, "too many addresses in one test process");
+    let [high, low] = (process as u16).to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, number as u8))
+}
+
+/// One gateway.
+pub struct Gateway {
+    pub settings: Settings,
+    pub stop: CancellationToken,
+}
+
+/// A site whose parts end with it.
+pub struct Site {
+    pub store: Store,
+    stop: CancellationToken,
+}
+
+/// What the operator writes.
+pub struct Desired {
+    pub version: u32,
+    pub keys: &'static [&'static str],
+    pub service: &'static str,
+    pub kind: &'static str,
+    pub timeout_ms: u32,
+    pub homes: &'static [&'static str],
+}
+
+impl Default for Desired {
+    fn default() -> Self {
+        Self {
+            version: 1,
+            keys: &["key-1", "key-2"],
+            service: "lookup",
+            kind: "safe",
+            timeout_ms: 2_000,
+            homes: &[],
+        }
+    }
+}
+
+impl Site {
+    pub fn new() -> Self {
+        Self {
+            store: Store::default(),
+            stop: CancellationToken::new(),
+        }
+    }
+
+    pub async fn door(&self) -> Door {
+        let address = SocketAddr::new(fresh(), 8000);
+        let opened = self.store.open(address, self.stop.clone()).await;
+        opened.expect("the store listens")
+    }
+
+    pub fn desire(&self, desired: &Desired) -> u64 {
+        let config = serde_json::json!({
+            "version": format!("{:08x}", desired.version),
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536},
+            "tenants": [{"name": "cooperative", "apiKeys": desired.keys, "ratePerS": 0, "burst": 0}],
+            "listeners": [{"hostname": "a.example", "rules": [{
+                "name": "r1", "routeType": desired.kind, "targetLatencyMs": 400,
+                "sessionAffinity": true, "match": {"prefix": "/a/"},
+                "action": {
+                    "service": desired.service, "timeoutMs": desired.timeout_ms, "maxAttempts": 2,
+                    "homeRegions": desired.homes,
+                },
+            }]}],
+            "clusters": [
+                {"name": "lookup", "maxConnections": 100, "warmupS": 1.0, "warmupPerS": 2.6},
+                {"name": "other", "maxConnections": 100, "warmupS": 1.0, "warmupPerS": 2.6},
+            ],
+        });
+        self.store.put("op", "config", config.to_string())
+    }
+
+    pub async fn server(&self, id: &str, entry: &Entry) -> Server {
+        let address = SocketAddr::new(fresh(), 8080);
+        let server = Server::start(id, address)
+            .await
+            .expect("the server listens");
+        server.register(&self.store, entry);
+        server
+    }
+
+    /// Starts a gateway that reaches the store by `door`.
+    pub async fn gateway(&self, vm: &str, data_centre: &str, door: &Door) -> Gateway {
+        let ip = fresh();
+        let at = |port| SocketAddr::new(ip, port);
+        let settings = Settings {
+            vm: vm.into(),
+            data_centre: data_centre.into(),
+            region: region(data_centre).into(),
+            data_centres: ["nord-a", "nord-b", "sud-a"]
+                .iter()
+                .map(|name| ((*name).into(), region(name).into()))
+                .collect(),
+            listen: Listen {
+                callers: at(8389),
+                readiness: at(8384),
+                lookup: at(8385),
+                peers: at(7460),
+                metrics: at(9464),
+            },
+            seeds: Vec::new(),
+            store: door.address,
+            link_mbps: 1_000.0,
+            bounds: Bounds {
+                grace_s: 2.0,
+                retry_ratio: 0.2,
+                retry_slack: 62.0,
+                exposure_share: 0.1,
+                exposure_slack: 50.0,
+                lookup_ttl_s: 5.0,
+            },
+            list_period_ms: 300,
+            log: "info".into(),
+        };
+        let stop = self.stop.child_token();
+        let running = run::run(settings.clone(), "/dev/null".into(), stop.clone());
+        tokio::spawn(async move { running.await.expect("the gateway listens") });
+        Gateway { settings, stop }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+fn region(data_centre: &str) -> &str {
+    data_centre.split('-').next().unwrap_or_default()
+}
+
+impl Gateway {
+    /// Waits until it counts as ready.
+    pub async fn ready(&self) {
+        until("the gateway is ready", || async {
+            let answer = get(self.settings.listen.readiness, "/-/readiness").await;
+            answer.is_some_and(|answer| answer.status == StatusCode::OK)
+        })
+        .await;
+    }
+
+    /// Sends a request as a caller with a key.
+    pub async fn ask(&self, id: &str, path: &str) -> Option<(StatusCode, HeaderMap, Bytes)> {
+        self.ask_with(id, path, Some("key-1")).await
+    }
+
+    pub async fn ask_with(
+        &self,
+        id: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Option<(StatusCode, HeaderMap, Bytes)> {
+        let mut request = Request::builder()
+            .method(Method::GET)
+            .uri(path)
+            .header("host", "a.example")
+            .header(header::REQUEST_ID, id)
+            .header(header::DEADLINE, "3000")
+            .header("cookie", "X-Cardamomhall-Affinity-Key=17");
+        if let Some(key) = key {
+            request = request.header(header::KEY, key);
+        }
+        let request = request.body(Full::new(Bytes::new())).expect("a request");
+        call(self.settings.listen.callers, request).await
+    }
+}
+
+async fn call(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Option<(StatusCode, HeaderMap, Bytes)> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await.ok()?;
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    Some((parts.status, parts.headers, body))
+}
+
+pub async fn get(address: SocketAddr, path: &str) -> Option<Answer> {
+    let request = Request::builder().uri(path).header("host", "x");
+    let request = request.body(Full::new(Bytes::new())).expect("a request");
+    let (status, _, body) = call(address, request).await?;
+    Some(Answer { status, body })
+}
+
+/// Waits until a condition holds; fails the test if it does not soon.
+pub async fn until<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
+    let end = Instant::now() + SOON;
+    while !condition().await {
+        assert!(Instant::now() < end, "not in time: {what}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
