bug: VMs asked again and again for a removed order

Cause: VMs compared the version of the newest order they had seen with the one that others reported. A removed order leaves no row, so who read the table after the removal stayed behind for good, asked another data centre at each report, and passed its own delegate over. Ruled out: lost datagrams (reports are repeated four times a second). Change: what counts is the version of the store up to which all changes are known.

--- a/crates/steering/tests/spending.rs
+++ b/crates/steering/tests/spending.rs
@@ -55,7 +55,7 @@
         for ms in 0..millis {
             let now = self.start + Duration::from_millis(ms);
             for from in 0..VMS {
-                if (ms + from as u64 * 37) % PERIOD == 0 {
+                if (ms + from as u64 * 37).is_multiple_of(PERIOD) {
                     let totals: Vec<_> = self.ledgers[from].totals().collect();
                     on_the_way.extend(totals.iter().map(|(_, t)| (ms + DELAY, from, *t)));
                 }
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -25,6 +25,7 @@
     refusals: Family<Labels, Counter>,
     retries: Family<Labels, Counter>,
     retries_denied: Counter,
+    questions: Counter,
     latency: Histogram,
     /// Requests ended since the start by status class, for the stop line.
     ended: Mutex<IndexMap<u16, u64>>,
@@ -37,6 +38,7 @@
             refusals: Family::default(),
             retries: Family::default(),
             retries_denied: Counter::default(),
+            questions: Counter::default(),
             latency: Histogram::new(exponential_buckets(SHORTEST, 2.0, BUCKETS)),
             ended: Mutex::default(),
         }
@@ -59,6 +61,11 @@
             "Sends beyond the first that the budget denied",
             self.retries_denied.clone(),
         );
+        registry.register(
+            "store_questions",
+            "Questions of other VMs about the store",
+            self.questions.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time from a request's head to its answer",
@@ -92,6 +99,11 @@
         self.retries_denied.inc();
     }
 
+    /// Counts a question of another VM about the store.
+    pub fn question(&self) {
+        self.questions.inc();
+    }
+
     /// Returns the answers since the start by status.
     pub fn totals(&self) -> IndexMap<u16, u64> {
         lock(&self.ended).clone()
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -121,12 +121,6 @@
     }
 
     async fn read_orders(&self, changed_at: RowVersion) -> Result<RowVersion, store::Error> {
-        let reported = {
-            let fleet = lock(&self.shared.fleet);
-            let now = Instant::now();
-            let peers = fleet.near(now).chain(fleet.far(now));
-            peers.map(|peer| peer.report.known.orders).max()
-        };
         let Rows { rows, version, .. } = self.client.rows(OPERATIONS).await?;
         let newest = rows
             .iter()
@@ -135,8 +129,6 @@
         let operations = desired::decode(&rows);
         self.put_in_force(operations, newest, version, "store");
         self.confirmed(version);
-        let mut orders = lock(&self.shared.orders);
-        orders.checked = orders.checked.max(reported.unwrap_or_default());
         Ok(version)
     }
 
@@ -146,6 +138,13 @@
         orders.snapshot = orders.snapshot.max(snapshot);
     }
 
+    /// Takes in that the orders did not change up to `snapshot`; the newest has `version`.
+    pub fn unchanged(&self, version: RowVersion, snapshot: RowVersion) {
+        let mut orders = lock(&self.shared.orders);
+        orders.version = orders.version.max(version);
+        orders.snapshot = orders.snapshot.max(snapshot);
+    }
+
     /// Puts orders in force, of which the newest has `version` and which were read at `snapshot`.
     pub fn put_in_force(
         &self,
--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -66,6 +66,7 @@
     if request.uri().path() != PATH {
         return text(StatusCode::NOT_FOUND, "no such interface\n");
     }
+    shared.metrics.question();
     let query = request.uri().query().unwrap_or_default();
     let number = |name: &str| {
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -123,8 +124,9 @@
 }
 
 fn take(reader: &Reader, copy: Copy) {
-    if let Some(operations) = copy.operations {
-        reader.put_in_force(operations, copy.orders, copy.snapshot, "peer");
+    match copy.operations {
+        Some(operations) => reader.put_in_force(operations, copy.orders, copy.snapshot, "peer"),
+        None => reader.unchanged(copy.orders, copy.snapshot),
     }
     let position = copy.servers.position;
     let listed = lock(&reader.shared().listing).with(copy.servers);
@@ -135,11 +137,11 @@
 /// Whether this VM knows all that the other one reported to know.
 fn is_synced(shared: &Shared, source: &Source) -> bool {
     let followed = lock(&shared.listing).followed;
-    let orders = lock(&shared.orders).version;
+    let snapshot = lock(&shared.orders).snapshot;
     let same = followed.is_some_and(|followed| {
         followed.run == source.run && followed.number >= source.known.listing
     });
-    same && orders >= source.known.orders
+    same && snapshot >= source.known.orders
 }
 
 /// Takes in that what this VM knows is as new as what the other one knew.
@@ -161,9 +163,9 @@
         return None;
     }
     let delegate = shared.delegate(now).filter(|d| d.known.reads);
-    let (own_orders, read) = {
+    let (snapshot, read) = {
         let orders = lock(&shared.orders);
-        (orders.version, orders.read.zip(lock(&shared.listing).read))
+        (orders.snapshot, orders.read.zip(lock(&shared.listing).read))
     };
     let own = read.map(|(a, b)| now.saturating_duration_since(a.min(b)));
     let fleet = lock(&shared.fleet);
@@ -175,8 +177,8 @@
     };
     if let Some(delegate) = delegate {
         let newest = peers().max_by_key(|report| report.known.orders);
-        let is_behind = delegate.known.orders <= own_orders;
-        let newer = newest.filter(|report| is_behind && report.known.orders > own_orders);
+        let is_behind = delegate.known.orders <= snapshot;
+        let newer = newest.filter(|report| is_behind && report.known.orders > snapshot);
         return Some(Source::of(newer.unwrap_or(&delegate)));
     }
     let best = peers()
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -204,7 +204,7 @@
         let bytes = &buffer[..length];
         match report::decode(bytes) {
             Ok(report) => {
-                let targets = take(&shared, from, report, Instant::now());
+                let targets = take(&shared, from, &report, Instant::now());
                 send_bytes(&socket, bytes, targets).await;
             }
             Err(error) => log::warn!("event=report-unreadable from={from} error=\"{error}\""),
@@ -213,7 +213,7 @@
 }
 
 /// Takes in a report; returns to whom it is to be passed on.
-fn take(shared: &Shared, from: SocketAddr, report: Report, now: Instant) -> IndexSet<SocketAddr> {
+fn take(shared: &Shared, from: SocketAddr, report: &Report, now: Instant) -> IndexSet<SocketAddr> {
     let settings = &shared.settings;
     let is_own = report.data_centre == settings.data_centre;
     if report.vm == settings.vm || (is_own && report.is_summary()) {
@@ -222,7 +222,7 @@
     let mut fleet = lock(&shared.fleet);
     if !is_own && !report.is_summary() {
         // A VM that knows only the seeds: its delegate, or all its neighbours, shall answer it.
-        fleet.add(&report);
+        fleet.add(report);
         shared.urgent.notify_one();
         let delegate = fleet
             .far(now)
@@ -255,7 +255,7 @@
         }
         Heard::Again => {}
     }
-    apply(shared, &report, before.as_ref(), now);
+    apply(shared, report, before.as_ref(), now);
     let mut targets = targets;
     targets.shift_remove(&settings.listen.peers);
     targets
@@ -287,11 +287,8 @@
         }
     }
     shared.takeovers.hear(report);
-    let known = {
-        let orders = lock(&shared.orders);
-        orders.version.max(orders.checked)
-    };
-    if report.known.orders > known && report.phase != Phase::Starting {
+    let snapshot = lock(&shared.orders).snapshot;
+    if report.known.orders > snapshot && report.phase != Phase::Starting {
         shared.stale.notify_one();
     }
     shared.heard.notify_one();
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -30,10 +30,8 @@
     pub version: u64,
     /// Version of the store at the last change that was put in force here.
     pub changed: u64,
-    /// Version of the store when they were last read.
+    /// Version of the store when they were last read; all changes up to it are known.
     pub snapshot: u64,
-    /// Highest version that another VM reported and that was looked for in the store since.
-    pub checked: u64,
     /// Data centres whose servers get nothing.
     pub evacuated: Vec<base::id::DataCentre>,
     /// When they were last confirmed.
--- a/programs/gateway/tests/fleet.rs
+++ b/programs/gateway/tests/fleet.rs
@@ -204,6 +204,47 @@
     assert!(refuses(&gateway, "key-2").await < IN_FORCE + Duration::from_secs(1));
 }
 
+/// Returns the questions about the store that a gateway answered.
+async fn questions(gateway: &Gateway) -> u64 {
+    let answer = site::get(gateway.settings.listen.metrics, "/metrics").await;
+    let text = answer.expect("metrics").body;
+    let text = std::str::from_utf8(&text).expect("text");
+    let line = text
+        .lines()
+        .find(|l| l.starts_with("gateway_store_questions_total "));
+    let number = line.and_then(|line| line.split(' ').nth(1));
+    number.expect("a counter").parse().expect("a number")
+}
+
+/// Guards against VMs that ask for an order again and again: one data centre saw the feed tell of
+/// a removed order, the VMs of another started afterwards and never learned the version of the
+/// removal.
+#[tokio::test]
+async fn removed_order_is_not_asked_for_again() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    site.server("i-1", &Entry::default()).await;
+    site.store.put("op", "evacuate/sud-a", "{}");
+    let first = site.gateway("vm-1", "nord-a", &door).await;
+    first.ready().await;
+    site.store.remove("op", "evacuate/sud-a");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let later = [
+        site.gateway("vm-2", "sud-a", &door).await,
+        site.gateway("vm-3", "sud-a", &door).await,
+    ];
+    for gateway in &later {
+        gateway.ready().await;
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = [questions(&first).await, questions(&later[0]).await];
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let after = [questions(&first).await, questions(&later[0]).await];
+    let asked = after[0] - before[0] + after[1] - before[1];
+    assert!(asked <= 4, "{asked} questions in 2 calm seconds");
+}
+
 /// Guards against a directory that names VMs which ended.
 #[tokio::test]
 async fn lookup_names_the_vms_that_serve() {
