bug: a good version was reported as complete too late

The leader counted the term from its first read of the store, 0.4 s after it learned of the order, and wrote 0.7 s before the end; the write came 0.05 s late. Ruled out: lack of evidence (the version was judged good and moved in time). Change: the term counts from when the order was learned, and the report is due 1.0 s before the deadline.

--- a/crates/steering/src/takeover.rs
+++ b/crates/steering/src/takeover.rs
@@ -63,7 +63,8 @@
         pub bad_ratio: f64,
         /// Time before the deadline at which the new version takes all new requests.
         pub moving: Duration,
-        /// Time before the deadline at which the takeover is reported as complete.
+        /// Time before the deadline at which the takeover is reported as complete: for a write to a
+        /// slow store, and one that has to be repeated by another leader.
         pub complete: Duration,
         /// Answers that take longer than this many latency objectives are bad. A cold object on a
         /// server that has just started takes about 3.2.
@@ -79,8 +80,8 @@
             bad_least: 4,
             bad_share: 0.15,
             bad_ratio: 3.0,
-            moving: Duration::from_millis(1400),
-            complete: Duration::from_millis(700),
+            moving: Duration::from_millis(1_500),
+            complete: Duration::from_millis(1_000),
             late: 5.0,
         }
     }
--- a/programs/gateway/src/takeovers.rs
+++ b/programs/gateway/src/takeovers.rs
@@ -36,6 +36,8 @@
 #[derive(Debug)]
 struct Active {
     order: TakeoverOrder,
+    /// When this VM learned of the order.
+    learned: Instant,
     stage: Option<Stage>,
     settled: bool,
     deadline: Option<Instant>,
@@ -116,6 +118,7 @@
             let settings = Settings::default();
             let entry = Active {
                 order: order.clone(),
+                learned: Instant::now(),
                 stage: None,
                 settled: false,
                 deadline: None,
@@ -335,9 +338,15 @@
     let began = match (&told, began) {
         (Some(_), Some(began)) => began,
         _ => {
+            let since = {
+                let active = lock(&shared.takeovers.active);
+                let takeover = active.get(&order.service);
+                takeover.map_or(Duration::ZERO, |takeover| takeover.learned.elapsed())
+            };
+            let since_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
             let began = Begin {
                 order: order.order,
-                began_ms: begins.now_ms,
+                began_ms: begins.now_ms.saturating_sub(since_ms),
             };
             let puts = [
                 status_put(order, Stage::Sampling, status.map_or(0, |row| row.version)),
@@ -350,7 +359,8 @@
                 },
             ];
             if let Transacted::Applied(version) = client.transact(&puts).await? {
-                apply(shared, order, Stage::Sampling, version, order.term);
+                let left = order.term.saturating_sub(since);
+                apply(shared, order, Stage::Sampling, version, left);
             }
             return Ok(());
         }
