feature: soak of real gateway processes under faults from outside

Cause: faults of processes, connections, store and servers were tested one at a time. Change: tests/soak starts four gateways as processes, four servers and a store behind a loopback proxy that delays, resets, silences and cuts connections one way; signals stop, pause, kill and restart; series overlap; callers keep connections open. It checks what callers and servers saw: runs at most once, truth of not run, whole answers to their own requests, withdrawn keys, and service after the faults.

--- /dev/null
+++ b/tests/soak/src/run.rs
@@ -0,0 +1,382 @@
+//! One run of the soak.
+
+use crate::caller::{Caller, Seen};
+use crate::plan::{self, CENTRES, FAULT_TIME, Fault, GATEWAYS, SERVERS, ServerFault, StoreFault};
+use crate::process::Gateway;
+use crate::promise::{self, History};
+use crate::proxy::{Mode, Proxy};
+use base::sync::lock;
+use rustix::process::Signal;
+use standin_site::server::{Behaviour, Entry, Server};
+use standin_site::store::{Door, Faults, Store};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+/// Time from the end of the faults to the end of the run.
+const CALM_TIME: Duration = Duration::from_secs(7);
+/// Time from the end of the faults from which callers are served: starts, the time-out of silent
+/// connections, and the forgetting of servers that were down.
+const RECOVERY: Duration = Duration::from_secs(5);
+/// Time between two requests of a caller.
+const GAP: Duration = Duration::from_millis(40);
+/// Time after which a gateway that ended is started again.
+const RESTART: Duration = Duration::from_millis(200);
+/// Time for the gateways to become ready.
+const START: Duration = Duration::from_secs(15);
+/// Data centres.
+const NAMES: [&str; CENTRES] = ["nord-a", "sud-a"];
+
+/// Result of one run.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+    /// Requests that callers sent.
+    pub asked: usize,
+    /// Requests that were served.
+    pub served: usize,
+    /// Folder with settings and logs.
+    pub folder: PathBuf,
+}
+
+struct World {
+    store: Store,
+    doors: Vec<Door>,
+    store_ways: Vec<Proxy>,
+    servers: Vec<Server>,
+    server_ways: Vec<Proxy>,
+    gateways: Vec<Gateway>,
+    version: u32,
+    withdrawn: Option<Instant>,
+    sequence: u64,
+}
+
+/// Runs of this process so far.
+static RUNS: AtomicU8 = AtomicU8::new(0);
+
+/// Ports between two runs of one process.
+const RUN_PORTS: u16 = 20;
+
+/// Addresses of one run: each process has its own network, each run its own ports.
+#[derive(Debug, Clone, Copy)]
+struct Addresses {
+    network: [u8; 3],
+    shift: u16,
+}
+
+impl Addresses {
+    fn new() -> Self {
+        let [high, low] = (std::process::id() as u16).to_be_bytes();
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        Self {
+            network: [127, 64 | (high & 0x3f), low],
+            shift: u16::from(run) * RUN_PORTS,
+        }
+    }
+
+    fn at(self, number: u8, port: u16) -> SocketAddr {
+        let [a, b, c] = self.network;
+        let ip = Ipv4Addr::new(a, b, c, number);
+        SocketAddr::new(IpAddr::V4(ip), port + self.shift)
+    }
+}
+
+/// Plays one seed with the gateway at `program`; settings and logs go below `folder`.
+///
+/// # Errors
+///
+/// Fails if the world can't be set up.
+pub async fn run(seed: u64, program: &Path, folder: &Path) -> io::Result<Outcome> {
+    let folder = folder.join(format!("seed-{seed}"));
+    std::fs::create_dir_all(&folder)?;
+    let stop = CancellationToken::new();
+    let mut world = World::start(program, &folder, &stop).await?;
+    world.publish();
+    for gateway in &mut world.gateways {
+        gateway.start()?;
+    }
+    world.wait_ready().await?;
+    let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
+    let next = Arc::new(AtomicU64::new(0));
+    for gateway in &world.gateways {
+        for _ in 0..3 {
+            tokio::spawn(call(
+                gateway.callers,
+                seen.clone(),
+                next.clone(),
+                stop.clone(),
+            ));
+        }
+    }
+    let begin = Instant::now();
+    let mut log = Vec::new();
+    for (at, fault) in plan::draw(seed) {
+        tokio::time::sleep_until((begin + at).into()).await;
+        log.push(format!("{:6} ms {fault:?}", begin.elapsed().as_millis()));
+        world.strike(&fault)?;
+    }
+    let calm = Instant::now();
+    // A gateway that was asked to stop just before ends a while later, and is started then.
+    while begin.elapsed() < FAULT_TIME + CALM_TIME {
+        world.mend()?;
+        tokio::time::sleep(RESTART).await;
+    }
+    stop.cancel();
+    world.servers.iter().for_each(Server::stop);
+    let runs = world.servers.iter().flat_map(Server::runs).collect();
+    let history = History {
+        seen: lock(&seen).clone(),
+        runs,
+        calm,
+        withdrawn: world.withdrawn,
+        recovery: RECOVERY,
+    };
+    std::fs::write(folder.join("faults.txt"), log.join("\n"))?;
+    let served = history
+        .seen
+        .iter()
+        .filter(|s| matches!(&s.answer, Some((200, _, _))));
+    Ok(Outcome {
+        broken: promise::broken(&history),
+        asked: history.seen.len(),
+        served: served.count(),
+        folder,
+    })
+}
+
+/// Sends requests of all kinds until the run ends.
+async fn call(
+    address: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    next: Arc<AtomicU64>,
+    stop: CancellationToken,
+) {
+    let mut caller = Caller::new(address);
+    while !stop.is_cancelled() {
+        let number = next.fetch_add(1, Ordering::Relaxed);
+        let id = format!("r{number}");
+        let result = tokio::select! {
+            result = caller.ask(&id, number.is_multiple_of(2), number.is_multiple_of(5)) => result,
+            () = stop.cancelled() => return,
+        };
+        lock(&seen).push(result);
+        tokio::time::sleep(GAP).await;
+    }
+}
+
+impl World {
+    async fn start(program: &Path, folder: &Path, stop: &CancellationToken) -> io::Result<Self> {
+        let addresses = Addresses::new();
+        let address = |number, port| addresses.at(number, port);
+        let store = Store::default();
+        let (mut doors, mut store_ways) = (Vec::new(), Vec::new());
+        for number in 0..CENTRES as u8 {
+            let door = store.open(address(1 + number, 8000), stop.clone()).await?;
+            let way = Proxy::start(address(11 + number, 8000), door.address, stop.clone());
+            store_ways.push(way.await?);
+            doors.push(door);
+        }
+        let (mut servers, mut server_ways) = (Vec::new(), Vec::new());
+        for number in 0..SERVERS as u8 {
+            let server = Server::start(&format!("i-{number}"), address(21 + number, 8080)).await?;
+            let way = Proxy::start(address(31 + number, 8080), server.address, stop.clone());
+            server_ways.push(way.await?);
+            servers.push(server);
+        }
+        let mut gateways = Vec::new();
+        for number in 0..GATEWAYS {
+            let at = |port| address(41 + number as u8, port);
+            let vm = format!("vm-{number}");
+            let gateway = Gateway::new(&vm, at(8389), at(8385), program, folder);
+            let centre = number % CENTRES;
+            let text = settings(&vm, centre, &at, store_ways[centre].address);
+            std::fs::write(gateway.settings(), text)?;
+            gateways.push(gateway);
+        }
+        let mut world = Self {
+            store,
+            doors,
+            store_ways,
+            servers,
+            server_ways,
+            gateways,
+            version: 0,
+            withdrawn: None,
+            sequence: 0,
+        };
+        (0..SERVERS).for_each(|server| world.register(server, false));
+        Ok(world)
+    }
+
+    /// Waits until every gateway names itself in its look-ups.
+    async fn wait_ready(&self) -> io::Result<()> {
+        let end = Instant::now() + START;
+        for gateway in &self.gateways {
+            while !is_ready(gateway.callers).await {
+                if Instant::now() > end {
+                    return Err(io::Error::other(format!("{} does not start", gateway.vm)));
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn register(&mut self, server: usize, leaving: bool) {
+        self.sequence += 1;
+        let entry = Entry {
+            service: "service",
+            data_centre: NAMES[server % CENTRES],
+            leaving,
+            sequence: self.sequence,
+            born: self.sequence,
+            ..Entry::default()
+        };
+        let way = self.server_ways[server].address;
+        self.servers[server].register_at(&self.store, &entry, way);
+    }
+
+    fn publish(&mut self) {
+        self.version += 1;
+        let keys: &[&str] = match self.withdrawn {
+            Some(_) => &["new"],
+            None => &["new", "old"],
+        };
+        let rule = |name: &str, kind: &str| {
+            serde_json::json!({
+                "name": name, "routeType": kind, "targetLatencyMs": 400,
+                "match": {"prefix": format!("/{name}/")},
+                "action": {"service": "service", "timeoutMs": 2000, "maxAttempts": 2},
+            })
+        };
+        let config = serde_json::json!({
+            "version": format!("{:08x}", self.version),
+            "tenants": [{"name": "t", "apiKeys": keys, "ratePerS": 0, "burst": 0}],
+            "listeners": [{
+                "hostname": "soak.example",
+                "rules": [rule("safe", "safe"), rule("once", "unsafe")],
+            }],
+            "clusters": [{"name": "service", "maxConnections": 100, "warmupPerS": 5}],
+        });
+        self.store.put("op", "config", config.to_string());
+    }
+
+    fn strike(&mut self, fault: &Fault) -> io::Result<()> {
+        match *fault {
+            Fault::Kill(gateway) => self.gateways[gateway].signal(Signal::KILL)?,
+            Fault::Stop(gateway) => self.gateways[gateway].signal(Signal::TERM)?,
+            Fault::Pause(gateway) => self.gateways[gateway].signal(Signal::STOP)?,
+            Fault::Continue(gateway) => self.gateways[gateway].signal(Signal::CONT)?,
+            Fault::Reload(gateway) => self.gateways[gateway].signal(Signal::HUP)?,
+            Fault::Start(gateway) => self.gateways[gateway].start()?,
+            Fault::StoreWay(centre, mode) => self.store_ways[centre].set(mode),
+            Fault::Store(centre, fault) => self.doors[centre].set(faults(fault)),
+            Fault::Forget => self.store.forget_history(),
+            Fault::ServerWay(server, mode) => self.server_ways[server].set(mode),
+            Fault::Server(server, fault) => self.servers[server].set(behaviour(fault)),
+            Fault::Leave(server) => self.register(server, true),
+            Fault::Rejoin(server) => self.register(server, false),
+            Fault::Publish => self.publish(),
+            Fault::Withdraw => {
+                self.withdrawn.get_or_insert(Instant::now());
+                self.publish();
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all faults and starts what does not run.
+    fn mend(&mut self) -> io::Result<()> {
+        self.doors
+            .iter()
+            .for_each(|door| door.set(Faults::default()));
+        let ways = self.store_ways.iter().chain(&self.server_ways);
+        ways.for_each(|way| way.set(Mode::Pass));
+        self.servers
+            .iter()
+            .for_each(|s| s.set(Behaviour::default()));
+        for gateway in &mut self.gateways {
+            gateway.signal(Signal::CONT)?;
+            gateway.start()?;
+        }
+        Ok(())
+    }
+}
+
+fn faults(fault: StoreFault) -> Faults {
+    match fault {
+        StoreFault::Sound => Faults::default(),
+        StoreFault::Down => Faults {
+            down: true,
+            ..Faults::default()
+        },
+        StoreFault::Silent => Faults {
+            silent: true,
+            ..Faults::default()
+        },
+        StoreFault::Slow => Faults {
+            delay: Duration::from_millis(400),
+            ..Faults::default()
+        },
+        StoreFault::LosesAnswers => Faults {
+            loses_answers: true,
+            ..Faults::default()
+        },
+    }
+}
+
+fn behaviour(fault: ServerFault) -> Behaviour {
+    let sound = Behaviour::default();
+    match fault {
+        ServerFault::Sound => sound,
+        ServerFault::Silent => Behaviour {
+            silent: true,
+            ..sound
+        },
+        ServerFault::Sheds => Behaviour {
+            sheds: true,
+            ..sound
+        },
+        ServerFault::Confuses => Behaviour {
+            confuses: true,
+            ..sound
+        },
+        ServerFault::Unsigned => Behaviour {
+            unsigned: true,
+            ..sound
+        },
+        ServerFault::Fails => Behaviour {
+            status: 500,
+            ..sound
+        },
+    }
+}
+
+async fn is_ready(callers: SocketAddr) -> bool {
+    let seen = Caller::new(callers).ask("ready", true, false).await;
+    matches!(seen.answer, Some((200, _, _)))
+}
+
+fn settings(vm: &str, centre: usize, at: &impl Fn(u16) -> SocketAddr, store: SocketAddr) -> String {
+    let settings = serde_json::json!({
+        "vm": vm,
+        "data_centre": NAMES[centre],
+        "region": NAMES[centre],
+        "data_centres": {"nord-a": "nord-a", "sud-a": "sud-a"},
+        "listen": {
+            "callers": at(8389), "readiness": at(8384), "lookup": at(8385),
+            "peers": at(7460), "metrics": at(9464),
+        },
+        "store": store,
+        "bounds": {
+            "grace_s": 2, "retry_ratio": 0.2, "retry_slack": 62, "exposure_share": 0.1,
+            "exposure_slack": 50, "lookup_ttl_s": 5,
+        },
+    });
+    settings.to_string()
+}
--- /dev/null
+++ b/tests/soak/tests/seeds.rs
@@ -0,0 +1,43 @@
+//! Short seeded runs of the soak, and every seed that ever failed.
+
+use rstest::rstest;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::OnceLock;
+
+/// Builds the gateway and returns its path.
+fn program() -> &'static Path {
+    static PROGRAM: OnceLock<PathBuf> = OnceLock::new();
+    PROGRAM.get_or_init(|| {
+        let test = std::env::current_exe().expect("a test program");
+        let target = test.ancestors().nth(2).expect("a target folder");
+        let built = Command::new(env!("CARGO"))
+            .args(["build", "--quiet", "--package", "gateway"])
+            .status();
+        assert!(
+            built.is_ok_and(|status| status.success()),
+            "the gateway does not build"
+        );
+        target.join("gateway")
+    })
+}
+
+/// Guards against broken promises under overlapping faults.
+#[rstest]
+#[case::first(1)]
+#[case::second(2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold(#[case] seed: u64) {
+    // Runs of one process share addresses, so they follow each other.
+    static TURN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+    let _turn = TURN.lock().await;
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let outcome = soak::run::run(seed, program(), &folder).await;
+    let outcome = outcome.expect("the world starts");
+    assert!(
+        outcome.broken.is_empty(),
+        "{:?}, logs in {:?}",
+        outcome.broken,
+        outcome.folder
+    );
+}
