refactor: one mapping of failed sends and of refusals, one set-up of tests

Cause: the gateway had copies of entry's meaning of failed sends and of the callers' statuses, the operator's names stood in tests outside platform/, and tests repeated their set-up. Change: backends says what a failed send means, the gateway uses the callers' statuses, platform/standin writes what the operator wants, unused fields and dependencies go. Figures: no behaviour changes but one label: a refusal of a server is counted with its own reason.

--- a/programs/entry/src/forward.rs
+++ b/programs/entry/src/forward.rs
@@ -7,11 +7,11 @@
 use crate::release::{Releases, Start, Trial};
 use crate::route::{self, Flight, Router};
 use crate::server::Running;
-use backends::client::{After, Before, Failure, NotRun};
+use backends::client::{After, Failure, NotRun};
 use base::http::Body;
 use hyper::Response;
 use std::sync::Arc;
-use steering::attempt::{self, Attempt, Outcome, Refusal, Retry, Step, Uncertainty};
+use steering::attempt::{Attempt, Outcome, Refusal, Step};
 
 /// Most servers that one request is sent to.
 const ATTEMPTS: usize = 4;
@@ -108,7 +108,7 @@
         flight.failed(failure);
         let name = flight.server().listed.name.clone();
         drop((running, flight));
-        match sent.fail(classify(failure)) {
+        match sent.fail(failure.into()) {
             // Another server would crash, too.
             Step::Retry(next, _) if crashed => return Err(next.give_up(Refusal::Suspected)),
             Step::Retry(next, _) if loads(failure) && !shard.retry() => {
@@ -145,22 +145,3 @@
         Failure::Before(_) | Failure::NotRun(NotRun::Leaving)
     )
 }
-
-/// Says what a failed send means for the request.
-fn classify(failure: Failure) -> attempt::Failure {
-    use attempt::Failure::{MayHaveRun, Refused, Unsent};
-    match failure {
-        Failure::Before(Before::Busy) => Unsent(Retry::ConnectionsBusy),
-        Failure::Before(Before::ConnectRefused | Before::ConnectTimeout | Before::Deadline) => {
-            Unsent(Retry::ConnectFailed)
-        }
-        Failure::Before(Before::Stale) => Unsent(Retry::StaleConnection),
-        Failure::NotRun(NotRun::Shedding) => Refused(Retry::ServerShedding),
-        Failure::NotRun(NotRun::Leaving) => Refused(Retry::ServerLeaving),
-        Failure::NotRun(NotRun::Other) => Refused(Retry::ServerRefused),
-        Failure::After(After::Silent) => MayHaveRun(Uncertainty::Silent),
-        Failure::After(After::Interrupted) => MayHaveRun(Uncertainty::Interrupted),
-        Failure::After(After::Deadline) => MayHaveRun(Uncertainty::DeadlinePassed),
-        Failure::After(After::WrongAnswer) => MayHaveRun(Uncertainty::WrongAnswer),
-    }
-}
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -123,7 +123,7 @@
             }
             Sent::Failed(failure) => {
                 arrivals += u32::from(!matches!(failure, Failure::Before(_)));
-                classify(failure)
+                failure.into()
             }
         };
         drop(flight);
@@ -342,20 +342,3 @@
     headers.remove(CONTENT_LENGTH);
     Sent::Answered(answer)
 }
-
-/// Says what a failed send means for the request.
-fn classify(failure: Failure) -> attempt::Failure {
-    use attempt::Failure::{MayHaveRun, Refused, Unsent};
-    match failure {
-        Failure::Before(Before::Busy) => Unsent(Retry::ConnectionsBusy),
-        Failure::Before(Before::ConnectRefused | Before::ConnectTimeout | Before::Deadline) => {
-            Unsent(Retry::ConnectFailed)
-        }
-        Failure::Before(Before::Stale) => Unsent(Retry::StaleConnection),
-        Failure::NotRun(_) => Refused(Retry::ServerRefused),
-        Failure::After(After::Silent) => MayHaveRun(Uncertainty::Silent),
-        Failure::After(After::Interrupted) => MayHaveRun(Uncertainty::Interrupted),
-        Failure::After(After::Deadline) => MayHaveRun(Uncertainty::DeadlinePassed),
-        Failure::After(After::WrongAnswer) => MayHaveRun(Uncertainty::WrongAnswer),
-    }
-}
--- a/programs/gateway/src/pipeline.rs
+++ b/programs/gateway/src/pipeline.rs
@@ -5,6 +5,7 @@
 use crate::receive::{self, BODY_BYTES, Call, Head};
 use crate::shared::Shared;
 use base::http::{Body, full, text};
+use callers::outcome;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
@@ -75,14 +76,14 @@
 /// Builds the answer to a request that no server answered.
 fn refusal(call: &Call, unserved: &Unserved, shared: &Shared) -> Response<Body> {
     let now = Instant::now();
-    let (status, reason) = match &unserved.outcome {
-        Outcome::NotRun(proof) => (status(proof.reason()), proof.reason().text()),
-        Outcome::Unknown(Uncertainty::DeadlinePassed) => (
-            StatusCode::GATEWAY_TIMEOUT,
-            Uncertainty::DeadlinePassed.text(),
-        ),
-        Outcome::Unknown(cause) => (StatusCode::BAD_GATEWAY, cause.text()),
-        Outcome::Served | Outcome::ServedBefore => (StatusCode::BAD_GATEWAY, "served"),
+    let reason = outcome::reason(&unserved.outcome).unwrap_or(outcome::SERVED);
+    let status = match &unserved.outcome {
+        Outcome::Unknown(Uncertainty::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
+        // To a caller of the platform any 4xx of this system says that the request is wrong.
+        Outcome::NotRun(proof) if proof.reason() == Refusal::Quarantined => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        other => outcome::status(other),
     };
     shared.metrics.refused(reason);
     let configuration = shared.table().map_or(0, |t| t.configuration().version);
@@ -113,15 +114,3 @@
     }
     response
 }
-
-fn status(reason: Refusal) -> StatusCode {
-    match reason {
-        Refusal::Invalid => StatusCode::BAD_REQUEST,
-        Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        Refusal::Unauthorised => StatusCode::UNAUTHORIZED,
-        Refusal::Forbidden => StatusCode::FORBIDDEN,
-        Refusal::NoRoute => StatusCode::NOT_FOUND,
-        Refusal::RateLimited => StatusCode::TOO_MANY_REQUESTS,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
-    }
-}
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -191,9 +191,7 @@
             .filter(|d| !operations.evacuated.contains(*d))
             .cloned()
             .collect();
-        if returned.is_empty() && orders.evacuated == operations.evacuated {
-            // Nothing changed.
-        } else {
+        if orders.evacuated != operations.evacuated {
             log::info!(
                 "event=evacuation evacuated={:?} returned={returned:?} row_version={version} by={from}",
                 operations.evacuated
--- a/programs/gateway/src/run.rs
+++ b/programs/gateway/src/run.rs
@@ -11,7 +11,7 @@
 use std::error::Error;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
@@ -57,7 +57,7 @@
         settings.store
     );
     let client = Client::new(settings.store);
-    let shared = Arc::new(Shared::new(settings, incarnation, Instant::now()));
+    let shared = Arc::new(Shared::new(settings, incarnation));
     let reader = Arc::new(Reader::new(shared.clone(), client.clone()));
     let closed = CancellationToken::new();
 
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -45,8 +45,6 @@
     pub settings: Settings,
     /// This run of the process.
     pub incarnation: Incarnation,
-    /// Start of the process.
-    pub started: Instant,
     /// What callers may expect.
     phase: Mutex<Phase>,
     /// Operator's orders.
@@ -88,12 +86,11 @@
 
 impl Shared {
     /// Makes the state of a process that starts.
-    pub fn new(settings: Settings, incarnation: Incarnation, now: Instant) -> Self {
+    pub fn new(settings: Settings, incarnation: Incarnation) -> Self {
         Self {
             services: Services::new(&settings),
             settings,
             incarnation,
-            started: now,
             phase: Mutex::new(Phase::Starting),
             orders: Mutex::default(),
             listing: Mutex::default(),
--- a/programs/gateway/tests/fleet.rs
+++ b/programs/gateway/tests/fleet.rs
@@ -4,7 +4,8 @@
 
 use adapter::header;
 use hyper::StatusCode;
-use site::{Desired, Gateway, Site, until};
+use site::{Gateway, Site, until};
+use standin_site::operator::{self, Desired};
 use standin_site::server::{Behaviour, Entry};
 use standin_site::store::Faults;
 use std::time::{Duration, Instant};
@@ -32,12 +33,7 @@
 /// 2.7 s behind).
 #[tokio::test]
 async fn change_is_in_force_on_all_vms_although_it_is_read_slowly() {
-    let site = Site::new();
-    let door = site.door().await;
-    site.desire(&Desired::default());
-    site.server("i-1", &Entry::default()).await;
-    let first = site.gateway("vm-1", "nord-a", &door).await;
-    first.ready().await;
+    let (site, door, _server, first) = Site::single(&Desired::default()).await;
     let second = site.gateway("vm-2", "nord-a", &door).await;
     second.ready().await;
     // Time for the second to leave the store to the first.
@@ -159,12 +155,7 @@
 /// servers that did not come back.
 #[tokio::test]
 async fn entries_that_lapse_with_the_store_away_have_time_to_return() {
-    let site = Site::new();
-    let door = site.door().await;
-    site.desire(&Desired::default());
-    let server = site.server("i-1", &Entry::default()).await;
-    let gateway = site.gateway("vm-1", "nord-a", &door).await;
-    gateway.ready().await;
+    let (site, door, server, gateway) = Site::single(&Desired::default()).await;
     door.set(Faults {
         down: true,
         ..Faults::default()
@@ -189,12 +180,7 @@
 /// Guards against a reader that stops at a forgotten history or at lost answers.
 #[tokio::test]
 async fn forgotten_history_is_read_anew() {
-    let site = Site::new();
-    let door = site.door().await;
-    site.desire(&Desired::default());
-    site.server("i-1", &Entry::default()).await;
-    let gateway = site.gateway("vm-1", "nord-a", &door).await;
-    gateway.ready().await;
+    let (site, _, _server, gateway) = Site::single(&Desired::default()).await;
     site.desire(&Desired {
         version: 2,
         keys: &["key-1"],
@@ -225,10 +211,10 @@
     let door = site.door().await;
     site.desire(&Desired::default());
     site.server("i-1", &Entry::default()).await;
-    site.store.put("op", "evacuate/sud-a", "{}");
+    operator::order_evacuation(&site.store, "sud-a");
     let first = site.gateway("vm-1", "nord-a", &door).await;
     first.ready().await;
-    site.store.remove("op", "evacuate/sud-a");
+    operator::end_evacuation(&site.store, "sud-a");
     tokio::time::sleep(Duration::from_millis(500)).await;
     let later = [
         site.gateway("vm-2", "sud-a", &door).await,
@@ -261,7 +247,10 @@
     let named = |region: &'static str| {
         let address = first.settings.listen.lookup;
         async move {
-            let path = format!("/-/resolve?name=a.example&region={region}&zone=x");
+            let path = format!(
+                "{}?name=a.example&region={region}&zone=x",
+                adapter::call::LOOKUP
+            );
             let answer = site::get(address, &path).await.expect("an answer");
             let found: serde_json::Value = answer.decode().expect("JSON");
             let addresses = found["addresses"].as_array().cloned().unwrap_or_default();
@@ -304,19 +293,8 @@
     };
     let server = site.server("i-2", &version).await;
     server.set(new);
-    site.store.put(
-        "op",
-        "rollout/lookup",
-        r#"{"service":"lookup","target":"v2","durationS":6}"#,
-    );
-    let told = || -> String {
-        let row = site
-            .store
-            .get("status", "rollout/lookup")
-            .unwrap_or_default();
-        let status: serde_json::Value = serde_json::from_slice(&row).unwrap_or_default();
-        status["state"].as_str().unwrap_or_default().to_owned()
-    };
+    operator::order_takeover(&site.store, "lookup", "v2", 6);
+    let told = || operator::told(&site.store, "lookup");
     let end = Instant::now() + Duration::from_secs(12);
     let mut number = 0;
     while !matches!(told().as_str(), "completed" | "rolled_back") && Instant::now() < end {
@@ -358,12 +336,7 @@
 /// the server is the caller's.
 #[tokio::test]
 async fn servers_see_the_callers_ids() {
-    let site = Site::new();
-    let door = site.door().await;
-    site.desire(&Desired::default());
-    let server = site.server("i-1", &Entry::default()).await;
-    let gateway = site.gateway("vm-1", "nord-a", &door).await;
-    gateway.ready().await;
+    let (_site, _, server, gateway) = Site::single(&Desired::default()).await;
     gateway.ask("unique", "/a/").await;
     let ids: Vec<_> = server
         .runs()
--- a/programs/gateway/tests/path.rs
+++ b/programs/gateway/tests/path.rs
@@ -2,22 +2,19 @@
 
 mod site;
 
+use adapter::call::READINESS;
 use adapter::header;
 use hyper::StatusCode;
 use rstest::rstest;
-use site::{Desired, Site, until};
+use site::{Site, until};
+use standin_site::operator::{Desired, Route};
 use standin_site::server::{Behaviour, Entry};
 use std::time::Duration;
 
 /// Guards against a request that loses or gains something on its way, or a key that is passed on.
 #[tokio::test]
 async fn request_and_answer_pass_unchanged() {
-    let site = Site::new();
-    let door = site.door().await;
-    site.desire(&Desired::default());
-    let server = site.server("i-1", &Entry::default()).await;
-    let gateway = site.gateway("vm-1", "nord-a", &door).await;
-    gateway.ready().await;
+    let (_site, _, server, gateway) = Site::single(&Desired::default()).await;
     let (status, headers, body) = gateway.ask("id-1", "/a/x?y=z").await.expect("an answer");
     assert_eq!(status, StatusCode::OK);
     assert_eq!(headers[header::SIGNATURE], "i-1.id-1");
@@ -41,12 +38,7 @@
 /// Guards against requests without a route or a key that run all the same.
 #[tokio::test]
 async fn unknown_routes_and_keys_are_refused() {
-    let site = Site::new();
-    let door = site.door().await;
-    site.desire(&Desired::default());
-    let server = site.server("i-1", &Entry::default()).await;
-    let gateway = site.gateway("vm-1", "nord-a", &door).await;
-    gateway.ready().await;
+    let (_site, _, server, gateway) = Site::single(&Desired::default()).await;
     let status = |answer: Option<(StatusCode, _, _)>| answer.map(|(status, _, _)| status);
     assert_eq!(
         status(gateway.ask("1", "/b/").await),
@@ -72,7 +64,7 @@
         })
     })
     .await;
-    let readiness = site::get(gateway.settings.listen.readiness, "/-/readiness").await;
+    let readiness = site::get(gateway.settings.listen.readiness, READINESS).await;
     assert_eq!(
         readiness.map(|a| a.status),
         Some(StatusCode::SERVICE_UNAVAILABLE)
@@ -89,7 +81,10 @@
     let site = Site::new();
     let door = site.door().await;
     site.desire(&Desired {
-        kind: "unsafe",
+        routes: &[Route {
+            repeatable: false,
+            ..Route::PLAIN
+        }],
         ..Desired::default()
     });
     let servers = [
@@ -139,19 +134,18 @@
 /// Guards against a refusal of all servers that is told as a failure: nothing ran.
 #[tokio::test]
 async fn refusal_of_all_servers_is_not_run() {
-    let site = Site::new();
-    let door = site.door().await;
-    site.desire(&Desired {
-        kind: "unsafe",
+    let (_site, _, server, gateway) = Site::single(&Desired {
+        routes: &[Route {
+            repeatable: false,
+            ..Route::PLAIN
+        }],
         ..Desired::default()
-    });
-    let server = site.server("i-1", &Entry::default()).await;
+    })
+    .await;
     server.set(Behaviour {
         sheds: true,
         ..Behaviour::default()
     });
-    let gateway = site.gateway("vm-1", "nord-a", &door).await;
-    gateway.ready().await;
     let (status, headers, _) = gateway.ask("1", "/a/").await.expect("an answer");
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(headers.contains_key("retry-after"));
@@ -161,20 +155,19 @@
 /// Guards against a caller that waits beyond the route's time for a silent server.
 #[tokio::test]
 async fn final_answer_comes_at_the_routes_time() {
-    let site = Site::new();
-    let door = site.door().await;
-    site.desire(&Desired {
-        kind: "unsafe",
-        timeout_ms: 600,
+    let (_site, _, server, gateway) = Site::single(&Desired {
+        routes: &[Route {
+            repeatable: false,
+            timeout_ms: 600,
+            ..Route::PLAIN
+        }],
         ..Desired::default()
-    });
-    let server = site.server("i-1", &Entry::default()).await;
+    })
+    .await;
     server.set(Behaviour {
         silent: true,
         ..Behaviour::default()
     });
-    let gateway = site.gateway("vm-1", "nord-a", &door).await;
-    gateway.ready().await;
     let answer = tokio::time::timeout(Duration::from_millis(1_100), gateway.ask("1", "/a/")).await;
     let (status, _, _) = answer.expect("in time").expect("an answer");
     assert_eq!(status, StatusCode::GATEWAY_TIMEOUT);
@@ -186,7 +179,10 @@
     let site = Site::new();
     let door = site.door().await;
     site.desire(&Desired {
-        homes: &["sud"],
+        routes: &[Route {
+            regions: &["sud"],
+            ..Route::PLAIN
+        }],
         ..Desired::default()
     });
     let near = site.server("i-1", &Entry::default()).await;
@@ -211,12 +207,7 @@
 /// Guards against a stop that cuts requests, or a stopping VM that counts as ready.
 #[tokio::test]
 async fn stop_finishes_what_was_taken() {
-    let site = Site::new();
-    let door = site.door().await;
-    site.desire(&Desired::default());
-    let server = site.server("i-1", &Entry::default()).await;
-    let gateway = site.gateway("vm-1", "nord-a", &door).await;
-    gateway.ready().await;
+    let (_site, _, server, gateway) = Site::single(&Desired::default()).await;
     server.set(Behaviour {
         work: Duration::from_millis(700),
         ..Behaviour::default()
@@ -228,6 +219,6 @@
     let (status, headers, _) = answer.expect("an answer");
     assert_eq!(status, StatusCode::OK);
     assert_eq!(headers["connection"], "close");
-    let readiness = site::get(gateway.settings.listen.readiness, "/-/readiness").await;
+    let readiness = site::get(gateway.settings.listen.readiness, READINESS).await;
     assert_ne!(readiness.map(|a| a.status), Some(StatusCode::OK));
 }
--- a/programs/gateway/tests/site/mod.rs
+++ b/programs/gateway/tests/site/mod.rs
@@ -1,6 +1,6 @@
 //! A site on loopback: store, backend servers, gateways and a caller.
 
-use adapter::header;
+use adapter::{call, header};
 use base::http::client::Answer;
 use bytes::Bytes;
 use gateway::run;
@@ -9,6 +9,7 @@
 use hyper::client::conn::http1;
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use standin_site::operator::Desired;
 use standin_site::server::{Entry, Server};
 use standin_site::store::{Door, Store};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -45,29 +46,6 @@
     stop: CancellationToken,
 }
 
-/// What the operator writes.
-pub struct Desired {
-    pub version: u32,
-    pub keys: &'static [&'static str],
-    pub service: &'static str,
-    pub kind: &'static str,
-    pub timeout_ms: u32,
-    pub homes: &'static [&'static str],
-}
-
-impl Default for Desired {
-    fn default() -> Self {
-        Self {
-            version: 1,
-            keys: &["key-1", "key-2"],
-            service: "lookup",
-            kind: "safe",
-            timeout_ms: 2_000,
-            homes: &[],
-        }
-    }
-}
-
 impl Site {
     pub fn new() -> Self {
         Self {
@@ -76,6 +54,17 @@
         }
     }
 
+    /// Starts a site with one server and one gateway that is ready.
+    pub async fn single(desired: &Desired) -> (Self, Door, Server, Gateway) {
+        let site = Self::new();
+        let door = site.door().await;
+        site.desire(desired);
+        let server = site.server("i-1", &Entry::default()).await;
+        let gateway = site.gateway("vm-1", "nord-a", &door).await;
+        gateway.ready().await;
+        (site, door, server, gateway)
+    }
+
     pub async fn door(&self) -> Door {
         let address = SocketAddr::new(fresh(), 8000);
         let opened = self.store.open(address, self.stop.clone()).await;
@@ -83,24 +72,7 @@
     }
 
     pub fn desire(&self, desired: &Desired) -> u64 {
-        let config = serde_json::json!({
-            "version": format!("{:08x}", desired.version),
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536},
-            "tenants": [{"name": "cooperative", "apiKeys": desired.keys, "ratePerS": 0, "burst": 0}],
-            "listeners": [{"hostname": "a.example", "rules": [{
-                "name": "r1", "routeType": desired.kind, "targetLatencyMs": 400,
-                "sessionAffinity": true, "match": {"prefix": "/a/"},
-                "action": {
-                    "service": desired.service, "timeoutMs": desired.timeout_ms, "maxAttempts": 2,
-                    "homeRegions": desired.homes,
-                },
-            }]}],
-            "clusters": [
-                {"name": "lookup", "maxConnections": 100, "warmupS": 1.0, "warmupPerS": 2.6},
-                {"name": "other", "maxConnections": 100, "warmupS": 1.0, "warmupPerS": 2.6},
-            ],
-        });
-        self.store.put("op", "config", config.to_string())
+        desired.publish(&self.store)
     }
 
     pub async fn server(&self, id: &str, entry: &Entry) -> Server {
@@ -166,7 +138,7 @@
     /// Waits until it counts as ready.
     pub async fn ready(&self) {
         until("the gateway is ready", || async {
-            let answer = get(self.settings.listen.readiness, "/-/readiness").await;
+            let answer = get(self.settings.listen.readiness, call::READINESS).await;
             answer.is_some_and(|answer| answer.status == StatusCode::OK)
         })
         .await;
@@ -189,16 +161,16 @@
             .header("host", "a.example")
             .header(header::REQUEST_ID, id)
             .header(header::DEADLINE, "3000")
-            .header("cookie", "X-Cardamomhall-Affinity-Key=17");
+            .header("cookie", header::object_cookie("17"));
         if let Some(key) = key {
             request = request.header(header::KEY, key);
         }
         let request = request.body(Full::new(Bytes::new())).expect("a request");
-        call(self.settings.listen.callers, request).await
+        send(self.settings.listen.callers, request).await
     }
 }
 
-async fn call(
+async fn send(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Option<(StatusCode, HeaderMap, Bytes)> {
@@ -214,7 +186,7 @@
 pub async fn get(address: SocketAddr, path: &str) -> Option<Answer> {
     let request = Request::builder().uri(path).header("host", "x");
     let request = request.body(Full::new(Bytes::new())).expect("a request");
-    let (status, _, body) = call(address, request).await?;
+    let (status, _, body) = send(address, request).await?;
     Some(Answer { status, body })
 }
 
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -7,6 +7,7 @@
 use crate::proxy::{Mode, Proxy};
 use base::sync::lock;
 use rustix::process::Signal;
+use standin_site::operator::{Desired, Route};
 use standin_site::server::{Behaviour, Entry, Server};
 use standin_site::store::{Door, Faults, Store};
 use std::io;
@@ -28,6 +29,20 @@
 const RESTART: Duration = Duration::from_millis(200);
 /// Time for the gateways to become ready.
 const START: Duration = Duration::from_secs(15);
+/// Routes: requests that may run more than once, and those that may not.
+const ROUTES: [Route; 2] = [
+    Route {
+        name: "safe",
+        service: "service",
+        ..Route::PLAIN
+    },
+    Route {
+        name: "once",
+        service: "service",
+        repeatable: false,
+        ..Route::PLAIN
+    },
+];
 /// Data centres.
 const NAMES: [&str; CENTRES] = ["nord-a", "sud-a"];
 
@@ -243,27 +258,16 @@
 
     fn publish(&mut self) {
         self.version += 1;
-        let keys: &[&str] = match self.withdrawn {
-            Some(_) => &["new"],
-            None => &["new", "old"],
+        let desired = Desired {
+            version: self.version,
+            host: "soak.example",
+            keys: match self.withdrawn {
+                Some(_) => &["new"],
+                None => &["new", "old"],
+            },
+            routes: &ROUTES,
         };
-        let rule = |name: &str, kind: &str| {
-            serde_json::json!({
-                "name": name, "routeType": kind, "targetLatencyMs": 400,
-                "match": {"prefix": format!("/{name}/")},
-                "action": {"service": "service", "timeoutMs": 2000, "maxAttempts": 2},
-            })
-        };
-        let config = serde_json::json!({
-            "version": format!("{:08x}", self.version),
-            "tenants": [{"name": "t", "apiKeys": keys, "ratePerS": 0, "burst": 0}],
-            "listeners": [{
-                "hostname": "soak.example",
-                "rules": [rule("safe", "safe"), rule("once", "unsafe")],
-            }],
-            "clusters": [{"name": "service", "maxConnections": 100, "warmupPerS": 5}],
-        });
-        self.store.put("op", "config", config.to_string());
+        desired.publish(&self.store);
     }
 
     fn strike(&mut self, fault: &Fault) -> io::Result<()> {
