bug: a request was given up when the entry of its server went

Ruled out: the stop itself (the connection was open and the grace time had 3.9 s left). Change: only a server that is known can be silent; a request ends on a server that left. Figures: request_ends_on_a_server_whose_entry_is_gone fails without the change.

--- a/programs/gateway/src/servers/flight.rs
+++ b/programs/gateway/src/servers/flight.rs
@@ -116,11 +116,12 @@
         });
     }
 
-    /// Returns whether the server left its requests unanswered for so long that it may be dead.
+    /// Returns whether the server left its requests unanswered for so long that it may be dead. A
+    /// server whose entry is gone still answers what it has.
     pub fn is_silent(&self, now: Instant) -> bool {
         let mut state = lock(&self.shard.state);
         let server = self.server_in(&mut state);
-        server.is_none_or(|server| {
+        server.is_some_and(|server| {
             let oldest = server.sent.values().copied().min();
             server.condition.is_silent(now, oldest, self.cold_work)
         })
--- a/programs/gateway/tests/fleet.rs
+++ b/programs/gateway/tests/fleet.rs
@@ -151,6 +151,23 @@
     assert!(!other.runs().is_empty());
 }
 
+/// Guards against a request that is given up because the entry of its server went meanwhile: the
+/// server counted as silent (permis-parcs, trouble-2 --seed 80042282939, LOST).
+#[tokio::test]
+async fn request_ends_on_a_server_whose_entry_is_gone() {
+    let (site, _, server, gateway) = Site::single(&Desired::default()).await;
+    server.set(Behaviour {
+        work: Duration::from_millis(1_200),
+        ..Behaviour::default()
+    });
+    let (answer, ()) = tokio::join!(gateway.ask("1", "/a/"), async {
+        until("the request runs", || async { !server.runs().is_empty() }).await;
+        site.store.remove(adapter::store::REGISTRATIONS, "i-1");
+    });
+    let (status, _, _) = answer.expect("an answer");
+    assert_eq!(status, StatusCode::OK);
+}
+
 /// Guards against servers that are lost with their entries while the store is away, and against
 /// servers that did not come back.
 #[tokio::test]
