--- a/crates/steering/tests/takeover.rs
+++ b/crates/steering/tests/takeover.rs
@@ -68,7 +68,7 @@
 #[case::late(68.0, 0.45, 6.0)]
 #[case::busy(262.0, 0.5, 3.0)]
 #[case::in_the_last_second(68.0, 0.6, 13.9)]
-fn bad_version_is_rolled_back(#[case] per_second: f64, #[case] fails: f64, #[case] from_s: f64) {
+fn bad_takeover_is_rolled_back(#[case] per_second: f64, #[case] fails: f64, #[case] from_s: f64) {
     for seed in 0..20 {
         let (stage, exposed, after) = play(per_second, fails, from_s, seed);
         assert!(exposed <= SHARE, "seed {seed}: exposed {exposed}");
