bug: test fleets start before the platform's stand-in listens

Cause: Fleet::start spawns all processes without a wait. A VM that answers its administration API before the stand-in listens refuses the first publication, rightly, with 'platform unavailable: Connection refused'. Ruled out: a port taken by another process (the ports are below the ephemeral range and differ between tests), an end of the stand-in. Change: the start waits for the stand-in's listener. Conclusion: a fault of the test set-up, not of the programs.

--- a/tests/integration/src/lib.rs
+++ b/tests/integration/src/lib.rs
@@ -65,6 +65,9 @@
         };
         for line in lines.lines() {
             fleet.spawn(line);
+            if line.starts_with("platform ") {
+                await_listener(fleet.address("vm-01-control", "platform"));
+            }
         }
         fleet
     }
@@ -463,6 +466,15 @@
     }
 }
 
+/// Waits until a process listens; processes that need it start after that.
+fn await_listener(address: SocketAddr) {
+    let end = Instant::now() + PATIENCE;
+    while std::net::TcpStream::connect(address).is_err() {
+        assert!(Instant::now() < end, "nothing listens on {address}");
+        std::thread::sleep(LOOK);
+    }
+}
+
 /// Returns the directory of the programs, next to that of the test.
 fn binaries() -> PathBuf {
     let test = std::env::current_exe().expect("path of the test");
