bug: a roll-back names a made-up reason when the halt comes before it

Cause: a halted release spreads as a mark without its reason. A control process that knew only the mark entered 'halted by an operator: reason not known here' into the set of reasons, wrote it to the store and, as owner, into the record of the release. Ruled out: an operator's halt in the test (there is none); loss of the reason (it came with the next exchange, but never replaced the placeholder in the record). Change: Reason::Unknown, the greatest reason, is replaced by any other and is not written to the set; a recorded Unknown is shown as the known reason. Figures: the new test of control fails before (the placeholder is in the set of reasons) and passes after.

--- a/crates/steering/src/release/halt.rs
+++ b/crates/steering/src/release/halt.rs
@@ -20,6 +20,8 @@
         NotConfirmed,
         /// An operator halted it.
         Operator(Box<str>),
+        /// Only the halt is known yet. Every other reason is smaller, so it replaces this one.
+        Unknown,
     }
 
     /// Grow-only set of halted releases.
@@ -43,6 +45,7 @@
             Self::CannotFinish(lack) => write!(f, "can't finish in time: {lack}"),
             Self::NotConfirmed => write!(f, "not every VM confirmed the last step in time"),
             Self::Operator(text) => write!(f, "halted by an operator: {text}"),
+            Self::Unknown => write!(f, "halted, the reason has not arrived yet"),
         }
     }
 }
@@ -82,4 +85,13 @@
     pub fn reason(&self, release: &str) -> Option<&Reason> {
         self.reasons.get(release)
     }
+
+    /// Returns the reason of a roll-back: the recorded one, or the known one if the owner recorded
+    /// the roll-back before the reason reached it.
+    pub fn cause<'a>(&'a self, release: &str, recorded: &'a Reason) -> &'a Reason {
+        match recorded {
+            Reason::Unknown => self.reason(release).unwrap_or(recorded),
+            _ => recorded,
+        }
+    }
 }
--- a/crates/steering/tests/release.rs
+++ b/crates/steering/tests/release.rs
@@ -541,6 +541,22 @@
     }
 }
 
+/// Guards against a roll-back that stays without its reason: an owner that knows only of the halt
+/// records none, and a copy that has it must win over one that has not.
+#[test]
+fn known_reason_replaces_an_unknown_one() {
+    let id = "r1".into();
+    let (mut late, mut full) = (Halt::default(), Halt::default());
+    late.add(&id, &Reason::Unknown);
+    assert_eq!(late.cause("r1", &Reason::Unknown), &Reason::Unknown);
+    let reason = Reason::Operator("stop".into());
+    full.add(&id, &reason);
+    assert!(late.merge(&full) && !full.merge(&late));
+    assert_eq!(late.cause("r1", &Reason::Unknown), &reason);
+    let recorded = Reason::NotConfirmed;
+    assert_eq!(late.cause("r1", &recorded), &recorded);
+}
+
 /// Guards against a release that stays in a step forever, or that ends after its finish time.
 #[rstest]
 #[case(Verdict::Undecided("write".into()), 1.0, 0)]
--- a/programs/control/src/release/board.rs
+++ b/programs/control/src/release/board.rs
@@ -290,7 +290,9 @@
         let waits = self.signs.get(id).map_or("its owner", |sign| &*sign.waits);
         match (&record.state, halt) {
             (State::Complete, _) => format!("complete: {} serves", planned.new),
-            (State::RolledBack(reason), _) => format!("rolled back: {reason}"),
+            (State::RolledBack(recorded), _) => {
+                format!("rolled back: {}", self.halt.cause(id, recorded))
+            }
             (_, Some(reason)) => format!("halted, roll-back not recorded yet: {reason}"),
             (State::Planned, _) => "planned".into(),
             (State::Stepping { step, .. }, _) => format!(
@@ -310,11 +312,10 @@
         let before = self.board.steps.clone();
         for mark in self.replica.sets.marks() {
             let Mark::Halted(id) = mark else { continue };
-            if self.board.halt.reason(id).is_none() {
+            if matches!(self.board.halt.reason(id), None | Some(Reason::Unknown)) {
                 let known = self.reasons.get(id);
                 let reason = known.and_then(|text| serde_json::from_str(text).ok());
-                let unknown = || Reason::Operator("reason not known here".into());
-                self.board.stop(id, &reason.unwrap_or_else(unknown));
+                self.board.stop(id, &reason.unwrap_or(Reason::Unknown));
             }
         }
         let nodes = self.list.nodes.len();
@@ -330,8 +331,10 @@
         };
         self.board.look(now, &planned, &settings);
         for (id, reason) in self.board.halt.reasons() {
-            let text = || serde_json::to_string(reason).unwrap_or_default().into();
-            self.reasons.entry(id.clone()).or_insert_with(text);
+            if *reason != Reason::Unknown {
+                let text = || serde_json::to_string(reason).unwrap_or_default().into();
+                self.reasons.entry(id.clone()).or_insert_with(text);
+            }
             self.replica.sets.add(Mark::Halted(id.clone()));
         }
         self.board.steps != before
--- a/programs/control/tests/state.rs
+++ b/programs/control/tests/state.rs
@@ -5,6 +5,8 @@
 use platform::list::{List, Node, State};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use steering::config::Mark;
+use steering::release::{Halt, Reason};
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -64,3 +66,22 @@
     known.take_list(List::default(), later + Duration::from_secs(1), later);
     assert_eq!(known.list.nodes.len(), 2);
 }
+
+/// Guards against a roll-back for a made-up reason: a halt spreads as a mark without its reason, which
+/// arrives later, and a placeholder must neither be recorded nor hide it.
+#[test]
+fn halt_without_its_reason_waits_for_it() {
+    let now = Instant::now();
+    let mut known = Known::new(&settings(), now);
+    known.mark([Mark::Halted("r1".into())]);
+    known.look(now);
+    assert!(known.board.halt.reason("r1").is_some());
+    assert!(known.reasons.is_empty(), "{:?}", known.reasons);
+    let mut halt = Halt::default();
+    halt.add(&"r1".into(), &Reason::Failures("read".into()));
+    known.board.halt.merge(&halt);
+    known.look(now);
+    let text = &known.releases()["r1"];
+    assert!(text.contains("fails more often"), "{text}");
+    assert!(known.reasons["r1"].contains("failures"));
+}
