bug: a slow server at low load is found late or by chance

The slow server is judged only with 5 answers within 1 s; at 10 times its time and few requests it gives that many only by chance, 4 s after onset instead of 2. Ruled out: a full cap of ejections; late verdicts of the other VM (250 ms). Change: a server is judged by its latest 5 answers of 3 s when 1 s holds fewer, and by their lower quartile below 12 answers; its peers are compared as before.

--- a/crates/steering/src/balance.rs
+++ b/crates/steering/src/balance.rs
@@ -25,7 +25,12 @@
     pub report_age: Duration,
     /// Time over which latency samples are compared.
     pub window: Duration,
-    /// Samples of one server and route within the window before it is judged.
+    /// Time from which the latest samples are compared if the window holds too few.
+    ///
+    /// A slow server answers so seldom at low load that a window of 1 s alone finds it only by
+    /// chance.
+    pub sparse_window: Duration,
+    /// Samples of one server and route within a window before it is judged.
     pub min_samples: usize,
     /// Other servers with enough samples before one is judged.
     pub min_peers: usize,
@@ -59,6 +64,7 @@
             shed_pause_max: Duration::from_secs(2),
             report_age: Duration::from_secs(10),
             window: Duration::from_secs(1),
+            sparse_window: Duration::from_secs(3),
             min_samples: 5,
             min_peers: 3,
             deviations: 6.0,
--- a/crates/steering/src/balance/outlier.rs
+++ b/crates/steering/src/balance/outlier.rs
@@ -12,6 +12,8 @@
 
 /// Most recent samples kept per server and route.
 const KEPT_SAMPLES: usize = 64;
+/// Samples from which their median decides; fewer are slow together by chance too often.
+const MANY_SAMPLES: usize = 12;
 /// Smallest spread as a part of the median, so that equal peers don't make noise look extreme.
 const SPREAD_FLOOR: f64 = 0.1;
 /// Scales the median absolute deviation to the standard deviation of a normal distribution.
@@ -98,7 +100,7 @@
     /// Samples of shed or failed requests don't belong here: they are short.
     pub fn record(&mut self, route: &str, server: &str, latency: Duration, now: Instant) {
         let key = (Route::from(route), Server::from(server));
-        let window = self.settings.window;
+        let window = self.settings.window.max(self.settings.sparse_window);
         let samples = self.samples.entry(key).or_default();
         samples.push_back((now, latency));
         while samples.len() > KEPT_SAMPLES || samples.front().is_some_and(|s| s.0 + window < now) {
@@ -237,11 +239,11 @@
         if self.ejections() >= self.most_ejections() {
             return;
         }
-        let Some(median) = self.own_median(route, server, now) else {
+        let Some(judged) = self.judged(route, server, now) else {
             return;
         };
         if let Some(limit) = self.recent_limit(route, server, now)
-            && median > limit
+            && judged > limit
         {
             self.eject(server, limit, now);
         }
@@ -300,15 +302,46 @@
         let samples = self
             .samples
             .get(&(Route::from(route), Server::from(server)))?;
-        let fresh: Vec<f64> = samples
-            .iter()
-            .filter(|(at, _)| now.saturating_duration_since(*at) <= self.settings.window)
-            .map(|(_, latency)| latency.as_secs_f64())
-            .collect();
+        let window = self.settings.window;
+        let fresh: Vec<f64> = recent(samples, now, window).collect();
         (fresh.len() >= self.settings.min_samples)
             .then(|| median(&fresh))
             .flatten()
     }
+
+    /// Latency in seconds by which a server is judged, in contrast to what its peers are compared by.
+    ///
+    /// It looks further back if the window holds too few answers, and takes the lower quartile of a
+    /// few answers: three of five are slow by chance often enough to eject a normal server.
+    fn judged(&self, route: &str, server: &str, now: Instant) -> Option<f64> {
+        let samples = self
+            .samples
+            .get(&(Route::from(route), Server::from(server)))?;
+        let least = self.settings.min_samples;
+        let mut values: Vec<f64> = recent(samples, now, self.settings.window).collect();
+        if values.len() < least {
+            let sparse = recent(samples, now, self.settings.sparse_window);
+            values = sparse.take(least).collect();
+        }
+        values.sort_by(f64::total_cmp);
+        match values.len() {
+            n if n < least => None,
+            n if n < MANY_SAMPLES => values.get(n / 4).copied(),
+            _ => median(&values),
+        }
+    }
+}
+
+/// Latencies in seconds of the answers within a window, latest first.
+fn recent(
+    samples: &VecDeque<(Instant, Duration)>,
+    now: Instant,
+    window: Duration,
+) -> impl Iterator<Item = f64> {
+    let samples = samples.iter().rev();
+    samples
+        .take_while(move |(at, _)| now.saturating_duration_since(*at) <= window)
+        .map(|(_, latency)| latency.as_secs_f64())
 }
 
 fn median(values: &[f64]) -> Option<f64> {
