bug: a server looks slow after its first request for an object

Cause: the speed of a server is judged by its time against the expected one. A server that is first in an object's order counts as warm for the choice; its expected time held the warm work although the request ran cold, and a factor for recent failures. One cold request raised the slowdown by up to 1, and warm requests for other objects went to other servers, which were cold for them. Ruled out: the size of the servers' caches (copies are made with 12 objects a server), lost reports of warmth (the first server was known as warm). Change: the choice returns the expected time with the cold work where the server is cold and without the weight of failures.

--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -89,8 +89,8 @@
         Server {
             /// Index among the candidates.
             index: usize,
-            /// Expected time until the answer.
-            end: Duration,
+            /// Expected time until the answer; against it the server's speed is judged.
+            time: Duration,
             /// Whether it handled the object lately.
             warm: bool,
         },
@@ -139,6 +139,13 @@
         let end = self.wait(work) + own.mul_f64(self.slowdown) + self.distance;
         end.mul_f64(1.0 + settings.failure_weight * self.failed)
     }
+
+    /// Returns the expected time until the answer, with the cold work of a server that has yet to
+    /// handle the object, and without the weight of failures.
+    fn time(&self, work: &Work) -> Duration {
+        let own = if self.warm { work.warm } else { work.cold };
+        self.wait(work) + own.mul_f64(self.slowdown) + self.distance
+    }
 }
 
 /// Time over which refusals are averaged: a burst that ends within it is not lasting overload.
@@ -251,7 +258,7 @@
     }
     Choice::Server {
         index,
-        end,
+        time: candidates[index].time(work),
         warm: candidates[index].warm,
     }
 }
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -3,11 +3,13 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
+use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 use steering::affinity::digest;
 use steering::placement::{Candidate, Choice, Demand, Pressure, Settings, Work, choose};
 use steering::warmth::{Handled, Warmth, short};
+use steering::work::Condition;
 
 const OBJECTIVE: Duration = Duration::from_millis(400);
 const WORK: Work = Work {
@@ -60,6 +62,20 @@
     assert_eq!(index(chosen(&candidates, "trail")), 4);
 }
 
+/// Guards against a healthy server that counts as slow after its first request for an object: its
+/// speed is judged by the expected time, which must hold the cold work.
+#[test]
+fn expected_time_of_a_cold_server_holds_the_cold_work() {
+    let candidates: Vec<Candidate> = (0..6).map(candidate).collect();
+    let Choice::Server { time, warm, .. } = chosen(&candidates, "trail") else {
+        panic!("refused");
+    };
+    assert!(!warm && time >= WORK.cold, "{time:?}");
+    let (now, mut condition) = (Instant::now(), Condition::new(Instant::now()));
+    condition.answered(now, WORK.cold, time);
+    assert!(condition.slowdown(now) <= 1.0);
+}
+
 /// Guards against waiting for a server although the request can't end in time.
 #[test]
 fn request_that_cannot_end_in_time_is_refused_at_once() {
@@ -87,10 +103,19 @@
 /// One server of the played load: slots, queue, and the objects that it keeps.
 struct Server {
     /// Ends of the requests that have a slot, as negative nanoseconds for a smallest-first heap.
-    ends: BinaryHeap<std::cmp::Reverse<u64>>,
+    ends: BinaryHeap<Reverse<u64>>,
     kept: Vec<usize>,
 }
 
+/// Answer on its way; ordered by its end in nanoseconds.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Answer {
+    end: u64,
+    server: usize,
+    took: Duration,
+    expected: Duration,
+}
+
 const KEPT: usize = 25;
 
 /// Plays 60 s of load on 12 servers of 3 slots and returns the share answered in the objective,
@@ -107,6 +132,8 @@
     let mut warmth = Warmth::default();
     let settings = Settings::default();
     let mut pressure = Pressure::new(start);
+    let mut conditions = vec![Condition::new(start); 12];
+    let mut answers: BinaryHeap<Reverse<Answer>> = BinaryHeap::new();
     let (mut asked, mut served) = (0_u32, 0_u32);
     let mut now = 0.0_f64;
     while now < 60.0 {
@@ -119,11 +146,20 @@
                 server.ends.pop();
             }
         }
+        let at = |nanos: u64| start + Duration::from_nanos(nanos);
+        while let Some(Reverse(answer)) = answers.peek()
+            && answer.end <= nanos
+        {
+            let condition = &mut conditions[answer.server];
+            condition.answered(at(answer.end), answer.took, answer.expected);
+            answers.pop();
+        }
         let candidates: Vec<Candidate> = servers
             .iter()
             .enumerate()
             .map(|(index, server)| Candidate {
                 load: server.ends.len() as u32,
+                slowdown: conditions[index].slowdown(at(nanos)),
                 warm: warmth.is_warm(short(candidate(index).server), short(digest(&name))),
                 ..candidate(index)
             })
@@ -139,7 +175,7 @@
         let is_late = matches!(choice, Choice::Late(_));
         pressure.count(is_late, start + Duration::from_secs_f64(now));
         asked += u32::from(now > 10.0);
-        let Choice::Server { index, .. } = choice else {
+        let Choice::Server { index, time, .. } = choice else {
             continue;
         };
         let server = &mut servers[index];
@@ -154,7 +190,13 @@
             }
         };
         let end = begin + work.as_nanos() as u64;
-        server.ends.push(std::cmp::Reverse(end));
+        server.ends.push(Reverse(end));
+        answers.push(Reverse(Answer {
+            end,
+            server: index,
+            took: Duration::from_nanos(end - nanos),
+            expected: time.div_f64(conditions[index].slowdown(at(nanos))),
+        }));
         server.kept.retain(|kept| *kept != object);
         server.kept.push(object);
         if server.kept.len() > KEPT {
@@ -175,7 +217,7 @@
     let index = (0..candidates.len()).min_by_key(|&index| candidates[index].load);
     index.map_or(Choice::Empty, |index| Choice::Server {
         index,
-        end: Duration::ZERO,
+        time: Duration::ZERO,
         warm: false,
     })
 }
--- a/programs/gateway/src/servers/shard.rs
+++ b/programs/gateway/src/servers/shard.rs
@@ -162,8 +162,8 @@
             let is_late = matches!(choice, Choice::Late(_));
             state.pressure.count(is_late, now);
         }
-        let (index, end, warm) = match choice {
-            Choice::Server { index, end, warm } => (index, end, warm),
+        let (index, time, warm) = match choice {
+            Choice::Server { index, time, warm } => (index, time, warm),
             Choice::Late(excess) => return Placed::Late(excess),
             Choice::Empty => return Placed::Empty,
         };
@@ -188,7 +188,7 @@
             data_centre: server.registration.data_centre.clone(),
             pool: server.pool.clone(),
             objective: query.demand.objective,
-            expected: end,
+            expected: time,
             cold_work: work.cold,
             is_free: found.load < found.slots,
             load: found.load,
