feature: objects keep to their region as far as it has room

Cause: servers of the own region weighed 2.5 times in an object's order, whatever the region holds. Ruled out: demand that differs between regions (2,050 to 2,613 requests a region). Change: steering::locality gives each region a weight from its slots, the number of regions that ask, and the share of requests bound to regions, which each VM counts. A region keeps at most 90% of its objects and fills its room to 95%; the rest goes to regions with room left.

--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod keys;
 pub mod lease;
 pub mod limits;
+pub mod locality;
 pub mod lookup;
 pub mod membership;
 pub mod placement;
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -14,10 +14,6 @@
     /// Settings of the choice.
     #[derive(Copy)]
     pub struct Settings {
-        /// Weight of servers of the own region in an object's order, beside 1 for others. Objects
-        /// are mostly asked for from one region; a larger weight saves bytes between regions, but
-        /// overloads regions with few servers.
-        pub near_weight: f64,
         /// Share of the work saved by warmth that is expected of the second server of an object's
         /// order before it handled the object.
         pub second_copy: f64,
@@ -59,8 +55,8 @@
         pub load: u32,
         /// Time to the server and back.
         pub distance: Duration,
-        /// Whether it stands in the own region.
-        pub near: bool,
+        /// Weight of one of its slots in an object's order, as [`crate::locality`] tells it.
+        pub weight: f64,
         /// Its time for a request divided by the time of an ordinary server.
         pub slowdown: f64,
         /// Share of recent requests that it failed, from 0 to 1.
@@ -104,7 +100,6 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            near_weight: 2.5,
             second_copy: 0.25,
             patience: 1.4,
             pressed_patience: 0.95,
@@ -196,14 +191,10 @@
 }
 
 /// Returns the indices of the first two servers in the order of an object.
-fn first_two(settings: &Settings, object: Digest, candidates: &[Candidate]) -> [Option<usize>; 2] {
+fn first_two(object: Digest, candidates: &[Candidate]) -> [Option<usize>; 2] {
     let mut best: [Option<(f64, usize)>; 2] = [None, None];
     for (index, candidate) in candidates.iter().enumerate() {
-        let weight = match candidate.near {
-            true => settings.near_weight,
-            false => 1.0,
-        };
-        let weight = weight * f64::from(candidate.slots);
+        let weight = candidate.weight * f64::from(candidate.slots);
         let rank = affinity::rank(object, candidate.server, weight);
         if best[0].is_none_or(|(first, _)| rank > first) {
             best = [Some((rank, index)), best[0]];
@@ -223,9 +214,7 @@
     candidates: &[Candidate],
     usable: impl Fn(usize) -> bool,
 ) -> Choice {
-    let order = demand
-        .object
-        .map(|object| first_two(settings, object, candidates));
+    let order = demand.object.map(|object| first_two(object, candidates));
     let place = |index: usize| match order {
         None => Place::Any,
         Some([first, _]) if first == Some(index) => Place::First,
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -23,7 +23,7 @@
         slots: 3,
         load: 0,
         distance: Duration::from_millis(1),
-        near: true,
+        weight: 1.0,
         slowdown: 1.0,
         failed: 0.0,
         warm: false,
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -15,7 +15,8 @@
 use shard::{State, Told};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
-use steering::placement::Pressure;
+use steering::locality::Bound;
+use steering::placement::{self, Pressure};
 use steering::registry::Registry;
 use steering::retry::{self, Budget};
 use steering::routing::Configuration;
@@ -71,6 +72,7 @@
                         most: 1.0,
                     }),
                     pressure: Pressure::new(Instant::now()),
+                    bound: Bound::default(),
                     warmth: Warmth::default(),
                     handled: Vec::new(),
                     labels: IndexSet::new(),
@@ -79,8 +81,9 @@
                     warmup: Duration::ZERO,
                     tickets: 0,
                 }),
-                placement: self.settings.placement(),
+                placement: placement::Settings::default(),
                 region: self.settings.region.clone(),
+                regions: self.settings.regions(),
             })
         };
         shards.entry(service.clone()).or_insert_with(make).clone()
--- a/programs/gateway/src/servers/shard.rs
+++ b/programs/gateway/src/servers/shard.rs
@@ -8,6 +8,7 @@
 use indexmap::{IndexMap, IndexSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use steering::locality::{self, Bound};
 use steering::placement::{self, Candidate, Choice, Demand, Pressure};
 use steering::registry::Entry;
 use steering::retry::Budget;
@@ -78,6 +79,7 @@
     pub(super) estimates: IndexMap<Duration, Estimate>,
     pub(super) budget: Budget,
     pub(super) pressure: Pressure,
+    pub(super) bound: Bound,
     pub(super) warmth: Warmth,
     /// Objects that servers handled lately, to be told to other VMs.
     pub(super) handled: Vec<Told>,
@@ -95,6 +97,8 @@
     pub(super) state: Mutex<State>,
     pub(super) placement: placement::Settings,
     pub(super) region: Region,
+    /// Number of regions.
+    pub(super) regions: usize,
 }
 
 impl Shard {
@@ -108,22 +112,42 @@
         let mut state = lock(&self.state);
         let state = &mut *state;
         let labels = state.usable_labels(query.version, now);
-        let is_candidate = |server: &&Server| {
+        let serves = |server: &&Server| {
             let listed = &server.registration;
             !listed.leaving
                 && labels.contains(&listed.label)
-                && may_run(&server.region)
                 && !query.evacuated.contains(&listed.data_centre)
                 && !server.is_down(now)
         };
-        let servers: Vec<&Server> = state.servers.values().filter(is_candidate).collect();
+        let serving: Vec<&Server> = state.servers.values().filter(serves).collect();
+        let all_slots = slots(&serving);
+        let servers: Vec<&Server> = serving
+            .into_iter()
+            .filter(|server| may_run(&server.region))
+            .collect();
+        let slots = slots(&servers);
+        let is_bound = slots.len() < all_slots.len();
+        let weights = match is_bound {
+            true => locality::weights(&self.region, &slots, slots.len(), &Bound::default()),
+            false => locality::weights(&self.region, &slots, self.regions, &state.bound),
+        };
+        if query.tried.is_empty() {
+            let regions = match is_bound {
+                true => slots.keys().copied().collect(),
+                false => Vec::new(),
+            };
+            state.bound.count(&regions);
+        }
         let object = query.demand.object.map(warmth::short);
         let candidates: Vec<Candidate> = servers
             .iter()
             .map(|server| {
                 let digest = warmth::short(server.digest);
                 let warm = object.is_none_or(|object| state.warmth.is_warm(digest, object));
-                self.candidate(server, warm, now)
+                Candidate {
+                    weight: weights.get(&*server.region).copied().unwrap_or(0.0),
+                    ..self.candidate(server, warm, now)
+                }
             })
             .collect();
         let estimate = state
@@ -204,7 +228,7 @@
             server: server.digest,
             slots: server.registration.slots,
             load: server.load(now),
-            near: server.region == self.region,
+            weight: 1.0,
             distance: if server.region == self.region {
                 NEAR
             } else {
@@ -226,6 +250,15 @@
     }
 }
 
+/// Returns the slots of servers by region.
+fn slots<'a>(servers: &[&'a Server]) -> IndexMap<&'a str, f64> {
+    let mut slots: IndexMap<&str, f64> = IndexMap::new();
+    for server in servers {
+        *slots.entry(&server.region).or_default() += f64::from(server.registration.slots);
+    }
+    slots
+}
+
 impl State {
     fn usable_labels(&mut self, version: &Version, now: Instant) -> IndexSet<Label> {
         let waited = |at: &Instant| now.saturating_duration_since(*at) >= NEW_LABEL_TIME;
--- a/programs/gateway/src/settings.rs
+++ b/programs/gateway/src/settings.rs
@@ -2,10 +2,9 @@
 
 use base::id::{DataCentre, Region, Vm};
 use base::program;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::net::SocketAddr;
 use std::time::Duration;
-use steering::placement;
 
 base::message! {
     /// Addresses on which the gateway listens.
@@ -99,9 +98,10 @@
         known.cloned().unwrap_or_else(|| data_centre.into())
     }
 
-    /// Returns the settings of the choice of servers.
-    pub fn placement(&self) -> placement::Settings {
-        placement::Settings::default()
+    /// Returns the number of regions.
+    pub fn regions(&self) -> usize {
+        let regions: IndexSet<&Region> = self.data_centres.values().collect();
+        regions.len()
     }
 }
 
