feature: a VM reads the table of VMs once at its start

Cause: each VM read the table three times at its start, a second apart, since VMs that start together see few entries at their first read. Change: a VM whose entry stands reads once. One that enters reads again after its write: of two that enter together, at least one then sees the other and reports to it.

--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -27,9 +27,6 @@
 const MEMBERS: &str = "members";
 /// Time between two reads of that table; VMs that appear meanwhile send reports themselves.
 const MEMBERS_PERIOD: Duration = Duration::from_secs(10);
-/// Reads of that table that follow each other quickly after the start, and the time between them.
-const EARLY_READS: u32 = 3;
-const EARLY_PERIOD: Duration = Duration::from_secs(1);
 /// Time without a report after which a VM's entry is removed by a delegate.
 const LOST: Duration = Duration::from_secs(20);
 
@@ -273,28 +270,31 @@
 
     /// Keeps this VM's entry in the table of VMs, and reads those of the others.
     pub async fn follow_members(&self) {
-        let mut reads = 0;
+        let mut is_entered = false;
         loop {
-            // All VMs start together: those that read first see few others.
-            let is_early = reads < EARLY_READS;
             let period = match self.read_members().await {
-                Ok(()) if is_early => EARLY_PERIOD,
-                Ok(()) => MEMBERS_PERIOD,
+                Ok(true) => {
+                    is_entered = true;
+                    MEMBERS_PERIOD
+                }
+                // Of two VMs that enter together, at least one reads after both entries stand; it
+                // reports to the other.
+                Ok(false) => Duration::ZERO,
                 Err(error) => {
                     log::debug!("event=members-unread error=\"{error}\"");
                     PAUSE * 2
                 }
             };
-            reads += 1;
             tokio::time::sleep(period).await;
-            if !is_early {
+            if is_entered {
                 // The delegate keeps the table; the others hear of VMs from it.
                 self.must_read().await;
             }
         }
     }
 
-    async fn read_members(&self) -> Result<(), store::Error> {
+    /// Reads the table; returns whether this VM's entry stood in it before.
+    async fn read_members(&self) -> Result<bool, store::Error> {
         let shared = &self.shared;
         let own = &shared.settings.vm;
         let entry = format!(
@@ -304,7 +304,8 @@
         let rows = self.client.rows(MEMBERS).await?.rows;
         let mine = rows.iter().find(|row| row.key == *own);
         let is_current = |value: &Option<Vec<u8>>| value.as_deref() == Some(entry.as_bytes());
-        if !mine.is_some_and(|row| is_current(&row.value)) {
+        let is_entered = mine.is_some_and(|row| is_current(&row.value));
+        if !is_entered {
             let put = Put {
                 table: MEMBERS,
                 key: own.clone(),
@@ -339,7 +340,7 @@
                 log::info!("event=member-removed vm={vm} row_version={version}");
             }
         }
-        Ok(())
+        Ok(is_entered)
     }
 }
 
--- a/programs/gateway/tests/fleet.rs
+++ b/programs/gateway/tests/fleet.rs
@@ -62,8 +62,7 @@
     first.ready().await;
     let second = site.gateway("vm-2", "nord-a", &doors[1]).await;
     second.ready().await;
-    // The early reads of the table of VMs end after about three seconds.
-    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
     doors[1].set(Faults {
         silent: true,
         ..Faults::default()
@@ -75,6 +74,30 @@
     assert!(calls <= 10, "{calls} calls in 2 s");
 }
 
+/// Guards against VMs that start together and don't see each other's entry, and against repeated
+/// reads of the table of VMs by each of them.
+#[tokio::test]
+async fn vms_that_start_together_find_each_other() {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired::default());
+    site.server("i-1", &Entry::default()).await;
+    let (first, second, third) = tokio::join!(
+        site.gateway("vm-1", "nord-a", &door),
+        site.gateway("vm-2", "nord-a", &door),
+        site.gateway("vm-3", "nord-a", &door),
+    );
+    for gateway in [&first, &second, &third] {
+        gateway.ready().await;
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let before = site.store.calls();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let calls = site.store.calls() - before;
+    // Lists at 300 ms and a feed of 2 s by one VM.
+    assert!(calls <= 10, "{calls} calls in 2 s");
+}
+
 /// Guards against VMs that miss a withdrawn key because the one that reads for them lost the
 /// store, or because they can't reach it themselves.
 #[tokio::test]
