refactor: a query of the gateway names its inputs

The load that a query is placed under was set to 0 and overwritten; the weights of regions, and the regions that a request is bound to, are worked out in one place. Two branches with one outcome are joined. No change of behaviour.

--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -16,7 +16,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use steering::attempt::{self, Attempt, Outcome, Refusal, Retry, Step, Uncertainty};
-use steering::placement::Demand;
 use steering::routing;
 use steering::takeover;
 
@@ -170,12 +169,9 @@
     let reach = shared.reach(now);
     let ask = |version: &Version| {
         let query = Query {
-            demand: Demand {
-                object: call.object.filter(|_| grant.route.sticky),
-                objective: grant.route.objective,
-                left,
-                pressure: 0.0,
-            },
+            object: call.object.filter(|_| grant.route.sticky),
+            objective: grant.route.objective,
+            left,
             version,
             tried,
             evacuated: &evacuated,
@@ -267,8 +263,7 @@
             }
             shared.takeovers.ended(grant.service, &flight.label, true);
         }
-        Sent::NotRun | Sent::Failed(Failure::NotRun(_)) => flight.failed(now),
-        Sent::Silent => flight.failed(now),
+        Sent::NotRun | Sent::Silent | Sent::Failed(Failure::NotRun(_)) => flight.failed(now),
     }
     result
 }
--- a/programs/gateway/src/servers/shard.rs
+++ b/programs/gateway/src/servers/shard.rs
@@ -8,6 +8,7 @@
 use indexmap::{IndexMap, IndexSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use steering::affinity::Digest;
 use steering::locality::{self, Bound};
 use steering::placement::{self, Candidate, Choice, Demand, Pressure};
 use steering::registry::Entry;
@@ -37,8 +38,12 @@
 /// What a request asks of a server.
 #[derive(Debug)]
 pub struct Query<'a> {
-    /// Request to be placed.
-    pub demand: Demand,
+    /// Digest of its object, if servers are faster at objects they know.
+    pub object: Option<Digest>,
+    /// Latency objective of the route.
+    pub objective: Duration,
+    /// Time until its deadline.
+    pub left: Duration,
     /// Version that it may use.
     pub version: &'a Version,
     /// Servers that it was sent to before.
@@ -127,39 +132,33 @@
             .filter(|server| may_run(&server.region))
             .collect();
         let slots = slots(&servers);
-        let is_bound = slots.len() < all_slots.len();
-        let weights = match is_bound {
-            true => locality::weights(&self.region, &slots, slots.len(), &Bound::default()),
-            false => locality::weights(&self.region, &slots, self.regions, &state.bound),
-        };
-        let regions: Vec<&str> = match is_bound {
+        // A request that may not run in some region that serves is bound to the others.
+        let bound_to: Vec<&str> = match slots.len() < all_slots.len() {
             true => slots.keys().copied().collect(),
             false => Vec::new(),
         };
+        let weights = match bound_to.is_empty() {
+            true => locality::weights(&self.region, &slots, self.regions, &state.bound),
+            false => locality::weights(&self.region, &slots, slots.len(), &Bound::default()),
+        };
         if query.tried.is_empty() {
-            state.bound.count(&regions);
+            state.bound.count(&bound_to);
         }
         let pressure = state
             .pressure
-            .entry(regions.join(" ").into())
+            .entry(bound_to.join(" ").into())
             .or_insert_with(|| Pressure::new(now));
-        let object = query.demand.object.map(warmth::short);
         let candidates: Vec<Candidate> = servers
             .iter()
-            .map(|server| {
-                let digest = warmth::short(server.digest);
-                let warm = object.is_none_or(|object| state.warmth.is_warm(digest, object));
-                Candidate {
-                    has_room: state.warmth.has_room(digest),
-                    weight: weights.get(&*server.region).copied().unwrap_or(0.0),
-                    ..self.candidate(server, warm, now)
-                }
+            .map(|server| Candidate {
+                weight: weights.get(&*server.region).copied().unwrap_or(0.0),
+                ..self.candidate(server, query.object, &state.warmth, now)
             })
             .collect();
         let estimate = state
             .estimates
-            .entry(query.demand.objective)
-            .or_insert_with(|| Estimate::new(query.demand.objective));
+            .entry(query.objective)
+            .or_insert_with(|| Estimate::new(query.objective));
         let work = estimate.work();
         let is_usable = |index: usize| {
             let server = servers[index];
@@ -181,8 +180,10 @@
         let choice = placement::choose(
             &self.placement,
             &Demand {
+                object: query.object,
+                objective: query.objective,
+                left: query.left,
                 pressure: pressure.get(),
-                ..query.demand
             },
             &work,
             &candidates,
@@ -217,25 +218,34 @@
             label: server.registration.label.clone(),
             data_centre: server.registration.data_centre.clone(),
             pool: server.pool.clone(),
-            objective: query.demand.objective,
+            objective: query.objective,
             expected: time,
             cold_work: work.cold,
             is_free: found.load < found.slots,
             load: found.load,
             warm,
-            object: query.demand.object,
+            object: query.object,
             sent: now,
         }))
     }
 
-    fn candidate(&self, server: &Server, warm: bool, now: Instant) -> Candidate {
+    /// Returns what is known of a server for an object; its weight is left to the caller.
+    fn candidate(
+        &self,
+        server: &Server,
+        object: Option<Digest>,
+        warmth: &Warmth,
+        now: Instant,
+    ) -> Candidate {
+        let short = warmth::short(server.digest);
+        let object = object.map(warmth::short);
         Candidate {
-            warm,
+            warm: object.is_none_or(|object| warmth.is_warm(short, object)),
+            has_room: warmth.has_room(short),
+            weight: 0.0,
             server: server.digest,
             slots: server.registration.slots,
             load: server.load(now),
-            has_room: true,
-            weight: 1.0,
             distance: if server.region == self.region {
                 NEAR
             } else {
