bug: a delegate copies all orders for each question of its VMs

Cause, in part: each question to a delegate copied the whole orders, although most ask for servers only; 18 VMs ask several times a second, a VM has a tenth of a core. Not proven: that this is all of it. Whole orders, about half a megabyte, still go to each VM at a change, encoded for each; a difference would be small. Change: orders are shared, and copied only if the asker lacks them.

--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -159,7 +159,7 @@
         }
         orders.snapshot = snapshot;
         orders.version = orders.version.max(version);
-        if orders.operations != operations {
+        if *orders.operations != operations {
             orders.changed = snapshot;
         }
         let known = orders
@@ -201,7 +201,7 @@
         shared
             .takeovers
             .order(&operations.takeovers, &shared.settings.bounds, members);
-        orders.operations = operations;
+        orders.operations = Arc::new(operations);
         drop(orders);
         self.ready();
     }
--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -78,8 +78,8 @@
         .map(|(run, number)| Position { run, number });
     let orders = lock(&shared.orders).clone();
     let known = number("snapshot").unwrap_or_default();
-    let operations =
-        (orders.table.is_some() && orders.changed > known).then_some(orders.operations);
+    let is_news = orders.table.is_some() && orders.changed > known;
+    let operations = is_news.then(|| Operations::clone(&orders.operations));
     let copy = Copy {
         orders: orders.version,
         snapshot: orders.snapshot,
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -24,8 +24,9 @@
 pub struct Orders {
     /// Routes and workspaces; none before the first configuration.
     pub table: Option<Arc<Table>>,
-    /// Orders as read, for VMs that can't reach the store.
-    pub operations: Operations,
+    /// Orders as read, for VMs that can't reach the store. Shared, because a delegate is asked many
+    /// times a second and large orders take milliseconds to copy.
+    pub operations: Arc<Operations>,
     /// Version of the store at the newest order that is known.
     pub version: u64,
     /// Version of the store at the last change that was put in force here.
