refactor: work that requests and looks at the delegate do not need

A send locked the fleet twice and copied the names of all live VMs, which only a cold server's owner needs; it is worked out for cold servers now. Each look at the delegate, ten a second while it reads the store, copied its whole report for an address and three numbers. The digests of a service's servers were searched as a list for each object of a report. Three listeners were served by three copies of one call; the settings of the choice were kept in each service although they are constants; two ways of taking the latest samples of a server are one. Ruled out: a change of behaviour; the same VM owns a cold server, the same VM is asked.

--- a/crates/steering/src/balance/outlier.rs
+++ b/crates/steering/src/balance/outlier.rs
@@ -253,10 +253,11 @@
     fn trickle(&self, now: Instant) -> Duration {
         const PART: f64 = 0.01;
         let window = self.settings.window;
-        let recent = |samples: &VecDeque<(Instant, Duration)>| {
-            samples.iter().filter(|(at, _)| *at + window >= now).count()
-        };
-        let most = self.samples.values().map(recent).max().unwrap_or(0).max(1);
+        let counts = self
+            .samples
+            .values()
+            .map(|s| latest(s, now, window).count());
+        let most = counts.max().unwrap_or(0).max(1);
         let interval = window.div_f64(most as f64 * PART);
         interval.clamp(self.settings.trickle, self.settings.trickle_max)
     }
--- a/programs/gateway/src/directory.rs
+++ b/programs/gateway/src/directory.rs
@@ -11,7 +11,6 @@
 use indexmap::IndexSet;
 use peers::report::Phase;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Time for which callers may use an answer; some use it three times as long.
@@ -29,7 +28,7 @@
 }
 
 /// Answers a look-up.
-pub fn lookup(request: &Request<Incoming>, shared: &Arc<Shared>) -> Response<Body> {
+pub fn lookup(request: &Request<Incoming>, shared: &Shared) -> Response<Body> {
     if request.uri().path() != call::LOOKUP {
         return text(StatusCode::NOT_FOUND, "no such interface\n");
     }
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -1,9 +1,9 @@
 //! Other VMs, as their reports show them: those of the own data centre one by one, those of other
 //! data centres by the reports of their delegates.
 
-use base::id::{DataCentre, Region, Vm};
+use base::id::{DataCentre, Incarnation, Region, Vm};
 use indexmap::{IndexMap, IndexSet};
-use peers::report::{Phase, Report};
+use peers::report::{Known, Phase, Report};
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -77,6 +77,28 @@
     Again,
 }
 
+/// A VM that can be asked for what the store said.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Source {
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// How much it knows.
+    pub known: Known,
+    /// Its run.
+    pub run: Incarnation,
+}
+
+impl Source {
+    /// Returns the sender of a report.
+    pub fn of(report: &Report) -> Self {
+        Self {
+            address: report.address,
+            known: report.known,
+            run: report.incarnation,
+        }
+    }
+}
+
 /// A VM in the store's table.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listed {
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -162,11 +162,7 @@
     if left < LEAST_LEFT {
         return Err((Refusal::DeadlinePassed, None));
     }
-    let (evacuated, alive) = {
-        let evacuated = lock(&shared.orders).evacuated.clone();
-        (evacuated, shared.alive(now))
-    };
-    let reach = shared.reach(now);
+    let evacuated = lock(&shared.orders).evacuated.clone();
     let ask = |version: &Version| {
         let query = Query {
             object: call.object.filter(|_| grant.route.sticky),
@@ -175,12 +171,10 @@
             version,
             tried,
             evacuated: &evacuated,
-            alive: &alive,
-            members: reach.members,
-            own: &shared.settings.vm,
         };
         let may_run = |region: &str| routing::may_run(grant.route, grant.account, region);
-        shard.place(&query, may_run, now)
+        let warms_up = |server: &str| shared.warms_up(server, now);
+        shard.place(&query, may_run, warms_up, now)
     };
     let version = match tried.is_empty() {
         true => shared.takeovers.start(grant.service),
--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -3,6 +3,7 @@
 //! One VM of a data centre, its delegate, reads the store for all; a VM that can't reach the store
 //! asks any other that can.
 
+use crate::fleet::Source;
 use crate::listing::{Delta, Position};
 use crate::reader::Reader;
 use crate::shared::Shared;
@@ -12,8 +13,6 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use peers::report::{Known, Report};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use steering::routing::Operations;
@@ -43,24 +42,6 @@
     }
 }
 
-/// VM to be asked.
-#[derive(Debug, Clone, PartialEq)]
-struct Source {
-    address: SocketAddr,
-    known: Known,
-    run: u64,
-}
-
-impl Source {
-    fn of(report: &Report) -> Self {
-        Self {
-            address: report.address,
-            known: report.known,
-            run: report.incarnation,
-        }
-    }
-}
-
 /// Answers the question of another VM.
 pub fn answer(request: &Request<Incoming>, shared: &Shared) -> Response<Body> {
     if request.uri().path() != PATH {
@@ -179,7 +160,7 @@
         let newest = peers().max_by_key(|report| report.known.orders);
         let is_behind = delegate.known.orders <= snapshot;
         let newer = newest.filter(|report| is_behind && report.known.orders > snapshot);
-        return Some(Source::of(newer.unwrap_or(&delegate)));
+        return Some(newer.map_or(delegate, Source::of));
     }
     let best = peers()
         .filter_map(|report| Some((report.known.age?, report)))
--- a/programs/gateway/src/run.rs
+++ b/programs/gateway/src/run.rs
@@ -5,8 +5,11 @@
 use crate::shared::Shared;
 use crate::{directory, pipeline, relay, reports, takeovers};
 use adapter::store::Client;
+use base::http::Body;
 use base::http::server::{self, Limits};
 use base::{metrics, program, settings};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
 use peers::report::Phase;
 use std::error::Error;
 use std::path::PathBuf;
@@ -73,7 +76,9 @@
     tokio::spawn(reports::receive(shared.clone(), socket));
     tokio::spawn(takeovers::drive(shared.clone(), client));
     tokio::spawn(reload(file));
-    serve_inner(&shared, readiness, lookups, questions, &closed);
+    serve_known(readiness, &shared, &closed, directory::readiness);
+    serve_known(lookups, &shared, &closed, directory::lookup);
+    serve_known(questions, &shared, &closed, relay::answer);
     match TcpListener::bind(listen.metrics).await {
         Ok(listener) => {
             let registry = shared.metrics.registry();
@@ -117,34 +122,19 @@
     Ok(())
 }
 
-fn serve_inner(
+/// Answers requests that need nothing but what this VM knows, until `closed` is cancelled.
+fn serve_known(
+    listener: TcpListener,
     shared: &Arc<Shared>,
-    readiness: TcpListener,
-    lookups: TcpListener,
-    questions: TcpListener,
     closed: &CancellationToken,
+    answer: fn(&Request<Incoming>, &Shared) -> Response<Body>,
 ) {
-    let limits = Limits::default();
-    let own = shared.clone();
+    let shared = shared.clone();
     tokio::spawn(server::serve(
-        readiness,
-        limits,
-        closed.clone(),
-        move |request, _| std::future::ready(directory::readiness(&request, &own)),
-    ));
-    let own = shared.clone();
-    tokio::spawn(server::serve(
-        lookups,
-        limits,
-        closed.clone(),
-        move |request, _| std::future::ready(directory::lookup(&request, &own)),
-    ));
-    let own = shared.clone();
-    tokio::spawn(server::serve(
-        questions,
-        limits,
+        listener,
+        Limits::default(),
         closed.clone(),
-        move |request, _| std::future::ready(relay::answer(&request, &own)),
+        move |request, _| std::future::ready(answer(&request, &shared)),
     ));
 }
 
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -16,7 +16,6 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 use steering::locality::Bound;
-use steering::placement;
 use steering::registry::Registry;
 use steering::retry::{self, Budget};
 use steering::routing::Configuration;
@@ -81,7 +80,6 @@
                     warmup: Duration::ZERO,
                     tickets: 0,
                 }),
-                placement: placement::Settings::default(),
                 region: self.settings.region.clone(),
                 regions: self.settings.regions(),
             })
@@ -149,7 +147,7 @@
     pub fn handled(&self, pairs: &[Handled], is_near: bool, now: Instant) {
         for shard in self.read().values() {
             let mut state = lock(&shard.state);
-            let own: Vec<Short> = state
+            let own: IndexSet<Short> = state
                 .servers
                 .values()
                 .map(|server| warmth::short(server.digest))
--- a/programs/gateway/src/servers/shard.rs
+++ b/programs/gateway/src/servers/shard.rs
@@ -3,7 +3,7 @@
 use super::Flight;
 use super::server::Server;
 use crate::settings::Settings;
-use base::id::{DataCentre, Label, Region, Server as ServerId, Vm};
+use base::id::{DataCentre, Label, Region, Server as ServerId};
 use base::sync::lock;
 use indexmap::{IndexMap, IndexSet};
 use std::sync::{Arc, Mutex};
@@ -14,7 +14,6 @@
 use steering::registry::Entry;
 use steering::retry::Budget;
 use steering::warmth::{self, Handled, Warmth};
-use steering::warmup;
 use steering::work::Estimate;
 
 /// Time to a server of the own region and back.
@@ -50,12 +49,6 @@
     pub tried: &'a [ServerId],
     /// Data centres whose servers get nothing.
     pub evacuated: &'a [DataCentre],
-    /// VMs that serve.
-    pub alive: &'a [Vm],
-    /// VMs known.
-    pub members: usize,
-    /// This VM.
-    pub own: &'a Vm,
 }
 
 /// Where a request goes.
@@ -101,7 +94,6 @@
 #[derive(Debug)]
 pub struct Shard {
     pub(super) state: Mutex<State>,
-    pub(super) placement: placement::Settings,
     pub(super) region: Region,
     /// Number of regions.
     pub(super) regions: usize,
@@ -109,10 +101,14 @@
 
 impl Shard {
     /// Chooses a server and counts the request against it.
+    ///
+    /// `may_run` says in which regions the request may run, `warms_up` which cold servers get their
+    /// requests from this VM.
     pub fn place(
         self: &Arc<Self>,
         query: &Query<'_>,
         may_run: impl Fn(&str) -> bool,
+        warms_up: impl Fn(&str) -> bool,
         now: Instant,
     ) -> Placed {
         let mut state = lock(&self.state);
@@ -167,18 +163,11 @@
             !query.tried.contains(&listed.server)
                 && !server.condition.is_silent(now, oldest, work.cold)
                 && server.warmup.as_ref().is_none_or(|warmup| {
-                    !warmup.is_cold(now)
-                        || (warmup.admits(now)
-                            && warmup::is_owner(
-                                &listed.server,
-                                query.own,
-                                query.alive,
-                                query.members,
-                            ))
+                    !warmup.is_cold(now) || (warmup.admits(now) && warms_up(&listed.server))
                 })
         };
         let choice = placement::choose(
-            &self.placement,
+            &placement::Settings::default(),
             &Demand {
                 object: query.object,
                 objective: query.objective,
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -1,15 +1,15 @@
 //! State that the parts of the gateway share; each field has a lock of its own.
 
-use crate::fleet::{Fleet, Rank};
+use crate::fleet::{Fleet, Rank, Source};
 use crate::listing::Listing;
 use crate::metrics::Metrics;
 use crate::servers::Services;
 use crate::settings::Settings;
 use crate::takeovers::Takeovers;
-use base::id::{Incarnation, Vm};
+use base::id::Incarnation;
 use base::sync::lock;
 use indexmap::IndexMap;
-use peers::report::{Phase, Report};
+use peers::report::Phase;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -17,6 +17,7 @@
 use steering::routing::{Operations, Table};
 use steering::spending::{Ledger, Reach};
 use steering::split::Split;
+use steering::warmup;
 use tokio::sync::Notify;
 
 /// What was last read of the operator's orders.
@@ -134,22 +135,23 @@
         lock(&self.fleet).reach(&self.settings.vm, now)
     }
 
-    /// Returns the VMs that serve, this one included.
-    pub fn alive(&self, now: Instant) -> Vec<Vm> {
+    /// Returns whether this VM is the one that warms up a cold server.
+    pub fn warms_up(&self, server: &str, now: Instant) -> bool {
         let fleet = lock(&self.fleet);
-        let others = fleet.alive(now).map(|alive| alive.vm.clone());
-        others
-            .chain(std::iter::once(self.settings.vm.clone()))
-            .collect()
+        let own = &self.settings.vm;
+        let others = fleet.alive(now).map(|alive| alive.vm);
+        let alive = others.chain(std::iter::once(own));
+        warmup::is_owner(server, own, alive, fleet.reach(own, now).members)
     }
 
-    /// Returns the report of the other VM that is the delegate of this data centre; none if this
-    /// VM is the delegate itself.
-    pub fn delegate(&self, now: Instant) -> Option<Report> {
+    /// Returns the other VM that is the delegate of this data centre; none if this VM is the
+    /// delegate itself.
+    pub fn delegate(&self, now: Instant) -> Option<Source> {
         let reads = self.reads(now);
         let own = Rank::new(reads, self.settings.link(), &self.settings.vm);
         let fleet = lock(&self.fleet);
-        fleet.delegate(&own, now).map(|peer| peer.report.clone())
+        let delegate = fleet.delegate(&own, now);
+        delegate.map(|peer| Source::of(&peer.report))
     }
 
     /// Returns whether this VM reads the store itself now.
