bug: whole answers to other VMs are packed once for all that ask

The answer is 577,608 bytes of JSON, encoded anew for each VM on a tenth of a core, and takes 0.46 s of a link of 10 Mbit/s by itself; the VMs wait 0.7 s, give up and start over with another VM. Change: peers::packed encodes with bincode and compresses with deflate (flate2); relay::Cache keeps the packed orders until they change and the packed list for at most 1 s, and answers from it. Changes since a position are sent unpacked as before, in bincode. Tests, which fail first (577,608 bytes; nothing packed): whole_answer_is_short (a tenth of a second on the narrowest link) and whole_answer_is_encoded_once_for_all_that_ask. Conclusion: the answers were too large and too dear.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod gossip;
 pub mod link;
 pub mod local;
+pub mod packed;
 pub mod report;
 pub mod share;
 pub mod wire;
--- /dev/null
+++ b/crates/peers/src/packed.rs
@@ -0,0 +1,67 @@
+//! Large values in a compact encoding, which VMs with narrow links ask for.
+
+use bincode::Options;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::io::Read;
+
+/// Largest value that is unpacked, in bytes: far above the state of any deployment, and below the
+/// memory of the smallest VM (160 MB).
+const MOST_BYTES: u64 = 32 * 1024 * 1024;
+
+/// Why a value can't be packed or unpacked.
+pub type Error = bincode::Error;
+
+base::message! {
+    /// A value, encoded and compressed.
+    pub struct Packed {
+        bytes: Vec<u8>,
+    }
+}
+
+impl Packed {
+    /// Packs a value.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the value can't be encoded.
+    pub fn new(value: &impl Serialize) -> Result<Self, Error> {
+        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+        bincode::DefaultOptions::new().serialize_into(&mut encoder, value)?;
+        let bytes = encoder.finish()?;
+        Ok(Self { bytes })
+    }
+
+    /// Returns the value.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not one `T` of at most 32 MiB.
+    pub fn unpack<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        let reader = DeflateDecoder::new(self.bytes.as_slice()).take(MOST_BYTES);
+        bincode::DefaultOptions::new().deserialize_from(reader)
+    }
+}
+
+/// Encodes a message that may hold packed values.
+///
+/// # Errors
+///
+/// Fails if the message can't be encoded.
+pub fn encode(message: &impl Serialize) -> Result<Vec<u8>, Error> {
+    bincode::DefaultOptions::new().serialize(message)
+}
+
+/// Decodes a message.
+///
+/// # Errors
+///
+/// Fails if the bytes are not one message.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    bincode::DefaultOptions::new()
+        .with_limit(MOST_BYTES)
+        .deserialize(bytes)
+}
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     retries: Family<Labels, Counter>,
     retries_denied: Counter,
     questions: Counter,
+    packed: Counter,
     latency: Histogram,
     /// Requests ended since the start by status class, for the stop line.
     ended: Mutex<IndexMap<u16, u64>>,
@@ -39,6 +40,7 @@
             retries: Family::default(),
             retries_denied: Counter::default(),
             questions: Counter::default(),
+            packed: Counter::default(),
             latency: Histogram::new(exponential_buckets(SHORTEST, 2.0, BUCKETS)),
             ended: Mutex::default(),
         }
@@ -66,6 +68,11 @@
             "Questions of other VMs about the store",
             self.questions.clone(),
         );
+        registry.register(
+            "store_packed",
+            "Whole lists and orders packed for other VMs",
+            self.packed.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time from a request's head to its answer",
@@ -104,6 +111,11 @@
         self.questions.inc();
     }
 
+    /// Counts a whole list, or orders, that were packed for other VMs.
+    pub fn packed(&self) {
+        self.packed.inc();
+    }
+
     /// Returns the answers since the start by status.
     pub fn totals(&self) -> IndexMap<u16, u64> {
         lock(&self.ended).clone()
--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -5,14 +5,16 @@
 
 use crate::fleet::Source;
 use crate::listing::{Delta, Position};
+use crate::metrics::Metrics;
 use crate::reader::Reader;
 use crate::shared::Shared;
-use base::http::client::Target;
-use base::http::{Body, json, text};
+use base::http::client::{Error, Target};
+use base::http::{Body, text};
 use base::sync::lock;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use peers::packed::{self, Packed};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use steering::routing::Operations;
@@ -27,6 +29,9 @@
 const NEWER: Duration = Duration::from_millis(500);
 /// Longest time for an answer.
 const TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest time for which a packed list is given out; servers in it count as cold for as much
+/// longer than they are.
+const KEEP: Duration = Duration::from_secs(1);
 
 base::message! {
     /// What a VM knows of the store.
@@ -35,10 +40,61 @@
         orders: u64,
         /// Version of the store at the last read of the orders.
         snapshot: u64,
-        /// Orders of the operator, if they are newer than what was asked for.
-        operations: Option<Operations>,
+        /// [`Operations`] of the operator, if they are newer than what was asked for.
+        operations: Option<Packed>,
         /// Registered servers.
-        servers: Delta,
+        servers: Servers,
+    }
+
+    /// Registered servers, as far as who asks does not know them.
+    enum Servers {
+        /// What changed.
+        Changed(Delta),
+        /// [`Delta`] that holds the whole list.
+        Whole(Packed),
+    }
+}
+
+/// Packed values. All VMs of a data centre ask a new delegate for the same ones at once, and
+/// packing them for each takes a tenth of a core longer than the VMs wait.
+#[derive(Debug, Default)]
+pub struct Cache {
+    operations: Option<(Arc<Operations>, Packed)>,
+    servers: Option<(Position, Instant, Packed)>,
+}
+
+impl Cache {
+    fn operations(
+        &mut self,
+        operations: &Arc<Operations>,
+        metrics: &Metrics,
+    ) -> Result<Packed, packed::Error> {
+        let known = self.operations.as_ref();
+        if let Some((_, packed)) = known.filter(|(known, _)| Arc::ptr_eq(known, operations)) {
+            return Ok(packed.clone());
+        }
+        let packed = Packed::new(&**operations)?;
+        metrics.packed();
+        self.operations = Some((operations.clone(), packed.clone()));
+        Ok(packed)
+    }
+
+    fn servers(
+        &mut self,
+        whole: &Delta,
+        metrics: &Metrics,
+        now: Instant,
+    ) -> Result<Packed, packed::Error> {
+        let is_usable = |at: Instant| now.saturating_duration_since(at) < KEEP;
+        let known = self.servers.as_ref();
+        let known = known.filter(|(position, at, _)| *position == whole.position && is_usable(*at));
+        if let Some((_, _, packed)) = known {
+            return Ok(packed.clone());
+        }
+        let packed = Packed::new(whole)?;
+        metrics.packed();
+        self.servers = Some((whole.position, now, packed.clone()));
+        Ok(packed)
     }
 }
 
@@ -57,17 +113,40 @@
     let position = number("run")
         .zip(number("number"))
         .map(|(run, number)| Position { run, number });
-    let orders = lock(&shared.orders).clone();
     let known = number("snapshot").unwrap_or_default();
-    let is_news = orders.table.is_some() && orders.changed > known;
-    let operations = is_news.then(|| Operations::clone(&orders.operations));
-    let copy = Copy {
+    match copy(shared, known, position).and_then(|copy| packed::encode(&copy)) {
+        Ok(bytes) => text(StatusCode::OK, bytes),
+        Err(error) => {
+            log::error!("event=relay-unencoded error=\"{error}\"");
+            text(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "the answer could not be encoded\n",
+            )
+        }
+    }
+}
+
+/// Returns what is newer than the orders as of `snapshot` and than the list at `position`.
+fn copy(shared: &Shared, snapshot: u64, position: Option<Position>) -> Result<Copy, packed::Error> {
+    let orders = lock(&shared.orders).clone();
+    let is_news = orders.table.is_some() && orders.changed > snapshot;
+    let servers = lock(&shared.listing).since(position, shared.incarnation);
+    let metrics = &shared.metrics;
+    let mut cache = lock(&shared.packed);
+    let operations = match is_news {
+        true => Some(cache.operations(&orders.operations, metrics)?),
+        false => None,
+    };
+    let servers = match servers.is_whole {
+        true => Servers::Whole(cache.servers(&servers, metrics, Instant::now())?),
+        false => Servers::Changed(servers),
+    };
+    Ok(Copy {
         orders: orders.version,
         snapshot: orders.snapshot,
         operations,
-        servers: lock(&shared.listing).since(position, shared.incarnation),
-    };
-    json(StatusCode::OK, &copy)
+        servers,
+    })
 }
 
 /// Asks other VMs for what this one does not read itself, until the task is dropped.
@@ -83,13 +162,13 @@
             confirm(&shared, &source, now);
             continue;
         }
-        match ask(&shared, &source).await {
-            Ok(copy) => {
+        let asked = ask(&shared, &source).await;
+        match asked.and_then(|copy| take(&reader, copy)) {
+            Ok(()) => {
                 if is_lost {
                     log::info!("event=relay-regained peer={}", source.address);
                 }
                 is_lost = false;
-                take(&reader, copy);
                 confirm(&shared, &source, now);
             }
             Err(error) => {
@@ -104,15 +183,23 @@
     }
 }
 
-fn take(reader: &Reader, copy: Copy) {
-    match copy.operations {
+/// Takes in what another VM answered.
+fn take(reader: &Reader, copy: Copy) -> Result<(), Error> {
+    let unreadable = |error: packed::Error| Error::Decode(error.to_string().into());
+    let operations = copy.operations.map(|packed| packed.unpack());
+    let servers: Delta = match copy.servers {
+        Servers::Changed(delta) => delta,
+        Servers::Whole(packed) => packed.unpack().map_err(unreadable)?,
+    };
+    match operations.transpose().map_err(unreadable)? {
         Some(operations) => reader.put_in_force(operations, copy.orders, copy.snapshot, "peer"),
         None => reader.unchanged(copy.orders, copy.snapshot),
     }
-    let position = copy.servers.position;
-    let listed = lock(&reader.shared().listing).with(copy.servers);
+    let position = servers.position;
+    let listed = lock(&reader.shared().listing).with(servers);
     reader.list(listed, None);
     lock(&reader.shared().listing).followed = Some(position);
+    Ok(())
 }
 
 /// Whether this VM knows all that the other one reported to know.
@@ -170,7 +257,7 @@
     is_newer.then(|| Source::of(best.1))
 }
 
-async fn ask(shared: &Shared, source: &Source) -> Result<Copy, base::http::client::Error> {
+async fn ask(shared: &Shared, source: &Source) -> Result<Copy, Error> {
     let target = Target {
         address: source.address,
         timeout: TIMEOUT,
@@ -189,8 +276,6 @@
         format!("&run={}&number={}", p.run, p.number)
     });
     let path = format!("{PATH}?snapshot={snapshot}{position}");
-    target
-        .call(Method::GET, &path, Bytes::new())
-        .await?
-        .decode()
+    let answer = target.call(Method::GET, &path, Bytes::new()).await?;
+    packed::decode(&answer.body).map_err(|error| Error::Decode(error.to_string().into()))
 }
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::fleet::{Fleet, Rank, Source};
 use crate::listing::Listing;
 use crate::metrics::Metrics;
+use crate::relay::Cache;
 use crate::servers::Services;
 use crate::settings::Settings;
 use crate::takeovers::Takeovers;
@@ -53,6 +54,8 @@
     pub orders: Mutex<Orders>,
     /// Registered servers.
     pub listing: Mutex<Listing>,
+    /// What other VMs ask for, packed.
+    pub packed: Mutex<Cache>,
     /// Other VMs.
     pub fleet: Mutex<Fleet>,
     /// Backend servers by service.
@@ -96,6 +99,7 @@
             phase: Mutex::new(Phase::Starting),
             orders: Mutex::default(),
             listing: Mutex::default(),
+            packed: Mutex::default(),
             fleet: Mutex::default(),
             ledger: Mutex::default(),
             crashes: Mutex::default(),
--- a/programs/gateway/tests/fleet.rs
+++ b/programs/gateway/tests/fleet.rs
@@ -5,14 +5,38 @@
 use adapter::header;
 use hyper::StatusCode;
 use site::{Gateway, Site, until};
-use standin_site::operator::{self, Desired};
+use standin_site::operator::{self, Desired, Route};
 use standin_site::server::{Behaviour, Entry};
 use standin_site::store::Faults;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 /// Operator's bounds: a configuration is in force, and a leaving server gets nothing, after this.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
+/// Routes of the largest configuration seen on the bench (hunt-85ee-7 of permis-parcs-grown).
+const ROUTES: usize = 1_785;
+/// Servers of that deployment.
+const SERVERS: u16 = 388;
+/// Bytes that the narrowest link, of 10 Mbit/s, carries in a tenth of a second: VMs that change
+/// their delegate have to put a change in force and stop sends to leaving servers within 2 s.
+const MOST_BYTES: usize = 125_000;
+/// Question of a VM that knows nothing.
+const QUESTION: &str = "/store?snapshot=0";
+
+/// Counter of the questions about the store that a gateway answered.
+const QUESTIONS: &str = "gateway_store_questions_total";
+
+/// Returns the value of a counter of a gateway; 0 if it has not counted yet.
+async fn counter(gateway: &Gateway, name: &str) -> u64 {
+    let answer = site::get(gateway.settings.listen.metrics, "/metrics").await;
+    let text = answer.expect("metrics").body;
+    let text = std::str::from_utf8(&text).expect("text");
+    let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+    let value = lines.find(|(key, _)| *key == name);
+    value.map_or(0, |(_, value)| value.parse().expect("a number"))
+}
+
 async fn status(gateway: &Gateway, key: &str) -> Option<StatusCode> {
     let answer = gateway.ask_with("1", "/a/", Some(key)).await;
     answer.map(|(status, _, _)| status)
@@ -213,18 +237,6 @@
     assert!(refuses(&gateway, "key-2").await < IN_FORCE + Duration::from_secs(1));
 }
 
-/// Returns the questions about the store that a gateway answered.
-async fn questions(gateway: &Gateway) -> u64 {
-    let answer = site::get(gateway.settings.listen.metrics, "/metrics").await;
-    let text = answer.expect("metrics").body;
-    let text = std::str::from_utf8(&text).expect("text");
-    let line = text
-        .lines()
-        .find(|l| l.starts_with("gateway_store_questions_total "));
-    let number = line.and_then(|line| line.split(' ').nth(1));
-    number.expect("a counter").parse().expect("a number")
-}
-
 /// Guards against VMs that ask for an order again and again: one data centre saw the feed tell of
 /// a removed order, the VMs of another started afterwards and never learned the version of the
 /// removal.
@@ -239,9 +251,15 @@
     let vms = [("vm-2", "sud-a"), ("vm-3", "sud-a")];
     let later = site.gateways(vms, &door).await;
     tokio::time::sleep(Duration::from_secs(2)).await;
-    let before = [questions(&first).await, questions(&later[0]).await];
+    let before = [
+        counter(&first, QUESTIONS).await,
+        counter(&later[0], QUESTIONS).await,
+    ];
     tokio::time::sleep(Duration::from_secs(2)).await;
-    let after = [questions(&first).await, questions(&later[0]).await];
+    let after = [
+        counter(&first, QUESTIONS).await,
+        counter(&later[0], QUESTIONS).await,
+    ];
     let asked = after[0] - before[0] + after[1] - before[1];
     assert!(asked <= 4, "{asked} questions in 2 calm seconds");
 }
@@ -345,3 +363,51 @@
         .collect();
     assert_eq!(ids, ["unique"]);
 }
+
+/// Starts a site with that configuration and these servers.
+async fn large_site() -> (Site, Gateway) {
+    let route = |number| Route {
+        name: Box::leak(format!("parcel-history-{number}").into()),
+        ..Route::PLAIN
+    };
+    let routes: Vec<Route> = (0..ROUTES).map(route).collect();
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired {
+        routes: routes.leak(),
+        ..Desired::default()
+    });
+    for number in 0..SERVERS {
+        let [high, low] = number.to_be_bytes();
+        let address = SocketAddr::new(Ipv4Addr::new(127, 255, high, low).into(), 8080);
+        Entry::default().publish(&site.store, &format!("i-{number}"), address);
+    }
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    (site, gateway)
+}
+
+/// Guards against answers that take longer on a narrow link than VMs wait for them: a change of the
+/// delegate left eighteen VMs without the newest orders and servers (hunt-85ee-7 of
+/// permis-parcs-grown, CONFIG and DRAIN).
+#[tokio::test]
+async fn whole_answer_is_short() {
+    let (_site, gateway) = large_site().await;
+    let answer = site::get(gateway.settings.listen.peers, QUESTION).await;
+    let bytes = answer.expect("an answer").body.len();
+    assert!(bytes <= MOST_BYTES, "{bytes} bytes");
+}
+
+/// Guards against a delegate that encodes the same answer for each VM that asks, which takes a
+/// slow one longer than the VMs wait (the same day).
+#[tokio::test]
+async fn whole_answer_is_encoded_once_for_all_that_ask() {
+    let (_site, gateway) = large_site().await;
+    for _ in 0..18 {
+        let answer = site::get(gateway.settings.listen.peers, QUESTION).await;
+        assert!(answer.is_some());
+    }
+    let packed = counter(&gateway, "gateway_store_packed_total").await;
+    // Orders once, and the list again if the questions take longer than a second.
+    assert!((2..=4).contains(&packed), "{packed} values packed");
+}
