refactor: one name for the end of a small body

Cause: the linter refuses the qualified path since the function is exported. Ruled out: a change of behaviour. Conclusion: the linter passes again.

--- a/crates/backends/src/client.rs
+++ b/crates/backends/src/client.rs
@@ -296,7 +296,7 @@
     let request = lease.pool().downstream(request, deadline);
     let answered = async {
         let answer = answer::exchange(lease, request, deadline).await.ok()?;
-        answer::drain(answer.into_body()).await
+        drain(answer.into_body()).await
     };
     matches!(
         timeout(settings.probe_timeout, answered).await,
