feature: state of the fleet and checks of the orders on the users' platform

Cause: on the platform there is no administration API, so an operator could not tell from the command line on how many VMs a configuration is in force, how far a release is, or which order is left out because it can't be read. Ruled out: status from the store alone (it does not know what VMs have in force); a program of its own on a VM. The age of what is known of the store is worked out in one place. Tests: any_vm_tells_the_state_of_the_fleet, state_of_the_fleet_names_silent_vms, unreadable_order_is_named, state_of_the_fleet_is_told (none could be written before).

--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod bundle;
 pub mod check;
 pub mod fleet;
+pub mod gateway;
 pub mod service;
--- a/crates/peers/src/report.rs
+++ b/crates/peers/src/report.rs
@@ -55,6 +55,8 @@
         pub callers: SocketAddr,
         /// What callers may expect.
         pub phase: Phase,
+        /// Version of its configuration; 0 for none.
+        pub configuration: Version,
     }
 
     /// How much a VM knows of the store, for VMs that read it through this one.
--- a/programs/ctl/src/args.rs
+++ b/programs/ctl/src/args.rs
@@ -13,6 +13,8 @@
     pub admin: SocketAddr,
     /// Credential of the administration API.
     pub token: Box<str>,
+    /// Address at which a gateway answers, on the users' platform.
+    pub gateway: Option<SocketAddr>,
     /// Whether to print JSON.
     pub json: bool,
     /// What to do.
@@ -27,6 +29,11 @@
         /// Directory of the files.
         directory: PathBuf,
     },
+    /// Checks the orders in the store of the users' platform.
+    CheckStore {
+        /// Address of the store.
+        store: SocketAddr,
+    },
     /// Shows how steering files differ from the configuration in force.
     Diff {
         /// Directory of the files.
@@ -100,11 +107,17 @@
         .argument::<String>("TOKEN")
         .map(Into::into)
         .fallback("".into());
+    let gateway = long("gateway")
+        .help("Address at which a gateway answers other VMs; `status` asks it")
+        .env("CARDAMOM_GATEWAY")
+        .argument("ADDRESS")
+        .optional();
     let json = long("json").help("Print JSON").switch();
     let command = command();
     construct!(Args {
         admin,
         token,
+        gateway,
         json,
         command
     })
@@ -113,10 +126,14 @@
 }
 
 fn command() -> impl Parser<Command> {
-    let check = directory().map(|directory| Command::Check { directory });
-    let check = check
+    let files = directory().map(|directory| Command::Check { directory });
+    let store = long("store")
+        .help("Check the orders in the platform's store at this address")
+        .argument("ADDRESS")
+        .map(|store| Command::CheckStore { store });
+    let check = construct!([store, files])
         .to_options()
-        .descr("Check steering files")
+        .descr("Check steering files, or the orders in the platform's store")
         .command("check");
     let diff = directory().map(|directory| Command::Diff { directory });
     let diff = diff
--- a/programs/ctl/src/lib.rs
+++ b/programs/ctl/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod diff;
 pub mod exit;
 pub mod files;
+pub mod orders;
 pub mod output;
 pub mod run;
--- a/programs/ctl/src/output.rs
+++ b/programs/ctl/src/output.rs
@@ -1,10 +1,14 @@
 //! Text and JSON output.
 
 use crate::diff::Change;
+use crate::orders::{Orders, Release};
+use adapter::desired::Unreadable;
 use base::unit::Moment;
 use operators::admin::{Issued, KeyState, Stage, Status, Verdict};
 use operators::check::Finding;
+use operators::gateway::State;
 use serde::Serialize;
+use steering::takeover;
 
 /// Prints a value as JSON, or as the text that `text` makes of it.
 pub fn print<T: Serialize>(json: bool, value: &T, text: impl FnOnce(&T) -> String) {
@@ -88,6 +92,75 @@
     lines.join("\n")
 }
 
+/// Describes the orders in the store of the users' platform.
+pub fn orders(orders: &Orders) -> String {
+    let mut lines = vec![match orders.version {
+        None => "no configuration that can be read".into(),
+        Some(version) => format!(
+            "version {version:08x}: {} routes, {} workspaces, {} services",
+            orders.routes, orders.workspaces, orders.services
+        ),
+    }];
+    let releases = orders.releases.iter();
+    lines.extend(releases.map(|release| {
+        let Release {
+            service,
+            label,
+            term_s,
+        } = release;
+        format!("release of {service} to {label} within {term_s} s")
+    }));
+    lines.extend(names("evacuated", &orders.evacuated));
+    let unreadable = orders.unreadable.iter();
+    lines.extend(unreadable.map(|row| {
+        let Unreadable {
+            key,
+            version,
+            reason,
+        } = row;
+        format!("row {key} at version {version} can't be read: {reason}")
+    }));
+    lines.join("\n")
+}
+
+/// Describes the state of the fleet as a gateway tells it.
+pub fn state(state: &State) -> String {
+    let mut lines = vec![match state.version {
+        0 => "no configuration yet".into(),
+        version => format!(
+            "version {version:08x} in force on {} of {}",
+            state.on, state.of
+        ),
+    }];
+    lines.extend(names("missing", &state.missing));
+    lines.extend(state.releases.iter().map(|release| {
+        let stage = match (release.stage, release.is_final) {
+            (None, _) => "not begun".into(),
+            (Some(stage), true) => format!("{}, final", stage_name(stage)),
+            (Some(stage), false) => stage_name(stage).into(),
+        };
+        format!(
+            "release of {} to {}: {stage}",
+            release.service, release.label
+        )
+    }));
+    lines.extend(names("evacuated", &state.evacuated));
+    lines.push(match state.age_ms {
+        Some(age) => format!("{} read the store {age} ms ago", state.vm),
+        None => format!("{} has not read the store yet", state.vm),
+    });
+    lines.join("\n")
+}
+
+fn stage_name(stage: takeover::Stage) -> &'static str {
+    match stage {
+        takeover::Stage::Sampling => "sampling",
+        takeover::Stage::Moving => "moving",
+        takeover::Stage::Completed => "completed",
+        takeover::Stage::RolledBack => "rolled back",
+    }
+}
+
 fn progress(status: &Status) -> String {
     let Status {
         version, on, of, ..
--- a/programs/ctl/src/run.rs
+++ b/programs/ctl/src/run.rs
@@ -2,12 +2,16 @@
 
 use crate::args::{Args, Command};
 use crate::exit::Exit;
+use crate::orders::Orders;
 use crate::{diff, files, output};
+use adapter::store;
 use base::http::client::Target;
 use operators::admin::{
     Client, Drain, Error, Halt, Issue, Proposal, Rotate, Stage, Status, Undrain, Verdict, Withdraw,
 };
 use operators::bundle::{Bundle, Files};
+use operators::gateway;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -26,6 +30,7 @@
     });
     let session = Session {
         client,
+        gateway: args.gateway,
         json: args.json,
     };
     session.run(args.command).await.unwrap_or_else(|error| {
@@ -36,6 +41,7 @@
 
 struct Session {
     client: Client,
+    gateway: Option<SocketAddr>,
     json: bool,
 }
 
@@ -43,6 +49,7 @@
     async fn run(&self, command: Command) -> Result<Exit, Error> {
         match command {
             Command::Check { directory } => Ok(self.check(&directory)),
+            Command::CheckStore { store } => Ok(self.check_store(store).await),
             Command::Diff { directory } => self.diff(&directory).await,
             Command::Publish {
                 directory,
@@ -50,6 +57,16 @@
                 author,
                 wait,
             } => self.publish(&directory, base, author, wait).await,
+            Command::Status if let Some(address) = self.gateway => {
+                let target = Target {
+                    address,
+                    timeout: CALL_TIMEOUT,
+                    authorization: None,
+                };
+                let state = gateway::state(&target).await?;
+                output::print(self.json, &state, output::state);
+                Ok(Exit::Done)
+            }
             Command::Status => {
                 let status = self.client.status().await?;
                 output::print(self.json, &status, output::status);
@@ -118,6 +135,23 @@
         }
     }
 
+    /// Checks the orders in the store of the users' platform.
+    async fn check_store(&self, store: SocketAddr) -> Exit {
+        let rows = match store::Client::new(store).rows(store::OPERATIONS).await {
+            Ok(rows) => rows,
+            Err(error) => {
+                eprintln!("cardamomctl: {error}");
+                return Exit::Failed;
+            }
+        };
+        let orders = Orders::of(&rows.rows);
+        output::print(self.json, &orders, output::orders);
+        match orders.unreadable.is_empty() {
+            true => Exit::Done,
+            false => Exit::Refused,
+        }
+    }
+
     async fn diff(&self, directory: &Path) -> Result<Exit, Error> {
         let Some(files) = read(directory) else {
             return Ok(Exit::Failed);
--- /dev/null
+++ b/programs/ctl/tests/orders.rs
@@ -0,0 +1,70 @@
+//! Orders in the store of the users' platform, as operators read them.
+
+use adapter::store::Row;
+use cardamomctl::orders::Orders;
+use cardamomctl::output;
+use operators::gateway::{Release, State};
+use standin_site::operator::{self, Desired};
+use standin_site::store::Store;
+use steering::takeover::Stage;
+
+fn row(store: &Store, key: &str) -> Row {
+    Row {
+        key: key.into(),
+        version: 7,
+        value: store.get("op", key),
+    }
+}
+
+/// Guards against an order that a gateway would leave out and that nobody is told of.
+#[test]
+fn unreadable_order_is_named() {
+    let store = Store::default();
+    Desired::default().publish(&store);
+    operator::order_takeover(&store, "lookup", "v2", 6);
+    operator::order_evacuation(&store, "sud-a");
+    store.put("op", "rollout/booking", "{}");
+    let keys = [
+        "config",
+        "rollout/lookup",
+        "evacuate/sud-a",
+        "rollout/booking",
+    ];
+    let orders = Orders::of(&keys.map(|key| row(&store, key)));
+    let text = output::orders(&orders);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(
+        lines[0],
+        "version 00000001: 1 routes, 1 workspaces, 1 services"
+    );
+    assert_eq!(lines[1], "release of lookup to v2 within 6 s");
+    assert_eq!(lines[2], "evacuated: sud-a");
+    assert!(lines[3].starts_with("row rollout/booking at version 7 can't be read"));
+}
+
+/// Guards against a state from which an operator can't tell on how many VMs a version is in force,
+/// which ones lack it, and how far a release is.
+#[test]
+fn state_of_the_fleet_is_told() {
+    let state = State {
+        vm: "vm-1".into(),
+        version: 2,
+        on: 2,
+        of: 3,
+        missing: vec!["vm-3".into()],
+        releases: vec![Release {
+            service: "lookup".into(),
+            label: "v2".into(),
+            stage: Some(Stage::RolledBack),
+            is_final: true,
+        }],
+        evacuated: vec!["sud-a".into()],
+        age_ms: Some(120),
+    };
+    let expected = "version 00000002 in force on 2 of 3\n\
+                    missing: vm-3\n\
+                    release of lookup to v2: rolled back, final\n\
+                    evacuated: sud-a\n\
+                    vm-1 read the store 120 ms ago";
+    assert_eq!(output::state(&state), expected);
+}
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Other VMs, as their reports show them: those of the own data centre one by one, those of other
 //! data centres by the reports of their delegates.
 
-use base::id::{DataCentre, Incarnation, Region, Vm};
+use base::id::{DataCentre, Incarnation, Region, Version, Vm};
 use indexmap::{IndexMap, IndexSet};
 use peers::report::{Known, Phase, Report};
 use std::cmp::Reverse;
@@ -272,11 +272,25 @@
         self.listed.keys().filter(is_lost).cloned().collect()
     }
 
+    /// Returns the versions of the configuration on the VMs that are heard.
+    pub fn versions(&self, now: Instant) -> IndexMap<&Vm, Version> {
+        let near = self.near(now).map(|peer| &peer.report);
+        let near = near.map(|report| (&report.vm, report.configuration));
+        let far = self.far(now).flat_map(|peer| &peer.report.members);
+        near.chain(far.map(|member| (&member.vm, member.configuration)))
+            .collect()
+    }
+
+    /// Returns the VMs that are listed or were heard, without `own`.
+    pub fn others(&self, own: &Vm) -> IndexSet<&Vm> {
+        let known = self.listed.keys().chain(self.alive_at.keys());
+        known.filter(|vm| *vm != own).collect()
+    }
+
     /// Returns how many VMs there are and how many are heard, `own` included.
     pub fn reach(&self, own: &Vm, now: Instant) -> Reach {
-        let known: IndexSet<&Vm> = self.listed.keys().chain(self.alive_at.keys()).collect();
         Reach {
-            members: 1 + known.into_iter().filter(|vm| *vm != own).count(),
+            members: 1 + self.others(own).len(),
             heard: 1 + self.alive(now).count(),
         }
     }
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod servers;
 pub mod settings;
 pub mod shared;
+pub mod status;
 pub mod takeovers;
--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -231,11 +231,8 @@
         return None;
     }
     let delegate = shared.delegate(now).filter(|d| d.known.reads);
-    let (snapshot, read) = {
-        let orders = lock(&shared.orders);
-        (orders.snapshot, orders.read.zip(lock(&shared.listing).read))
-    };
-    let own = read.map(|(a, b)| now.saturating_duration_since(a.min(b)));
+    let snapshot = lock(&shared.orders).snapshot;
+    let own = shared.age(now);
     let fleet = lock(&shared.fleet);
     let peers = || {
         fleet
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -114,18 +114,12 @@
 }
 
 fn known(shared: &Shared, now: Instant) -> Known {
-    let (version, orders) = {
-        let orders = lock(&shared.orders);
-        (orders.version, orders.read)
-    };
-    let listing = lock(&shared.listing);
-    let oldest = orders.zip(listing.read).map(|(a, b)| a.min(b));
-    let age = oldest.map(|read| now.saturating_duration_since(read).as_millis());
+    let age = shared.age(now).map(|age| age.as_millis());
     Known {
         age: age.map(|age| u32::try_from(age).unwrap_or(u32::MAX)),
         reads: shared.reads(now),
-        orders: version,
-        listing: listing.number(),
+        orders: lock(&shared.orders).version,
+        listing: lock(&shared.listing).number(),
     }
 }
 
@@ -137,6 +131,7 @@
         vm: own.vm.clone(),
         callers: own.callers,
         phase: own.phase,
+        configuration: own.configuration,
     }];
     let mut crashes = own.crashes.clone();
     {
@@ -152,6 +147,7 @@
                 vm: report.vm.clone(),
                 callers: report.callers,
                 phase: report.phase,
+                configuration: report.configuration,
             });
             crashes.extend(report.crashes.iter().cloned());
         }
--- a/programs/gateway/src/run.rs
+++ b/programs/gateway/src/run.rs
@@ -3,7 +3,7 @@
 use crate::reader::Reader;
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{directory, pipeline, relay, reports, takeovers};
+use crate::{directory, pipeline, relay, reports, status, takeovers};
 use adapter::store::Client;
 use base::http::Body;
 use base::http::server::{self, Limits};
@@ -78,7 +78,7 @@
     tokio::spawn(reload(file));
     serve_known(readiness, &shared, &closed, directory::readiness);
     serve_known(lookups, &shared, &closed, directory::lookup);
-    serve_known(questions, &shared, &closed, relay::answer);
+    serve_known(questions, &shared, &closed, question);
     match TcpListener::bind(listen.metrics).await {
         Ok(listener) => {
             let registry = shared.metrics.registry();
@@ -138,6 +138,14 @@
     ));
 }
 
+/// Answers an operator, or another VM.
+fn question(request: &Request<Incoming>, shared: &Shared) -> Response<Body> {
+    match request.uri().path() {
+        operators::gateway::PATH => status::answer(shared),
+        _ => relay::answer(request, shared),
+    }
+}
+
 /// Checks the settings file on each SIGHUP. Addresses and bounds are those of the start: the
 /// platform restarts a process whose addresses change.
 async fn reload(file: PathBuf) {
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -134,6 +134,15 @@
         lock(&self.orders).table.clone()
     }
 
+    /// Returns the time since what this VM knows was read from the store, here or by another VM;
+    /// none before the first read.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let orders = lock(&self.orders).read;
+        let listing = lock(&self.listing).read;
+        let oldest = orders.zip(listing).map(|(a, b)| a.min(b));
+        oldest.map(|read| now.saturating_duration_since(read))
+    }
+
     /// Returns how many VMs there are and how many are heard.
     pub fn reach(&self, now: Instant) -> Reach {
         lock(&self.fleet).reach(&self.settings.vm, now)
--- /dev/null
+++ b/programs/gateway/src/status.rs
@@ -0,0 +1,47 @@
+//! State of the fleet for operators.
+
+use crate::shared::Shared;
+use base::http::{Body, json};
+use base::id::{Version, Vm};
+use base::sync::lock;
+use hyper::{Response, StatusCode};
+use indexmap::IndexMap;
+use operators::gateway::State;
+use std::time::Instant;
+
+/// Answers an operator's question.
+pub fn answer(shared: &Shared) -> Response<Body> {
+    json(StatusCode::OK, &state(shared, Instant::now()))
+}
+
+fn state(shared: &Shared, now: Instant) -> State {
+    let own = &shared.settings.vm;
+    let (table, evacuated) = {
+        let orders = lock(&shared.orders);
+        (orders.table.clone(), orders.evacuated.clone())
+    };
+    let mine = table.map_or(0, |table| table.configuration().version);
+    let fleet = lock(&shared.fleet);
+    let others = fleet.others(own);
+    let mut versions: IndexMap<&Vm, Version> = others.iter().map(|vm| (*vm, 0)).collect();
+    versions.extend(fleet.versions(now));
+    versions.insert(own, mine);
+    let version = versions.values().copied().max().unwrap_or_default();
+    let missing: Vec<Vm> = versions
+        .iter()
+        .filter(|(_, known)| **known < version || version == 0)
+        .map(|(vm, _)| (*vm).clone())
+        .collect();
+    let of = versions.len();
+    drop(fleet);
+    State {
+        vm: own.clone(),
+        version,
+        on: of - missing.len(),
+        of,
+        missing,
+        releases: shared.takeovers.releases(),
+        evacuated,
+        age_ms: shared.age(now).map(|age| age.as_millis() as u64),
+    }
+}
--- a/programs/gateway/src/takeovers.rs
+++ b/programs/gateway/src/takeovers.rs
@@ -8,6 +8,7 @@
 use base::id::{DataCentre, Incarnation, Service, Vm};
 use base::sync::lock;
 use indexmap::IndexMap;
+use operators::gateway::Release;
 use peers::report::{self, Report};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -185,6 +186,18 @@
         report.collect()
     }
 
+    /// Returns the releases that are ordered, for operators.
+    pub fn releases(&self) -> Vec<Release> {
+        let active = lock(&self.active);
+        let releases = active.values().map(|takeover| Release {
+            service: takeover.order.service.clone(),
+            label: takeover.order.label.clone(),
+            stage: takeover.stage,
+            is_final: takeover.settled,
+        });
+        releases.collect()
+    }
+
     /// Takes in what another VM saw and decided.
     pub fn hear(&self, report: &Report) {
         let mut active = lock(&self.active);
--- a/programs/gateway/tests/fleet.rs
+++ b/programs/gateway/tests/fleet.rs
@@ -3,13 +3,16 @@
 mod site;
 
 use adapter::header;
+use base::http::client::Target;
 use hyper::StatusCode;
+use operators::gateway;
 use site::{Gateway, Site, until};
 use standin_site::operator::{self, Desired, Route};
 use standin_site::server::{Behaviour, Entry};
 use standin_site::store::Faults;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
+use steering::takeover::Stage;
 
 /// Operator's bounds: a configuration is in force, and a leaving server gets nothing, after this.
 const IN_FORCE: Duration = Duration::from_secs(2);
@@ -264,6 +267,58 @@
     assert!(asked <= 4, "{asked} questions in 2 calm seconds");
 }
 
+/// Guards against an operator who can't tell from one VM whether a version is in force on all, how
+/// far a release is, and which data centres are empty.
+#[tokio::test]
+async fn any_vm_tells_the_state_of_the_fleet() {
+    let (site, door, [_server]) = Site::with_servers(&Desired::default()).await;
+    let vms = [("vm-1", "nord-a"), ("vm-2", "nord-a"), ("vm-3", "sud-a")];
+    let [first, _second, _far] = site.gateways(vms, &door).await;
+    site.desire(&Desired {
+        version: 2,
+        ..Desired::default()
+    });
+    operator::order_evacuation(&site.store, "sud-a");
+    operator::order_takeover(&site.store, "lookup", "v2", 60);
+    let target = Target {
+        address: first.settings.listen.peers,
+        timeout: site::SOON,
+        authorization: None,
+    };
+    until("the version is in force on all VMs", || async {
+        let state = gateway::state(&target).await.expect("a state");
+        (state.version, state.on, state.of) == (2, 3, 3) && state.evacuated == ["sud-a".into()]
+    })
+    .await;
+    until("the release is told", || async {
+        let state = gateway::state(&target).await.expect("a state");
+        let release = state.releases.first();
+        release.is_some_and(|r| &*r.label == "v2" && r.stage == Some(Stage::Sampling))
+    })
+    .await;
+}
+
+/// Guards against a VM that is counted although it is silent: it stands in the table of VMs only.
+#[tokio::test]
+async fn state_of_the_fleet_names_silent_vms() {
+    let (site, door, [_server]) = Site::with_servers(&Desired::default()).await;
+    let entry = "127.255.255.9:7460 nord-a";
+    site.store.put("members", "vm-9", entry);
+    let [first, _second] = site
+        .gateways([("vm-1", "nord-a"), ("vm-2", "nord-a")], &door)
+        .await;
+    let target = Target {
+        address: first.settings.listen.peers,
+        timeout: site::SOON,
+        authorization: None,
+    };
+    until("the silent VM is missing", || async {
+        let state = gateway::state(&target).await.expect("a state");
+        (state.on, state.of) == (2, 3) && state.missing == ["vm-9".into()]
+    })
+    .await;
+}
+
 /// Guards against a directory that names VMs which ended.
 #[tokio::test]
 async fn lookup_names_the_vms_that_serve() {
