feature: look-ups name the VMs with wide links while these suffice

Cause: on the grown sites 12 of 87 and 18 of 60 VMs have half a core and 200 Mbit/s, the others a tenth of a core and 10 Mbit/s, but look-ups named all alike, so callers spread evenly. Change: steering::entrance chooses the VMs that a look-up names: those with at least a quarter of the widest link, if they are three or more, hold half of all bandwidth, and none of them is busy. A VM is busy while its own timers are more than 30 ms late on average; reports carry that and the bandwidth. The small sites have VMs of one size: nothing changes there.

--- a/crates/peers/src/report.rs
+++ b/crates/peers/src/report.rs
@@ -57,6 +57,10 @@
         pub phase: Phase,
         /// Version of its configuration; 0 for none.
         pub configuration: Version,
+        /// Bandwidth of its link in Mbit/s.
+        pub link_mbps: u32,
+        /// Whether it does not keep up with its work.
+        pub is_busy: bool,
     }
 
     /// How much a VM knows of the store, for VMs that read it through this one.
@@ -89,6 +93,8 @@
         pub address: SocketAddr,
         /// Bandwidth of the sender's link in Mbit/s; the delegate has the widest.
         pub link_mbps: u32,
+        /// Whether the sender does not keep up with its work.
+        pub is_busy: bool,
         /// Where callers reach the sender.
         pub callers: SocketAddr,
         /// What callers may expect.
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod crashes;
 pub mod drain;
+pub mod entrance;
 pub mod fairness;
 pub mod keys;
 pub mod lease;
--- a/programs/gateway/src/directory.rs
+++ b/programs/gateway/src/directory.rs
@@ -12,12 +12,20 @@
 use peers::report::Phase;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use steering::entrance::{self, Candidate};
 
 /// Time for which callers may use an answer; some use it three times as long.
 const TTL: Duration = Duration::from_secs(2);
 /// Most VMs in one answer.
 const MOST: usize = 64;
 
+/// A VM that takes callers.
+struct Serving {
+    address: SocketAddr,
+    region: Region,
+    entrance: Candidate,
+}
+
 /// Answers a readiness check.
 pub fn readiness(request: &Request<Incoming>, shared: &Shared) -> Response<Body> {
     match (request.uri().path(), shared.phase()) {
@@ -53,13 +61,25 @@
 fn entries(shared: &Shared, host: &str, region: Option<&Region>) -> Vec<SocketAddr> {
     let now = Instant::now();
     let settings = &shared.settings;
-    let mut serving: Vec<(SocketAddr, Region)> = {
+    let mut serving: Vec<Serving> = {
         let fleet = lock(&shared.fleet);
         let others = fleet.alive(now).filter(|vm| vm.phase == Phase::Ready);
-        others.map(|vm| (vm.callers, vm.region.clone())).collect()
+        let others = others.map(|vm| Serving {
+            address: vm.callers,
+            region: vm.region.clone(),
+            entrance: vm.entrance,
+        });
+        others.collect()
     };
     if shared.phase() == Phase::Ready {
-        serving.push((settings.listen.callers, settings.region.clone()));
+        serving.push(Serving {
+            address: settings.listen.callers,
+            region: settings.region.clone(),
+            entrance: Candidate {
+                link_mbps: settings.link(),
+                is_busy: lock(&shared.lateness).is_busy(),
+            },
+        });
     }
     let near = region.map(|region| IndexSet::from([region.clone()]));
     let homes = shared.table().and_then(|table| {
@@ -72,12 +92,16 @@
     [near, homes]
         .into_iter()
         .flatten()
-        .map(|regions| within(&serving, &regions))
+        .map(|regions| within(&serving, |region| regions.contains(region)))
         .find(|addresses| !addresses.is_empty())
-        .unwrap_or_else(|| serving.iter().map(|(a, _)| *a).take(MOST).collect())
+        .unwrap_or_else(|| within(&serving, |_| true))
 }
 
-fn within(serving: &[(SocketAddr, Region)], regions: &IndexSet<Region>) -> Vec<SocketAddr> {
-    let inside = serving.iter().filter(|(_, r)| regions.contains(r));
-    inside.map(|(address, _)| *address).take(MOST).collect()
+/// Returns the VMs named to callers, of those in these regions.
+fn within(serving: &[Serving], is_inside: impl Fn(&Region) -> bool) -> Vec<SocketAddr> {
+    let inside: Vec<&Serving> = serving.iter().filter(|vm| is_inside(&vm.region)).collect();
+    let candidates: Vec<Candidate> = inside.iter().map(|vm| vm.entrance).collect();
+    let named = inside.iter().zip(entrance::named(&candidates));
+    let addresses = named.filter(|(_, is_named)| *is_named);
+    addresses.map(|(vm, _)| vm.address).take(MOST).collect()
 }
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -7,6 +7,7 @@
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use steering::entrance::Candidate;
 use steering::spending::Reach;
 
 /// Time without a report after which a VM of the own data centre counts as gone. Reports come
@@ -38,6 +39,8 @@
     pub region: &'a Region,
     /// Where callers reach it.
     pub callers: SocketAddr,
+    /// What it can carry.
+    pub entrance: Candidate,
     /// What callers may expect.
     pub phase: Phase,
 }
@@ -211,6 +214,10 @@
             vm: &peer.report.vm,
             region: &peer.report.region,
             callers: peer.report.callers,
+            entrance: Candidate {
+                link_mbps: peer.report.link_mbps,
+                is_busy: peer.report.is_busy,
+            },
             phase: peer.report.phase,
         });
         let far = self.far(now).flat_map(|peer| {
@@ -218,6 +225,10 @@
                 vm: &member.vm,
                 region: &peer.report.region,
                 callers: member.callers,
+                entrance: Candidate {
+                    link_mbps: member.link_mbps,
+                    is_busy: member.is_busy,
+                },
                 phase: member.phase,
             })
         });
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -47,7 +47,10 @@
             }
         }
         aggregate(&shared, now);
-        tokio::time::sleep(LEAST_GAP).await;
+        let due = Instant::now() + LEAST_GAP;
+        tokio::time::sleep_until(due.into()).await;
+        let late = Instant::now().saturating_duration_since(due);
+        lock(&shared.lateness).sample(late);
     }
 }
 
@@ -96,6 +99,7 @@
         region: settings.region.clone(),
         address: settings.listen.peers,
         link_mbps: settings.link(),
+        is_busy: lock(&shared.lateness).is_busy(),
         callers: settings.listen.callers,
         phase: shared.phase(),
         configuration: shared.table().map_or(0, |t| t.configuration().version),
@@ -132,6 +136,8 @@
         callers: own.callers,
         phase: own.phase,
         configuration: own.configuration,
+        link_mbps: own.link_mbps,
+        is_busy: own.is_busy,
     }];
     let mut crashes = own.crashes.clone();
     {
@@ -148,6 +154,8 @@
                 callers: report.callers,
                 phase: report.phase,
                 configuration: report.configuration,
+                link_mbps: report.link_mbps,
+                is_busy: report.is_busy,
             });
             crashes.extend(report.crashes.iter().cloned());
         }
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -15,6 +15,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use steering::crashes::Crashes;
+use steering::entrance::Lateness;
 use steering::routing::{Operations, Table};
 use steering::spending::{Ledger, Reach};
 use steering::split::Split;
@@ -70,6 +71,8 @@
     pub takeovers: Takeovers,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// How late the timers of this VM are.
+    pub lateness: Mutex<Lateness>,
     /// Wakes the reader of orders, when another VM has a newer configuration.
     pub stale: Notify,
     /// Wakes the follower of other VMs, when a report came.
@@ -106,6 +109,7 @@
             splits: Mutex::default(),
             takeovers: Takeovers::default(),
             metrics: Metrics::default(),
+            lateness: Mutex::default(),
             stale: Notify::new(),
             heard: Notify::new(),
             urgent: Notify::new(),
--- a/programs/gateway/tests/fleet.rs
+++ b/programs/gateway/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod site;
 
-use adapter::header;
+use adapter::{call, header};
 use base::http::client::Target;
 use hyper::StatusCode;
 use operators::gateway;
@@ -319,6 +319,36 @@
     .await;
 }
 
+/// Guards against VMs with narrow links that get as many callers as those with wide ones.
+#[tokio::test]
+async fn lookup_names_the_vms_with_wide_links() {
+    let (site, door, [_server]) = Site::with_servers(&Desired::default()).await;
+    let links = [
+        ("vm-1", "nord-a", 200.0),
+        ("vm-2", "nord-b", 200.0),
+        ("vm-3", "nord-b", 200.0),
+        ("vm-4", "nord-a", 10.0),
+    ];
+    let mut gateways = Vec::new();
+    for (vm, data_centre, link) in links {
+        gateways.push(site.start(vm, data_centre, &door, link).await);
+    }
+    for gateway in &gateways {
+        gateway.ready().await;
+    }
+    let narrow = gateways[3].settings.listen.callers.to_string();
+    let path = format!("{}?name=a.example&region=nord&zone=x", call::LOOKUP);
+    for gateway in &gateways {
+        until("the three wide VMs are named", || async {
+            let answer = site::get(gateway.settings.listen.lookup, &path).await;
+            let found: serde_json::Value = answer.expect("an answer").decode().expect("JSON");
+            let named = found["addresses"].as_array().cloned().unwrap_or_default();
+            named.len() == 3 && !named.contains(&narrow.clone().into())
+        })
+        .await;
+    }
+}
+
 /// Guards against a directory that names VMs which ended.
 #[tokio::test]
 async fn lookup_names_the_vms_that_serve() {
@@ -328,10 +358,7 @@
     let named = |region: &'static str| {
         let address = first.settings.listen.lookup;
         async move {
-            let path = format!(
-                "{}?name=a.example&region={region}&zone=x",
-                adapter::call::LOOKUP
-            );
+            let path = format!("{}?name=a.example&region={region}&zone=x", call::LOOKUP);
             let answer = site::get(address, &path).await.expect("an answer");
             let found: serde_json::Value = answer.decode().expect("JSON");
             let addresses = found["addresses"].as_array().cloned().unwrap_or_default();
--- a/programs/gateway/tests/site/mod.rs
+++ b/programs/gateway/tests/site/mod.rs
@@ -114,6 +114,11 @@
 
     /// Starts a gateway that reaches the store by `door`.
     pub async fn gateway(&self, vm: &str, data_centre: &str, door: &Door) -> Gateway {
+        self.start(vm, data_centre, door, 1_000.0).await
+    }
+
+    /// Starts a gateway whose link has a bandwidth in Mbit/s.
+    pub async fn start(&self, vm: &str, data_centre: &str, door: &Door, link: f64) -> Gateway {
         let ip = fresh();
         let at = |port| SocketAddr::new(ip, port);
         let settings = Settings {
@@ -133,7 +138,7 @@
             },
             seeds: Vec::new(),
             store: door.address,
-            link_mbps: 1_000.0,
+            link_mbps: link,
             bounds: Bounds {
                 grace_s: 2.0,
                 retry_ratio: 0.2,
