--- a/tools/bench/src/experiment.rs
+++ b/tools/bench/src/experiment.rs
@@ -7,6 +7,7 @@
 pub mod lease;
 pub mod limits;
 pub mod overload;
+pub mod placement;
 pub mod quarantine;
 pub mod release;
 pub mod spill;
@@ -14,7 +15,7 @@
 /// An experiment by its name.
 type Experiment = (&'static str, fn() -> Box<str>);
 
-const EXPERIMENTS: [Experiment; 10] = [
+const EXPERIMENTS: [Experiment; 11] = [
     ("answers", answers::report),
     ("balance", balance::report),
     ("config", config::report),
@@ -22,6 +23,7 @@
     ("lease", lease::report),
     ("limits", limits::report),
     ("overload", overload::report),
+    ("placement", placement::report),
     ("quarantine", quarantine::report),
     ("release", release::report),
     ("spill", spill::report),
