refactor: a VM that becomes busy says so

Cause: read of the whole change. Look-ups name other VMs when one with a wide link is busy, and no line told of it. Ruled out: a line for each look-up (several a second). Figures: none claimed; at most a line for each change. Conclusion: each decision that look-ups rest on can be found in the logs.

--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -49,8 +49,21 @@
         aggregate(&shared, now);
         let due = Instant::now() + LEAST_GAP;
         tokio::time::sleep_until(due.into()).await;
-        let late = Instant::now().saturating_duration_since(due);
-        lock(&shared.lateness).sample(late);
+        sample(&shared, Instant::now().saturating_duration_since(due));
+    }
+}
+
+/// Takes in by how much a timer was late; logs when this VM becomes busy, or is no longer.
+fn sample(shared: &Shared, late: Duration) {
+    let mut lateness = lock(&shared.lateness);
+    let before = lateness.is_busy();
+    lateness.sample(late);
+    let is_busy = lateness.is_busy();
+    drop(lateness);
+    if is_busy != before {
+        let late_ms = late.as_millis();
+        let running = shared.running();
+        log::info!("event=busy is_busy={is_busy} late_ms={late_ms} running={running}");
     }
 }
 
