refactor: the whole list is copied only when it has to be packed

Cause: read of the whole change. The packed list is made once for all VMs that ask, but each question still copied all registrations out of the list before it looked whether the packed one could be used; on a grown site that is 388 servers for each of up to eighteen VMs at once, on a tenth of a core. Ruled out: packing under the lock of the list, which the reader needs meanwhile. Change: Listing::since returns none where not all changes are known, whole() makes the list, and the cache asks for it only when it packs. Answers are the same. Conclusion: the tests of the answers hold as they are.

--- a/programs/gateway/src/listing.rs
+++ b/programs/gateway/src/listing.rs
@@ -86,30 +86,46 @@
         }
     }
 
-    /// Returns what changed since a position of the run `own`.
-    pub fn since(&self, position: Option<Position>, own: Incarnation) -> Delta {
-        let known = position.filter(|p| p.run == own && p.number >= self.forgotten);
-        let after = known.map_or(0, |position| position.number);
-        let changed = self
-            .servers
-            .iter()
-            .filter(|(_, (number, _))| *number > after);
-        let listed = changed.map(|(server, (_, r))| (server.clone(), Some(r.clone())));
+    /// Returns the position of the newest change in the run `own`.
+    pub fn position(&self, own: Incarnation) -> Position {
+        Position {
+            run: own,
+            number: self.number,
+        }
+    }
+
+    /// Returns what changed since a position; none if not all of it is known.
+    pub fn since(&self, position: Position, own: Incarnation) -> Option<Delta> {
+        if position.run != own || position.number < self.forgotten {
+            return None;
+        }
+        let after = position.number;
         let left = self.left.iter().filter(|(_, number)| **number > after);
         let left = left.map(|(server, _)| (server.clone(), None));
+        Some(Delta {
+            position: self.position(own),
+            is_whole: false,
+            servers: self.listed(after).chain(left).collect(),
+        })
+    }
+
+    /// Returns the whole list.
+    pub fn whole(&self, own: Incarnation) -> Delta {
         Delta {
-            position: Position {
-                run: own,
-                number: self.number,
-            },
-            is_whole: known.is_none(),
-            servers: match known.is_some() {
-                true => listed.chain(left).collect(),
-                false => listed.collect(),
-            },
+            position: self.position(own),
+            is_whole: true,
+            servers: self.listed(0).collect(),
         }
     }
 
+    /// Returns the servers that changed after a number.
+    fn listed(&self, after: u64) -> impl Iterator<Item = (Server, Option<Registration>)> {
+        let servers = self.servers.iter();
+        servers
+            .filter(move |(_, (number, _))| *number > after)
+            .map(|(server, (_, r))| (server.clone(), Some(r.clone())))
+    }
+
     /// Returns the whole list after changes of another VM.
     pub fn with(&self, delta: Delta) -> Vec<Registration> {
         let mut servers: IndexMap<Server, Registration> = match delta.is_whole {
--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -4,18 +4,19 @@
 //! asks any other that can.
 
 use crate::fleet::Source;
-use crate::listing::{Delta, Position};
+use crate::listing::{Delta, Listing, Position};
 use crate::metrics::Metrics;
 use crate::reader::Reader;
 use crate::shared::Shared;
 use base::http::client::{Error, Target};
 use base::http::{Body, text};
+use base::id::Incarnation;
 use base::sync::lock;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use peers::packed::{self, Packed};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use steering::routing::Operations;
 
@@ -81,17 +82,20 @@
 
     fn servers(
         &mut self,
-        whole: &Delta,
+        listing: &Mutex<Listing>,
+        own: Incarnation,
         metrics: &Metrics,
         now: Instant,
     ) -> Result<Packed, packed::Error> {
+        let position = lock(listing).position(own);
         let is_usable = |at: Instant| now.saturating_duration_since(at) < KEEP;
         let known = self.servers.as_ref();
-        let known = known.filter(|(position, at, _)| *position == whole.position && is_usable(*at));
+        let known = known.filter(|(known, at, _)| *known == position && is_usable(*at));
         if let Some((_, _, packed)) = known {
             return Ok(packed.clone());
         }
-        let packed = Packed::new(whole)?;
+        let whole = lock(listing).whole(own);
+        let packed = Packed::new(&whole)?;
         metrics.packed();
         self.servers = Some((whole.position, now, packed.clone()));
         Ok(packed)
@@ -130,16 +134,16 @@
 fn copy(shared: &Shared, snapshot: u64, position: Option<Position>) -> Result<Copy, packed::Error> {
     let orders = lock(&shared.orders).clone();
     let is_news = orders.table.is_some() && orders.changed > snapshot;
-    let servers = lock(&shared.listing).since(position, shared.incarnation);
-    let metrics = &shared.metrics;
+    let (own, metrics) = (shared.incarnation, &shared.metrics);
     let mut cache = lock(&shared.packed);
     let operations = match is_news {
         true => Some(cache.operations(&orders.operations, metrics)?),
         false => None,
     };
-    let servers = match servers.is_whole {
-        true => Servers::Whole(cache.servers(&servers, metrics, Instant::now())?),
-        false => Servers::Changed(servers),
+    let changed = position.and_then(|position| lock(&shared.listing).since(position, own));
+    let servers = match changed {
+        Some(changed) => Servers::Changed(changed),
+        None => Servers::Whole(cache.servers(&shared.listing, own, metrics, Instant::now())?),
     };
     Ok(Copy {
         orders: orders.version,
