refactor: what a VM can take of callers is one value from report to look-up

Bandwidth and business of a VM stood as two fields in reports and in the members of a data centre, and three places put them together again for the choice of the VMs that a look-up names; a member was written out field by field for the own VM and for the others. Ruled out: a trait over the two kinds of report. Change: reports carry steering::entrance::Candidate; Shared::entrance is the own one; Member::of makes a member of a report. Conclusion: a further property of a VM now has one place.

--- a/crates/peers/src/report.rs
+++ b/crates/peers/src/report.rs
@@ -9,6 +9,7 @@
 use bincode::Options;
 use std::net::SocketAddr;
 use steering::crashes::Count;
+use steering::entrance::Candidate;
 use steering::spending::Total;
 use steering::takeover::{Evidence, Order, Stage};
 use steering::warmth::{Handled, Short};
@@ -25,6 +26,19 @@
     }
 }
 
+impl Member {
+    /// Returns the sender of a VM's own report.
+    pub fn of(report: &Report) -> Self {
+        Self {
+            vm: report.vm.clone(),
+            callers: report.callers,
+            phase: report.phase,
+            configuration: report.configuration,
+            entrance: report.entrance,
+        }
+    }
+}
+
 impl Report {
     /// Returns whether this is the report of a data centre.
     pub fn is_summary(&self) -> bool {
@@ -57,10 +71,8 @@
         pub phase: Phase,
         /// Version of its configuration; 0 for none.
         pub configuration: Version,
-        /// Bandwidth of its link in Mbit/s.
-        pub link_mbps: u32,
-        /// Whether it does not keep up with its work.
-        pub is_busy: bool,
+        /// What it can take of callers.
+        pub entrance: Candidate,
     }
 
     /// How much a VM knows of the store, for VMs that read it through this one.
@@ -91,10 +103,8 @@
         pub region: Region,
         /// Where the sender receives reports.
         pub address: SocketAddr,
-        /// Bandwidth of the sender's link in Mbit/s; the delegate has the widest.
-        pub link_mbps: u32,
-        /// Whether the sender does not keep up with its work.
-        pub is_busy: bool,
+        /// What the sender can take of callers; the delegate has the widest link.
+        pub entrance: Candidate,
         /// Where callers reach the sender.
         pub callers: SocketAddr,
         /// What callers may expect.
--- a/crates/steering/src/entrance.rs
+++ b/crates/steering/src/entrance.rs
@@ -20,8 +20,8 @@
 /// Weight of one timer in the mean; timers end every 50 to 250 ms, so it covers about 2 s.
 const GAIN: f64 = 0.1;
 
-base::value! {
-    /// A VM that may be named.
+base::message! {
+    /// What a VM can take of callers; VMs report it.
     #[derive(Copy)]
     pub struct Candidate {
         /// Bandwidth of its link in Mbit/s.
@@ -29,7 +29,9 @@
         /// Whether it does not keep up with its work.
         pub is_busy: bool,
     }
+}
 
+base::value! {
     /// How late the timers of a VM are, which shows whether it gets the processor in time.
     #[derive(Copy, Default)]
     pub struct Lateness {
--- a/programs/gateway/src/directory.rs
+++ b/programs/gateway/src/directory.rs
@@ -75,10 +75,7 @@
         serving.push(Serving {
             address: settings.listen.callers,
             region: settings.region.clone(),
-            entrance: Candidate {
-                link_mbps: settings.link(),
-                is_busy: lock(&shared.lateness).is_busy(),
-            },
+            entrance: shared.entrance(),
         });
     }
     let near = region.map(|region| IndexSet::from([region.clone()]));
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -39,7 +39,7 @@
     pub region: &'a Region,
     /// Where callers reach it.
     pub callers: SocketAddr,
-    /// What it can carry.
+    /// What it can take of callers.
     pub entrance: Candidate,
     /// What callers may expect.
     pub phase: Phase,
@@ -65,7 +65,7 @@
     }
 
     fn of(report: &Report) -> Self {
-        Self::new(report.known.reads, report.link_mbps, &report.vm)
+        Self::new(report.known.reads, report.entrance.link_mbps, &report.vm)
     }
 }
 
@@ -214,10 +214,7 @@
             vm: &peer.report.vm,
             region: &peer.report.region,
             callers: peer.report.callers,
-            entrance: Candidate {
-                link_mbps: peer.report.link_mbps,
-                is_busy: peer.report.is_busy,
-            },
+            entrance: peer.report.entrance,
             phase: peer.report.phase,
         });
         let far = self.far(now).flat_map(|peer| {
@@ -225,10 +222,7 @@
                 vm: &member.vm,
                 region: &peer.report.region,
                 callers: member.callers,
-                entrance: Candidate {
-                    link_mbps: member.link_mbps,
-                    is_busy: member.is_busy,
-                },
+                entrance: member.entrance,
                 phase: member.phase,
             })
         });
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -111,8 +111,7 @@
         data_centre: settings.data_centre.clone(),
         region: settings.region.clone(),
         address: settings.listen.peers,
-        link_mbps: settings.link(),
-        is_busy: lock(&shared.lateness).is_busy(),
+        entrance: shared.entrance(),
         callers: settings.listen.callers,
         phase: shared.phase(),
         configuration: shared.table().map_or(0, |t| t.configuration().version),
@@ -144,14 +143,7 @@
 fn summary(shared: &Shared, own: Report, now: Instant) -> Report {
     let mut loads: IndexMap<Short, u16> = own.in_flight.iter().copied().collect();
     let mut down: IndexSet<Short> = own.down.iter().copied().collect();
-    let mut members = vec![Member {
-        vm: own.vm.clone(),
-        callers: own.callers,
-        phase: own.phase,
-        configuration: own.configuration,
-        link_mbps: own.link_mbps,
-        is_busy: own.is_busy,
-    }];
+    let mut members = vec![Member::of(&own)];
     let mut crashes = own.crashes.clone();
     {
         let fleet = lock(&shared.fleet);
@@ -162,14 +154,7 @@
                 *sum = sum.saturating_add(*count);
             }
             down.extend(&report.down);
-            members.push(Member {
-                vm: report.vm.clone(),
-                callers: report.callers,
-                phase: report.phase,
-                configuration: report.configuration,
-                link_mbps: report.link_mbps,
-                is_busy: report.is_busy,
-            });
+            members.push(Member::of(report));
             crashes.extend(report.crashes.iter().cloned());
         }
     }
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -15,7 +15,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use steering::crashes::Crashes;
-use steering::entrance::Lateness;
+use steering::entrance::{Candidate, Lateness};
 use steering::routing::{Operations, Table};
 use steering::spending::{Ledger, Reach};
 use steering::split::Split;
@@ -138,6 +138,14 @@
         lock(&self.orders).table.clone()
     }
 
+    /// Returns what this VM can take of callers.
+    pub fn entrance(&self) -> Candidate {
+        Candidate {
+            link_mbps: self.settings.link(),
+            is_busy: lock(&self.lateness).is_busy(),
+        }
+    }
+
     /// Returns the time since what this VM knows was read from the store, here or by another VM;
     /// none before the first read.
     pub fn age(&self, now: Instant) -> Option<Duration> {
