--- a/programs/ctl/src/output.rs
+++ b/programs/ctl/src/output.rs
@@ -1,8 +1,7 @@
 //! Text and JSON output.
 
 use crate::diff::Change;
-use crate::orders::{Orders, Release};
-use adapter::desired::Unreadable;
+use crate::orders::Orders;
 use base::unit::Moment;
 use operators::admin::{Issued, KeyState, Stage, Status, Verdict};
 use operators::check::Finding;
@@ -103,22 +102,18 @@
     }];
     let releases = orders.releases.iter();
     lines.extend(releases.map(|release| {
-        let Release {
-            service,
-            label,
-            term_s,
-        } = release;
-        format!("release of {service} to {label} within {term_s} s")
+        format!(
+            "release of {} to {} within {} s",
+            release.service, release.label, release.term_s
+        )
     }));
     lines.extend(names("evacuated", &orders.evacuated));
     let unreadable = orders.unreadable.iter();
     lines.extend(unreadable.map(|row| {
-        let Unreadable {
-            key,
-            version,
-            reason,
-        } = row;
-        format!("row {key} at version {version} can't be read: {reason}")
+        format!(
+            "row {} at version {} can't be read: {}",
+            row.key, row.version, row.reason
+        )
     }));
     lines.join("\n")
 }
