refactor: tests and soak draw, look up and ask in one place each

Cause: read of the whole change. Two tests of look-ups parsed the answer each, two tests of the state of the fleet built the same target, which site::get built a third time; the soak indexed three arrays by the same expression. Change: named, state and site::target in the gateway's tests, pick in the soak. Assertions, bounds and waits are those from before. Figures: none. Conclusion: nothing but the place changed.

--- a/programs/gateway/tests/fleet.rs
+++ b/programs/gateway/tests/fleet.rs
@@ -3,9 +3,8 @@
 mod site;
 
 use adapter::{call, header};
-use base::http::client::Target;
 use hyper::StatusCode;
-use operators::gateway;
+use operators::gateway::State;
 use site::{Gateway, Site, until};
 use standin_site::operator::{self, Desired, Route};
 use standin_site::server::{Behaviour, Entry};
@@ -40,6 +39,24 @@
     value.map_or(0, |(_, value)| value.parse().expect("a number"))
 }
 
+/// Returns the state of the fleet as a gateway tells it.
+async fn state(gateway: &Gateway) -> State {
+    let target = site::target(gateway.settings.listen.peers);
+    operators::gateway::state(&target).await.expect("a state")
+}
+
+/// Returns the VMs that a gateway names to callers of a region.
+async fn named(gateway: &Gateway, region: &str) -> Vec<String> {
+    let path = format!("{}?name=a.example&region={region}&zone=x", call::LOOKUP);
+    let answer = site::get(gateway.settings.listen.lookup, &path).await;
+    let found: serde_json::Value = answer.expect("an answer").decode().expect("JSON");
+    let addresses = found["addresses"].as_array().cloned().unwrap_or_default();
+    addresses
+        .iter()
+        .filter_map(|a| a.as_str().map(str::to_owned))
+        .collect()
+}
+
 async fn status(gateway: &Gateway, key: &str) -> Option<StatusCode> {
     let answer = gateway.ask_with("1", "/a/", Some(key)).await;
     answer.map(|(status, _, _)| status)
@@ -297,18 +314,13 @@
     });
     operator::order_evacuation(&site.store, "sud-a");
     operator::order_takeover(&site.store, "lookup", "v2", 60);
-    let target = Target {
-        address: first.settings.listen.peers,
-        timeout: site::SOON,
-        authorization: None,
-    };
     until("the version is in force on all VMs", || async {
-        let state = gateway::state(&target).await.expect("a state");
+        let state = state(&first).await;
         (state.version, state.on, state.of) == (2, 3, 3) && state.evacuated == ["sud-a".into()]
     })
     .await;
     until("the release is told", || async {
-        let state = gateway::state(&target).await.expect("a state");
+        let state = state(&first).await;
         let release = state.releases.first();
         release.is_some_and(|r| &*r.label == "v2" && r.stage == Some(Stage::Sampling))
     })
@@ -324,13 +336,8 @@
     let [first, _second] = site
         .gateways([("vm-1", "nord-a"), ("vm-2", "nord-a")], &door)
         .await;
-    let target = Target {
-        address: first.settings.listen.peers,
-        timeout: site::SOON,
-        authorization: None,
-    };
     until("the silent VM is missing", || async {
-        let state = gateway::state(&target).await.expect("a state");
+        let state = state(&first).await;
         (state.on, state.of) == (2, 3) && state.missing == ["vm-9".into()]
     })
     .await;
@@ -354,13 +361,10 @@
         gateway.ready().await;
     }
     let narrow = gateways[3].settings.listen.callers.to_string();
-    let path = format!("{}?name=a.example&region=nord&zone=x", call::LOOKUP);
     for gateway in &gateways {
         until("the three wide VMs are named", || async {
-            let answer = site::get(gateway.settings.listen.lookup, &path).await;
-            let found: serde_json::Value = answer.expect("an answer").decode().expect("JSON");
-            let named = found["addresses"].as_array().cloned().unwrap_or_default();
-            named.len() == 3 && !named.contains(&narrow.clone().into())
+            let named = named(gateway, "nord").await;
+            named.len() == 3 && !named.contains(&narrow)
         })
         .await;
     }
@@ -372,28 +376,15 @@
     let (site, door, [_server]) = Site::with_servers(&Desired::default()).await;
     let vms = [("vm-1", "nord-a"), ("vm-2", "nord-b"), ("vm-3", "sud-a")];
     let [first, second, far] = site.gateways(vms, &door).await;
-    let named = |region: &'static str| {
-        let address = first.settings.listen.lookup;
-        async move {
-            let path = format!("{}?name=a.example&region={region}&zone=x", call::LOOKUP);
-            let answer = site::get(address, &path).await.expect("an answer");
-            let found: serde_json::Value = answer.decode().expect("JSON");
-            let addresses = found["addresses"].as_array().cloned().unwrap_or_default();
-            addresses
-                .iter()
-                .filter_map(|a| a.as_str().map(str::to_owned))
-                .collect::<Vec<_>>()
-        }
-    };
     let callers = |gateway: &Gateway| gateway.settings.listen.callers.to_string();
     until("both VMs of the region are named", || async {
-        named("nord").await.len() == 2
+        named(&first, "nord").await.len() == 2
     })
     .await;
-    assert_eq!(named("sud").await, [callers(&far)]);
+    assert_eq!(named(&first, "sud").await, [callers(&far)]);
     second.stop.cancel();
     until("the stopping VM is not named", || async {
-        named("nord").await == [callers(&first)]
+        named(&first, "nord").await == [callers(&first)]
     })
     .await;
 }
--- a/programs/gateway/tests/site/mod.rs
+++ b/programs/gateway/tests/site/mod.rs
@@ -217,12 +217,17 @@
 }
 
 pub async fn get(address: SocketAddr, path: &str) -> Option<Answer> {
-    let target = Target {
+    let target = target(address);
+    target.call(Method::GET, path, Bytes::new()).await.ok()
+}
+
+/// Returns the target of calls that must be answered soon.
+pub fn target(address: SocketAddr) -> Target {
+    Target {
         address,
         timeout: SOON,
         authorization: None,
-    };
-    target.call(Method::GET, path, Bytes::new()).await.ok()
+    }
 }
 
 /// Waits until a condition holds; fails the test if it does not soon.
--- a/tests/soak/src/plan.rs
+++ b/tests/soak/src/plan.rs
@@ -84,6 +84,35 @@
 /// Series of faults in one run; each may overlap the others.
 const SERIES: usize = 6;
 
+/// Disturbances of a way.
+const MODES: [Mode; 5] = [
+    Mode::Delay,
+    Mode::CutForward,
+    Mode::CutBack,
+    Mode::SilenceOpen,
+    Mode::Reset,
+];
+/// Faults of an address of the store.
+const STORE_FAULTS: [StoreFault; 4] = [
+    StoreFault::Down,
+    StoreFault::Silent,
+    StoreFault::Slow,
+    StoreFault::LosesAnswers,
+];
+/// Faults of a server.
+const SERVER_FAULTS: [ServerFault; 5] = [
+    ServerFault::Silent,
+    ServerFault::Sheds,
+    ServerFault::Confuses,
+    ServerFault::Unsigned,
+    ServerFault::Fails,
+];
+
+/// Draws one of several values.
+fn pick<T: Copy, const N: usize>(rng: &mut StdRng, values: [T; N]) -> T {
+    values[rng.random_range(0..N)]
+}
+
 /// Draws the faults of a seed, in order of time.
 pub fn draw(seed: u64) -> Vec<(Duration, Fault)> {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -97,29 +126,9 @@
             rng.random_range(0..SERVERS),
             rng.random_range(0..CENTRES),
         );
-        let modes = [
-            Mode::Delay,
-            Mode::CutForward,
-            Mode::CutBack,
-            Mode::SilenceOpen,
-            Mode::Reset,
-        ];
-        let mode = modes[rng.random_range(0..modes.len())];
-        let stores = [
-            StoreFault::Down,
-            StoreFault::Silent,
-            StoreFault::Slow,
-            StoreFault::LosesAnswers,
-        ];
-        let store = stores[rng.random_range(0..stores.len())];
-        let servers = [
-            ServerFault::Silent,
-            ServerFault::Sheds,
-            ServerFault::Confuses,
-            ServerFault::Unsigned,
-            ServerFault::Fails,
-        ];
-        let fault = servers[rng.random_range(0..servers.len())];
+        let mode = pick(&mut rng, MODES);
+        let store = pick(&mut rng, STORE_FAULTS);
+        let fault = pick(&mut rng, SERVER_FAULTS);
         let pair = match rng.random_range(0..11) {
             0 => [Fault::Kill(gateway), Fault::Start(gateway)],
             1 => [Fault::Stop(gateway), Fault::Start(gateway)],
