feature: evidence of takeovers is logged by outcome, before and at each decision

Hypotheses of EXPOSURE could not be told apart: takeover lines held two numbers a version, and sends without an answer were in neither.

A tally now holds good, failed, late and unanswered requests; the leader logs it every 2 s, all VMs at each change of the stage, with the time left. The metric takeover_sends counts the same. Decisions are unchanged: unanswered requests are counted but not judged.

--- a/crates/steering/src/takeover.rs
+++ b/crates/steering/src/takeover.rs
@@ -6,6 +6,7 @@
 //! keeps the cap by counting its own starts. Stopping the new version needs no permission.
 
 use crate::release::{Cap, Quota, Side};
+use std::fmt;
 use std::time::{Duration, Instant};
 
 /// Rank of an order of the operator among the store's row versions.
@@ -27,13 +28,30 @@
 }
 
 base::message! {
-    /// Requests of one version since the order.
+    /// Requests of one version since the order, by how they ended.
     #[derive(Copy, Default)]
     pub struct Tally {
-        /// Answers and failures.
-        pub ended: u64,
-        /// Failures, and answers far later than ordinary.
-        pub bad: u64,
+        /// Answers in ordinary time.
+        pub good: u64,
+        /// Answers that tell a failure, and answers that broke off.
+        pub failed: u64,
+        /// Answers far later than ordinary.
+        pub late: u64,
+        /// Requests given up without an answer.
+        pub unanswered: u64,
+    }
+
+    /// How one request ended.
+    #[derive(Copy)]
+    pub enum Outcome {
+        /// Answered in ordinary time.
+        Good,
+        /// Answered with a failure, or not to the end.
+        Failed,
+        /// Answered far later than ordinary.
+        Late,
+        /// Given up without an answer.
+        Unanswered,
     }
 
     /// What one VM run saw of a takeover.
@@ -87,15 +105,63 @@
     }
 }
 
+impl Outcome {
+    /// Returns the name in logs and metrics.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Good => "good",
+            Self::Failed => "failed",
+            Self::Late => "late",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 impl Tally {
+    /// Counts a request.
+    pub fn count(&mut self, outcome: Outcome) {
+        *match outcome {
+            Outcome::Good => &mut self.good,
+            Outcome::Failed => &mut self.failed,
+            Outcome::Late => &mut self.late,
+            Outcome::Unanswered => &mut self.unanswered,
+        } += 1;
+    }
+
     /// Adds the counts of another VM.
     pub fn add(&mut self, other: &Self) {
-        self.ended += other.ended;
-        self.bad += other.bad;
+        self.good += other.good;
+        self.failed += other.failed;
+        self.late += other.late;
+        self.unanswered += other.unanswered;
+    }
+
+    /// Returns the requests that count as evidence.
+    pub fn ended(&self) -> u64 {
+        self.good + self.bad()
+    }
+
+    /// Returns the requests that speak against the version.
+    pub fn bad(&self) -> u64 {
+        self.failed + self.late
     }
 
     fn share(&self) -> f64 {
-        self.bad as f64 / self.ended.max(1) as f64
+        self.bad() as f64 / self.ended().max(1) as f64
+    }
+}
+
+impl fmt::Display for Evidence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (version, tally) in [("old", &self.old), ("new", &self.new)] {
+            let gap = if version == "old" { "" } else { " " };
+            write!(
+                f,
+                "{gap}{version}_good={} {version}_failed={} {version}_late={} {version}_unanswered={}",
+                tally.good, tally.failed, tally.late, tally.unanswered
+            )?;
+        }
+        Ok(())
     }
 }
 
@@ -111,7 +177,7 @@
         let limit = settings
             .bad_share
             .max(self.old.share() * settings.bad_ratio);
-        self.new.bad >= settings.bad_least && self.new.share() >= limit.min(0.9)
+        self.new.bad() >= settings.bad_least && self.new.share() >= limit.min(0.9)
     }
 }
 
@@ -127,10 +193,12 @@
     match stage {
         Stage::Completed | Stage::RolledBack => stage,
         _ if evidence.is_bad(settings) => Stage::RolledBack,
-        Stage::Sampling if is_due(settings.moving) => match evidence.new.ended >= settings.least {
-            true => Stage::Moving,
-            false => Stage::RolledBack,
-        },
+        Stage::Sampling if is_due(settings.moving) => {
+            match evidence.new.ended() >= settings.least {
+                true => Stage::Moving,
+                false => Stage::RolledBack,
+            }
+        }
         Stage::Moving if is_due(settings.complete) => Stage::Completed,
         _ => stage,
     }
--- a/crates/steering/tests/takeover.rs
+++ b/crates/steering/tests/takeover.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use std::time::{Duration, Instant};
 use steering::release::Cap;
-use steering::takeover::{Evidence, Exposure, Settings, Stage, Tally, advance};
+use steering::takeover::{Evidence, Exposure, Outcome, Settings, Stage, Tally, advance};
 
 const VMS: usize = 11;
 /// The operator's bounds on requests to a bad version.
@@ -15,6 +15,15 @@
 /// Time in seconds after the 50th bad answer from which a bad version gets nothing.
 const ROLLBACK: f64 = 5.0;
 
+/// Returns a tally of answers and failures.
+fn tally(good: u64, failed: u64) -> Tally {
+    Tally {
+        good,
+        failed,
+        ..Tally::default()
+    }
+}
+
 /// Plays a takeover at `per_second`; the new version fails `fails` of its requests from `from_s`
 /// on. Returns the final stage, the share of exposed requests and those sent too late after the
 /// 50th failure.
@@ -50,10 +59,12 @@
             true => &mut evidence.new,
             false => &mut evidence.old,
         };
-        tally.ended += 1;
-        tally.bad += u64::from(failure);
+        tally.count(match failure {
+            true => Outcome::Failed,
+            false => Outcome::Good,
+        });
         new += u32::from(is_new);
-        if evidence.new.bad == 50 && failure {
+        if evidence.new.bad() == 50 && failure {
             shown = Some(seconds);
         }
         after += u32::from(is_new && shown.is_some_and(|at| seconds > at + ROLLBACK));
@@ -95,11 +106,8 @@
 #[test]
 fn faults_of_both_versions_are_not_blamed() {
     let evidence = Evidence {
-        old: Tally {
-            ended: 400,
-            bad: 120,
-        },
-        new: Tally { ended: 20, bad: 7 },
+        old: tally(280, 120),
+        new: tally(13, 7),
     };
     assert!(!evidence.is_bad(&Settings::default()));
 }
@@ -110,7 +118,7 @@
     let now = Instant::now();
     let settings = Settings::default();
     let bad = Evidence {
-        new: Tally { ended: 9, bad: 9 },
+        new: tally(0, 9),
         ..Evidence::default()
     };
     for stage in [Stage::Completed, Stage::RolledBack] {
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -15,9 +15,9 @@
 use hyper::{Response, StatusCode};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use steering::attempt::{self, Attempt, Outcome, Refusal, Retry, Step, Uncertainty};
+use steering::attempt::{self, Attempt, Refusal, Retry, Step, Uncertainty};
 use steering::routing;
-use steering::takeover;
+use steering::takeover::{self, Outcome};
 
 /// Largest answer that is passed on, in bytes; an answer is whole before its first byte is sent.
 const ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -35,7 +35,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Unserved {
     /// What the caller is told.
-    pub outcome: Outcome,
+    pub outcome: attempt::Outcome,
     /// Time after which the same request may succeed.
     pub retry: Option<Duration>,
 }
@@ -240,33 +240,48 @@
         Sent::Answered(answer) => {
             flight.answered(header::load(answer.headers()), now);
             lock(&shared.crashes).answered(grant.digest);
-            let is_failure = answer.status().is_server_error();
-            if is_failure {
+            if answer.status().is_server_error() {
                 flight.failed(now);
             }
-            let bad = is_failure || is_late;
-            shared.takeovers.ended(grant.service, &flight.label, bad);
         }
         Sent::Failed(Failure::Before(before)) => {
             if matches!(before, Before::ConnectRefused | Before::ConnectTimeout) {
                 flight.refused(now);
             }
         }
-        Sent::Failed(Failure::After(After::Deadline)) => {
-            shared.takeovers.ended(grant.service, &flight.label, true);
-        }
+        Sent::Failed(Failure::After(After::Deadline)) => {}
         Sent::Failed(Failure::After(after)) => {
             flight.failed(now);
             if *after == After::Interrupted {
                 lock(&shared.crashes).crashed(grant.digest, now);
             }
-            shared.takeovers.ended(grant.service, &flight.label, true);
         }
         Sent::NotRun(_) | Sent::Silent | Sent::Failed(Failure::NotRun(_)) => flight.failed(now),
     }
+    if let Some(outcome) = outcome(&result, is_late) {
+        let side = shared
+            .takeovers
+            .ended(grant.service, &flight.label, outcome);
+        if let Some(side) = side {
+            shared.metrics.compared(side, outcome);
+        }
+    }
     result
 }
 
+/// Returns what a send says about the version of its server; none if it says nothing, because the
+/// server did not run the request.
+fn outcome(sent: &Sent, is_late: bool) -> Option<Outcome> {
+    match sent {
+        Sent::Answered(answer) if answer.status().is_server_error() => Some(Outcome::Failed),
+        Sent::Answered(_) if is_late => Some(Outcome::Late),
+        Sent::Answered(_) => Some(Outcome::Good),
+        Sent::Failed(Failure::After(_)) => Some(Outcome::Failed),
+        Sent::Silent => Some(Outcome::Unanswered),
+        Sent::NotRun(_) | Sent::Failed(Failure::Before(_) | Failure::NotRun(_)) => None,
+    }
+}
+
 /// Sends a request to one server and reads the whole answer.
 async fn exchange(call: &Call, grant: &Grant<'_>, flight: &Flight) -> Sent {
     let workspace = grant.account.map(|account| &*account.name);
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -10,6 +10,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 use steering::attempt::Retry;
+use steering::release::Side;
+use steering::takeover::Outcome;
 
 type Labels = Vec<(&'static str, String)>;
 
@@ -27,6 +29,7 @@
     retries_denied: Counter,
     questions: Counter,
     packed: Counter,
+    compared: Family<Labels, Counter>,
     latency: Histogram,
     /// Requests ended since the start by status class, for the stop line.
     ended: Mutex<IndexMap<u16, u64>>,
@@ -41,6 +44,7 @@
             retries_denied: Counter::default(),
             questions: Counter::default(),
             packed: Counter::default(),
+            compared: Family::default(),
             latency: Histogram::new(exponential_buckets(SHORTEST, 2.0, BUCKETS)),
             ended: Mutex::default(),
         }
@@ -73,6 +77,11 @@
             "Whole lists and orders packed for other VMs",
             self.packed.clone(),
         );
+        registry.register(
+            "takeover_sends",
+            "Ends of sends to the old and the new version during a takeover",
+            self.compared.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time from a request's head to its answer",
@@ -106,6 +115,19 @@
         self.retries_denied.inc();
     }
 
+    /// Counts the end of a send on one side of a takeover.
+    pub fn compared(&self, side: Side, outcome: Outcome) {
+        let version = match side {
+            Side::Old => "old",
+            Side::New => "new",
+        };
+        let label = vec![
+            ("version", version.to_owned()),
+            ("outcome", outcome.text().to_owned()),
+        ];
+        self.compared.get_or_create(&label).inc();
+    }
+
     /// Counts a question of another VM about the store.
     pub fn question(&self) {
         self.questions.inc();
--- a/programs/gateway/src/takeovers.rs
+++ b/programs/gateway/src/takeovers.rs
@@ -13,14 +13,16 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use steering::membership::rendezvous;
-use steering::release::Cap;
+use steering::release::{Cap, Side};
 use steering::routing::TakeoverOrder;
-use steering::takeover::{self, Evidence, Exposure, Order, Settings, Stage};
+use steering::takeover::{self, Evidence, Exposure, Order, Outcome, Settings, Stage};
 
 /// Table of when takeovers began.
 const TABLE: &str = "takeovers";
 /// Time between two looks at the evidence.
 const PERIOD: Duration = Duration::from_millis(250);
+/// Time between two lines with the evidence of a takeover.
+const EVIDENCE_PERIOD: Duration = Duration::from_secs(2);
 /// Part of the operator's bound on requests to a new version that VMs use together.
 const EXPOSURE_PART: f64 = 0.8;
 
@@ -67,17 +69,25 @@
         sum
     }
 
+    /// Returns the time until the deadline; counted from when this VM learned of the order, until
+    /// the store said when that was.
+    fn left(&self, now: Instant) -> Duration {
+        let deadline = self.deadline.unwrap_or(self.learned + self.order.term);
+        deadline.saturating_duration_since(now)
+    }
+
     /// Moves to a later stage; the store's word is final.
     fn learn(&mut self, stage: Stage, settled: bool, from: &str) -> bool {
         let is_news = settled || self.stage.is_none_or(|known| known < stage);
         let later = is_news && !self.settled;
         if later {
             log::info!(
-                "event=takeover service={} target={} order={} from={:?} to={stage:?} settled={settled} by={from} evidence={:?}",
+                "event=takeover service={} target={} order={} from={:?} to={stage:?} settled={settled} by={from} left_ms={} {}",
                 self.order.service,
                 self.order.label,
                 self.order.order,
                 self.stage,
+                self.left(Instant::now()).as_millis(),
                 self.evidence()
             );
             self.stage = Some(stage);
@@ -156,18 +166,31 @@
         label.map_or(Version::Current, Version::Except)
     }
 
-    /// Takes in the end of a request on a version of a service.
-    pub fn ended(&self, service: &str, label: &str, bad: bool) {
+    /// Takes in the end of a request on a version of a service; returns the side of the takeover
+    /// on which it was, if there is a takeover.
+    pub fn ended(&self, service: &str, label: &str, outcome: Outcome) -> Option<Side> {
         let mut active = lock(&self.active);
-        let Some(takeover) = active.get_mut(service) else {
-            return;
+        let takeover = active.get_mut(service)?;
+        let (side, tally) = match *takeover.order.label == *label {
+            true => (Side::New, &mut takeover.own.new),
+            false => (Side::Old, &mut takeover.own.old),
         };
-        let tally = match *takeover.order.label == *label {
-            true => &mut takeover.own.new,
-            false => &mut takeover.own.old,
-        };
-        tally.ended += 1;
-        tally.bad += u64::from(bad);
+        tally.count(outcome);
+        Some(side)
+    }
+
+    /// Logs what is known of a takeover that this VM leads.
+    fn log_evidence(&self, service: &str, now: Instant) {
+        if let Some(takeover) = lock(&self.active).get(service) {
+            log::info!(
+                "event=takeover-evidence service={service} target={} order={} stage={:?} left_ms={} {}",
+                takeover.order.label,
+                takeover.order.order,
+                takeover.stage,
+                takeover.left(now).as_millis(),
+                takeover.evidence()
+            );
+        }
     }
 
     /// Returns what to tell the other VMs, or the other data centres.
@@ -242,8 +265,14 @@
 
 /// Judges takeovers and, where this VM leads, tells the operator, until the task is dropped.
 pub async fn drive(shared: Arc<Shared>, client: Client) {
+    let mut next_line = Instant::now();
     loop {
         tokio::time::sleep(PERIOD).await;
+        let now = Instant::now();
+        let is_line_due = now >= next_line;
+        if is_line_due {
+            next_line = now + EVIDENCE_PERIOD;
+        }
         if shared.takeovers.judge() {
             shared.urgent.notify_one();
         }
@@ -251,6 +280,9 @@
             if !leads(&shared, &service) {
                 continue;
             }
+            if is_line_due {
+                shared.takeovers.log_evidence(&service, now);
+            }
             if let Err(error) = lead(&shared, &client, &service).await {
                 log::warn!("event=takeover-status-failed service={service} error={error:?}");
             }
