--- a/programs/gateway/tests/site/mod.rs
+++ b/programs/gateway/tests/site/mod.rs
@@ -187,6 +187,17 @@
         id: &str,
         path: &str,
         key: Option<&str>,
+    ) -> Option<(StatusCode, HeaderMap, Bytes)> {
+        self.ask_about(id, path, key, "17").await
+    }
+
+    /// Sends a request that concerns an object.
+    pub async fn ask_about(
+        &self,
+        id: &str,
+        path: &str,
+        key: Option<&str>,
+        object: &str,
     ) -> Option<(StatusCode, HeaderMap, Bytes)> {
         let mut request = Request::builder()
             .method(Method::GET)
@@ -194,7 +205,7 @@
             .header("host", "a.example")
             .header(header::REQUEST_ID, id)
             .header(header::DEADLINE, "3000")
-            .header("cookie", header::object_cookie("17"));
+            .header("cookie", header::object_cookie(object));
         if let Some(key) = key {
             request = request.header(header::KEY, key);
         }
