bug: one odd entry among those of the servers ends the reader of the list

Reported by operators of other systems: an entry that is nested deeply, or has a number too large or a port out of range, ended the machines that read the list, again and again.

Here the nested entry and the port were left out already, but an entry that is cold for 1e22 ms passed the decoder, and adding it to the clock ended the reader: a gateway that started with it in the list never became ready, one that ran followed the list no further. Slots of 2^32 - 1 were taken as they are and drew all objects to one server.

Sums of the load that a server tells no longer wrap.

odd_entries_do_not_stop_the_reader failed before (overflow when adding duration to instant; the gateway was not ready in 10 s) and passes, with nine such entries in the list, for the VM that reads the store and the one that asks it.

--- a/programs/gateway/src/servers/server.rs
+++ b/programs/gateway/src/servers/server.rs
@@ -81,9 +81,10 @@
     pub(super) fn load(&self, now: Instant) -> u32 {
         let own = u32::try_from(self.sent.len()).unwrap_or(u32::MAX);
         let others = match self.load {
-            Some((load, at)) if now.saturating_duration_since(at) < LOAD_AGE => {
-                (load.running + load.waiting).saturating_sub(own)
-            }
+            Some((load, at)) if now.saturating_duration_since(at) < LOAD_AGE => load
+                .running
+                .saturating_add(load.waiting)
+                .saturating_sub(own),
             _ => self.others,
         };
         own.saturating_add(others)
--- a/programs/gateway/tests/fleet.rs
+++ b/programs/gateway/tests/fleet.rs
@@ -452,3 +452,48 @@
     // Orders once, and the list again if the questions take longer than a second.
     assert!((2..=4).contains(&packed), "{packed} values packed");
 }
+
+/// Entries of another writer; each but the first can be read as JSON.
+const ODD_ENTRIES: [&str; 7] = [
+    "\u{0}",
+    r#"{"service":"lookup","address":"127.0.0.9:70000","zone":"nord-a","version":"v1","slots":3,"state":"ready","warmupLeftMs":0,"sequence":1,"born":1000}"#,
+    r#"{"service":"lookup","address":"127.0.0.9:80","zone":"nord-a","version":"v1","slots":1e99,"state":"ready","warmupLeftMs":0,"sequence":1,"born":1000}"#,
+    r#"{"service":"lookup","address":"127.0.0.9:80","zone":"nord-a","version":"v1","slots":4294967295,"state":"ready","warmupLeftMs":0,"sequence":1,"born":1000}"#,
+    r#"{"service":"lookup","address":"127.0.0.9:80","zone":"nord-a","version":"v1","slots":3,"state":"ready","warmupLeftMs":1e22,"sequence":1,"born":1000}"#,
+    r#"{"service":"lookup","address":"0.0.0.0:0","zone":"nord-a","version":"v1","slots":3,"state":"ready","warmupLeftMs":0,"sequence":1,"born":1000}"#,
+    r#"{"service":"lookup","address":"127.0.0.9:80","zone":"nord-a","version":"v1","slots":3,"state":"asleep","warmupLeftMs":0,"sequence":1,"born":1000}"#,
+];
+/// Depth of the most nested entry: far beyond what a decoder that calls itself can bear.
+const DEPTH: usize = 20_000;
+
+/// Guards against one odd entry among those of the servers that ends the reader of the list, or
+/// gets requests.
+#[tokio::test]
+async fn odd_entries_do_not_stop_the_reader() {
+    let (site, door, [server]) = Site::with_servers(&Desired::default()).await;
+    for (number, entry) in ODD_ENTRIES.iter().enumerate() {
+        site.store.put("servers", &format!("odd-{number}"), *entry);
+    }
+    let nested = "[".repeat(DEPTH) + &"]".repeat(DEPTH);
+    site.store.put("servers", "odd-nested", nested.clone());
+    let inside = format!(r#"{{"service":"lookup","later":{nested}}}"#);
+    site.store.put("servers", "odd-inside", inside);
+    let [first, second] = site
+        .gateways([("vm-1", "nord-a"), ("vm-2", "nord-a")], &door)
+        .await;
+    let entry = Entry {
+        leaving: true,
+        sequence: 2,
+        ..Entry::default()
+    };
+    let other = site.server("i-2", &Entry::default()).await;
+    server.register(&site.store, &entry);
+    for gateway in [&first, &second] {
+        until("the other server answers", || async {
+            let before = other.runs().len();
+            let served = status(gateway, "key-1").await == Some(StatusCode::OK);
+            served && other.runs().len() > before
+        })
+        .await;
+    }
+}
