bug: good versions are rolled back before most of their servers are seen

Cause: the test rejected at a log ratio of 5; the pace of the old version was a mean over answers of servers that are taken for cold and are not, so it came out at 0.4; and the leader looked every 250 ms, up to that much after a stage was due.

Rolling back early gains little, since the share is small and bounded, so it now needs a log ratio of 10; completion needs the same evidence as before. The pace follows the upper range of the old version's times. The leader looks when a stage is due.

--- a/crates/steering/src/takeover/evidence.rs
+++ b/crates/steering/src/takeover/evidence.rs
@@ -12,10 +12,11 @@
 /// Answers later than this many times what the same work takes on the old version are bad. Of the
 /// answers of sound servers 2% are later, most of them behind others in a queue.
 const LATE: f64 = 3.0;
-/// Least part of a new sample in the pace of the old version: about 20 samples of memory.
-const PACE_GAIN: f64 = 0.05;
-/// Samples that the pace counts as before the first one.
-const PACE_PRIOR: u32 = 1;
+/// Part of a sample above the pace of the old version in it.
+const PACE_UP: f64 = 0.25;
+/// Least part of a sample below it. Servers that are not known to have handled an object often have,
+/// so many answers come sooner than the work takes that was expected.
+const PACE_DOWN: f64 = 0.02;
 /// Largest sample of the pace, so that slow servers of the old version don't hide a slow new one.
 const MOST_PACE: f64 = 1.5;
 /// Answers that come sooner, against the expected time, did not need the work that was expected.
@@ -168,18 +169,18 @@
     }
 }
 
-/// Mean ratio of the time of answers to the expected one.
+/// Upper range of the ratio of the time of answers to the expected one.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Ratio {
-    mean: f64,
+    value: f64,
     samples: u32,
 }
 
 impl Default for Ratio {
     fn default() -> Self {
         Self {
-            mean: 1.0,
-            samples: PACE_PRIOR,
+            value: 1.0,
+            samples: 0,
         }
     }
 }
@@ -190,8 +191,11 @@
             return;
         }
         self.samples = self.samples.saturating_add(1);
-        let gain = (1.0 / f64::from(self.samples)).max(PACE_GAIN);
-        self.mean += gain * (ratio.min(MOST_PACE) - self.mean);
+        let gain = match ratio > self.value {
+            true => PACE_UP,
+            false => (0.5 / f64::from(self.samples)).max(PACE_DOWN),
+        };
+        self.value += gain * (ratio.min(MOST_PACE) - self.value);
     }
 }
 
@@ -216,6 +220,6 @@
     /// Returns the time from which a request that was expected in `expected` is late.
     pub fn late_after(&self, is_warm: bool, expected: Duration) -> Duration {
         let pace = if is_warm { &self.warm } else { &self.cold };
-        expected.mul_f64(pace.mean * LATE)
+        expected.mul_f64(pace.value * LATE)
     }
 }
--- a/crates/steering/src/takeover/verdict.rs
+++ b/crates/steering/src/takeover/verdict.rs
@@ -56,7 +56,7 @@
             ratio: 1.25,
             excess: 0.15,
             faulty: 0.03,
-            reject: 5.0,
+            reject: 10.0,
             accept: -0.5,
             doubt: 1.5,
             needed: 8,
--- a/programs/gateway/src/takeovers.rs
+++ b/programs/gateway/src/takeovers.rs
@@ -315,6 +315,22 @@
         stopped
     }
 
+    /// Returns the next time at which a takeover may enter its next stage.
+    fn next_due(&self, now: Instant) -> Option<Instant> {
+        let settings = Settings::default();
+        let active = lock(&self.active);
+        let open = active.values().filter(|takeover| !takeover.settled);
+        let due = open.filter_map(|takeover| {
+            let before = match takeover.stage? {
+                Stage::Sampling => settings.moving,
+                Stage::Moving => settings.complete,
+                Stage::Completed | Stage::RolledBack => return None,
+            };
+            takeover.deadline?.checked_sub(before)
+        });
+        due.filter(|due| *due > now).min()
+    }
+
     fn unsettled(&self) -> Vec<Service> {
         let active = lock(&self.active);
         let unsettled = active.iter().filter(|(_, takeover)| !takeover.settled);
@@ -326,7 +342,10 @@
 pub async fn drive(shared: Arc<Shared>, client: Client) {
     let mut next_line = Instant::now();
     loop {
-        tokio::time::sleep(PERIOD).await;
+        let now = Instant::now();
+        let due = shared.takeovers.next_due(now);
+        let look = due.map_or(now + PERIOD, |due| due.min(now + PERIOD));
+        tokio::time::sleep_until(look.into()).await;
         let now = Instant::now();
         let is_line_due = now >= next_line;
         if is_line_due {
