bug: an earlier refusal that a server repeats ends the next request as not run

Reported by operators of other systems: a faulty server wrote an earlier refusal once more on a kept connection. Callers were told not run, try again, for requests that a server had run, or such a request ran at a second server.

Here an answer that names another request was refused already, but a refusal without an id was taken for the answer to the request that was just sent. On a connection that served a request before, answers of the users' servers now need the id, and so do refusals of other servers; one without it counts as an answer to another request, so the request may have run and is neither refused as not run nor sent again unless it is idempotent. The stand-ins echo the id in refusals, too.

repeated_refusal_is_not_believed failed for a refusal without id and for a 421 (503 in place of 502) and passes; the case with the id of the earlier request passed before.

--- a/crates/backends/src/client.rs
+++ b/crates/backends/src/client.rs
@@ -61,6 +61,9 @@
 pub struct Settings {
     /// Names of headers.
     pub names: Names,
+    /// Whether the server echoes the id of the request in all answers. Without it, only refusals on
+    /// a connection that served another request need the id.
+    pub echoes: bool,
     /// Whether an answer without a length is whole when its connection ends in order.
     pub accept_unmarked: bool,
     /// Longest time for which sent bytes may stay unacknowledged; a silent path shows by it.
@@ -83,6 +86,7 @@
     fn default() -> Self {
         Self {
             names: Names::default(),
+            echoes: false,
             accept_unmarked: false,
             unacknowledged: None,
             connections: 32,
--- a/crates/backends/src/client/answer.rs
+++ b/crates/backends/src/client/answer.rs
@@ -63,7 +63,9 @@
     }
     drop(head);
     let failed = match outcome {
-        Ok(Ok(response)) => return accept(lease, response, id.as_ref(), deadline).await,
+        Ok(Ok(response)) => {
+            return accept(lease, response, id.as_ref(), written > 0, deadline).await;
+        }
         Ok(Err(_)) => After::Interrupted,
         Err(_) if socket.read() == read && Instant::now() < deadline => After::Silent,
         Err(_) => After::Deadline,
@@ -84,17 +86,25 @@
     mut lease: Lease,
     mut response: Response<Incoming>,
     id: Option<&HeaderValue>,
+    is_reused: bool,
     deadline: Instant,
 ) -> Result<Response<Body>, Failure> {
-    let names = lease.pool().0.settings.names.clone();
-    let echo = response.headers().get(&names.request_id);
-    if echo.is_some() && echo != id {
-        lease.end().await;
-        return Err(Failure::After(After::WrongAnswer));
-    }
+    let settings = &lease.pool().0.settings;
+    let names = settings.names.clone();
     let header = names.not_run.as_ref();
     let reason = header.and_then(|name| response.headers().get(name));
     let not_run = reason.map(|value| NotRun::parse(value.to_str().unwrap_or_default()));
+    // A faulty server may repeat an earlier answer. Taken for the answer to this request, a repeated
+    // refusal would have it run twice.
+    let needs_echo = is_reused && (settings.echoes || not_run.is_some());
+    let is_own = match response.headers().get(&names.request_id) {
+        Some(echo) => Some(echo) == id,
+        None => !needs_echo || id.is_none(),
+    };
+    if !is_own {
+        lease.end().await;
+        return Err(Failure::After(After::WrongAnswer));
+    }
     let coding = response
         .headers()
         .get_all(TRANSFER_ENCODING)
--- a/crates/backends/tests/client.rs
+++ b/crates/backends/tests/client.rs
@@ -199,6 +199,25 @@
     assert_eq!(pool.counts().opened.load(Ordering::Relaxed), 1);
 }
 
+/// Guards against a refusal that a server repeats on a kept connection and that is taken for the
+/// answer to the next request, which the server runs.
+#[rstest::rstest]
+#[case::with_its_id(
+    "HTTP/1.1 503 Busy\r\nx-not-run: shedding\r\nx-request-id: a\r\ncontent-length: 0\r\n\r\n"
+)]
+#[case::without_id("HTTP/1.1 503 Busy\r\nx-not-run: shedding\r\ncontent-length: 0\r\n\r\n")]
+#[tokio::test]
+async fn repeated_refusal_does_not_answer_the_next_request(#[case] refusal: &'static str) {
+    let script = vec![Act::Say(refusal), Act::Say(refusal)];
+    let (address, _heads) = server(vec![script]).await;
+    let pool = Pool::new(address, one_connection());
+    let first = send(&pool, "a").await;
+    assert_eq!(first, Err(Failure::NotRun(NotRun::Shedding)));
+    let second = send(&pool, "b").await;
+    assert_eq!(second, Err(Failure::After(After::WrongAnswer)));
+    assert_eq!((pool.idle(), pool.in_use()), (0, 0));
+}
+
 /// Guards against a cut answer that looks whole.
 #[rstest::rstest]
 #[case::length("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok")]
--- a/programs/gateway/src/servers/server.rs
+++ b/programs/gateway/src/servers/server.rs
@@ -56,6 +56,7 @@
                 // The load in such an answer says whether the server is full.
                 not_run: None,
             },
+            echoes: true,
             accept_unmarked: true,
             unacknowledged: Some(UNACKNOWLEDGED),
             connect_timeout: CONNECT_TIMEOUT,
--- a/programs/gateway/tests/path.rs
+++ b/programs/gateway/tests/path.rs
@@ -226,3 +226,30 @@
     let readiness = site::get(gateway.settings.listen.readiness, READINESS).await;
     assert_ne!(readiness.map(|a| a.status), Some(StatusCode::OK));
 }
+
+/// Guards against a request that a server runs and whose caller is told that it did not run, because
+/// the server wrote an earlier refusal once more on the kept connection.
+#[rstest]
+#[case::without_id(&["HTTP/1.1 503 Busy\r\nx-cardamomhall-not-executed: full\r\nx-cardamomhall-backend-load: 0,0,3\r\ncontent-length: 0\r\n\r\n"])]
+#[case::with_its_id(&["HTTP/1.1 503 Busy\r\nx-cardamomhall-not-executed: full\r\nx-cardamomhall-backend-load: 0,0,3\r\nx-cardamomhall-attempt-id: 1\r\ncontent-length: 0\r\n\r\n"])]
+#[case::other_server(&["HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n"])]
+#[tokio::test]
+async fn repeated_refusal_is_not_believed(#[case] answers: &'static [&'static str]) {
+    let once = Route {
+        repeatable: false,
+        ..Route::PLAIN
+    };
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired {
+        routes: vec![once].leak(),
+        ..Desired::default()
+    });
+    site.raw_server("i-1", answers, false).await;
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    let (first, _, _) = gateway.ask("1", "/a/").await.expect("an answer");
+    assert_eq!(first, StatusCode::SERVICE_UNAVAILABLE);
+    let (second, _, _) = gateway.ask("2", "/a/").await.expect("an answer");
+    assert_eq!(second, StatusCode::BAD_GATEWAY);
+}
--- a/standins/backend/src/server.rs
+++ b/standins/backend/src/server.rs
@@ -22,6 +22,9 @@
 /// Header of an answer that says that the request did not run; its value is the reason.
 const NOT_RUN: &str = "x-not-run";
 
+/// Header of a request and its answer: id of the request.
+const REQUEST_ID: &str = "x-request-id";
+
 /// Header of a request that crashes the server that runs it.
 const CRASH: &str = "x-crash";
 
@@ -82,7 +85,14 @@
             "/switch" => self.switch(request).await,
             "/health" => self.health(),
             "/counts" => http::json(StatusCode::OK, &*lock(&self.counts)),
-            _ => self.work(request).await,
+            _ => {
+                let id = request.headers().get(REQUEST_ID).cloned();
+                let mut response = self.work(request).await;
+                if let Some(id) = id {
+                    response.headers_mut().insert(REQUEST_ID, id);
+                }
+                response
+            }
         }
     }
 
