--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -1,6 +1,7 @@
 //! Sending of a request to backend servers until one answers or no other may be tried.
 
 use crate::admit::{Grant, Refused};
+use crate::answers::{Budget, Share};
 use crate::receive::Call;
 use crate::servers::{Flight, Placed, Query, Shard, Version};
 use crate::shared::Shared;
@@ -20,8 +21,6 @@
 use steering::routing;
 use steering::takeover::Outcome;
 
-/// Largest answer that is passed on, in bytes; an answer is whole before its first byte is sent.
-const ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Time between two looks at a server that does not answer.
 const SILENCE_CHECK: Duration = Duration::from_millis(200);
 /// Wait told to callers while no server may be used.
@@ -254,7 +253,7 @@
 
     /// Sends the request; its version hears as soon as the answer is late.
     async fn exchange(&mut self) -> Sent {
-        let exchange = exchange(self.call, self.grant, self.flight);
+        let exchange = exchange(self.call, self.grant, self.flight, &self.shared.answers);
         tokio::pin!(exchange);
         let late = self
             .shared
@@ -361,7 +360,7 @@
 }
 
 /// Sends a request to one server and reads the whole answer.
-async fn exchange(call: &Call, grant: &Grant<'_>, flight: &Flight) -> Sent {
+async fn exchange(call: &Call, grant: &Grant<'_>, flight: &Flight, answers: &Budget) -> Sent {
     let workspace = grant.account.map(|account| &*account.name);
     let request = call.request(workspace, &flight.server);
     let whole = async {
@@ -371,12 +370,13 @@
             client::drain(body).await;
             return Ok(Response::from_parts(parts, Bytes::new()));
         }
-        let body = read(body)
-            .await
-            .ok_or(match Instant::now() >= grant.deadline {
-                true => Failure::After(After::Deadline),
-                false => Failure::After(After::Interrupted),
-            })?;
+        let body =
+            read(body, answers.share())
+                .await
+                .ok_or(match Instant::now() >= grant.deadline {
+                    true => Failure::After(After::Deadline),
+                    false => Failure::After(After::Interrupted),
+                })?;
         Ok(Response::from_parts(parts, body))
     };
     tokio::pin!(whole);
@@ -402,15 +402,15 @@
 }
 
 /// Reads a body to its end; none if it is cut or too large.
-async fn read(mut body: Body) -> Option<Bytes> {
+async fn read(mut body: Body, mut share: Share<'_>) -> Option<Bytes> {
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Some(data) = frame.ok()?.data_ref() {
+            if !share.grow(data.len()) {
+                return None;
+            }
             whole.extend_from_slice(data);
         }
-        if whole.len() > ANSWER_BYTES {
-            return None;
-        }
     }
     Some(whole.freeze())
 }
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -1,5 +1,6 @@
 //! State that the parts of the gateway share; each field has a lock of its own.
 
+use crate::answers::Budget;
 use crate::fleet::{Fleet, Rank, Source};
 use crate::listing::Listing;
 use crate::metrics::Metrics;
@@ -69,6 +70,8 @@
     pub splits: Mutex<IndexMap<Box<str>, Split>>,
     /// Takeovers by new versions.
     pub takeovers: Takeovers,
+    /// Memory of answers that are not whole.
+    pub answers: Budget,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// How late the timers of this VM are.
@@ -108,6 +111,7 @@
             crashes: Mutex::default(),
             splits: Mutex::default(),
             takeovers: Takeovers::default(),
+            answers: Budget::default(),
             metrics: Metrics::default(),
             lateness: Mutex::default(),
             stale: Notify::new(),
--- a/programs/gateway/tests/path.rs
+++ b/programs/gateway/tests/path.rs
@@ -1,5 +1,7 @@
 //! Path of a request through a gateway: routes, keys, truth of answers, what may be sent twice.
 
+#[path = "site/raw.rs"]
+mod raw;
 mod site;
 
 use adapter::call::READINESS;
@@ -230,11 +232,15 @@
 /// Guards against a request that a server runs and whose caller is told that it did not run, because
 /// the server wrote an earlier refusal once more on the kept connection.
 #[rstest]
-#[case::without_id(&["HTTP/1.1 503 Busy\r\nx-cardamomhall-not-executed: full\r\nx-cardamomhall-backend-load: 0,0,3\r\ncontent-length: 0\r\n\r\n"])]
-#[case::with_its_id(&["HTTP/1.1 503 Busy\r\nx-cardamomhall-not-executed: full\r\nx-cardamomhall-backend-load: 0,0,3\r\nx-cardamomhall-attempt-id: 1\r\ncontent-length: 0\r\n\r\n"])]
-#[case::other_server(&["HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n"])]
+#[case::without_id(
+    "HTTP/1.1 503 Busy\r\nx-cardamomhall-not-executed: full\r\nx-cardamomhall-backend-load: 0,0,3\r\ncontent-length: 0\r\n\r\n"
+)]
+#[case::with_its_id(
+    "HTTP/1.1 503 Busy\r\nx-cardamomhall-not-executed: full\r\nx-cardamomhall-backend-load: 0,0,3\r\nx-cardamomhall-attempt-id: 1\r\ncontent-length: 0\r\n\r\n"
+)]
+#[case::other_server("HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n")]
 #[tokio::test]
-async fn repeated_refusal_is_not_believed(#[case] answers: &'static [&'static str]) {
+async fn repeated_refusal_is_not_believed(#[case] refusal: &'static str) {
     let once = Route {
         repeatable: false,
         ..Route::PLAIN
@@ -245,7 +251,7 @@
         routes: vec![once].leak(),
         ..Desired::default()
     });
-    site.raw_server("i-1", answers, false).await;
+    raw::server(&site, "i-1", refusal, "").await;
     let gateway = site.gateway("vm-1", "nord-a", &door).await;
     gateway.ready().await;
     let (first, _, _) = gateway.ask("1", "/a/").await.expect("an answer");
@@ -253,3 +259,46 @@
     let (second, _, _) = gateway.ask("2", "/a/").await.expect("an answer");
     assert_eq!(second, StatusCode::BAD_GATEWAY);
 }
+
+/// Guards against bytes without end, in a head or a body, that hold a request until its deadline or
+/// fill the memory of the gateway.
+#[rstest]
+#[case::head("HTTP/1.1 200 OK\r\n", "x-field: 0123456789abcdef\r\n")]
+#[case::line("HTTP/1.1 200 OK\r\nx-field: ", "0123456789abcdef")]
+#[case::no_answer("", "0123456789abcdef")]
+#[case::information("", "HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::body(
+    "HTTP/1.1 200 OK\r\nx-cardamomhall-response-signature: 1\r\n\r\n",
+    "0123456789abcdef"
+)]
+#[case::chunks(
+    "HTTP/1.1 200 OK\r\nx-cardamomhall-response-signature: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+    "8\r\n01234567\r\n"
+)]
+#[case::refusal(
+    "HTTP/1.1 503 Busy\r\nx-cardamomhall-not-executed: full\r\n\r\n",
+    "0123456789abcdef"
+)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_bytes_end_their_request_only(
+    #[case] answer: &'static str,
+    #[case] endless: &'static str,
+) {
+    let once = Route {
+        repeatable: false,
+        timeout_ms: 20_000,
+        ..Route::PLAIN
+    };
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired {
+        routes: vec![once].leak(),
+        ..Desired::default()
+    });
+    raw::server(&site, "i-1", answer, endless).await;
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    let (status, headers, _) = gateway.ask("1", "/a/").await.expect("an answer");
+    assert!(status.is_server_error(), "{status}");
+    assert!(!headers.contains_key(header::SIGNATURE));
+}
--- a/programs/gateway/tests/site/mod.rs
+++ b/programs/gateway/tests/site/mod.rs
@@ -15,8 +15,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
 /// Longest wait for what must happen soon; conditions end it earlier.
@@ -27,7 +26,7 @@
 static NEXT: AtomicU32 = AtomicU32::new(1);
 
 /// Returns a loopback address that no other test of any process uses.
-fn fresh() -> IpAddr {
+pub fn fresh() -> IpAddr {
     let process = std::process::id() % 65_000;
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     assert!(number < 250, "too many addresses in one test process");
@@ -113,19 +112,6 @@
         server
     }
 
-    /// Registers a server that answers each request on a connection with these bytes, the last ones
-    /// for all further requests; `is_endless` repeats the last ones until the connection is closed.
-    pub async fn raw_server(&self, id: &str, answers: &'static [&'static str], is_endless: bool) {
-        let address = SocketAddr::new(fresh(), 8080);
-        let listener = TcpListener::bind(address).await.expect("an address");
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(answer_raw(stream, answers, is_endless));
-            }
-        });
-        Entry::default().publish(&self.store, id, address);
-    }
-
     /// Starts a gateway that reaches the store by `door`.
     pub async fn gateway(&self, vm: &str, data_centre: &str, door: &Door) -> Gateway {
         self.start(vm, data_centre, door, 1_000.0).await
@@ -228,22 +214,6 @@
     }
 }
 
-async fn answer_raw(mut stream: TcpStream, answers: &[&str], is_endless: bool) -> Option<()> {
-    let mut answers = answers.iter().peekable();
-    let mut answer = answers.next()?;
-    loop {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            head.push(stream.read_u8().await.ok()?);
-        }
-        stream.write_all(answer.as_bytes()).await.ok()?;
-        while is_endless && answers.peek().is_none() {
-            stream.write_all(answer.as_bytes()).await.ok()?;
-        }
-        answer = answers.next().unwrap_or(answer);
-    }
-}
-
 async fn send(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
