bug: the evidence of a takeover is lost when all processes end at once

Tallies lived in memory.

The leader now keeps the evidence beside the begin of the takeover in the store, under the row's version, each time the requests on the new version grew by half, so an order takes a handful of writes. A process that takes up a takeover adds what the store holds beyond the evidence of the VMs that run, and logs it.

evidence_outlives_all_processes failed before (the version was not rolled back in 10 s).

--- a/programs/gateway/src/takeovers.rs
+++ b/programs/gateway/src/takeovers.rs
@@ -26,6 +26,8 @@
 const TABLE: &str = "takeovers";
 /// Time between two looks at the evidence.
 const PERIOD: Duration = Duration::from_millis(250);
+/// Least requests on the new version beyond those in the store for which the store is written.
+const LEAST_UNSAVED: u64 = 4;
 /// Time between two lines with the evidence of a takeover.
 const EVIDENCE_PERIOD: Duration = Duration::from_secs(2);
 /// Part of the operator's bound on requests to a new version that VMs use together.
@@ -38,6 +40,9 @@
         order: Order,
         /// Time of the store's clock in milliseconds when the order was first seen.
         began_ms: u64,
+        /// What all VMs saw until the last write, for the case that all of them end.
+        #[serde(default)]
+        evidence: Evidence,
     }
 }
 
@@ -51,6 +56,10 @@
     deadline: Option<Instant>,
     /// Version of the status row that this VM saw last; 0 for none.
     row: RowVersion,
+    /// The store's row on the begin, and its version; none before it was read or written.
+    begin: Option<(Begin, RowVersion)>,
+    /// Evidence in the store that no running VM holds.
+    kept: Evidence,
     exposure: Exposure,
     pace: Pace,
     own: Evidence,
@@ -75,9 +84,40 @@
     fn evidence(&self) -> Evidence {
         let mut sum = self.near_evidence();
         self.far.values().for_each(|other| sum.add(other));
+        sum.add(&self.kept);
         sum
     }
 
+    /// Takes in the store's row on the begin. What it holds beyond the evidence of the VMs that run
+    /// was seen by VMs that ended.
+    fn begun(&mut self, begin: Begin, row: RowVersion) {
+        if self.begin.is_none() {
+            self.kept = begin.evidence.since(&self.evidence());
+            log::info!(
+                "event=takeover-recalled service={} target={} order={} row_version={row} {}",
+                self.order.service,
+                self.order.label,
+                self.order.order,
+                self.kept
+            );
+        }
+        self.begin = Some((begin, row));
+    }
+
+    /// Returns the row on the begin with the evidence of now, if that is worth a write: the gaps
+    /// between writes grow with the evidence, so an order takes a handful of them.
+    fn unsaved(&self) -> Option<(Begin, RowVersion)> {
+        let (begin, row) = self.begin.as_ref()?;
+        let evidence = self.evidence();
+        let saved = begin.evidence.all_new().ended();
+        let is_due = evidence.all_new().ended() >= saved + saved / 2 + LEAST_UNSAVED;
+        let begin = Begin {
+            evidence,
+            ..begin.clone()
+        };
+        is_due.then_some((begin, *row))
+    }
+
     /// Returns the time until the deadline; counted from when this VM learned of the order, until
     /// the store said when that was.
     fn left(&self, now: Instant) -> Duration {
@@ -151,6 +191,8 @@
                 settled: false,
                 deadline: None,
                 row: 0,
+                begin: None,
+                kept: Evidence::default(),
                 exposure: Exposure::new(allowance),
                 pace: Pace::default(),
                 own: Evidence::default(),
@@ -424,11 +466,35 @@
                 Transacted::Conflict => recall(shared, client, &order).await?,
             }
         }
-        _ => learn(shared, service, next, false),
+        _ => {
+            learn(shared, service, next, false);
+            save(shared, client, &order).await?;
+        }
     }
     Ok(())
 }
 
+/// Writes the evidence to the store, where it outlives the VMs.
+async fn save(shared: &Shared, client: &Client, order: &TakeoverOrder) -> Result<(), store::Error> {
+    let unsaved = lock(&shared.takeovers.active)
+        .get(&order.service)
+        .and_then(Active::unsaved);
+    let Some((begin, row)) = unsaved else {
+        return Ok(());
+    };
+    match client.transact(&[begin_put(order, &begin, row)]).await? {
+        Transacted::Applied(version) => {
+            let mut active = lock(&shared.takeovers.active);
+            if let Some(takeover) = active.get_mut(&order.service) {
+                takeover.begun(begin, version);
+            }
+            Ok(())
+        }
+        // Another leader wrote.
+        Transacted::Conflict => recall(shared, client, order).await,
+    }
+}
+
 fn learn(shared: &Shared, service: &Service, stage: Stage, settled: bool) {
     if let Some(takeover) = lock(&shared.takeovers.active).get_mut(service) {
         takeover.learn(stage, settled, &shared.settings.vm);
@@ -444,6 +510,16 @@
     }
 }
 
+fn begin_put(order: &TakeoverOrder, begin: &Begin, expected: RowVersion) -> Put {
+    Put {
+        table: TABLE,
+        key: order.service.clone(),
+        expected: Some(expected),
+        // Encoding numbers can't fail.
+        value: Some(serde_json::to_vec(begin).unwrap_or_default()),
+    }
+}
+
 /// Reads what the store holds of a takeover, and begins it if the store holds nothing.
 async fn recall(
     shared: &Shared,
@@ -459,8 +535,8 @@
         .filter(|row| row.version > order.order)
         .and_then(|row| told(row, order));
     let began = begin.and_then(begun).filter(|b| b.order == order.order);
-    let began = match (&told, began) {
-        (Some(_), Some(began)) => began,
+    let began = match (&told, began, begin) {
+        (Some(_), Some(began), Some(row)) => (began, row.version),
         _ => {
             let since = {
                 let active = lock(&shared.takeovers.active);
@@ -471,28 +547,30 @@
             let began = Begin {
                 order: order.order,
                 began_ms: begins.now_ms.saturating_sub(since_ms),
+                evidence: Evidence::default(),
             };
             let puts = [
                 status_put(order, Stage::Sampling, status.map_or(0, |row| row.version)),
-                Put {
-                    table: TABLE,
-                    key: order.service.clone(),
-                    expected: Some(begin.map_or(0, |row| row.version)),
-                    // Encoding two numbers can't fail.
-                    value: Some(serde_json::to_vec(&began).unwrap_or_default()),
-                },
+                begin_put(order, &began, begin.map_or(0, |row| row.version)),
             ];
             if let Transacted::Applied(version) = client.transact(&puts).await? {
                 let left = order.term.saturating_sub(since);
-                apply(shared, order, Stage::Sampling, version, left);
+                apply(
+                    shared,
+                    order,
+                    Stage::Sampling,
+                    version,
+                    (began, version),
+                    left,
+                );
             }
             return Ok(());
         }
     };
     if let (Some(stage), Some(row)) = (told, status) {
-        let passed = begins.now_ms.saturating_sub(began.began_ms);
+        let passed = begins.now_ms.saturating_sub(began.0.began_ms);
         let left = order.term.saturating_sub(Duration::from_millis(passed));
-        apply(shared, order, stage, row.version, left);
+        apply(shared, order, stage, row.version, began, left);
     }
     Ok(())
 }
@@ -515,11 +593,19 @@
         .ok()
 }
 
-fn apply(shared: &Shared, order: &TakeoverOrder, stage: Stage, row: RowVersion, left: Duration) {
+fn apply(
+    shared: &Shared,
+    order: &TakeoverOrder,
+    stage: Stage,
+    row: RowVersion,
+    (begin, begin_row): (Begin, RowVersion),
+    left: Duration,
+) {
     let mut active = lock(&shared.takeovers.active);
     let known = active.get_mut(&order.service);
     if let Some(takeover) = known.filter(|t| t.order.order == order.order) {
         takeover.row = row;
+        takeover.begun(begin, begin_row);
         takeover.deadline = Some(Instant::now() + left);
         let is_final = stage >= Stage::Completed;
         takeover.learn(stage, is_final, "store");
--- a/programs/gateway/tests/fleet/takeover.rs
+++ b/programs/gateway/tests/fleet/takeover.rs
@@ -127,6 +127,46 @@
     assert!(text.contains(counted), "{text}");
 }
 
+/// Guards against evidence that is lost when all processes end at once: a version that failed before
+/// answers well afterwards.
+#[tokio::test]
+async fn evidence_outlives_all_processes() {
+    let (site, door, [_old]) = Site::with_servers(&Desired::default()).await;
+    let first = site.gateway("vm-1", "nord-a", &door).await;
+    first.ready().await;
+    let entry = Entry {
+        label: "v2",
+        ..Entry::default()
+    };
+    site.server("i-2", &entry).await;
+    operator::order_takeover(&site.store, "lookup", "v2", 60);
+    until("the begin is in the store", || async {
+        operator::told(&site.store, "lookup") == "running"
+    })
+    .await;
+    first.stop.cancel();
+    until("the first gateway ended", || async {
+        site::get(first.settings.listen.peers, "/status")
+            .await
+            .is_none()
+    })
+    .await;
+    let row = site.store.get("takeovers", "lookup").expect("the begin");
+    let mut begin: serde_json::Value = serde_json::from_slice(&row).expect("JSON");
+    let bad = serde_json::json!({"good": 2, "failed": 6, "late": 0, "unanswered": 0});
+    begin["evidence"] = serde_json::json!({
+        "old": {"good": 400, "failed": 4, "late": 0, "unanswered": 0},
+        "new": {"1": bad, "2": bad, "3": bad, "4": bad, "5": bad},
+    });
+    site.store.put("takeovers", "lookup", begin.to_string());
+    let second = site.gateway("vm-2", "nord-a", &door).await;
+    second.ready().await;
+    until("the version is rolled back", || async {
+        operator::told(&site.store, "lookup") == "rolled_back"
+    })
+    .await;
+}
+
 /// Guards against a good version that is rolled back because of the load it is judged under, and
 /// against one that gets more than its share before it is judged.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
