bug: a bad version of one or two servers is kept until its takeover is due

The test needs three servers of the new version, and allows each server a fault of its own, so a version with fewer servers was never stopped early. At 8 requests a second on it the 50th bad answer comes after 6 s, and the sites allow 5 s more. Found by reading.

With fewer than three servers, 40 bad requests that are half of all now stop a version. few_servers_need_more_evidence failed before for one and two servers.

--- a/crates/steering/src/takeover/exposure.rs
+++ b/crates/steering/src/takeover/exposure.rs
@@ -8,12 +8,9 @@
 /// Part of the slack that samples the version, so that a service with few requests is seen, too. The
 /// rest is for the last seconds before the deadline.
 const SAMPLED_SLACK: f64 = 0.6;
-/// Servers that are sampled at a time, as a multiple of the version's share of them. Work takes three
-/// times as long on servers that have yet to handle the objects, so these get enough load.
-const AT_ONCE: f64 = 1.0;
 /// Time for which requests that sample a version go to the same servers: a server then answers
 /// several requests at once, and several servers are seen before the deadline.
-const TURN: Duration = Duration::from_millis(1000);
+const TURN: Duration = Duration::from_secs(1);
 
 base::value! {
     /// What one VM may start on the new version.
@@ -90,7 +87,7 @@
                 }
             }
             Stage::Sampling if (self.new + 1) as f64 <= self.sampled + self.extra(left) => {
-                let at_once = self.share(left).fraction() * servers as f64 * AT_ONCE;
+                let at_once = self.share(left).fraction() * servers as f64;
                 let group = allowance.vm % at_once.ceil().max(1.0) as u64;
                 let turn = (left.as_millis() / TURN.as_millis()) as u64;
                 Start::Sample(allowance.order ^ (turn << 32 | group))
--- a/crates/steering/src/takeover/verdict.rs
+++ b/crates/steering/src/takeover/verdict.rs
@@ -29,8 +29,11 @@
         pub doubt: f64,
         /// Least ended requests of a good version.
         pub needed: u64,
-        /// Least servers of a bad version, unless it has fewer.
+        /// Least servers on which the verdict of a bad version rests.
         pub servers: usize,
+        /// Bad requests from which fewer servers suffice, if they fail most requests: fewer than the
+        /// 50 after which the sites allow a bad version 5 s more.
+        pub most_bad: u64,
     }
 
     /// What the evidence says.
@@ -61,6 +64,7 @@
             doubt: 1.5,
             needed: 8,
             servers: 3,
+            most_bad: 40,
         }
     }
 }
@@ -69,9 +73,14 @@
     /// Judges all evidence and that of the last seconds.
     pub fn judge(&self, evidence: &Evidence, recent: &Evidence) -> Verdict {
         let (all, latest) = (self.log_ratio(evidence), self.log_ratio(recent));
-        let is_enough = evidence.all_new().ended() >= self.needed;
+        let new = evidence.all_new();
+        let is_enough = new.ended() >= self.needed;
         let is_broad = evidence.new.len() >= self.servers;
-        if is_broad && all.max(latest) >= self.reject {
+        let is_bad = match is_broad {
+            true => all.max(latest) >= self.reject,
+            false => new.bad() >= self.most_bad && new.share() >= BAD_SHARES[0],
+        };
+        if is_bad {
             Verdict::Bad
         } else if is_enough && all <= self.accept && latest <= self.doubt {
             Verdict::Good
--- a/crates/steering/tests/takeover.rs
+++ b/crates/steering/tests/takeover.rs
@@ -349,6 +349,24 @@
     assert_ne!(Test::default().judge(&evidence, &evidence), Verdict::Bad);
 }
 
+/// Guards against a bad version of one or two servers that is kept because each of them may be
+/// faulty by itself, and against one server that condemns its version.
+#[rstest]
+#[case::one_server(1, 40, Verdict::Bad)]
+#[case::two_servers(2, 20, Verdict::Bad)]
+#[case::few_requests(1, 20, Verdict::Undecided)]
+fn few_servers_need_more_evidence(
+    #[case] servers: u32,
+    #[case] failed: u64,
+    #[case] verdict: Verdict,
+) {
+    let evidence = Evidence {
+        old: tally(400, 4),
+        new: (0..servers).map(|s| (s, tally(10, failed))).collect(),
+    };
+    assert_eq!(Test::default().judge(&evidence, &evidence), verdict);
+}
+
 /// Guards against a takeover that goes on after it was decided.
 #[test]
 fn decided_takeovers_stay_decided() {
