refactor: the choice and the sample of a server check the end in one place

Both repeated the same comparison with the latest end; tests with raw servers repeated their set-up. Behaviour is unchanged: tests of placement, takeovers and the path pass.

--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -245,15 +245,7 @@
     let Some((end, index)) = best else {
         return Choice::Empty;
     };
-    let latest = latest(settings, demand, candidates);
-    if end > latest {
-        return Choice::Late(end - latest);
-    }
-    Choice::Server {
-        index,
-        time: candidates[index].time(work),
-        warm: candidates[index].warm,
-    }
+    in_time(settings, demand, work, candidates, index, end)
 }
 
 /// Chooses a server for a request that samples its version: the same one for the same `sample`,
@@ -275,6 +267,18 @@
         return Choice::Empty;
     };
     let end = candidates[index].ordinary(work);
+    in_time(settings, demand, work, candidates, index, end)
+}
+
+/// Returns the server at `index`, if it ends the request in time.
+fn in_time(
+    settings: &Settings,
+    demand: &Demand,
+    work: &Work,
+    candidates: &[Candidate],
+    index: usize,
+    end: Duration,
+) -> Choice {
     let latest = latest(settings, demand, candidates);
     if end > latest {
         return Choice::Late(end - latest);
--- a/programs/gateway/tests/path.rs
+++ b/programs/gateway/tests/path.rs
@@ -241,19 +241,7 @@
 #[case::other_server("HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n")]
 #[tokio::test]
 async fn repeated_refusal_is_not_believed(#[case] refusal: &'static str) {
-    let once = Route {
-        repeatable: false,
-        ..Route::PLAIN
-    };
-    let site = Site::new();
-    let door = site.door().await;
-    site.desire(&Desired {
-        routes: vec![once].leak(),
-        ..Desired::default()
-    });
-    raw::server(&site, "i-1", refusal, "").await;
-    let gateway = site.gateway("vm-1", "nord-a", &door).await;
-    gateway.ready().await;
+    let (_site, gateway) = raw::site(refusal, "").await;
     let (first, _, _) = gateway.ask("1", "/a/").await.expect("an answer");
     assert_eq!(first, StatusCode::SERVICE_UNAVAILABLE);
     let (second, _, _) = gateway.ask("2", "/a/").await.expect("an answer");
@@ -284,20 +272,7 @@
     #[case] answer: &'static str,
     #[case] endless: &'static str,
 ) {
-    let once = Route {
-        repeatable: false,
-        timeout_ms: 20_000,
-        ..Route::PLAIN
-    };
-    let site = Site::new();
-    let door = site.door().await;
-    site.desire(&Desired {
-        routes: vec![once].leak(),
-        ..Desired::default()
-    });
-    raw::server(&site, "i-1", answer, endless).await;
-    let gateway = site.gateway("vm-1", "nord-a", &door).await;
-    gateway.ready().await;
+    let (_site, gateway) = raw::site(answer, endless).await;
     let (status, headers, _) = gateway.ask("1", "/a/").await.expect("an answer");
     assert!(status.is_server_error(), "{status}");
     assert!(!headers.contains_key(header::SIGNATURE));
--- a/programs/gateway/tests/site/raw.rs
+++ b/programs/gateway/tests/site/raw.rs
@@ -1,14 +1,35 @@
 //! Backend servers that write bytes of a test's choice.
 
-use crate::site::{self, Site};
+use crate::site::{self, Gateway, Site};
+use standin_site::operator::{Desired, Route};
 use standin_site::server::Entry;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Registers a server that answers each request with these bytes, and then writes `endless`, if it
-/// is not empty, until the connection is closed.
-pub async fn server(site: &Site, id: &str, answer: &'static str, endless: &'static str) {
+/// Route whose requests may run once, and that ends none before its caller does.
+const ONCE: Route = Route {
+    repeatable: false,
+    timeout_ms: 20_000,
+    ..Route::PLAIN
+};
+
+/// Starts a site with one gateway and one server that answers each request with these bytes, and
+/// then writes `endless`, if it is not empty, until the connection is closed.
+pub async fn site(answer: &'static str, endless: &'static str) -> (Site, Gateway) {
+    let site = Site::new();
+    let door = site.door().await;
+    site.desire(&Desired {
+        routes: &[ONCE],
+        ..Desired::default()
+    });
+    server(&site, answer, endless).await;
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.ready().await;
+    (site, gateway)
+}
+
+async fn server(site: &Site, answer: &'static str, endless: &'static str) {
     let address = SocketAddr::new(site::fresh(), 8080);
     let listener = TcpListener::bind(address).await.expect("an address");
     tokio::spawn(async move {
@@ -16,7 +37,7 @@
             tokio::spawn(serve(stream, answer, endless));
         }
     });
-    Entry::default().publish(&site.store, id, address);
+    Entry::default().publish(&site.store, "i-1", address);
 }
 
 async fn serve(mut stream: TcpStream, answer: &str, endless: &str) -> Option<()> {
