bug: slow servers of the old version excuse failures of the new one

The new version failed 13 of 52 requests; of the old one 46 of 835 failed and 134 were late, because a third of its servers were slow. One bad share of 21% for the old version made 25% look alike.

Failures and slowness are now compared apart, beside both together; the verdict follows the kind that speaks most against the version.

--- a/crates/steering/src/takeover/verdict.rs
+++ b/crates/steering/src/takeover/verdict.rs
@@ -69,10 +69,38 @@
     }
 }
 
+/// Requests that are compared. Each kind is compared alone, too: slow servers of the old version must
+/// not excuse failures of the new one.
+#[derive(Debug, Clone, Copy)]
+enum Kind {
+    /// All that speak against a version.
+    Bad,
+    /// Failures.
+    Failed,
+    /// Late requests and those without an answer.
+    Slow,
+}
+
+impl Kind {
+    const ALL: [Self; 3] = [Self::Bad, Self::Failed, Self::Slow];
+
+    fn count(self, tally: &Tally) -> u64 {
+        match self {
+            Self::Bad => tally.bad(),
+            Self::Failed => tally.failed,
+            Self::Slow => tally.late + tally.unanswered,
+        }
+    }
+}
+
 impl Test {
     /// Judges all evidence and that of the last seconds.
     pub fn judge(&self, evidence: &Evidence, recent: &Evidence) -> Verdict {
-        let (all, latest) = (self.log_ratio(evidence), self.log_ratio(recent));
+        let most = |evidence: &Evidence| {
+            let ratios = Kind::ALL.map(|kind| self.log_ratio(evidence, kind));
+            ratios.into_iter().fold(f64::NEG_INFINITY, f64::max)
+        };
+        let (all, latest) = (most(evidence), most(recent));
         let new = evidence.all_new();
         let is_enough = new.ended() >= self.needed;
         let is_broad = evidence.new.len() >= self.servers;
@@ -91,12 +119,16 @@
 
     /// Returns the logarithm of the likelihood of the new version's ends if it is bad, over the one
     /// if it is good.
-    fn log_ratio(&self, evidence: &Evidence) -> f64 {
-        let good = (evidence.old.share() * self.ratio).clamp(self.least, self.most);
+    fn log_ratio(&self, evidence: &Evidence, kind: Kind) -> f64 {
+        let old = &evidence.old;
+        let share = kind.count(old) as f64 / old.ended().max(1) as f64;
+        let good = (share * self.ratio).clamp(self.least, self.most);
         let shares = [good + self.excess, BAD_SHARES[0], BAD_SHARES[1]];
         let log = |share: f64| -> f64 {
             let tallies = evidence.new.values();
-            tallies.map(|tally| self.log_likelihood(tally, share)).sum()
+            tallies
+                .map(|tally| self.log_likelihood(tally, kind, share))
+                .sum()
         };
         let bad = shares.map(log).into_iter().fold(f64::NEG_INFINITY, log_add);
         bad - (shares.len() as f64).ln() - log(good)
@@ -104,10 +136,12 @@
 
     /// Returns the logarithm of the likelihood of one server's ends if the version has this bad
     /// share, without the number of their orders, which is the same for each share.
-    fn log_likelihood(&self, tally: &Tally, share: f64) -> f64 {
-        let (bad, good) = (tally.bad() as f64, tally.good as f64);
+    fn log_likelihood(&self, tally: &Tally, kind: Kind, share: f64) -> f64 {
+        let count = kind.count(tally);
+        let others = tally.ended() - count;
+        let (bad, good) = (count as f64, others as f64);
         let of_version = bad * share.ln() + good * (1.0 - share).ln();
-        let of_server = log_uniform(tally.bad(), tally.good);
+        let of_server = log_uniform(count, others);
         log_add(
             (1.0 - self.faulty).ln() + of_version,
             self.faulty.ln() + of_server,
--- a/crates/steering/tests/takeover.rs
+++ b/crates/steering/tests/takeover.rs
@@ -349,6 +349,23 @@
     assert_ne!(Test::default().judge(&evidence, &evidence), Verdict::Bad);
 }
 
+/// Guards against failures of the new version that slow servers of the old one excuse
+/// (version-bad-in-trouble --vary --seed 96659926392 of permis-parcs).
+#[test]
+fn slow_old_servers_do_not_excuse_failures() {
+    let evidence = Evidence {
+        old: Tally {
+            good: 655,
+            failed: 46,
+            late: 134,
+            ..Tally::default()
+        },
+        new: (0..8).map(|server| (server, tally(5, 2))).collect(),
+    };
+    let verdict = Test::default().judge(&evidence, &evidence);
+    assert_eq!(verdict, Verdict::Bad);
+}
+
 /// Guards against a bad version of one or two servers that is kept because each of them may be
 /// faulty by itself, and against one server that condemns its version.
 #[rstest]
