--- a/programs/gateway/tests/path.rs
+++ b/programs/gateway/tests/path.rs
@@ -233,10 +233,10 @@
 /// the server wrote an earlier refusal once more on the kept connection.
 #[rstest]
 #[case::without_id(
-    "HTTP/1.1 503 Busy\r\nx-cardamomhall-not-executed: full\r\nx-cardamomhall-backend-load: 0,0,3\r\ncontent-length: 0\r\n\r\n"
+    "HTTP/1.1 503 Busy\r\n{not-run}: full\r\n{load}: 0,0,3\r\ncontent-length: 0\r\n\r\n"
 )]
 #[case::with_its_id(
-    "HTTP/1.1 503 Busy\r\nx-cardamomhall-not-executed: full\r\nx-cardamomhall-backend-load: 0,0,3\r\nx-cardamomhall-attempt-id: 1\r\ncontent-length: 0\r\n\r\n"
+    "HTTP/1.1 503 Busy\r\n{not-run}: full\r\n{load}: 0,0,3\r\n{id}: 1\r\ncontent-length: 0\r\n\r\n"
 )]
 #[case::other_server("HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n")]
 #[tokio::test]
@@ -255,18 +255,12 @@
 #[case::line("HTTP/1.1 200 OK\r\nx-field: ", "0123456789abcdef")]
 #[case::no_answer("", "0123456789abcdef")]
 #[case::information("", "HTTP/1.1 100 Continue\r\n\r\n")]
-#[case::body(
-    "HTTP/1.1 200 OK\r\nx-cardamomhall-response-signature: 1\r\n\r\n",
-    "0123456789abcdef"
-)]
+#[case::body("HTTP/1.1 200 OK\r\n{signature}: 1\r\n\r\n", "0123456789abcdef")]
 #[case::chunks(
-    "HTTP/1.1 200 OK\r\nx-cardamomhall-response-signature: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\n{signature}: 1\r\ntransfer-encoding: chunked\r\n\r\n",
     "8\r\n01234567\r\n"
 )]
-#[case::refusal(
-    "HTTP/1.1 503 Busy\r\nx-cardamomhall-not-executed: full\r\n\r\n",
-    "0123456789abcdef"
-)]
+#[case::refusal("HTTP/1.1 503 Busy\r\n{not-run}: full\r\n\r\n", "0123456789abcdef")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endless_bytes_end_their_request_only(
     #[case] answer: &'static str,
--- a/programs/gateway/tests/site/raw.rs
+++ b/programs/gateway/tests/site/raw.rs
@@ -1,6 +1,7 @@
 //! Backend servers that write bytes of a test's choice.
 
 use crate::site::{self, Gateway, Site};
+use adapter::header;
 use standin_site::operator::{Desired, Route};
 use standin_site::server::Entry;
 use std::net::SocketAddr;
@@ -15,7 +16,8 @@
 };
 
 /// Starts a site with one gateway and one server that answers each request with these bytes, and
-/// then writes `endless`, if it is not empty, until the connection is closed.
+/// then writes `endless`, if it is not empty, until the connection is closed. Names of headers in
+/// braces are those of the platform.
 pub async fn site(answer: &'static str, endless: &'static str) -> (Site, Gateway) {
     let site = Site::new();
     let door = site.door().await;
@@ -23,7 +25,18 @@
         routes: &[ONCE],
         ..Desired::default()
     });
-    server(&site, answer, endless).await;
+    let names = [
+        ("{not-run}", header::NOT_RUN),
+        ("{load}", header::LOAD),
+        ("{id}", header::REQUEST_ID),
+        ("{signature}", header::SIGNATURE),
+    ];
+    let answer = names
+        .into_iter()
+        .fold(answer.to_owned(), |text, (name, header)| {
+            text.replace(name, header)
+        });
+    server(&site, answer.leak(), endless).await;
     let gateway = site.gateway("vm-1", "nord-a", &door).await;
     gateway.ready().await;
     (site, gateway)
