--- a/crates/steering/src/attempt.rs
+++ b/crates/steering/src/attempt.rs
@@ -3,7 +3,8 @@
 //! Use: start with [`Attempt::new`]; call [`Attempt::send`] before the first byte is handed to a
 //! backend server; end with [`Sent::served`] or [`Sent::fail`]. A failure gives back an
 //! [`Attempt`] to send elsewhere or the final [`Outcome`]. An attempt that is not sent ends with
-//! [`Attempt::give_up`]. [`NotRun`] has no public constructor: it comes only from a request of
+//! [`Attempt::give_up`]. While a send is unanswered, [`Sent::beside`] allows another one, and
+//! [`Sent::learn`] takes in how that one failed. [`NotRun`] has no public constructor: it comes only from a request of
 //! which no backend server got a byte, or which each server that got one said it did not run.
 
 mod reason;
@@ -160,6 +161,18 @@
         }
     }
 
+    /// Allows another send while this one is unanswered; none if the request may run once only.
+    pub fn beside(&self) -> Option<Attempt> {
+        self.before.idempotent().then(|| self.before.clone())
+    }
+
+    /// Takes in that another send of the request failed and left it as `other`.
+    pub fn learn(&mut self, other: &Attempt) {
+        if matches!(self.before, Attempt::Unsent(_)) {
+            self.before = other.clone();
+        }
+    }
+
     /// Ends the request when its caller left while a backend server had it.
     pub fn abandon(self) -> Outcome {
         self.before.uncertain(Uncertainty::Cancelled)
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod drain;
 pub mod entrance;
 pub mod fairness;
+pub mod hedge;
 pub mod keys;
 pub mod lease;
 pub mod limits;
--- a/crates/steering/src/retry.rs
+++ b/crates/steering/src/retry.rs
@@ -54,9 +54,14 @@
         self.saved = self.saved.min(most);
     }
 
+    /// Returns whether there is a retry.
+    pub fn has(&self) -> bool {
+        self.saved >= 1.0
+    }
+
     /// Takes one retry from the budget; returns false if there is none.
     pub fn take(&mut self) -> bool {
-        let allowed = self.saved >= 1.0;
+        let allowed = self.has();
         if allowed {
             self.saved -= 1.0;
         }
--- a/crates/steering/tests/attempt.rs
+++ b/crates/steering/tests/attempt.rs
@@ -47,6 +47,27 @@
     assert_eq!(outcome, Outcome::Unknown(Cause::Silent));
 }
 
+/// Guards against a second send of a request that may run once while a server has it.
+#[test]
+fn only_idempotent_requests_are_sent_beside_an_open_send() {
+    assert_eq!(Attempt::new(false).send().beside(), None);
+    assert_eq!(Attempt::new(true).send().beside(), Some(Attempt::new(true)));
+}
+
+/// Guards against "not run" when one of two sends may have run, and against "unknown" when the servers
+/// of both said that they did not run it.
+#[rstest]
+#[case(Failure::Refused(Retry::ServerShedding), true)]
+#[case(Failure::MayHaveRun(Cause::Interrupted), false)]
+fn two_sends_did_not_run_if_neither_did(#[case] second: Failure, #[case] is_refused: bool) {
+    let mut first = Attempt::new(true).send();
+    let beside = first.beside().unwrap().send();
+    first.learn(&fail(beside, second).unwrap());
+    let left = fail(first, Failure::Refused(Retry::ServerShedding)).unwrap();
+    let outcome = left.give_up(Refusal::ServersRefused);
+    assert_eq!(matches!(outcome, Outcome::NotRun(_)), is_refused);
+}
+
 /// Guards against retries for a caller that left or whose deadline passed.
 #[rstest]
 #[case(Cause::DeadlinePassed)]
--- /dev/null
+++ b/crates/steering/tests/hedge.rs
@@ -0,0 +1,38 @@
+//! Time of a second send beside one that is unanswered.
+
+use rstest::rstest;
+use std::time::{Duration, Instant};
+use steering::hedge::{self, Send, Settings};
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Guards against a second send that comes too late to be answered before the deadline, and against
+/// one that servers get although they are only slow.
+#[rstest]
+// A look-up of the users: 640 ms cold, 190 ms warm, 3 s. A cold second send still ends in time.
+#[case::look_up(190, 640, 3_000, 1_720)]
+// A server that is known to be slow by 5 gets twice its time.
+#[case::slow_server(950, 640, 3_000, 1_900)]
+// No second send could end in time, so the first one is only overdue.
+#[case::short_deadline(480, 1_600, 2_000, 960)]
+// Nothing is gained by waiting for as long as the caller would.
+#[case::long_deadline(480, 1_600, 30_000, 6_400)]
+#[case::short_work(5, 20, 1_000, 800)]
+fn second_send_leaves_time_for_its_answer(
+    #[case] expected: u64,
+    #[case] cold: u64,
+    #[case] deadline: u64,
+    #[case] due: u64,
+) {
+    let at = Instant::now();
+    let send = Send {
+        at,
+        deadline: at + ms(deadline),
+        expected: ms(expected),
+        cold: ms(cold),
+    };
+    let found = hedge::due(&Settings::default(), &send) - at;
+    assert!(found.abs_diff(ms(due)) < ms(1), "{found:?}");
+}
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -11,13 +11,17 @@
 use backends::client::Failure;
 use base::id;
 use base::sync::lock;
+use futures::stream::{FuturesUnordered, StreamExt};
 use send::{Sent, send};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use steering::affinity::Digest;
-use steering::attempt::{self, Attempt, Refusal, Retry, Step, Uncertainty};
+use steering::attempt::{self, Attempt, Refusal, Retry, Uncertainty};
 use steering::routing;
 
+/// Time between two looks at a send that is not answered.
+const LOOK: Duration = Duration::from_millis(200);
 /// Wait told to callers while no server may be used.
 const NO_SERVER_WAIT: Duration = Duration::from_millis(300);
 /// Least time for which a send is worth while.
@@ -41,8 +45,37 @@
     }
 }
 
+/// A send whose server has the request.
+struct Open {
+    number: u32,
+    flight: Arc<Flight>,
+    sent: attempt::Sent,
+}
+
+/// A request on its way: the servers that have it, and what came back from others.
+struct Journey<'a> {
+    call: &'a Call,
+    grant: &'a Grant<'a>,
+    shared: &'a Shared,
+    shard: Arc<Shard>,
+    /// Sends that are not answered yet.
+    open: Vec<Open>,
+    /// Servers that it was sent to.
+    tried: Vec<id::Server>,
+    /// Sends that servers may have got.
+    arrivals: u32,
+    /// A failure that a server answered with; passed on if no other server does better.
+    answered: Option<Answer>,
+    /// Why an overdue request was not sent to a second server, when last asked.
+    held: Option<Refusal>,
+}
+
 /// Sends a request until it is answered.
 ///
+/// A server that has the request keeps it until its answer or the deadline. While the answer of a
+/// request that may be repeated is overdue, it is sent to another server besides, and the first whole
+/// answer is passed on.
+///
 /// # Errors
 ///
 /// Returns what the caller is told if no server answered.
@@ -50,85 +83,186 @@
     let Some(shard) = shared.services.shard(grant.service) else {
         return Err(Refused::from(Refusal::NoServer).into());
     };
-    let mut attempt = Attempt::new(grant.route.idempotent);
-    let mut tried: Vec<id::Server> = Vec::new();
-    let mut arrivals = 0;
-    // A failure that a server answered with; passed on if no other server does better.
-    let mut answered: Option<Answer> = None;
+    let mut journey = Journey {
+        call,
+        grant,
+        shared,
+        shard,
+        open: Vec::new(),
+        tried: Vec::new(),
+        arrivals: 0,
+        answered: None,
+        held: None,
+    };
+    let is_decided = AtomicBool::new(false);
+    let mut sends = FuturesUnordered::new();
+    let mut next = Some(Attempt::new(grant.route.idempotent));
     loop {
-        let flight = match place(call, grant, shared, &shard, &tried) {
-            Ok(flight) => flight,
-            Err((reason, retry)) => {
-                if let Some(answer) = answered {
+        if let Some(attempt) = next.take() {
+            match journey.start(attempt) {
+                Ok(open) => {
+                    let (flight, number) = (open.flight.clone(), open.number);
+                    journey.open.push(open);
+                    sends.push(send(call, grant, flight, shared, number, &is_decided));
+                }
+                Err(unserved) if journey.open.is_empty() => return journey.end(unserved),
+                Err(_) => {}
+            }
+        }
+        tokio::select! {
+            biased;
+            Some((number, sent)) = sends.next() => match journey.ended(number, sent) {
+                Step::Answered(answer) => {
+                    is_decided.store(true, Ordering::Relaxed);
                     return Ok(answer);
                 }
-                let outcome = attempt.give_up(reason);
-                return Err(Unserved { outcome, retry });
+                Step::Again(attempt) => next = Some(attempt),
+                Step::Wait => {}
+                Step::Over(unserved) => return journey.end(unserved),
+            },
+            () = tokio::time::sleep_until(grant.deadline.into()), if journey.answered.is_some() => {
+                let outcome = attempt::Outcome::Unknown(Uncertainty::DeadlinePassed);
+                return journey.end(Unserved { outcome, retry: None });
             }
+            () = tokio::time::sleep(LOOK), if grant.route.idempotent => next = journey.beside(),
+        }
+    }
+}
+
+/// What follows the end of a send.
+enum Step {
+    /// The request is answered.
+    Answered(Answer),
+    /// No server has it, and another may be tried.
+    Again(Attempt),
+    /// Another server has it.
+    Wait,
+    /// No server has it, and no other may be tried.
+    Over(Unserved),
+}
+
+impl Journey<'_> {
+    /// Chooses a server for the next send and counts it.
+    fn start(&mut self, attempt: Attempt) -> Result<Open, Unserved> {
+        if self.arrivals > 0 && !self.shard.can_retry() {
+            return Err(self.denied(attempt));
+        }
+        let placed = place(self.call, self.grant, self.shared, &self.shard, &self.tried);
+        let flight = match placed {
+            Ok(flight) => flight,
+            Err((reason, retry)) => return Err(self.unplaced(attempt, reason, retry)),
         };
-        if arrivals > 0 && !shard.may_retry() {
-            shared.metrics.denied();
-            if let Some(answer) = answered {
-                return Ok(answer);
-            }
-            let outcome = attempt.give_up(Refusal::BudgetSpent);
-            let retry = Some(NO_SERVER_WAIT);
-            return Err(Unserved { outcome, retry });
+        if self.arrivals > 0 && !self.shard.may_retry() {
+            return Err(self.denied(attempt));
+        }
+        if !self.open.is_empty() {
+            self.shared.metrics.retry(Retry::Silent);
+        }
+        self.held = None;
+        self.tried.push(flight.server.clone());
+        self.arrivals += 1;
+        Ok(Open {
+            number: self.arrivals,
+            flight,
+            sent: attempt.send(),
+        })
+    }
+
+    fn denied(&mut self, attempt: Attempt) -> Unserved {
+        if self.held != Some(Refusal::BudgetSpent) {
+            self.shared.metrics.denied();
+        }
+        self.unplaced(attempt, Refusal::BudgetSpent, Some(NO_SERVER_WAIT))
+    }
+
+    /// Takes in that no server gets the request now, and logs it when the reason changes.
+    fn unplaced(&mut self, attempt: Attempt, reason: Refusal, retry: Option<Duration>) -> Unserved {
+        if !self.tried.is_empty() && self.held != Some(reason) {
+            let now = Instant::now();
+            log::info!(
+                "event=not-resent id={} reason={reason} service={} open={} tried={} excess_ms={} left_ms={}",
+                self.call.id,
+                self.grant.service,
+                self.open.len(),
+                self.tried.len(),
+                retry.map_or(0, |excess| excess.as_millis()),
+                self.grant
+                    .deadline
+                    .saturating_duration_since(now)
+                    .as_millis()
+            );
+            self.held = Some(reason);
         }
-        let sent = attempt.send();
-        let result = send(call, grant, &flight, shared, arrivals + 1).await;
-        tried.push(flight.server.clone());
-        let may_go_on = arrivals + 1 < grant.route.attempts;
+        let outcome = attempt.give_up(reason);
+        Unserved { outcome, retry }
+    }
+
+    /// Returns the request for a second server, if the answer of the only one that has it is overdue.
+    fn beside(&self) -> Option<Attempt> {
+        let [open] = self.open.as_slice() else {
+            return None;
+        };
+        let may_go_on = self.arrivals < self.grant.route.attempts;
+        (may_go_on && open.flight.is_overdue(Instant::now())).then(|| open.sent.beside())?
+    }
+
+    /// Takes in the end of a send.
+    fn ended(&mut self, number: u32, result: Sent) -> Step {
+        let index = self.open.iter().position(|open| open.number == number);
+        let Some(open) = index.map(|index| self.open.remove(index)) else {
+            return Step::Wait;
+        };
         let failure = match result {
             Sent::Answered(answer) if !answer.status().is_server_error() => {
-                if arrivals == 0 {
-                    shard.succeeded();
+                if self.arrivals == 1 {
+                    self.shard.succeeded();
                 }
-                return Ok(answer);
+                return Step::Answered(answer);
+            }
+            Sent::Answered(answer) if !self.grant.route.idempotent => {
+                return Step::Answered(answer);
             }
             Sent::Answered(answer) => {
-                arrivals += 1;
-                if !grant.route.idempotent || !may_go_on {
-                    return Ok(answer);
-                }
-                answered = Some(answer);
+                self.answered = Some(answer);
                 attempt::Failure::MayHaveRun(Uncertainty::Interrupted)
             }
-            Sent::NotRun(_) => {
-                arrivals += 1;
-                attempt::Failure::Refused(Retry::ServerRefused)
-            }
-            Sent::Silent => {
-                arrivals += 1;
-                attempt::Failure::MayHaveRun(Uncertainty::Silent)
-            }
+            Sent::NotRun(_) => attempt::Failure::Refused(Retry::ServerRefused),
             Sent::Failed(failure) => {
-                arrivals += u32::from(!matches!(failure, Failure::Before(_)));
+                if matches!(failure, Failure::Before(_)) {
+                    self.arrivals -= 1;
+                }
                 failure.into()
             }
         };
-        drop(flight);
-        match sent.fail(failure) {
-            Step::Retry(next, retry) if arrivals < grant.route.attempts => {
-                shared.metrics.retry(retry);
-                attempt = next;
+        let step = open.sent.fail(failure);
+        if !self.open.is_empty() {
+            if let attempt::Step::Retry(attempt, _) = step {
+                self.open
+                    .iter_mut()
+                    .for_each(|open| open.sent.learn(&attempt));
             }
-            Step::Retry(next, _) => {
-                if let Some(answer) = answered {
-                    return Ok(answer);
-                }
-                let outcome = next.give_up(Refusal::ServersRefused);
-                let retry = Some(NO_SERVER_WAIT);
-                return Err(Unserved { outcome, retry });
-            }
-            Step::Done(outcome) => {
-                return Err(Unserved {
-                    outcome,
-                    retry: None,
-                });
+            return Step::Wait;
+        }
+        match step {
+            attempt::Step::Retry(attempt, retry) if self.arrivals < self.grant.route.attempts => {
+                self.shared.metrics.retry(retry);
+                Step::Again(attempt)
             }
+            attempt::Step::Retry(attempt, _) => Step::Over(Unserved {
+                outcome: attempt.give_up(Refusal::ServersRefused),
+                retry: Some(NO_SERVER_WAIT),
+            }),
+            attempt::Step::Done(outcome) => Step::Over(Unserved {
+                outcome,
+                retry: None,
+            }),
         }
     }
+
+    /// Ends the request with what a server answered, or else as `unserved`.
+    fn end(self, unserved: Unserved) -> Result<Answer, Unserved> {
+        self.answered.ok_or(unserved)
+    }
 }
 
 /// Chooses a server; an error says why there is none and when the caller may come back.
@@ -138,7 +272,7 @@
     shared: &Shared,
     shard: &Arc<Shard>,
     tried: &[id::Server],
-) -> Result<Box<Flight>, (Refusal, Option<Duration>)> {
+) -> Result<Arc<Flight>, (Refusal, Option<Duration>)> {
     let now = Instant::now();
     let left = grant.deadline.saturating_duration_since(now);
     if left < LEAST_LEFT {
@@ -175,7 +309,7 @@
         takeovers.sent(grant.service, &flight.label);
     }
     match placed {
-        Placed::Sent(flight) => Ok(flight),
+        Placed::Sent(flight) => Ok(Arc::from(flight)),
         Placed::Late(excess) => Err((Refusal::Overloaded, Some(excess))),
         Placed::Empty => Err((Refusal::NoServer, Some(NO_SERVER_WAIT))),
     }
--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -13,11 +13,11 @@
 use http_body_util::BodyExt;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
 use steering::takeover::Outcome;
 
-/// Time between two looks at a server that does not answer.
-const SILENCE_CHECK: Duration = Duration::from_millis(200);
 /// Whole answer of a server.
 pub type Answer = Response<Bytes>;
 
@@ -28,8 +28,6 @@
     /// Another server now has the address, or the server refused for its own reasons; with the load
     /// that it told.
     NotRun(Option<Load>),
-    /// The server may be dead: it answers nobody.
-    Silent,
 }
 
 /// One send to a server, until its end is known.
@@ -43,6 +41,8 @@
     began: Instant,
     /// Whether the end is logged.
     is_ended: bool,
+    /// Whether the answer to another send was passed on.
+    is_decided: &'a AtomicBool,
     /// Whether its version was told what came of it.
     is_judged: bool,
 }
@@ -102,13 +102,18 @@
 }
 
 impl Drop for Sending<'_> {
-    /// The request is dropped at its deadline, or when its caller leaves. Only the first says
-    /// something about the server.
+    /// The request is dropped when another server answered, at its deadline, or when its caller
+    /// leaves. The last says nothing about the server.
     fn drop(&mut self) {
         if self.is_ended {
             return;
         }
-        if Instant::now() < self.grant.deadline {
+        let now = Instant::now();
+        if self.is_decided.load(Ordering::Relaxed) {
+            self.log("overtaken", 0, "");
+            self.flight.failed(now);
+            self.judge(Outcome::Unanswered);
+        } else if now < self.grant.deadline {
             self.log("left", 0, "");
         } else {
             self.log("deadline", 0, "");
@@ -117,13 +122,16 @@
     }
 }
 
+/// Sends a request to the server of `flight`; returns the number of the send and what came of it.
 pub(super) async fn send(
     call: &Call,
     grant: &Grant<'_>,
-    flight: &Flight,
+    flight: Arc<Flight>,
     shared: &Shared,
     number: u32,
-) -> Sent {
+    is_decided: &AtomicBool,
+) -> (u32, Sent) {
+    let flight = &*flight;
     let mut sending = Sending {
         call,
         grant,
@@ -132,6 +140,7 @@
         number,
         began: Instant::now(),
         is_ended: false,
+        is_decided,
         is_judged: false,
     };
     let result = sending.exchange().await;
@@ -140,7 +149,6 @@
         Sent::Answered(answer) => ("answered", answer.status().as_u16()),
         Sent::Failed(_) => ("failed", 0),
         Sent::NotRun(_) => ("not-run", 0),
-        Sent::Silent => ("silent", 0),
     };
     let reason = match &result {
         Sent::Failed(failure) => format!(" reason={:?}", failure.to_string()),
@@ -171,12 +179,12 @@
                 lock(&shared.crashes).crashed(grant.digest, now);
             }
         }
-        Sent::NotRun(_) | Sent::Silent | Sent::Failed(Failure::NotRun(_)) => flight.failed(now),
+        Sent::NotRun(_) | Sent::Failed(Failure::NotRun(_)) => flight.failed(now),
     }
     if let Some(outcome) = outcome(&result) {
         sending.judge(outcome);
     }
-    result
+    (number, result)
 }
 
 /// Returns what a send says about the version of its server; none if it says nothing, because the
@@ -186,7 +194,6 @@
         Sent::Answered(answer) if answer.status().is_server_error() => Some(Outcome::Failed),
         Sent::Answered(_) => Some(Outcome::Good),
         Sent::Failed(Failure::After(_)) => Some(Outcome::Failed),
-        Sent::Silent => Some(Outcome::Unanswered),
         Sent::NotRun(_) | Sent::Failed(Failure::Before(_) | Failure::NotRun(_)) => None,
     }
 }
@@ -211,18 +218,7 @@
                 })?;
         Ok(Response::from_parts(parts, body))
     };
-    tokio::pin!(whole);
-    let result = loop {
-        tokio::select! {
-            result = &mut whole => break result,
-            () = tokio::time::sleep(SILENCE_CHECK) => {
-                if grant.route.idempotent && flight.is_silent(Instant::now()) {
-                    return Sent::Silent;
-                }
-            }
-        }
-    };
-    match result {
+    match whole.await {
         Ok(answer) if answer.headers().contains_key(header::NOT_RUN) => {
             let load = header::load(answer.headers());
             flight.shed(load, Instant::now());
--- a/programs/gateway/src/servers/flight.rs
+++ b/programs/gateway/src/servers/flight.rs
@@ -34,8 +34,9 @@
     pub expected: Duration,
     /// The same for a server of ordinary speed.
     pub ordinary: Duration,
-    /// Work of the request on a cold server.
-    pub cold_work: Duration,
+    pub(super) cold_work: Duration,
+    /// When the request, if it is still unanswered, is due at a second server.
+    pub(super) overdue: Instant,
     pub(super) is_free: bool,
     /// Requests that the server had when it was chosen.
     pub load: u32,
@@ -118,15 +119,16 @@
         });
     }
 
-    /// Returns whether the server left its requests unanswered for so long that it may be dead. A
-    /// server whose entry is gone still answers what it has.
-    pub fn is_silent(&self, now: Instant) -> bool {
+    /// Returns whether the request should be sent to a second server: the answer is overdue, or the
+    /// server left its requests unanswered for so long that it may be dead.
+    pub fn is_overdue(&self, now: Instant) -> bool {
         let mut state = lock(&self.shard.state);
         let server = self.server_in(&mut state);
-        server.is_some_and(|server| {
+        let is_silent = server.is_some_and(|server| {
             let oldest = server.sent.values().copied().min();
             server.condition.is_silent(now, oldest, self.cold_work)
-        })
+        });
+        is_silent || now >= self.overdue
     }
 }
 
--- a/programs/gateway/src/servers/shard.rs
+++ b/programs/gateway/src/servers/shard.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use steering::affinity::Digest;
+use steering::hedge;
 use steering::locality::{self, Bound};
 use steering::placement::{self, Candidate, Choice, Demand, Pressure};
 use steering::registry::Entry;
@@ -202,6 +203,12 @@
         if let Some(warmup) = &mut server.warmup {
             warmup.sent(rate, now);
         }
+        let send = hedge::Send {
+            at: now,
+            deadline: now + query.left,
+            expected: time,
+            cold: work.cold,
+        };
         Placed::Sent(Box::new(Flight {
             shard: self.clone(),
             ticket,
@@ -214,6 +221,7 @@
             expected: time,
             ordinary: found.ordinary(&work),
             cold_work: work.cold,
+            overdue: hedge::due(&hedge::Settings::default(), &send),
             is_free: found.load < found.slots,
             load: found.load,
             warm,
@@ -261,6 +269,11 @@
         lock(&self.state).budget.succeeded();
     }
 
+    /// Returns whether the budget has a send beyond the first.
+    pub fn can_retry(&self) -> bool {
+        lock(&self.state).budget.has()
+    }
+
     /// Takes a send beyond the first from the budget.
     pub fn may_retry(&self) -> bool {
         lock(&self.state).budget.take()
