bug: overdue requests leave a retry to failed ones

Callers saw: 503 budget-spent for requests that no server had any more, while overdue requests, which a server still had, took the retries of the service.

Cause: second sends of overdue requests and sends after a failure draw on one budget, first come, first served.

Ruled out: a larger budget, which the operator's bound on arrivals limits.

Change: an overdue request is sent to a second server only if one more retry is left for a failed one.

--- a/crates/steering/src/retry.rs
+++ b/crates/steering/src/retry.rs
@@ -22,6 +22,19 @@
     }
 }
 
+base::label! {
+    /// What a retry is wanted for.
+    pub enum Need {
+        /// A request that no server has any more.
+        Failed,
+        /// A request whose server has not answered yet.
+        Overdue,
+    }
+}
+
+/// Retries that overdue requests leave to failed ones: these have no other way to an answer.
+const HEDGE_RESERVE: f64 = 1.0;
+
 /// Retries paid for by successes.
 ///
 /// The budget starts empty, so in any period from its start retries are at most `ratio` of
@@ -54,14 +67,18 @@
         self.saved = self.saved.min(most);
     }
 
-    /// Returns whether there is a retry.
-    pub fn has(&self) -> bool {
-        self.saved >= 1.0
+    /// Returns whether there is a retry for this use.
+    pub fn has(&self, need: Need) -> bool {
+        let reserve = match need {
+            Need::Failed => 0.0,
+            Need::Overdue => HEDGE_RESERVE,
+        };
+        self.saved >= 1.0 + reserve
     }
 
     /// Takes one retry from the budget; returns false if there is none.
     pub fn take(&mut self) -> bool {
-        let allowed = self.has();
+        let allowed = self.has(Need::Failed);
         if allowed {
             self.saved -= 1.0;
         }
--- a/crates/steering/tests/retry.rs
+++ b/crates/steering/tests/retry.rs
@@ -1,7 +1,7 @@
 //! Retry budget and admission by deadline.
 
 use std::time::{Duration, Instant};
-use steering::retry::{Admission, Budget, Refusal, Settings};
+use steering::retry::{Admission, Budget, Need, Refusal, Settings};
 
 /// Guards against retries to a service that answers nothing.
 #[test]
@@ -21,6 +21,18 @@
     assert_eq!(taken(&mut budget), Settings::default().most as usize);
 }
 
+/// Guards against failed requests that are refused because overdue ones, which a server still has, took
+/// the last retry (trouble-2 of permis-parcs, slow servers).
+#[test]
+fn overdue_requests_leave_a_retry_to_failed_ones() {
+    let mut budget = Budget::new(Settings::default());
+    (0..11).for_each(|_| budget.succeeded());
+    assert!(!budget.has(Need::Overdue));
+    assert!(budget.has(Need::Failed));
+    (0..11).for_each(|_| budget.succeeded());
+    assert!(budget.has(Need::Overdue));
+}
+
 /// Guards against starting work that can't finish in time, and against refusing what can.
 #[test]
 fn sheds_by_estimate() {
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -18,6 +18,7 @@
 use std::time::{Duration, Instant};
 use steering::affinity::Digest;
 use steering::attempt::{self, Attempt, Refusal, Retry, Uncertainty};
+use steering::retry::Need;
 use steering::routing;
 
 /// Time between two looks at a send that is not answered.
@@ -144,7 +145,11 @@
 impl Journey<'_> {
     /// Chooses a server for the next send and counts it.
     fn start(&mut self, attempt: Attempt) -> Result<Open, Unserved> {
-        if self.arrivals > 0 && !self.shard.can_retry() {
+        let need = match self.open.is_empty() {
+            true => Need::Failed,
+            false => Need::Overdue,
+        };
+        if self.arrivals > 0 && !self.shard.can_retry(need) {
             return Err(self.denied(attempt));
         }
         let placed = place(self.call, self.grant, self.shared, &self.shard, &self.tried);
--- a/programs/gateway/src/servers/shard.rs
+++ b/programs/gateway/src/servers/shard.rs
@@ -13,7 +13,7 @@
 use steering::locality::{self, Bound};
 use steering::placement::{self, Candidate, Choice, Demand, Pressure};
 use steering::registry::Entry;
-use steering::retry::Budget;
+use steering::retry::{Budget, Need};
 use steering::warmth::{self, Handled, Warmth};
 use steering::work::Estimate;
 
@@ -269,9 +269,9 @@
         lock(&self.state).budget.succeeded();
     }
 
-    /// Returns whether the budget has a send beyond the first.
-    pub fn can_retry(&self) -> bool {
-        lock(&self.state).budget.has()
+    /// Returns whether the budget has a send beyond the first for this use.
+    pub fn can_retry(&self, need: Need) -> bool {
+        lock(&self.state).budget.has(need)
     }
 
     /// Takes a send beyond the first from the budget.
