refactor: addresses, settings and program of the soak have modules of their own

Cause: a test of one gateway process under SIGTERM needs them besides the seeded runs.

Change: `place` holds the addresses and settings of a run, `tests/program` builds the gateway for all test files, and a caller may wait for another time than it says.

--- a/tests/soak/src/caller.rs
+++ b/tests/soak/src/caller.rs
@@ -33,6 +33,10 @@
 #[derive(Debug)]
 pub struct Caller {
     address: SocketAddr,
+    /// Time that it waits for an answer.
+    pub patience: Duration,
+    /// Time that it says it waits.
+    pub deadline: Duration,
     open: Option<SendRequest<Full<Bytes>>>,
 }
 
@@ -41,6 +45,8 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            patience: PATIENCE,
+            deadline: PATIENCE,
             open: None,
         }
     }
@@ -48,7 +54,8 @@
     /// Sends one request and waits for the answer.
     pub async fn ask(&mut self, id: &str, repeatable: bool, old_key: bool) -> Seen {
         let sent = Instant::now();
-        let answer = tokio::time::timeout(PATIENCE, self.exchange(id, repeatable, old_key)).await;
+        let answer =
+            tokio::time::timeout(self.patience, self.exchange(id, repeatable, old_key)).await;
         let answer = answer.ok().flatten();
         if answer.is_none() {
             self.open = None;
@@ -74,6 +81,7 @@
             tokio::spawn(connection);
             self.open = Some(sender);
         }
+        let deadline = self.deadline.as_millis().to_string();
         let sender = self.open.as_mut()?;
         sender.ready().await.ok()?;
         let path = if repeatable { "/safe/x" } else { "/once/x" };
@@ -82,7 +90,7 @@
             .uri(path)
             .header("host", "soak.example")
             .header(header::REQUEST_ID, id)
-            .header(header::DEADLINE, PATIENCE.as_millis().to_string())
+            .header(header::DEADLINE, deadline)
             .header(header::KEY, if old_key { "old" } else { "new" })
             .body(Full::new(Bytes::from_static(b"body")))
             .ok()?;
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -2,9 +2,10 @@
 //! callers and backend servers see.
 //!
 //! [`run::run`] plays one seed. [`proxy`] delays, resets, silences and cuts connections one way;
-//! [`process`] signals gateway processes; [`plan`] draws the faults; [`promise`] checks.
+//! [`process`] signals gateway processes and [`place`] says where they listen; [`plan`] draws the faults; [`promise`] checks.
 
 pub mod caller;
+pub mod place;
 pub mod plan;
 pub mod process;
 pub mod promise;
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! One run of the soak.
 
 use crate::caller::{Caller, Seen};
+use crate::place::{Addresses, NAMES, settings};
 use crate::plan::{self, CENTRES, FAULT_TIME, Fault, GATEWAYS, SERVERS, ServerFault, StoreFault};
 use crate::process::Gateway;
 use crate::promise::{self, History};
@@ -11,9 +12,9 @@
 use standin_site::server::{Behaviour, Entry, Server};
 use standin_site::store::{Door, Faults, Store};
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
@@ -43,9 +44,6 @@
         ..Route::PLAIN
     },
 ];
-/// Data centres.
-const NAMES: [&str; CENTRES] = ["nord-a", "sud-a"];
-
 /// Result of one run.
 #[derive(Debug)]
 pub struct Outcome {
@@ -71,36 +69,6 @@
     sequence: u64,
 }
 
-/// Runs of this process so far.
-static RUNS: AtomicU8 = AtomicU8::new(0);
-
-/// Ports between two runs of one process.
-const RUN_PORTS: u16 = 20;
-
-/// Addresses of one run: each process has its own network, each run its own ports.
-#[derive(Debug, Clone, Copy)]
-struct Addresses {
-    network: [u8; 3],
-    shift: u16,
-}
-
-impl Addresses {
-    fn new() -> Self {
-        let [high, low] = (std::process::id() as u16).to_be_bytes();
-        let run = RUNS.fetch_add(1, Ordering::Relaxed);
-        Self {
-            network: [127, 64 | (high & 0x3f), low],
-            shift: u16::from(run) * RUN_PORTS,
-        }
-    }
-
-    fn at(self, number: u8, port: u16) -> SocketAddr {
-        let [a, b, c] = self.network;
-        let ip = Ipv4Addr::new(a, b, c, number);
-        SocketAddr::new(IpAddr::V4(ip), port + self.shift)
-    }
-}
-
 /// Plays one seed with the gateway at `program`; settings and logs go below `folder`.
 ///
 /// # Errors
@@ -186,7 +154,7 @@
 
 impl World {
     async fn start(program: &Path, folder: &Path, stop: &CancellationToken) -> io::Result<Self> {
-        let addresses = Addresses::new();
+        let addresses = Addresses::next();
         let address = |number, port| addresses.at(number, port);
         let store = Store::default();
         let (mut doors, mut store_ways) = (Vec::new(), Vec::new());
@@ -209,7 +177,7 @@
             let vm = format!("vm-{number}");
             let gateway = Gateway::new(&vm, at(8389), at(8385), program, folder);
             let centre = number % CENTRES;
-            let text = settings(&vm, centre, &at, store_ways[centre].address);
+            let text = settings(&vm, NAMES[centre], at, store_ways[centre].address);
             std::fs::write(gateway.settings(), text)?;
             gateways.push(gateway);
         }
@@ -365,22 +333,3 @@
     let seen = Caller::new(callers).ask("ready", true, false).await;
     matches!(seen.answer, Some((200, _, _)))
 }
-
-fn settings(vm: &str, centre: usize, at: &impl Fn(u16) -> SocketAddr, store: SocketAddr) -> String {
-    let settings = serde_json::json!({
-        "vm": vm,
-        "data_centre": NAMES[centre],
-        "region": NAMES[centre],
-        "data_centres": {"nord-a": "nord-a", "sud-a": "sud-a"},
-        "listen": {
-            "callers": at(8389), "readiness": at(8384), "lookup": at(8385),
-            "peers": at(7460), "metrics": at(9464),
-        },
-        "store": store,
-        "bounds": {
-            "grace_s": 2, "retry_ratio": 0.2, "retry_slack": 62, "exposure_share": 0.1,
-            "exposure_slack": 50, "lookup_ttl_s": 5,
-        },
-    });
-    settings.to_string()
-}
--- a/tests/soak/tests/seeds.rs
+++ b/tests/soak/tests/seeds.rs
@@ -1,26 +1,10 @@
 //! Short seeded runs of the soak, and every seed that ever failed.
 
-use rstest::rstest;
-use std::path::{Path, PathBuf};
-use std::process::Command;
-use std::sync::OnceLock;
+mod program;
 
-/// Builds the gateway and returns its path.
-fn program() -> &'static Path {
-    static PROGRAM: OnceLock<PathBuf> = OnceLock::new();
-    PROGRAM.get_or_init(|| {
-        let test = std::env::current_exe().expect("a test program");
-        let target = test.ancestors().nth(2).expect("a target folder");
-        let built = Command::new(env!("CARGO"))
-            .args(["build", "--quiet", "--package", "gateway"])
-            .status();
-        assert!(
-            built.is_ok_and(|status| status.success()),
-            "the gateway does not build"
-        );
-        target.join("gateway")
-    })
-}
+use program::program;
+use rstest::rstest;
+use std::path::PathBuf;
 
 /// Guards against broken promises under overlapping faults.
 #[rstest]
