bug: a stopping VM cuts off requests that outlast its grace time (LOST)

Callers saw: a request that came late in the grace time was taken and passed on, and its connection ended with the process without an answer, also where the request may run once only. The same for a request from before the SIGTERM whose server worked for longer, and for one whose body was still on its way.

Cause: for half of the grace time every request was passed on, whatever its deadline, and the end of the drain only ended the wait: what was unfinished was cut by the end of the process. In tests that run the gateway as a task its connections outlive it, so they did not show it.

Ruled out: servers, the store and the choice of servers (one VM in calm, servers that only work for long). Requests that came and ended within the grace time were served before as well.

Change: the stop stores its deadlines (steering::drain::Grace). From then on a request is passed on only if its own deadline, the caller's or the route's, lies before the end of the wait for servers. Any other is refused as not run before anything is charged to its workspace: 503 `stopping`, with the shortest wait. When the wait ends, 0.7 s before the grace time does (5.3 of 6 s), what is unfinished is answered 504 `stopping`, outcome unknown; a body that has not ended is refused, since no server got a byte. 0.15 s are left for these answers to be written; the times for log lines and the margin before the end of the grace time are as before. With grace times of 4.2 s and more the wait ends in the last sixth. Sends that end so are logged as `result=stopped` and say nothing about their servers.

Not reused: the stop of `entry` waits for the spread of look-ups without a bound from outside; here the grace time bounds all.

The decision has tests in steering/tests/drain.rs, which do not compile without it.

Left: a second SIGTERM, an answer larger than what its caller reads in time, a connection that is idle or has sent half a head when new connections are taken no longer (closed; nothing was passed on).

--- a/crates/steering/src/attempt/reason.rs
+++ b/crates/steering/src/attempt/reason.rs
@@ -108,6 +108,8 @@
         Cancelled = "cancelled",
         /// The answer is invalid or belongs to another request.
         WrongAnswer = "wrong-answer",
+        /// The VM stops, and a backend server was still at work at the end of its grace time.
+        Stopping = "stopping",
         /// The same request id is in flight.
         InFlight = "in-flight",
         /// The VM incarnation named in the request id is dead.
--- a/crates/steering/tests/drain.rs
+++ b/crates/steering/tests/drain.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use std::time::{Duration, Instant};
 use steering::drain::{
-    Fleet, Leaving, Plan, Refusal, Rollout, Settings, Spec, Stop, Target, Times,
+    Fleet, Grace, Leaving, Plan, Refusal, Rollout, Settings, Spec, Stop, Target, Times,
 };
 use steering::release::Cap;
 
@@ -322,3 +322,42 @@
     };
     assert_eq!(harmed(times, wait, finish) == 0, harmless);
 }
+
+/// Guards against a stopping VM that passes on what may outlast it, and against one that refuses
+/// what ends before it does: of 6 s of grace, answers are waited for until 5.3 s.
+#[rstest]
+#[case::early(0, 3_000, true)]
+#[case::early_and_long(0, 6_000, false)]
+#[case::late_and_short(2_900, 2_000, true)]
+#[case::late_and_long(2_900, 3_000, false)]
+#[case::at_the_last_moment(3_000, 2_300, true)]
+#[case::a_moment_later(3_000, 2_301, false)]
+fn stop_admits_what_ends_before_it(
+    #[case] arrival: u64,
+    #[case] left: u64,
+    #[case] admitted: bool,
+) {
+    let begin = Instant::now();
+    let grace = Grace::begin(begin, Duration::from_secs(6));
+    let deadline = begin + Duration::from_millis(arrival + left);
+    assert_eq!(grace.admits(deadline), admitted);
+}
+
+proptest! {
+    /// Guards against deadlines of a stop that are out of order, leave the answers to unfinished
+    /// requests no time, or end a server's work before the last sixth of the grace time of sites.
+    #[test]
+    fn deadlines_of_a_stop_are_in_order(millis in 1_u64..60_000) {
+        let begin = Instant::now();
+        let length = Duration::from_millis(millis);
+        let grace = Grace::begin(begin, length);
+        prop_assert!(begin <= grace.accept && grace.accept <= grace.wait);
+        prop_assert!(grace.wait <= grace.write && grace.write < begin + length);
+        if millis >= 1_000 {
+            prop_assert!(grace.wait < grace.write);
+        }
+        if millis >= 6_000 {
+            prop_assert!(grace.wait >= begin + length * 5 / 6);
+        }
+    }
+}
--- a/programs/gateway/src/admit.rs
+++ b/programs/gateway/src/admit.rs
@@ -11,6 +11,9 @@
 use steering::spending::Limit;
 use steering::split::Split;
 
+/// Wait told to callers of a VM that stops; another VM can serve them now.
+const STOPPING_WAIT: Duration = Duration::ZERO;
+
 /// A request that may be sent.
 #[derive(Debug)]
 pub struct Grant<'a> {
@@ -70,7 +73,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the workspace is over its limit, or the request crashes servers.
+/// Fails if the request crashes servers, if this VM stops and may end before the request does, or if
+/// the workspace is over its limit.
 pub fn admit<'a>(
     call: &Call,
     (route, account): (&'a Route, Option<&'a Account>),
@@ -81,6 +85,14 @@
     if lock(&shared.crashes).refuses(digest, now) {
         return Err(Refusal::Quarantined.into());
     }
+    let deadline = call.deadline.min(call.arrival + route.timeout);
+    // Refused before anything is charged to the workspace.
+    if !shared.admits(deadline) {
+        return Err(Refused {
+            reason: Refusal::Stopping,
+            retry: Some(STOPPING_WAIT),
+        });
+    }
     if let Some(account) = account
         && let Some(rate) = account.rate
     {
@@ -114,7 +126,7 @@
         route,
         account,
         service,
-        deadline: call.deadline.min(call.arrival + route.timeout),
+        deadline,
         digest,
     })
 }
--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -102,8 +102,8 @@
 }
 
 impl Drop for Sending<'_> {
-    /// The request is dropped when another server answered, at its deadline, or when its caller
-    /// leaves. The last says nothing about the server.
+    /// The request is dropped when another server answered, at its deadline, when its caller leaves,
+    /// or at the end of this VM's stop. The last two say nothing about the server.
     fn drop(&mut self) {
         if self.is_ended {
             return;
@@ -113,11 +113,13 @@
             self.log("overtaken", 0, "");
             self.flight.failed(now);
             self.judge(Outcome::Unanswered);
-        } else if now < self.grant.deadline {
-            self.log("left", 0, "");
-        } else {
+        } else if now >= self.grant.deadline {
             self.log("deadline", 0, "");
             self.judge(Outcome::Unanswered);
+        } else if self.shared.ending.is_cancelled() {
+            self.log("stopped", 0, "");
+        } else {
+            self.log("left", 0, "");
         }
     }
 }
--- a/programs/gateway/src/pipeline.rs
+++ b/programs/gateway/src/pipeline.rs
@@ -45,11 +45,11 @@
             reason: Refusal::NoServer,
             retry: Some(STARTING_WAIT),
         };
-        let (Ok(call) | Err((call, _))) = head.whole(BODY_BYTES).await;
+        let (Ok(call) | Err((call, _))) = head.whole(BODY_BYTES, &shared.ending).await;
         return (call, Err(unserved.into()));
     };
     let bounds = table.configuration().bounds;
-    let call = match head.whole(bounds.body_bytes).await {
+    let call = match head.whole(bounds.body_bytes, &shared.ending).await {
         Ok(call) => call,
         Err((call, reason)) => return (call, Err(Refused::from(reason).into())),
     };
@@ -58,17 +58,17 @@
         Ok(grant) => grant,
         Err(refused) => return (call, Err(refused.into())),
     };
-    let result: Result<Answer, Unserved> = match tokio::time::timeout_at(
-        grant.deadline.into(),
-        forward::forward(&call, &grant, shared),
-    )
-    .await
-    {
-        Ok(result) => result,
-        Err(_) => Err(Unserved {
-            outcome: Outcome::Unknown(Uncertainty::DeadlinePassed),
-            retry: None,
-        }),
+    let unknown = |cause| Unserved {
+        outcome: Outcome::Unknown(cause),
+        retry: None,
+    };
+    let result: Result<Answer, Unserved> = tokio::select! {
+        biased;
+        result = forward::forward(&call, &grant, shared) => result,
+        () = tokio::time::sleep_until(grant.deadline.into()) => {
+            Err(unknown(Uncertainty::DeadlinePassed))
+        }
+        () = shared.ending.cancelled() => Err(unknown(Uncertainty::Stopping)),
     };
     let is_not_run = |unserved: &Unserved| matches!(unserved.outcome, Outcome::NotRun(_));
     if result.as_ref().is_err_and(is_not_run) {
@@ -82,7 +82,9 @@
     let now = Instant::now();
     let reason = outcome::reason(&unserved.outcome).unwrap_or(outcome::SERVED);
     let status = match &unserved.outcome {
-        Outcome::Unknown(Uncertainty::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
+        Outcome::Unknown(Uncertainty::DeadlinePassed | Uncertainty::Stopping) => {
+            StatusCode::GATEWAY_TIMEOUT
+        }
         // To a caller of the platform any 4xx of this system says that the request is wrong.
         Outcome::NotRun(proof) if proof.reason() == Refusal::Quarantined => {
             StatusCode::SERVICE_UNAVAILABLE
--- a/programs/gateway/src/receive.rs
+++ b/programs/gateway/src/receive.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 use steering::affinity::{self, Digest};
 use steering::attempt::Refusal;
+use tokio_util::sync::CancellationToken;
 
 /// Time for a request that names no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
@@ -84,14 +85,22 @@
 }
 
 impl Head {
-    /// Reads the body.
+    /// Reads the body until `ending` is cancelled.
     ///
     /// # Errors
     ///
-    /// Fails if the body is larger than `most` bytes or ends early.
-    pub async fn whole(self, most: usize) -> Result<Call, (Call, Refusal)> {
+    /// Fails if the body is larger than `most` bytes or ends early, or was not read in time.
+    pub async fn whole(
+        self,
+        most: usize,
+        ending: &CancellationToken,
+    ) -> Result<Call, (Call, Refusal)> {
         let Self { mut call, body } = self;
-        match Limited::new(body, most).collect().await {
+        let read = Limited::new(body, most).collect();
+        let Some(read) = ending.run_until_cancelled(read).await else {
+            return Err((call, Refusal::Stopping));
+        };
+        match read {
             Ok(body) => {
                 call.body = body.to_bytes();
                 Ok(call)
--- a/programs/gateway/src/run.rs
+++ b/programs/gateway/src/run.rs
@@ -10,22 +10,16 @@
 use base::{metrics, program, settings};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use peers::report::Phase;
 use std::error::Error;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use steering::drain::{Grace, LOG_TIME};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-/// Part of the grace time in which a stopping gateway takes new connections, because callers know
-/// it from look-ups that they made before.
-const ACCEPTING: f64 = 0.5;
-/// Time before the end of the grace time at which the process ends.
-const MARGIN: Duration = Duration::from_millis(300);
-/// Time for the last log lines to be written.
-const LOG_TIME: Duration = Duration::from_millis(250);
 /// Longest time for which a caller's connection may stay idle or send a head. Above the longest
 /// idle time that configurations allow callers.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
@@ -88,12 +82,11 @@
         Err(error) => log::warn!("event=metrics-unserved error=\"{error}\""),
     }
 
-    let accepting = grace.mul_f64(ACCEPTING);
     let limits = Limits {
         connections: CONNECTIONS,
         head_bytes: HEAD_BYTES,
         head_timeout: HEAD_TIMEOUT,
-        drain_timeout: grace.saturating_sub(accepting + MARGIN + LOG_TIME),
+        drain_timeout: grace,
         ..Limits::default()
     };
     let front = shared.clone();
@@ -105,13 +98,12 @@
         move |request, _| pipeline::handle(request, front.clone()),
     ));
     stop.cancelled().await;
+    let grace = Grace::begin(Instant::now(), grace);
     log::info!("event=stopping running={}", shared.running());
-    shared.enter(Phase::Leaving);
-    tokio::time::sleep(accepting).await;
+    shared.stop(grace);
+    tokio::time::sleep_until(grace.accept.into()).await;
     closing.cancel();
-    if let Err(error) = serving.await {
-        log::error!("event=server-failed error=\"{error}\"");
-    }
+    drain(serving, &grace, &shared).await;
     closed.cancel();
     log::info!(
         "event=stop running={} answers={:?}",
@@ -122,6 +114,22 @@
     Ok(())
 }
 
+/// Waits for the requests in flight. Those that are unfinished when servers are waited for no longer
+/// are answered by this VM; a connection that ends with the process would tell their callers nothing.
+async fn drain(mut serving: JoinHandle<()>, grace: &Grace, shared: &Shared) {
+    let mut served = tokio::time::timeout_at(grace.wait.into(), &mut serving).await;
+    if served.is_err() {
+        log::info!("event=ending running={}", shared.running());
+        shared.ending.cancel();
+        served = tokio::time::timeout_at(grace.write.into(), serving).await;
+    }
+    match served {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::error!("event=server-failed error=\"{error}\""),
+        Err(_) => log::warn!("event=unfinished running={}", shared.running()),
+    }
+}
+
 /// Answers requests that need nothing but what this VM knows, until `closed` is cancelled.
 fn serve_known(
     listener: TcpListener,
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -13,15 +13,17 @@
 use indexmap::IndexMap;
 use peers::report::Phase;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 use steering::crashes::Crashes;
+use steering::drain::Grace;
 use steering::entrance::{Candidate, Lateness};
 use steering::routing::{Operations, Table};
 use steering::spending::{Ledger, Reach};
 use steering::split::Split;
 use steering::warmup;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 /// What was last read of the operator's orders.
 #[derive(Debug, Clone, Default)]
@@ -52,6 +54,10 @@
     pub incarnation: Incarnation,
     /// What callers may expect.
     phase: Mutex<Phase>,
+    /// Deadlines of the stop; none before it begins.
+    stop: OnceLock<Grace>,
+    /// Cancelled when the stop waits for servers no longer.
+    pub ending: CancellationToken,
     /// Operator's orders.
     pub orders: Mutex<Orders>,
     /// Registered servers.
@@ -103,6 +109,8 @@
             settings,
             incarnation,
             phase: Mutex::new(Phase::Starting),
+            stop: OnceLock::new(),
+            ending: CancellationToken::new(),
             orders: Mutex::default(),
             listing: Mutex::default(),
             packed: Mutex::default(),
@@ -137,6 +145,17 @@
         }
     }
 
+    /// Begins the stop: from now on only requests that end before this process are passed on.
+    pub fn stop(&self, grace: Grace) {
+        self.stop.get_or_init(|| grace);
+        self.enter(Phase::Leaving);
+    }
+
+    /// Returns whether a request with this deadline may be passed on to a server.
+    pub fn admits(&self, deadline: Instant) -> bool {
+        self.stop.get().is_none_or(|grace| grace.admits(deadline))
+    }
+
     /// Returns the table in force.
     pub fn table(&self) -> Option<Arc<Table>> {
         lock(&self.orders).table.clone()
