bug: a second SIGTERM cuts off the requests of a gateway (LOST)

Callers saw: nothing reported. Found while stops were looked at: a gateway that gets SIGTERM again during its stop ends at once, and requests that servers run get no answer.

Cause: the same handler of signals for all programs, in which a second signal ends the process. That is meant for the long stop of `entry`, which waits for cached look-ups, and is tested there.

Ruled out: a need to end the stop of a gateway sooner. It is over before the grace time is, and SIGKILL ends it at any moment.

Change: a program says what a second signal does (`shutdown::Second`); at a gateway it changes nothing. The other programs are as before.

--- a/crates/base/src/program.rs
+++ b/crates/base/src/program.rs
@@ -1,6 +1,7 @@
 //! Start of a program that is configured by a settings file.
 
-use crate::{logging, settings, shutdown};
+use crate::shutdown::{self, Second};
+use crate::{logging, settings};
 use bpaf::{OptionParser, Parser, construct, long};
 use flexi_logger::LoggerHandle;
 use serde::de::DeserializeOwned;
@@ -20,6 +21,11 @@
     fn has_bounded_log(&self) -> bool {
         false
     }
+
+    /// Says what a second stop signal does.
+    fn second_signal(&self) -> Second {
+        Second::EndsAtOnce
+    }
 }
 
 /// What a started program has; logging ends when it is dropped.
@@ -70,7 +76,7 @@
         true => logging::start_bounded(settings.log())?,
         false => logging::start(settings.log())?,
     };
-    let stop = shutdown::on_signal()?;
+    let stop = shutdown::on_signal(settings.second_signal())?;
     Ok(Some(Start {
         settings,
         file: args.settings,
--- a/crates/base/src/shutdown.rs
+++ b/crates/base/src/shutdown.rs
@@ -6,13 +6,21 @@
 /// Exit status after a second stop signal.
 const EXIT_AT_ONCE: i32 = 1;
 
+/// What a second stop signal does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Second {
+    /// It ends the process at once, and cuts off its requests.
+    EndsAtOnce,
+    /// Nothing: the stop has an end of its own, and SIGKILL ends the process sooner.
+    ChangesNothing,
+}
+
 /// Returns a token that is cancelled when the process receives SIGTERM or SIGINT.
-/// A second signal ends the process at once.
 ///
 /// # Errors
 ///
 /// Fails if the signal handlers can't be installed.
-pub fn on_signal() -> std::io::Result<CancellationToken> {
+pub fn on_signal(second: Second) -> std::io::Result<CancellationToken> {
     let token = CancellationToken::new();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -24,6 +32,9 @@
         }
         log::info!("received a stop signal");
         stop.cancel();
+        if second == Second::ChangesNothing {
+            return;
+        }
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
--- a/programs/gateway/src/settings.rs
+++ b/programs/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use base::id::{DataCentre, Region, Vm};
 use base::program;
+use base::shutdown::Second;
 use indexmap::{IndexMap, IndexSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -127,4 +128,9 @@
     fn has_bounded_log(&self) -> bool {
         true
     }
+
+    // The grace time bounds the stop, so nothing needs to end it sooner and cut off requests.
+    fn second_signal(&self) -> Second {
+        Second::ChangesNothing
+    }
 }
--- a/tests/soak/tests/stop.rs
+++ b/tests/soak/tests/stop.rs
@@ -258,6 +258,25 @@
     assert_eq!(told(&taken), Some((200, site.answer("taken").as_bytes())));
 }
 
+/// Guards against requests that are cut because the process is asked to stop a second time.
+#[rstest]
+#[case::repeatable("twice-safe", true)]
+#[case::once("twice-once", false)]
+#[tokio::test]
+async fn second_signal_cuts_no_request(#[case] name: &str, #[case] repeatable: bool) {
+    let mut site = Site::start(name).await;
+    site.work(Duration::from_millis(700));
+    let mut caller = site.caller();
+    let taken = tokio::spawn(async move { caller.ask("taken", repeatable, false).await });
+    site.until_runs("taken").await;
+    site.terminate();
+    site.until_stopping().await;
+    site.terminate();
+    let taken = taken.await.expect("the caller ends");
+    assert_eq!(told(&taken), Some((200, site.answer("taken").as_bytes())));
+    site.until_ended().await;
+}
+
 impl Site {
     /// Returns the answer of the server that ran a request.
     fn answer(&self, id: &str) -> String {
