bug: an answer with an unknown transfer coding looks whole when it is cut

Callers saw: nothing yet; found by a test that cuts answers after each byte. A 200 of the entry whose backend server names a last transfer coding that ends in "chunked" without being it (xchunked) and closes in the middle of the body is ended as whole.

Cause: the pool compared the end of the field's text, the HTTP layer the last coding. For such an answer the HTTP layer takes the close for the end, and the pool believed that it has an end mark.

Ruled out, by the same test: a close or a reset after each byte of the head, the framing, the body and the trailers of 18 further framings (content-length, chunked, trailers, no length, 100 and 103 before the answer, 204 and 304 with a length, bare LF, HTTP/1.0), on fresh and kept connections and while the request's body is still being sent. None gave an answer that looks whole and is not.

Change: the last coding is compared as the HTTP layer does.

--- a/crates/backends/src/client/answer.rs
+++ b/crates/backends/src/client/answer.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderValue, TRANSFER_ENCODING};
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request, Response};
 use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
@@ -105,12 +105,7 @@
         lease.end().await;
         return Err(Failure::After(After::WrongAnswer));
     }
-    let coding = response
-        .headers()
-        .get_all(TRANSFER_ENCODING)
-        .iter()
-        .next_back();
-    let chunked = coding.is_some_and(|c| c.as_bytes().to_ascii_lowercase().ends_with(b"chunked"));
+    let chunked = is_chunked(response.headers());
     let marked = chunked || response.body().size_hint().exact().is_some();
     lease.announced(response.headers());
     remove_hop_headers(response.headers_mut());
@@ -124,6 +119,15 @@
     }
 }
 
+/// Whether the last transfer coding is `chunked`, the only one that marks the end of a body (RFC 9112,
+/// section 6.3).
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let codings = last.map_or("", |value| value.to_str().unwrap_or_default());
+    let coding = codings.rsplit(',').next().unwrap_or_default();
+    coding.trim().eq_ignore_ascii_case("chunked")
+}
+
 /// Reads a small body to its end so that its connection can be kept; returns whether it ended.
 pub async fn drain(body: Body) -> Option<()> {
     timeout(DRAIN_TIME, read_to_end(body)).await.ok().flatten()
