--- a/programs/gateway/tests/site/mod.rs
+++ b/programs/gateway/tests/site/mod.rs
@@ -214,7 +214,7 @@
     }
 }
 
-async fn send(
+pub async fn send(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Option<(StatusCode, HeaderMap, Bytes)> {
