--- a/crates/steering/src/attempt.rs
+++ b/crates/steering/src/attempt.rs
@@ -140,6 +140,10 @@
             Failure::MayHaveRun(cause @ (Uncertainty::DeadlinePassed | Uncertainty::Cancelled)) => {
                 Step::Done(self.before.uncertain(cause))
             }
+            // Another server's answer would be as large.
+            Failure::MayHaveRun(cause @ Uncertainty::AnswerTooLarge) => {
+                Step::Done(Outcome::Unknown(cause))
+            }
             Failure::MayHaveRun(cause) if !self.before.idempotent() => {
                 Step::Done(Outcome::Unknown(cause))
             }
--- a/crates/steering/src/attempt/reason.rs
+++ b/crates/steering/src/attempt/reason.rs
@@ -118,6 +118,8 @@
         OutcomeLost = "outcome-lost",
         /// The id was sent before, and its claim can't be read or written.
         ClaimsUnavailable = "claims-unavailable",
+        /// The answer is larger than what is passed on.
+        AnswerTooLarge = "answer-too-large",
     }
 }
 
--- a/crates/steering/tests/attempt.rs
+++ b/crates/steering/tests/attempt.rs
@@ -77,6 +77,14 @@
     assert_eq!(result, Err(Outcome::Unknown(cause)));
 }
 
+/// Guards against a second server that makes the same answer, which is too large for the caller.
+#[test]
+fn answer_that_is_too_large_is_not_asked_for_again() {
+    let cause = Cause::AnswerTooLarge;
+    let result = fail(Attempt::new(true).send(), Failure::MayHaveRun(cause));
+    assert_eq!(result, Err(Outcome::Unknown(cause)));
+}
+
 /// Guards against two reasons with one metric label, or a label that is not kebab-case.
 #[test]
 fn labels_are_distinct_and_kebab_case() {
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -227,6 +227,7 @@
                 attempt::Failure::MayHaveRun(Uncertainty::Interrupted)
             }
             Sent::NotRun(_) => attempt::Failure::Refused(Retry::ServerRefused),
+            Sent::Oversized => attempt::Failure::MayHaveRun(Uncertainty::AnswerTooLarge),
             Sent::Failed(failure) => {
                 if matches!(failure, Failure::Before(_)) {
                     self.arrivals -= 1;
--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -1,7 +1,7 @@
 //! One send of a request to a backend server, until its end is known.
 
 use crate::admit::Grant;
-use crate::answers::{Budget, Share};
+use crate::answers::Budget;
 use crate::receive::Call;
 use crate::servers::Flight;
 use crate::shared::Shared;
@@ -11,10 +11,11 @@
 use base::sync::lock;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
+use hyper::body::Body as _;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Instant;
 use steering::takeover::Outcome;
 
@@ -25,6 +26,8 @@
 pub(super) enum Sent {
     Answered(Answer),
     Failed(Failure),
+    /// The answer is larger than what is passed on.
+    Oversized,
     /// Another server now has the address, or the server refused for its own reasons; with the load
     /// that it told.
     NotRun(Option<Load>),
@@ -45,6 +48,9 @@
     is_decided: &'a AtomicBool,
     /// Whether its version was told what came of it.
     is_judged: bool,
+    /// When this VM first had no room for more of the answer; from then on the server was held back,
+    /// and what came later says nothing about it.
+    held: &'a OnceLock<Instant>,
 }
 
 impl Sending<'_> {
@@ -69,13 +75,25 @@
         );
     }
 
+    /// Whether the server was held back.
+    fn is_held(&self) -> bool {
+        self.held.get().is_some()
+    }
+
+    /// Returns when the answer came, as far as that was up to the server.
+    fn came(&self, now: Instant) -> Instant {
+        self.held.get().copied().unwrap_or(now)
+    }
+
     /// Takes in what the send says about the version of its server, once.
     fn judge(&mut self, outcome: Outcome) {
         if self.is_judged {
             return;
         }
         self.is_judged = true;
-        let took = self.began.elapsed();
+        let took = self
+            .came(Instant::now())
+            .saturating_duration_since(self.began);
         let takeovers = &self.shared.takeovers;
         let side = takeovers.ended(self.grant.service, self.flight, outcome, took);
         if let Some(side) = side {
@@ -85,7 +103,8 @@
 
     /// Sends the request; its version hears as soon as the answer is late.
     async fn exchange(&mut self) -> Sent {
-        let exchange = exchange(self.call, self.grant, self.flight, &self.shared.answers);
+        let (answers, held) = (&self.shared.answers, self.held);
+        let exchange = exchange(self.call, self.grant, self.flight, answers, held);
         tokio::pin!(exchange);
         let late = self
             .shared
@@ -94,6 +113,7 @@
         if let Some(late) = late {
             match tokio::time::timeout(late, &mut exchange).await {
                 Ok(sent) => return sent,
+                Err(_) if self.is_held() => {}
                 Err(_) => self.judge(Outcome::Late),
             }
         }
@@ -111,10 +131,14 @@
         let now = Instant::now();
         if self.is_decided.load(Ordering::Relaxed) {
             self.log("overtaken", 0, "");
-            self.flight.failed(now);
-            self.judge(Outcome::Unanswered);
+            if !self.is_held() {
+                self.flight.failed(now);
+                self.judge(Outcome::Unanswered);
+            }
         } else if now < self.grant.deadline {
             self.log("left", 0, "");
+        } else if self.is_held() {
+            self.log("no-room", 0, "");
         } else {
             self.log("deadline", 0, "");
             self.judge(Outcome::Unanswered);
@@ -132,6 +156,7 @@
     is_decided: &AtomicBool,
 ) -> (u32, Sent) {
     let flight = &*flight;
+    let held = OnceLock::new();
     let mut sending = Sending {
         call,
         grant,
@@ -142,12 +167,14 @@
         is_ended: false,
         is_decided,
         is_judged: false,
+        held: &held,
     };
     let result = sending.exchange().await;
     let now = Instant::now();
     let (text, status) = match &result {
         Sent::Answered(answer) => ("answered", answer.status().as_u16()),
         Sent::Failed(_) => ("failed", 0),
+        Sent::Oversized => ("too-large", 0),
         Sent::NotRun(_) => ("not-run", 0),
     };
     let reason = match &result {
@@ -161,7 +188,7 @@
     sending.log(text, status, &reason);
     match &result {
         Sent::Answered(answer) => {
-            flight.answered(header::load(answer.headers()), now);
+            flight.answered(header::load(answer.headers()), sending.came(now), now);
             lock(&shared.crashes).answered(grant.digest);
             if answer.status().is_server_error() {
                 flight.failed(now);
@@ -172,7 +199,9 @@
                 flight.refused(now);
             }
         }
-        Sent::Failed(Failure::After(After::Deadline)) => {}
+        Sent::Failed(Failure::After(After::Deadline)) | Sent::Oversized => {}
+        // A server may give up an answer that isn't taken.
+        Sent::Failed(Failure::After(_)) if sending.is_held() => {}
         Sent::Failed(Failure::After(after)) => {
             flight.failed(now);
             if *after == After::Interrupted {
@@ -181,66 +210,82 @@
         }
         Sent::NotRun(_) | Sent::Failed(Failure::NotRun(_)) => flight.failed(now),
     }
-    if let Some(outcome) = outcome(&result) {
+    let outcome = outcome(&result, sending.is_held());
+    if let Some(outcome) = outcome {
         sending.judge(outcome);
     }
     (number, result)
 }
 
 /// Returns what a send says about the version of its server; none if it says nothing, because the
-/// server did not run the request.
-fn outcome(sent: &Sent) -> Option<Outcome> {
+/// server did not run the request, or because this VM had no room for its answer.
+fn outcome(sent: &Sent, is_held: bool) -> Option<Outcome> {
     match sent {
         Sent::Answered(answer) if answer.status().is_server_error() => Some(Outcome::Failed),
         Sent::Answered(_) => Some(Outcome::Good),
-        Sent::Failed(Failure::After(_)) => Some(Outcome::Failed),
-        Sent::NotRun(_) | Sent::Failed(Failure::Before(_) | Failure::NotRun(_)) => None,
+        Sent::Failed(Failure::After(_)) => (!is_held).then_some(Outcome::Failed),
+        Sent::Oversized | Sent::NotRun(_) => None,
+        Sent::Failed(Failure::Before(_) | Failure::NotRun(_)) => None,
     }
 }
 
-/// Sends a request to one server and reads the whole answer.
-async fn exchange(call: &Call, grant: &Grant<'_>, flight: &Flight, answers: &Budget) -> Sent {
+/// Sends a request to one server and reads the whole answer; `held` is set if the answer has to wait
+/// for room.
+async fn exchange(
+    call: &Call,
+    grant: &Grant<'_>,
+    flight: &Flight,
+    answers: &Budget,
+    held: &OnceLock<Instant>,
+) -> Sent {
     let workspace = grant.account.map(|account| &*account.name);
     let request = call.request(workspace, &flight.server);
-    let whole = async {
-        let response = flight.pool.send(request, grant.deadline).await?;
-        let (parts, body) = response.into_parts();
-        if parts.headers.contains_key(header::NOT_RUN) {
-            client::drain(body).await;
-            return Ok(Response::from_parts(parts, Bytes::new()));
-        }
-        let body =
-            read(body, answers.share())
-                .await
-                .ok_or(match Instant::now() >= grant.deadline {
-                    true => Failure::After(After::Deadline),
-                    false => Failure::After(After::Interrupted),
-                })?;
-        Ok(Response::from_parts(parts, body))
+    let response = match flight.pool.send(request, grant.deadline).await {
+        Ok(response) => response,
+        Err(failure) => return Sent::Failed(failure),
     };
-    match whole.await {
-        Ok(answer) if answer.headers().contains_key(header::NOT_RUN) => {
-            let load = header::load(answer.headers());
-            flight.shed(load, Instant::now());
-            Sent::NotRun(load)
+    let (parts, body) = response.into_parts();
+    if parts.headers.contains_key(header::NOT_RUN) {
+        client::drain(body).await;
+        let load = header::load(&parts.headers);
+        flight.shed(load, Instant::now());
+        return Sent::NotRun(load);
+    }
+    match read(body, answers, held).await {
+        Ok(body) => check(Response::from_parts(parts, body)),
+        Err(Unread::TooLarge) => Sent::Oversized,
+        Err(Unread::Cut) if Instant::now() >= grant.deadline => {
+            Sent::Failed(Failure::After(After::Deadline))
         }
-        Ok(answer) => check(answer),
-        Err(failure) => Sent::Failed(failure),
+        Err(Unread::Cut) => Sent::Failed(Failure::After(After::Interrupted)),
     }
 }
 
-/// Reads a body to its end; none if it is cut or too large.
-async fn read(mut body: Body, mut share: Share<'_>) -> Option<Bytes> {
+/// Why a body was not read to its end.
+enum Unread {
+    /// It ended early.
+    Cut,
+    /// It is larger than what is passed on.
+    TooLarge,
+}
+
+/// Reads a body to its end. A body is not read on while there is no room for it.
+async fn read(mut body: Body, answers: &Budget, held: &OnceLock<Instant>) -> Result<Bytes, Unread> {
+    let length = body.size_hint().exact();
+    let mut share = answers.share(length).map_err(|_| Unread::TooLarge)?;
     let mut whole = BytesMut::new();
+    let wait = || {
+        held.get_or_init(Instant::now);
+    };
     while let Some(frame) = body.frame().await {
-        if let Some(data) = frame.ok()?.data_ref() {
-            if !share.grow(data.len()) {
-                return None;
-            }
+        let frame = frame.map_err(|_| Unread::Cut)?;
+        if let Some(data) = frame.data_ref() {
+            let room = share.hold(data.len(), wait).await;
+            room.map_err(|_| Unread::TooLarge)?;
             whole.extend_from_slice(data);
         }
     }
-    Some(whole.freeze())
+    Ok(whole.freeze())
 }
 
 /// Checks that an answer is one of a server to this request.
--- a/programs/gateway/src/servers/flight.rs
+++ b/programs/gateway/src/servers/flight.rs
@@ -59,9 +59,9 @@
         server.filter(|server| server.registration.born == self.born)
     }
 
-    /// Takes in the answer of the server.
-    pub fn answered(&self, load: Option<Load>, now: Instant) {
-        let took = now.saturating_duration_since(self.sent);
+    /// Takes in the answer of the server, which came at `came`.
+    pub fn answered(&self, load: Option<Load>, came: Instant, now: Instant) {
+        let took = came.saturating_duration_since(self.sent);
         let mut state = lock(&self.shard.state);
         let mut is_ordinary = false;
         if let Some(server) = self.server_in(&mut state) {
