--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{Response, StatusCode};
+use hyper::{HeaderMap, Response, StatusCode};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Instant;
@@ -295,7 +295,7 @@
         return Sent::NotRun(None);
     }
     let is_signed = headers.contains_key(header::SIGNATURE);
-    let is_encoded = headers.contains_key(CONTENT_ENCODING);
+    let is_encoded = headers.contains_key(CONTENT_ENCODING) || is_recoded(headers);
     if answer.status().is_success() && (!is_signed || is_encoded) {
         return Sent::Failed(Failure::After(After::WrongAnswer));
     }
@@ -307,3 +307,13 @@
     headers.remove(CONTENT_LENGTH);
     Sent::Answered(answer)
 }
+
+/// Whether a transfer coding other than `chunked` was applied to the body, which is not undone here.
+fn is_recoded(headers: &HeaderMap) -> bool {
+    let fields = headers.get_all(TRANSFER_ENCODING).iter();
+    let mut codings = fields.flat_map(|field| field.as_bytes().split(|byte| *byte == b','));
+    codings.any(|coding| {
+        let coding = coding.trim_ascii();
+        !coding.eq_ignore_ascii_case(b"chunked") && !coding.eq_ignore_ascii_case(b"identity")
+    })
+}
--- a/programs/gateway/tests/path.rs
+++ b/programs/gateway/tests/path.rs
@@ -248,6 +248,20 @@
     assert_eq!(second, StatusCode::BAD_GATEWAY);
 }
 
+/// Guards against encoded bytes that are passed on as the server's body.
+#[rstest]
+#[case::one_field("transfer-encoding: gzip, chunked")]
+#[case::two_fields("transfer-encoding: gzip\r\ntransfer-encoding: chunked")]
+#[tokio::test]
+async fn answer_in_another_transfer_coding_is_not_passed_on(#[case] coding: &str) {
+    let answer =
+        format!("HTTP/1.1 200 OK\r\n{{signature}}: 1\r\n{coding}\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+    let (_site, gateway) = raw::site(answer.leak(), "").await;
+    let (status, headers, body) = gateway.ask("1", "/a/").await.expect("an answer");
+    assert_eq!(status, StatusCode::BAD_GATEWAY, "{body:?}");
+    assert!(!headers.contains_key(header::SIGNATURE));
+}
+
 /// Guards against bytes without end, in a head or a body, that hold a request until its deadline or
 /// fill the memory of the gateway.
 #[rstest]
