bug: bytes that are no answer count as the crash of a server

Callers saw: 503 quarantined for a request that is sent a fourth time after three sends were answered by bytes that are no answer, by more than a hundred fields or by a head of 1 MB.

Cause: the pool reported each error of the HTTP layer before the head as an ended connection, and a request in flight at an ended connection counts as one that crashes servers. Here the connection holds; either the server wrote something else, or a limit on heads refused what it wrote.

Ruled out: a head that is cut (backends/tests/cuts.rs), which stays interrupted.

Change: an answer that can't be parsed is a wrong answer. The server and its version are still blamed, the request is not.

Test: gateway/tests/path.rs, 3 of 3 cases failed before (503 at the fourth send) and pass now; backends/tests/client.rs, 1 of 1. The packages backends and gateway pass.

Open: a whole answer with more than a hundred fields is still not passed on, which is the HTTP layer's default.

--- a/crates/backends/src/client/answer.rs
+++ b/crates/backends/src/client/answer.rs
@@ -66,6 +66,8 @@
         Ok(Ok(response)) => {
             return accept(lease, response, id.as_ref(), written > 0, deadline).await;
         }
+        // The connection holds, but what came is no answer, or its head is too large.
+        Ok(Err(error)) if error.error().is_parse() => After::WrongAnswer,
         Ok(Err(_)) => After::Interrupted,
         Err(_) if socket.read() == read && Instant::now() < deadline => After::Silent,
         Err(_) => After::Deadline,
--- a/crates/backends/src/client/failure.rs
+++ b/crates/backends/src/client/failure.rs
@@ -26,7 +26,7 @@
         Interrupted,
         /// The deadline passed.
         Deadline,
-        /// The answer names another request.
+        /// The answer names another request, or can't be read.
         WrongAnswer,
     }
 
@@ -96,7 +96,7 @@
             Self::After(After::Silent) => "no byte arrived by the read deadline",
             Self::After(After::Interrupted) => "connection ended before the answer",
             Self::After(After::Deadline) => "deadline passed before the answer",
-            Self::After(After::WrongAnswer) => "answer names another request",
+            Self::After(After::WrongAnswer) => "answer names another request or can't be read",
         })
     }
 }
--- a/crates/backends/tests/client.rs
+++ b/crates/backends/tests/client.rs
@@ -134,6 +134,16 @@
     assert_eq!(result, Err(Failure::After(After::Interrupted)));
 }
 
+/// Guards against bytes that are no answer being taken for the crash of a server.
+#[tokio::test]
+async fn unreadable_answer_is_no_interruption() {
+    let (address, _heads) = server(vec![vec![Act::Say("no answer\r\n\r\n")]]).await;
+    let pool = Pool::new(address, one_connection());
+    let result = send(&pool, "a").await;
+    assert_eq!(result, Err(Failure::After(After::WrongAnswer)));
+    assert_eq!((pool.idle(), pool.in_use()), (0, 0));
+}
+
 /// Guards against reporting "unknown" for a server that never got a byte.
 #[tokio::test]
 async fn refused_connection_is_before() {
--- a/programs/gateway/tests/path.rs
+++ b/programs/gateway/tests/path.rs
@@ -12,6 +12,7 @@
 use standin_site::operator::{Desired, Route};
 use standin_site::server::{Behaviour, Entry};
 use std::time::Duration;
+use steering::crashes::CRASHES;
 
 /// Guards against a request that loses or gains something on its way, or a key that is passed on.
 #[tokio::test]
@@ -248,6 +249,22 @@
     assert_eq!(second, StatusCode::BAD_GATEWAY);
 }
 
+/// Guards against a request that counts as one that crashes servers, and is refused from then on,
+/// because of bytes that the gateway doesn't take for an answer.
+#[rstest]
+#[case::no_answer("no answer\r\n\r\n".to_owned())]
+#[case::fields(format!("HTTP/1.1 200 OK\r\n{}content-length: 0\r\n\r\n", "x-a: b\r\n".repeat(200)))]
+#[case::head(format!("HTTP/1.1 200 OK\r\nx-a: {}\r\ncontent-length: 0\r\n\r\n", "b".repeat(1_000_000)))]
+#[tokio::test]
+async fn unreadable_answer_is_no_crash(#[case] answer: String) {
+    let (_site, gateway) = raw::site(answer.leak(), "").await;
+    for number in 0..=CRASHES {
+        let answer = gateway.ask(&number.to_string(), "/a/").await;
+        let (status, _, body) = answer.expect("an answer");
+        assert_eq!(status, StatusCode::BAD_GATEWAY, "send {number}: {body:?}");
+    }
+}
+
 /// Guards against encoded bytes that are passed on as the server's body.
 #[rstest]
 #[case::one_field("transfer-encoding: gzip, chunked")]
