--- a/crates/backends/src/client.rs
+++ b/crates/backends/src/client.rs
@@ -72,7 +72,8 @@
     pub connections: usize,
     /// Longest time to make a connection.
     pub connect_timeout: Duration,
-    /// Longest time without a byte from the server while an answer is awaited.
+    /// Time without a byte of an awaited answer after which the path to the server is suspected and
+    /// idle connections are probed. The request stays with the server: it may be at work.
     pub read_timeout: Duration,
     /// Time after which an idle connection is closed.
     pub idle_timeout: Duration,
@@ -106,7 +107,7 @@
     pub opened: AtomicU64,
     /// Requests sent on a connection that served another one before.
     pub reused: AtomicU64,
-    /// Connections retired because no byte arrived by the read deadline.
+    /// Times that no byte of an answer arrived for the read timeout.
     pub silent: AtomicU64,
     /// Idle connections found closed, with unexpected bytes, or failing a probe.
     pub dropped: AtomicU64,
@@ -197,7 +198,8 @@
     /// Sends a request and returns the answer as soon as its head has arrived.
     ///
     /// The body of the answer fails when the answer is interrupted, silent for the read timeout,
-    /// or unfinished at the deadline. The caller's key is removed from the headers.
+    /// or unfinished at the deadline. A server that stays silent keeps the request until the
+    /// deadline; only idle connections to it are probed. The caller's key is removed from the headers.
     ///
     /// # Errors
     ///
@@ -213,11 +215,7 @@
         }
         let lease = self.acquire(deadline).await.map_err(Failure::Before)?;
         let request = self.downstream(request, deadline);
-        let result = answer::exchange(lease, request, deadline).await;
-        if let Err(Failure::After(After::Silent)) = result {
-            self.probe_idle();
-        }
-        result
+        answer::exchange(lease, request, deadline).await
     }
 
     /// Takes a usable idle connection or makes one.
@@ -267,11 +265,13 @@
         request
     }
 
-    /// Probes the idle connections in the background and keeps those that answer.
+    /// Takes in that an answer is silent: counts it, and probes the idle connections in the
+    /// background and keeps those that answer.
     ///
     /// A path that lost its state (a firewall, a failed switch) silences many connections at
     /// once; probing finds them before requests do.
-    fn probe_idle(&self) {
+    fn suspect(&self) {
+        count(&self.0.counts.silent);
         let suspects = std::mem::take(&mut *self.0.idle());
         for connection in suspects {
             let Ok(permit) = self.0.permits.clone().try_acquire_owned() else {
--- a/crates/backends/src/client/answer.rs
+++ b/crates/backends/src/client/answer.rs
@@ -1,7 +1,7 @@
 //! Exchange of one request and its streamed answer.
 
 use super::connection::Lease;
-use super::{After, Before, Failure, NotRun, count, remove_hop_headers};
+use super::{After, Before, Failure, NotRun, remove_hop_headers};
 use base::http::{Body, BodyError};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -58,7 +58,11 @@
     let read_timeout = lease.pool().0.settings.read_timeout;
     let first_byte = deadline.min(Instant::now() + read_timeout);
     let mut outcome = timeout_at(first_byte, &mut head).await;
-    if outcome.is_err() && socket.read() > read {
+    // Silence is a suspicion only: closing the connection would end what the server is at work on.
+    if outcome.is_err() && first_byte < deadline {
+        if socket.read() == read {
+            lease.pool().suspect();
+        }
         outcome = timeout_at(deadline, &mut head).await;
     }
     drop(head);
@@ -67,12 +71,9 @@
             return accept(lease, response, id.as_ref(), written > 0, deadline).await;
         }
         Ok(Err(_)) => After::Interrupted,
-        Err(_) if socket.read() == read && Instant::now() < deadline => After::Silent,
+        Err(_) if socket.read() == read && first_byte < deadline => After::Silent,
         Err(_) => After::Deadline,
     };
-    if failed == After::Silent {
-        count(&lease.pool().counts().silent);
-    }
     let unsent = lease.end().await == written;
     Err(match failed {
         After::Deadline if unsent => Failure::Before(Before::Deadline),
@@ -237,8 +238,7 @@
                 None => Poll::Pending,
                 Some(cut) => {
                     if let (Cut::Silent, Some(lease)) = (cut, &self.lease) {
-                        count(&lease.pool().counts().silent);
-                        lease.pool().probe_idle();
+                        lease.pool().suspect();
                     }
                     self.cut(cut)
                 }
--- a/crates/backends/src/client/failure.rs
+++ b/crates/backends/src/client/failure.rs
@@ -20,7 +20,7 @@
 
     /// Failures after bytes of the request were handed to the server.
     pub enum After {
-        /// No byte of an answer arrived by the read deadline.
+        /// No byte of an answer arrived by the deadline, which is later than the read timeout.
         Silent,
         /// The connection ended before the head of the answer was whole.
         Interrupted,
@@ -93,7 +93,7 @@
             Self::NotRun(NotRun::Shedding) => "server sheds load",
             Self::NotRun(NotRun::Leaving) => "server is leaving",
             Self::NotRun(NotRun::Other) => "server did not run the request",
-            Self::After(After::Silent) => "no byte arrived by the read deadline",
+            Self::After(After::Silent) => "no byte arrived by the deadline",
             Self::After(After::Interrupted) => "connection ended before the answer",
             Self::After(After::Deadline) => "deadline passed before the answer",
             Self::After(After::WrongAnswer) => "answer names another request",
--- a/programs/entry/src/route.rs
+++ b/programs/entry/src/route.rs
@@ -7,6 +7,7 @@
 mod shard;
 
 pub use flight::Flight;
+pub(crate) use shard::Shard;
 
 use crate::authorise::Grant;
 use crate::metrics::Metrics;
@@ -21,7 +22,6 @@
 use operators::service::Service;
 use peers::link::Links;
 use peers::share::ShareClient;
-use shard::Shard;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 use steering::attempt::Refusal;
--- a/programs/entry/src/route/flight.rs
+++ b/programs/entry/src/route/flight.rs
@@ -81,6 +81,11 @@
         self.started
     }
 
+    /// Returns when the request, if it is still unanswered, is due at a second server.
+    pub fn overdue(&self) -> Instant {
+        self.started + self.router.settings.read_timeout.0
+    }
+
     pub(super) fn charge(&mut self, charge: Charge, class: Class, bytes: usize) {
         self.charge = Some((charge, class));
         self.router
--- a/programs/entry/src/route/shard.rs
+++ b/programs/entry/src/route/shard.rs
@@ -337,6 +337,11 @@
         self.state().budget.succeeded();
     }
 
+    /// Returns whether the budget has a retry.
+    pub(crate) fn can_retry(&self) -> bool {
+        self.state().budget.has()
+    }
+
     /// Takes a retry from the budget.
     pub(crate) fn retry(&self) -> bool {
         self.state().budget.take()
--- a/programs/entry/src/settings.rs
+++ b/programs/entry/src/settings.rs
@@ -45,7 +45,8 @@
     pub stop_spread: Span,
     /// Time for which callers may still use a cached look-up answer that names this VM.
     pub stop_cached: Span,
-    /// Time without a byte after which a backend server's connection is retired.
+    /// Time without an answer after which a request that may be repeated is sent to a second server
+    /// besides, and without a byte after which idle connections to its server are probed.
     pub read_timeout: Span,
     /// Longest time that a request waits for a token of its workspace's limit.
     pub token_wait: Span,
