--- a/crates/backends/src/client.rs
+++ b/crates/backends/src/client.rs
@@ -197,9 +197,9 @@
 
     /// Sends a request and returns the answer as soon as its head has arrived.
     ///
-    /// The body of the answer fails when the answer is interrupted, silent for the read timeout,
-    /// or unfinished at the deadline. A server that stays silent keeps the request until the
-    /// deadline; only idle connections to it are probed. The caller's key is removed from the headers.
+    /// The body of the answer fails when the answer is interrupted or unfinished at the deadline. A
+    /// server that stays silent, before the head or in the middle of the body, keeps the request
+    /// until the deadline; only idle connections to it are probed. The caller's key is removed from the headers.
     ///
     /// # Errors
     ///
--- a/crates/backends/src/client/answer.rs
+++ b/crates/backends/src/client/answer.rs
@@ -23,7 +23,6 @@
 /// Why the body of an answer ended early.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Cut {
-    Silent,
     Deadline,
     /// The end of the connection is the only end mark, so a cut can't be told from the end.
     Unmarked,
@@ -32,7 +31,6 @@
 impl fmt::Display for Cut {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Silent => "no byte of the answer arrived by the read deadline",
             Self::Deadline => "deadline passed before the answer was whole",
             Self::Unmarked => "answer has no end mark",
         })
@@ -147,6 +145,8 @@
     silence: Pin<Box<Sleep>>,
     read_timeout: Duration,
     waiting: bool,
+    /// Whether the present pause was taken for a sign of a silent path.
+    suspected: bool,
     marked: bool,
 }
 
@@ -160,6 +160,7 @@
             silence: Box::pin(sleep_until(deadline)),
             read_timeout,
             waiting: false,
+            suspected: false,
             marked,
         };
         answer.release_at_end();
@@ -184,20 +185,26 @@
         Poll::Ready(Some(Err(error.into())))
     }
 
-    /// Returns why the body may wait no longer. Time counts only while the reader waits for the
-    /// server, so a slow reader does not make the server look silent.
+    /// Returns why the body may wait no longer. A pause is a suspicion only: the server may be at
+    /// work, no other can finish the answer, and the caller sees the pause itself. Its time counts
+    /// only while the reader waits for the server, so a slow reader makes no server look silent.
     fn overdue(&mut self, cx: &mut Context<'_>) -> Option<Cut> {
         if !self.waiting {
             self.waiting = true;
+            self.suspected = false;
             let limit = Instant::now() + self.read_timeout;
             self.silence.as_mut().reset(limit);
         }
         if self.deadline.as_mut().poll(cx).is_ready() {
-            Some(Cut::Deadline)
-        } else {
-            let silent = self.silence.as_mut().poll(cx).is_ready();
-            silent.then_some(Cut::Silent)
+            return Some(Cut::Deadline);
         }
+        if !self.suspected && self.silence.as_mut().poll(cx).is_ready() {
+            self.suspected = true;
+            if let Some(lease) = &self.lease {
+                lease.pool().suspect();
+            }
+        }
+        None
     }
 }
 
@@ -236,12 +243,7 @@
             }
             Poll::Pending => match self.overdue(cx) {
                 None => Poll::Pending,
-                Some(cut) => {
-                    if let (Cut::Silent, Some(lease)) = (cut, &self.lease) {
-                        lease.pool().suspect();
-                    }
-                    self.cut(cut)
-                }
+                Some(cut) => self.cut(cut),
             },
         }
     }
--- a/crates/backends/tests/client.rs
+++ b/crates/backends/tests/client.rs
@@ -313,6 +313,22 @@
     assert_eq!((pool.idle(), pool.in_use()), (0, 0));
 }
 
+/// Guards against an answer that is cut while its server is at work: a pause longer than the read
+/// timeout in the middle of a body.
+#[tokio::test]
+async fn pause_in_a_body_does_not_cut_it() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nok";
+    let (address, _heads) = server(vec![vec![Act::SayLate(HEAD, "ok")]]).await;
+    let settings = Settings {
+        read_timeout: Duration::from_millis(2),
+        ..one_connection()
+    };
+    let pool = Pool::new(address, settings);
+    assert_eq!(send(&pool, "a").await, Ok("okok".into()));
+    assert!(pool.counts().silent.load(Ordering::Relaxed) >= 1);
+    assert_eq!((pool.idle(), pool.in_use()), (1, 0));
+}
+
 /// Guards against a probe that takes any answer for health, or reads one without bound.
 #[rstest::rstest]
 #[case(
