--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -25,6 +25,9 @@
 use steering::attempt::{Attempt, Outcome, Refusal};
 use steering::keys::Pepper;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 /// Path of a request through the entry, with the state that requests share.
 #[derive(Debug)]
@@ -35,6 +38,8 @@
     quarantine: Arc<Quarantine>,
     claims: Claims,
     links: Links<ShareClient>,
+    /// Requests that other entries passed on; closed when this entry refuses new work.
+    passes: TaskTracker,
     confirmed: watch::Receiver<Option<Instant>>,
     /// Admission of requests.
     pub admission: Admission,
@@ -63,6 +68,7 @@
             quarantine: Arc::new(Quarantine::new(&settings, incarnation, metrics.clone())),
             claims: Claims::new(&settings, incarnation, metrics.clone()),
             links: Links::default(),
+            passes: TaskTracker::new(),
             pepper: Pepper::derive(&settings.key_secret),
             router: Arc::new(Router::new(
                 settings.clone(),
@@ -113,11 +119,34 @@
         reply::reply(&id, forwarded)
     }
 
+    /// Counts a request that another entry passed on, until its answer is handed over.
+    pub fn passing(&self) -> TaskTrackerToken {
+        self.passes.token()
+    }
+
+    /// Waits for `refuse`, and then until the requests that other entries passed on are answered, for
+    /// at most the drain timeout.
+    pub async fn finish_passed(&self, refuse: CancellationToken) {
+        refuse.cancelled().await;
+        self.passes.close();
+        let limit = self.settings.drain_timeout.0;
+        if tokio::time::timeout(limit, self.passes.wait())
+            .await
+            .is_err()
+        {
+            log::warn!("passed requests were still in flight when the drain timeout passed");
+        }
+    }
+
     /// Answers a suspected request that another entry passed on; the other one keeps its claim
     /// and has counted it against its limits.
     pub async fn passed(&self, call: &Call) -> Response<Body> {
         let snapshot = self.snapshot.borrow().clone();
         let ended = async {
+            if self.passes.is_closed() {
+                // Another entry runs the trials as soon as this one is gone.
+                return Err(refused(Refusal::Suspected));
+            }
             let grant = self.authorise(call, &snapshot)?;
             let track = self.admitted(call, &grant, &snapshot).await?;
             if track.keeper().is_some() {
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -66,7 +66,7 @@
         drain_timeout: settings.drain_timeout.0,
         ..Limits::default()
     };
-    let (served, renewing) = (pipeline.clone(), pipeline.clone());
+    let (served, renewing, passed) = (pipeline.clone(), pipeline.clone(), pipeline.clone());
     let quarantine = pipeline.quarantine().clone();
     let router = pipeline.router().clone();
     let handler = move |request, _| {
@@ -78,7 +78,10 @@
         <(CancellationToken, CancellationToken, CancellationToken)>::default();
     let signs = (stop.clone(), withdrawn.clone());
     let serve = async {
-        base::http::server::serve(listener, limits, refuse.clone(), handler).await;
+        tokio::join!(
+            base::http::server::serve(listener, limits, refuse.clone(), handler),
+            passed.finish_passed(refuse.clone()),
+        );
         end.cancel();
     };
     tokio::join!(
--- a/programs/entry/src/share.rs
+++ b/programs/entry/src/share.rs
@@ -28,6 +28,7 @@
     }
 
     async fn pass(self, _: Context, passed: Frame<Passed>) -> Frame<Option<Reply>> {
+        let _passing = self.pipeline.passing();
         let call = passed.open().ok().and_then(pass::call);
         Frame::new(match call {
             Some(call) => pass::reply(self.pipeline.passed(&call).await).await,
