--- a/programs/entry/src/route/shard.rs
+++ b/programs/entry/src/route/shard.rs
@@ -15,6 +15,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use steering::balance::{Loan, Notice, Reply, Summary, Unit, Verdict};
+use steering::retry::Need;
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
 /// Most requests of one service that ask the entries of this data centre for a slot at once.
@@ -337,6 +338,11 @@
         self.state().budget.succeeded();
     }
 
+    /// Returns whether the budget has a retry for an overdue request.
+    pub(crate) fn can_retry(&self) -> bool {
+        self.state().budget.has(Need::Overdue)
+    }
+
     /// Takes a retry from the budget.
     pub(crate) fn retry(&self) -> bool {
         self.state().budget.take()
