bug: a VM that restarts while the store is down gets no floor

Seen: withdrawal_works_while_the_store_is_down: the restarted VM answers not-run: rate-limited until the store is back. In a failing run the restarted control process of vm-03 sent Gossip.floor to the other three VMs once, 6 s after its start; all three answered, it took the division from them without a floor, and never asked again. Cause: the other VMs read the row `floors` every 0.5 s and had last read it before the claim of vm-03, because the store went out right after the claim. Their copies don't name vm-03. Besides, an answer without a floor was final, as only an unknown division made a VM ask. Ruled out: lost or late answers (the logs of all three VMs show the call within 1 ms); load by itself (the copies stay old for as long as the store is down). Change: an owner tells the 6 nearest VMs, those that it would ask, which version of the row names it: once it has a floor, until one answers, and at each step while the row can't be read. steering::limits::floors::Owners joins that word with the VM's own reading: a word counts until a reading as new. The version is one that the store has confirmed, so the word says what a reading of the row would; the floor still goes only to the entry that holds the VM's port. A VM without a floor asks again. The new test of control fails with the call of `tell` left out ("gave up waiting until another VM knows of the floor") and passed 5 of 5 runs with it. The tests of control, peers and steering pass. That a VM asks again has no test of its own. Open: a control process that is killed between its claim and the first told VM, some milliseconds, while the store goes out; and a data centre all of whose told VMs restart at once.

--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -74,6 +74,14 @@
         pub owned: bool,
     }
 
+    /// Floor of the sender.
+    pub struct Owned {
+        /// Sender.
+        pub vm: Vm,
+        /// Version of the row `floors` that names it as an owner.
+        pub version: u64,
+    }
+
     /// Sign of life of a release's owner, with what the release waits for.
     #[derive(Default)]
     pub struct Sign {
@@ -126,9 +134,14 @@
     /// Exchanges news of releases.
     async fn releases(news: Frame<Releases>) -> Frame<Releases>;
 
-    /// Returns what the receiver knows of a VM's floor; none if it has not read the row `floors`.
+    /// Returns what the receiver knows of a VM's floor; none if it knows neither the row `floors`
+    /// nor an owner's word.
     async fn floor(vm: Frame<Vm>) -> Frame<Option<Floor>>;
 
+    /// Tells that the sender owns a floor, so that the receiver can confirm it while the table
+    /// can't be read.
+    async fn owns(owned: Frame<Owned>);
+
     /// Renews an entry's part of a workspace's limit; none if this process does not grant it.
     async fn renew(renew: Frame<Renew>) -> Frame<Option<Grant>>;
 }
--- a/crates/steering/src/limits/floors.rs
+++ b/crates/steering/src/limits/floors.rs
@@ -1,6 +1,7 @@
 //! Floors of one fleet, as stored in the table row `floors`.
 
 use base::id::{Incarnation, Vm};
+use indexmap::{IndexMap, IndexSet};
 
 /// Name under which the granter owns floors; no VM has an empty name.
 const POOL: &str = "";
@@ -101,3 +102,46 @@
         }
     }
 }
+
+base::value! {
+    /// Owners of floors as one VM knows them: from its own reading of the row, and from owners that
+    /// told it of their floor.
+    #[derive(Default)]
+    pub struct Owners {
+        /// Version of the row as it was read last, and the owners that it named.
+        read: Option<(u64, IndexSet<Vm>)>,
+        /// Versions of the row that named an owner, on the owner's word; later than `read`.
+        told: IndexMap<Vm, u64>,
+    }
+}
+
+impl Owners {
+    /// Takes the owners that the row names at `version`.
+    pub fn read(&mut self, version: u64, owners: IndexSet<Vm>) {
+        self.told.retain(|_, told| *told > version);
+        self.read = Some((version, owners));
+    }
+
+    /// Notes that the row named `vm` as an owner at `version`. A reading that is as new counts more.
+    ///
+    /// The version must be one that the store has confirmed.
+    pub fn tell(&mut self, vm: &str, version: u64) {
+        if self.read.as_ref().is_none_or(|(read, _)| version > *read) {
+            let told = self.told.entry(vm.into()).or_default();
+            *told = version.max(*told);
+        }
+    }
+
+    /// Returns the latest known version of the row that says whether `vm` owns a floor, and what it
+    /// says; none if nothing is known.
+    ///
+    /// A floor is taken back only once its VM is gone, so what an old version says of an owner is
+    /// still right while that VM runs.
+    pub fn floor(&self, vm: &str) -> Option<(u64, bool)> {
+        let told = self.told.get(vm).map(|version| (*version, true));
+        told.or_else(|| {
+            let (version, owners) = self.read.as_ref()?;
+            Some((*version, owners.contains(vm)))
+        })
+    }
+}
--- a/crates/steering/tests/limits.rs
+++ b/crates/steering/tests/limits.rs
@@ -8,6 +8,7 @@
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use rstest::rstest;
 use std::time::{Duration, Instant};
+use steering::limits::floors::Owners;
 use steering::limits::{
     Bucket, Floors, Grant, Granter, Holder, Identity, Invalid, Part, Renew, Settings, TOKEN,
     allocation,
@@ -386,6 +387,25 @@
     assert_eq!(floors.owners().count(), 1);
 }
 
+/// Guards against an owner whose floor no other VM can confirm because none has read the row since
+/// its claim, and against an old word that outlives a later reading.
+#[test]
+fn word_of_an_owner_counts_until_a_later_reading() {
+    let mut owners = Owners::default();
+    assert_eq!(owners.floor("vm2"), None);
+    owners.read(4, ["vm1".into()].into());
+    assert_eq!(owners.floor("vm2"), Some((4, false)));
+    owners.tell("vm2", 6);
+    owners.tell("vm2", 5);
+    assert_eq!(owners.floor("vm2"), Some((6, true)));
+    owners.read(5, ["vm1".into()].into());
+    assert_eq!(owners.floor("vm2"), Some((6, true)), "the word is later");
+    owners.read(7, ["vm1".into()].into());
+    assert_eq!(owners.floor("vm2"), Some((7, false)), "reclaimed since");
+    owners.tell("vm2", 7);
+    assert_eq!(owners.floor("vm2"), Some((7, false)));
+}
+
 /// Guards against unclaimed floors that nobody uses, and against a pooled floor that is freed while
 /// a holder still uses it.
 #[test]
--- a/programs/control/src/gossip.rs
+++ b/programs/control/src/gossip.rs
@@ -8,7 +8,7 @@
 use crate::versions;
 use base::id::{Version, Vm};
 use indexmap::IndexMap;
-use peers::gossip::{Exchange, Floor, Gossip, Releases, Reply};
+use peers::gossip::{Exchange, Floor, Gossip, Owned, Releases, Reply};
 use peers::wire::{self, Frame};
 use spread::Spread;
 use std::time::Instant;
@@ -64,6 +64,12 @@
         Frame::new(vm.and_then(answer))
     }
 
+    async fn owns(self, _: Context, owned: Frame<Owned>) {
+        if let Ok(Owned { vm, version }) = owned.open() {
+            self.shared.touch(|known| known.owners.tell(&vm, version));
+        }
+    }
+
     async fn renew(self, _: Context, renew: Frame<Renew>) -> Frame<Option<Grant>> {
         let grant = renew.open().ok();
         Frame::new(grant.and_then(|renew| granter::renew(&self.shared, &renew)))
--- a/programs/control/src/granter.rs
+++ b/programs/control/src/granter.rs
@@ -160,13 +160,15 @@
 pub async fn run(shared: Shared, client: Client, stop: CancellationToken) {
     let mut leases = leases::Leases::new(&shared);
     let mut absent = floors::Absent::default();
+    let mut told = ask::Told::default();
     while !stop.is_cancelled() {
         let floors = floors::settle(&shared, &client, &mut absent);
         let (floors, ()) = tokio::join!(floors, leases.step(&shared, &client));
-        if let Err(error) = floors {
+        if let Err(error) = &floors {
             log::debug!("floors can't be read or written: {error}");
             ask::floor(&shared).await;
         }
+        ask::tell(&shared, &mut told, floors.is_err()).await;
         forget(&shared);
         let pause = tokio::time::sleep(shared.settings.granter_interval.0);
         tokio::select! {
--- a/programs/control/src/granter/ask.rs
+++ b/programs/control/src/granter/ask.rs
@@ -1,40 +1,80 @@
-//! Asks other VMs for the floor of this VM while the table can't be read.
+//! Floors between VMs: each tells others of its floor, and asks them for it while the table can't be
+//! read.
 
 use crate::state::{Known, Peer, Shared};
-use base::id::Vm;
+use base::id::{Incarnation, Vm};
 use futures::future::join_all;
-use peers::gossip::Floor;
+use peers::gossip::{Floor, Owned};
 use peers::wire::Frame;
 use std::time::Duration;
 
 /// Longest wait for an answer.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Most VMs that are asked at once, those of the own data centre first.
+/// Most VMs that are asked or told at once, those of the own data centre first.
 const ASKED: usize = 6;
 
-/// Takes the division of limits and this VM's floor from the VM that read the row `floors` last,
-/// unless they are known.
+/// Entry of whose floor another VM has been told.
+pub type Told = Option<Incarnation>;
+
+/// Takes the division of limits and this VM's floor from the VM that knows the latest version of the
+/// row `floors`, unless they are known.
 ///
-/// A copy of the row may be old. A floor is taken back only once its VM is gone, so a copy that
-/// names this VM is still right while this VM runs.
+/// An answer without the floor isn't final: the VMs that know of it may not have answered.
 pub async fn floor(shared: &Shared) {
-    let (vm, peers) = shared.read(|known| (known.view.place().vm.clone(), nearest(known)));
-    if shared.read(|known| known.division.is_some()) {
+    if shared.read(|known| known.division.is_some() && known.floor) {
         return;
     }
+    let (vm, peers) = shared.read(|known| (known.vm.clone(), nearest(known)));
     let asked = peers.iter().map(|peer| ask(shared, peer, &vm));
     let answers = join_all(asked).await.into_iter().flatten();
-    let Some(floor) = answers.max_by_key(|floor| floor.version) else {
+    if let Some(floor) = answers.max_by_key(|floor| floor.version) {
+        shared.change(|known| take(known, &floor));
+    }
+}
+
+fn take(known: &mut Known, floor: &Floor) {
+    if known.division.is_none() {
+        log::info!("the division of limits is taken from another VM");
+        known.division = Some(floor.division);
+    }
+    if floor.owned {
+        known.owners.tell(&known.vm, floor.version);
+    }
+    let owned = known.owners.floor(&known.vm);
+    let owned = owned.is_some_and(|(_, owned)| owned);
+    if owned && !known.floor {
+        log::info!("the floor is confirmed by another VM");
+    }
+    known.floor = owned;
+}
+
+/// Tells other VMs of this VM's floor: once it has one, and while the table can't be read (`blind`),
+/// as those that have restarted since know it from nowhere else.
+pub async fn tell(shared: &Shared, told: &mut Told, blind: bool) {
+    let (entry, owned, peers) = shared.read(|known| {
+        let floor = known.owners.floor(&known.vm).filter(|_| known.floor);
+        let owned = floor.map(|(version, _)| Owned {
+            vm: known.vm.clone(),
+            version,
+        });
+        (known.entry, owned, nearest(known))
+    });
+    let Some(owned) = owned else {
         return;
     };
-    log::info!("the division of limits is taken from another VM");
-    shared.change(|known| {
-        if known.division.is_none() {
-            known.division = Some(floor.division);
-            known.floor = floor.owned;
-        }
+    if *told == entry && !blind {
+        return;
+    }
+    let answers = peers.iter().map(|peer| {
+        shared.links.call(peer.address, TIMEOUT, |client, context| {
+            let owned = owned.clone();
+            async move { client.owns(context, Frame::new(owned)).await }
+        })
     });
+    if join_all(answers).await.iter().any(Result::is_ok) {
+        *told = entry;
+    }
 }
 
 fn nearest(known: &Known) -> Vec<Peer> {
@@ -58,12 +98,12 @@
     call.await.and_then(Frame::open).ok()?
 }
 
-/// Answers another VM from the row as this VM read it last.
+/// Answers another VM from the row as this VM read it last, or from that VM's own word.
 pub fn answer(known: &Known, vm: &Vm) -> Option<Floor> {
-    let (version, owners) = known.owners.as_ref()?;
+    let (version, owned) = known.owners.floor(vm)?;
     Some(Floor {
-        version: *version,
+        version,
         division: known.division?,
-        owned: owners.contains(vm),
+        owned,
     })
 }
--- a/programs/control/src/state/known.rs
+++ b/programs/control/src/state/known.rs
@@ -7,7 +7,7 @@
 use ::peers::local::{Division, Runs, Shares, State};
 use base::clock::Millis;
 use base::id::{Incarnation, Release, Version, Vm};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use operators::bundle::{Bundle, Files};
 use operators::fleet;
 use platform::list::{self, List};
@@ -15,6 +15,7 @@
 use steering::config::sets::Summary;
 use steering::config::{Head, Manifest, Mark, Readiness, Replica, Sets};
 use steering::keys::{Confirmation, Isolated, Policy, Ring, Standing};
+use steering::limits::floors::Owners;
 use steering::membership::{self, Listed, Place, View};
 
 /// Configuration in force.
@@ -64,10 +65,10 @@
     pub shared: u32,
     /// Division of limits, once the row `floors` was read.
     pub division: Option<Division>,
-    /// Whether that row says that this VM owns a floor.
+    /// Whether this VM owns a floor.
     pub floor: bool,
-    /// Version and owners of floors of the row `floors` as it was read last.
-    pub owners: Option<(u64, IndexSet<Vm>)>,
+    /// Owners of floors, from the row `floors` and from the owners themselves.
+    pub owners: Owners,
     /// Incarnation that this VM's entry reported.
     pub entry: Option<Incarnation>,
     /// Holder of each granter shard.
@@ -121,7 +122,7 @@
             shared: 0,
             division: None,
             floor: false,
-            owners: None,
+            owners: Owners::default(),
             entry: None,
             granters: Vec::new(),
             tell_all: false,
--- a/programs/control/tests/granter.rs
+++ b/programs/control/tests/granter.rs
@@ -46,10 +46,7 @@
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         let listener = TcpListener::bind(address).await.expect("a free port");
         let stop = CancellationToken::new();
-        let list = List {
-            nodes: vms.iter().map(|vm| node(vm, address)).collect(),
-            backends: Vec::new(),
-        };
+        let list = list(vms, address);
         tokio::spawn(standin_platform::server::run(listener, list, stop.clone()));
         Self {
             address,
@@ -82,11 +79,23 @@
         name: &str,
         entry: Incarnation,
         stop: CancellationToken,
+    ) -> (Shared, JoinHandle<()>) {
+        let interval = Duration::from_millis(50);
+        self.vm_every(interval, name, entry, stop)
+    }
+
+    /// Runs the granter of a VM that reads the row `floors` once in each `interval`.
+    fn vm_every(
+        &self,
+        interval: Duration,
+        name: &str,
+        entry: Incarnation,
+        stop: CancellationToken,
     ) -> (Shared, JoinHandle<()>) {
         let span = base::unit::Span;
         let shared = Shared::new(Settings {
             vm: name.into(),
-            granter_interval: span(Duration::from_millis(50)),
+            granter_interval: span(interval),
             list_lag: span(self.list_lag),
             ..Settings::default()
         });
@@ -111,6 +120,20 @@
     }
 }
 
+/// Lists VMs whose addresses for exchanges are the ports after that of `platform`.
+fn list(vms: &[&str], platform: SocketAddr) -> List {
+    let nodes = (platform.port() + 1..).zip(vms);
+    List {
+        nodes: nodes
+            .map(|(port, vm)| Node {
+                gossip: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+                ..node(vm, platform)
+            })
+            .collect(),
+        backends: Vec::new(),
+    }
+}
+
 fn node(vm: &str, address: SocketAddr) -> Node {
     Node {
         name: vm.into(),
@@ -259,3 +282,50 @@
         assert!(row.value["holder"].is_null(), "{row:?}");
     }
 }
+
+/// Guards a VM that restarts while the store is down, if no VM has read the row since its claim:
+/// without the owner's word, the others' copies don't name it and it gets no floor.
+#[tokio::test(flavor = "multi_thread")]
+async fn floor_of_a_restarted_vm_needs_no_reading_by_others() {
+    let names = ["vm-01", "vm-02", "vm-03"];
+    let platform = Platform::start(25_960, &names).await;
+    let gossip = async |shared: &Shared, port| {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, port)).await;
+        let listener = listener.expect("a free port");
+        let stop = platform.stop.clone();
+        drop(tokio::spawn(control::gossip::run(
+            listener,
+            shared.clone(),
+            stop,
+        )));
+    };
+    // The other VMs read the row only before the claim.
+    let rarely = |vm, entry| platform.vm_every(10 * PATIENCE, vm, entry, platform.stop.clone());
+    let (first, _) = rarely("vm-01", 1);
+    let (third, _) = rarely("vm-03", 3);
+    until("the other VMs have floors", || {
+        has_floor(&first) && has_floor(&third)
+    })
+    .await;
+    gossip(&first, 25_961).await;
+    gossip(&third, 25_963).await;
+    let (second, task) = platform.vm("vm-02", 2);
+    until("the second VM has a floor", || has_floor(&second)).await;
+    until("another VM knows of the floor", || {
+        let knows = |shared: &Shared| {
+            let answer = shared.read(|known| granter::ask::answer(known, &"vm-02".into()));
+            answer.is_some_and(|floor| floor.owned)
+        };
+        knows(&first) && knows(&third)
+    })
+    .await;
+    let outage = serde_json::json!({ "outage": true });
+    platform.call(Method::PUT, "/switch", outage).await;
+    task.abort();
+
+    let (again, _) = platform.vm("vm-02", 4);
+    let now = Instant::now();
+    let list = list(&names, platform.address);
+    again.change(|known| known.take_list(list, now, now));
+    until("the restarted VM has its floor", || has_floor(&again)).await;
+}
