feature: soak of late servers beside a stop, and the promise that a stop cuts no request

Change: a server's fault Late works for 1.3 s, twice the four cold works (640 ms at the new objective of 100 ms) after which a gateway gave a server up. Two faults are drawn with it: one late server alone, and a gateway that gets SIGTERM while one server, or each, is late. promise::cut: a request that is with a gateway from SIGTERM until it is started again, that a server got, and that no kill or pause of this gateway, disturbed way or faulty server touches, neither ends without an answer nor gets 502 before the route's time-out. A second SIGTERM counts as a kill, because base::shutdown ends the process at once then.

Old seeds: the draws of seeds below 1,000 are unchanged; from 1,000 on the new faults are drawn besides. What all seeds meet is changed in two things: the latency objective is 100 ms, was 400, and every third request that may be repeated has one attempt (route single), as a second server would hide a server that was given up.

--- a/tests/soak/src/caller.rs
+++ b/tests/soak/src/caller.rs
@@ -6,6 +6,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Method, Request};
 use hyper_util::rt::TokioIo;
+use standin_site::operator::Route;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
@@ -18,12 +19,16 @@
     pub struct Seen {
         /// Id of the request.
         pub id: Box<str>,
+        /// Gateway that it was sent to, by number.
+        pub gateway: usize,
         /// Whether it may run more than once.
         pub repeatable: bool,
         /// Whether it came with the key that is withdrawn later.
         pub old_key: bool,
         /// When it was sent.
         pub sent: Instant,
+        /// When the answer was whole, or the caller knew that there is none.
+        pub ended: Instant,
         /// Status, signature and body; none without a whole answer.
         pub answer: Option<(u16, Option<Box<str>>, Bytes)>,
     }
@@ -32,32 +37,36 @@
 /// One caller with an open connection.
 #[derive(Debug)]
 pub struct Caller {
+    gateway: usize,
     address: SocketAddr,
     open: Option<SendRequest<Full<Bytes>>>,
 }
 
 impl Caller {
-    /// Makes a caller of one gateway.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Makes a caller of one gateway, by number.
+    pub fn new(gateway: usize, address: SocketAddr) -> Self {
         Self {
+            gateway,
             address,
             open: None,
         }
     }
 
     /// Sends one request and waits for the answer.
-    pub async fn ask(&mut self, id: &str, repeatable: bool, old_key: bool) -> Seen {
+    pub async fn ask(&mut self, id: &str, route: &Route, old_key: bool) -> Seen {
         let sent = Instant::now();
-        let answer = tokio::time::timeout(PATIENCE, self.exchange(id, repeatable, old_key)).await;
+        let answer = tokio::time::timeout(PATIENCE, self.exchange(id, route, old_key)).await;
         let answer = answer.ok().flatten();
         if answer.is_none() {
             self.open = None;
         }
         Seen {
             id: id.into(),
-            repeatable,
+            gateway: self.gateway,
+            repeatable: route.repeatable,
             old_key,
             sent,
+            ended: Instant::now(),
             answer,
         }
     }
@@ -65,7 +74,7 @@
     async fn exchange(
         &mut self,
         id: &str,
-        repeatable: bool,
+        route: &Route,
         old_key: bool,
     ) -> Option<(u16, Option<Box<str>>, Bytes)> {
         if self.open.as_ref().is_none_or(SendRequest::is_closed) {
@@ -76,10 +85,9 @@
         }
         let sender = self.open.as_mut()?;
         sender.ready().await.ok()?;
-        let path = if repeatable { "/safe/x" } else { "/once/x" };
         let request = Request::builder()
             .method(Method::POST)
-            .uri(path)
+            .uri(format!("/{}/x", route.name))
             .header("host", "soak.example")
             .header(header::REQUEST_ID, id)
             .header(header::DEADLINE, PATIENCE.as_millis().to_string())
--- a/tests/soak/src/plan.rs
+++ b/tests/soak/src/plan.rs
@@ -70,6 +70,8 @@
         Unsigned,
         /// Its answers are failures.
         Fails,
+        /// It works long, and answers before callers give up.
+        Late,
     }
 }
 
@@ -83,6 +85,9 @@
 pub const FAULT_TIME: Duration = Duration::from_secs(6);
 /// Series of faults in one run; each may overlap the others.
 const SERIES: usize = 6;
+/// First seed that also draws late servers. Those below play what they played before there were any,
+/// so that a seed kept for its failure still plays it.
+pub const FIRST_LATE: u64 = 1_000;
 
 /// Disturbances of a way.
 const MODES: [Mode; 5] = [
@@ -158,9 +163,45 @@
         plan.push((at, begin));
         plan.push((at + length, end));
     }
+    if seed >= FIRST_LATE {
+        plan.extend(late_server(&mut rng));
+        plan.extend(stop_beside_late_servers(&mut rng));
+    }
     // All gateways run again, and everything is sound, when the faults are over.
     plan.extend((0..GATEWAYS).map(|gateway| (FAULT_TIME, Fault::Continue(gateway))));
     plan.extend((0..SERVERS).map(|server| (FAULT_TIME, Fault::Rejoin(server))));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
+
+/// Draws a time in which one server is late.
+fn late_server(rng: &mut StdRng) -> [(Duration, Fault); 2] {
+    let at = Duration::from_millis(rng.random_range(0..3_500));
+    let length = Duration::from_millis(rng.random_range(300..2_500));
+    let server = rng.random_range(0..SERVERS);
+    [
+        (at, Fault::Server(server, ServerFault::Late)),
+        (at + length, Fault::Server(server, ServerFault::Sound)),
+    ]
+}
+
+/// Draws the stop of a gateway while one server, or each, works long on its requests.
+fn stop_beside_late_servers(rng: &mut StdRng) -> Vec<(Duration, Fault)> {
+    let ms = |ms: u64| Duration::from_millis(ms);
+    let at = ms(rng.random_range(0..2_500));
+    let stop = at + ms(rng.random_range(200..1_200));
+    let end = stop + ms(rng.random_range(300..1_500));
+    let gateway = rng.random_range(0..GATEWAYS);
+    let one = rng.random_range(0..SERVERS);
+    let is_each = rng.random_bool(0.5);
+    let mut plan = vec![
+        (stop, Fault::Stop(gateway)),
+        // The grace time is over then.
+        (stop + ms(2_200), Fault::Start(gateway)),
+    ];
+    for server in (0..SERVERS).filter(|server| is_each || *server == one) {
+        plan.push((at, Fault::Server(server, ServerFault::Late)));
+        plan.push((end, Fault::Server(server, ServerFault::Sound)));
+    }
+    plan
+}
--- a/tests/soak/src/promise.rs
+++ b/tests/soak/src/promise.rs
@@ -2,23 +2,62 @@
 
 use crate::caller::Seen;
 use indexmap::IndexMap;
-use standin_site::server::Run;
 use std::time::{Duration, Instant};
 
 /// Statuses that promise that the request did not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+/// Status that tells that the request may have run.
+const UNKNOWN: u16 = 502;
 /// Time after which a withdrawn key works nowhere, once the faults are over.
 pub const IN_FORCE: Duration = Duration::from_secs(2);
 /// Share of requests that is served at the end.
 const SERVED: f64 = 0.95;
 
 base::value! {
+    /// What touches requests.
+    #[derive(Copy, Eq, Hash)]
+    pub enum Touch {
+        /// A gateway stops: from SIGTERM until it is started again.
+        Stop(usize),
+        /// A gateway was killed, or told twice to stop, until it is started again.
+        Kill(usize),
+        /// A gateway is paused.
+        Pause(usize),
+        /// The way to a server is disturbed.
+        Way(usize),
+        /// A server is silent, refuses or fails. One that is late is not touched.
+        Server(usize),
+    }
+
+    /// Time of a touch.
+    #[derive(Copy)]
+    pub struct Period {
+        /// What touches.
+        pub touch: Touch,
+        /// When it began.
+        pub begin: Instant,
+        /// When it ended.
+        pub end: Instant,
+    }
+
+    /// A request that a server ran.
+    pub struct Run {
+        /// Id of the request.
+        pub id: Box<str>,
+        /// Server, by number.
+        pub server: usize,
+    }
+
     /// What happened in a run.
     pub struct History {
         /// Requests of callers.
         pub seen: Vec<Seen>,
         /// Requests that servers ran.
         pub runs: Vec<Run>,
+        /// Stops, and faults that may end requests.
+        pub periods: Vec<Period>,
+        /// Time that the route gives a request.
+        pub time_out: Duration,
         /// When the last fault ended.
         pub calm: Instant,
         /// When the key was withdrawn.
@@ -58,6 +97,7 @@
             broken.push(format!("{} ran with a withdrawn key", seen.id));
         }
     }
+    broken.extend(cut(history));
     let recovered = history.calm + history.recovery;
     let last = history
         .seen
@@ -79,3 +119,47 @@
     }
     broken
 }
+
+/// Returns the requests that a planned stop cut, a line each.
+///
+/// A request that is with a gateway while it stops, and that no fault touches, gets a whole answer: its
+/// connection does not end without one after a server got it, and it is not given up (502) while a
+/// server, which is sound, works on it.
+pub fn cut(history: &History) -> Vec<String> {
+    let mut ran: IndexMap<&str, Vec<usize>> = IndexMap::new();
+    for run in &history.runs {
+        ran.entry(&run.id).or_default().push(run.server);
+    }
+    let mut cut = Vec::new();
+    for seen in &history.seen {
+        let what = match &seen.answer {
+            None => "got no answer",
+            Some((UNKNOWN, _, _)) => "was answered 502",
+            Some(_) => continue,
+        };
+        let Some(servers) = ran.get(&*seen.id) else {
+            continue;
+        };
+        let took = seen.ended.duration_since(seen.sent);
+        let meets = |touch| {
+            let is_met = |period: &Period| {
+                period.touch == touch && period.begin <= seen.ended && period.end >= seen.sent
+            };
+            history.periods.iter().any(is_met)
+        };
+        let gateway = seen.gateway;
+        let is_touched = meets(Touch::Kill(gateway))
+            || meets(Touch::Pause(gateway))
+            || servers
+                .iter()
+                .any(|&server| meets(Touch::Way(server)) || meets(Touch::Server(server)));
+        if meets(Touch::Stop(gateway)) && !is_touched && took < history.time_out {
+            cut.push(format!(
+                "{} {what} of the stopping gateway {gateway} after {} ms, servers {servers:?} had it",
+                seen.id,
+                took.as_millis()
+            ));
+        }
+    }
+    cut
+}
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -3,9 +3,10 @@
 use crate::caller::{Caller, Seen};
 use crate::plan::{self, CENTRES, FAULT_TIME, Fault, GATEWAYS, SERVERS, ServerFault, StoreFault};
 use crate::process::Gateway;
-use crate::promise::{self, History};
+use crate::promise::{self, History, Period, Run, Touch};
 use crate::proxy::{Mode, Proxy};
 use base::sync::lock;
+use indexmap::IndexMap;
 use rustix::process::Signal;
 use standin_site::operator::{Desired, Route};
 use standin_site::server::{Behaviour, Entry, Server};
@@ -29,20 +30,30 @@
 const RESTART: Duration = Duration::from_millis(200);
 /// Time for the gateways to become ready.
 const START: Duration = Duration::from_secs(15);
-/// Routes: requests that may run more than once, and those that may not.
-const ROUTES: [Route; 2] = [
-    Route {
-        name: "safe",
-        service: "service",
-        ..Route::PLAIN
-    },
-    Route {
-        name: "once",
-        service: "service",
-        repeatable: false,
-        ..Route::PLAIN
-    },
-];
+/// Work of a late server: twice the wait of 640 ms after which an answer of a cold server used to be
+/// given up (four times its work, 1.6 objectives), and below the time-out of the routes.
+const LATE_WORK: Duration = Duration::from_millis(1_300);
+/// Latency objective of the routes in milliseconds.
+const OBJECTIVE_MS: u32 = 100;
+/// Routes: requests that may run more than once, those that may not, and those that may, but have one
+/// attempt. No second server hides it if a gateway gives the last up while their server is at work.
+const ROUTES: [Route; 3] = [SAFE, ONCE, SINGLE];
+const SAFE: Route = Route {
+    name: "safe",
+    service: "service",
+    objective_ms: OBJECTIVE_MS,
+    ..Route::PLAIN
+};
+const ONCE: Route = Route {
+    name: "once",
+    repeatable: false,
+    ..SAFE
+};
+const SINGLE: Route = Route {
+    name: "single",
+    attempts: 1,
+    ..SAFE
+};
 /// Data centres.
 const NAMES: [&str; CENTRES] = ["nord-a", "sud-a"];
 
@@ -69,6 +80,10 @@
     version: u32,
     withdrawn: Option<Instant>,
     sequence: u64,
+    /// Touches that last, and since when.
+    touches: IndexMap<Touch, Instant>,
+    /// Touches that ended.
+    periods: Vec<Period>,
 }
 
 /// Runs of this process so far.
@@ -118,10 +133,10 @@
     world.wait_ready().await?;
     let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
     let next = Arc::new(AtomicU64::new(0));
-    for gateway in &world.gateways {
+    for (number, gateway) in world.gateways.iter().enumerate() {
         for _ in 0..3 {
             tokio::spawn(call(
-                gateway.callers,
+                Caller::new(number, gateway.callers),
                 seen.clone(),
                 next.clone(),
                 stop.clone(),
@@ -143,10 +158,13 @@
     }
     stop.cancel();
     world.servers.iter().for_each(Server::stop);
-    let runs = world.servers.iter().flat_map(Server::runs).collect();
+    let touches: Vec<Touch> = world.touches.keys().copied().collect();
+    touches.into_iter().for_each(|touch| world.end(touch));
     let history = History {
         seen: lock(&seen).clone(),
-        runs,
+        runs: world.runs(),
+        periods: world.periods,
+        time_out: Duration::from_millis(SAFE.timeout_ms.into()),
         calm,
         withdrawn: world.withdrawn,
         recovery: RECOVERY,
@@ -166,17 +184,16 @@
 
 /// Sends requests of all kinds until the run ends.
 async fn call(
-    address: SocketAddr,
+    mut caller: Caller,
     seen: Arc<Mutex<Vec<Seen>>>,
     next: Arc<AtomicU64>,
     stop: CancellationToken,
 ) {
-    let mut caller = Caller::new(address);
     while !stop.is_cancelled() {
         let number = next.fetch_add(1, Ordering::Relaxed);
         let id = format!("r{number}");
         let result = tokio::select! {
-            result = caller.ask(&id, number.is_multiple_of(2), number.is_multiple_of(5)) => result,
+            result = caller.ask(&id, route(number), number.is_multiple_of(5)) => result,
             () = stop.cancelled() => return,
         };
         lock(&seen).push(result);
@@ -184,6 +201,15 @@
     }
 }
 
+/// Returns the route of a request by its number.
+fn route(number: u64) -> &'static Route {
+    match number % 6 {
+        1 | 3 | 5 => &ONCE,
+        4 => &SINGLE,
+        _ => &SAFE,
+    }
+}
+
 impl World {
     async fn start(program: &Path, folder: &Path, stop: &CancellationToken) -> io::Result<Self> {
         let addresses = Addresses::new();
@@ -223,6 +249,8 @@
             version: 0,
             withdrawn: None,
             sequence: 0,
+            touches: IndexMap::new(),
+            periods: Vec::new(),
         };
         (0..SERVERS).for_each(|server| world.register(server, false));
         Ok(world)
@@ -272,17 +300,47 @@
 
     fn strike(&mut self, fault: &Fault) -> io::Result<()> {
         match *fault {
-            Fault::Kill(gateway) => self.gateways[gateway].signal(Signal::KILL)?,
-            Fault::Stop(gateway) => self.gateways[gateway].signal(Signal::TERM)?,
-            Fault::Pause(gateway) => self.gateways[gateway].signal(Signal::STOP)?,
-            Fault::Continue(gateway) => self.gateways[gateway].signal(Signal::CONT)?,
+            Fault::Kill(gateway) => {
+                self.begin(Touch::Kill(gateway));
+                self.gateways[gateway].signal(Signal::KILL)?;
+            }
+            Fault::Stop(gateway) => {
+                // A second signal ends a stopping process at once (base::shutdown).
+                if self.touches.contains_key(&Touch::Stop(gateway)) {
+                    self.begin(Touch::Kill(gateway));
+                }
+                self.begin(Touch::Stop(gateway));
+                self.gateways[gateway].signal(Signal::TERM)?;
+            }
+            Fault::Pause(gateway) => {
+                self.begin(Touch::Pause(gateway));
+                self.gateways[gateway].signal(Signal::STOP)?;
+            }
+            Fault::Continue(gateway) => self.go_on(gateway)?,
             Fault::Reload(gateway) => self.gateways[gateway].signal(Signal::HUP)?,
-            Fault::Start(gateway) => self.gateways[gateway].start()?,
+            Fault::Start(gateway) => self.start_again(gateway)?,
             Fault::StoreWay(centre, mode) => self.store_ways[centre].set(mode),
             Fault::Store(centre, fault) => self.doors[centre].set(faults(fault)),
             Fault::Forget => self.store.forget_history(),
-            Fault::ServerWay(server, mode) => self.server_ways[server].set(mode),
-            Fault::Server(server, fault) => self.servers[server].set(behaviour(fault)),
+            Fault::ServerWay(server, mode) => {
+                if mode != Mode::Pass {
+                    self.begin(Touch::Way(server));
+                }
+                self.server_ways[server].set(mode);
+                if mode == Mode::Pass {
+                    self.end(Touch::Way(server));
+                }
+            }
+            Fault::Server(server, fault) => {
+                let is_sound = matches!(fault, ServerFault::Sound | ServerFault::Late);
+                if !is_sound {
+                    self.begin(Touch::Server(server));
+                }
+                self.servers[server].set(behaviour(fault));
+                if is_sound {
+                    self.end(Touch::Server(server));
+                }
+            }
             Fault::Leave(server) => self.register(server, true),
             Fault::Rejoin(server) => self.register(server, false),
             Fault::Publish => self.publish(),
@@ -304,12 +362,58 @@
         self.servers
             .iter()
             .for_each(|s| s.set(Behaviour::default()));
-        for gateway in &mut self.gateways {
-            gateway.signal(Signal::CONT)?;
-            gateway.start()?;
+        for server in 0..SERVERS {
+            self.end(Touch::Way(server));
+            self.end(Touch::Server(server));
+        }
+        for gateway in 0..GATEWAYS {
+            self.go_on(gateway)?;
+            self.start_again(gateway)?;
         }
         Ok(())
     }
+
+    /// Continues a gateway, if it is paused.
+    fn go_on(&mut self, gateway: usize) -> io::Result<()> {
+        self.gateways[gateway].signal(Signal::CONT)?;
+        self.end(Touch::Pause(gateway));
+        Ok(())
+    }
+
+    /// Starts a gateway, if it does not run.
+    fn start_again(&mut self, gateway: usize) -> io::Result<()> {
+        if !self.gateways[gateway].is_running()? {
+            self.end(Touch::Stop(gateway));
+            self.end(Touch::Kill(gateway));
+            self.gateways[gateway].start()?;
+        }
+        Ok(())
+    }
+
+    fn begin(&mut self, touch: Touch) {
+        self.touches.entry(touch).or_insert_with(Instant::now);
+    }
+
+    fn end(&mut self, touch: Touch) {
+        let begin = self.touches.swap_remove(&touch);
+        self.periods.extend(begin.map(|begin| Period {
+            touch,
+            begin,
+            end: Instant::now(),
+        }));
+    }
+
+    /// Returns what the servers ran.
+    fn runs(&self) -> Vec<Run> {
+        let servers = self.servers.iter().enumerate();
+        servers
+            .flat_map(|(server, own)| {
+                own.runs()
+                    .into_iter()
+                    .map(move |run| Run { id: run.id, server })
+            })
+            .collect()
+    }
 }
 
 fn faults(fault: StoreFault) -> Faults {
@@ -358,11 +462,15 @@
             status: 500,
             ..sound
         },
+        ServerFault::Late => Behaviour {
+            work: LATE_WORK,
+            ..sound
+        },
     }
 }
 
 async fn is_ready(callers: SocketAddr) -> bool {
-    let seen = Caller::new(callers).ask("ready", true, false).await;
+    let seen = Caller::new(0, callers).ask("ready", &SAFE, false).await;
     matches!(seen.answer, Some((200, _, _)))
 }
 
