--- a/tests/soak/tests/stop.rs
+++ b/tests/soak/tests/stop.rs
@@ -35,7 +35,7 @@
 /// Time that callers wait at most. Longer than the life of a gateway that stops.
 const PATIENCE: Duration = Duration::from_secs(12);
 /// Requests that may run more than once, and those that may not. The route ends none of them.
-const ROUTES: [Route; 2] = [
+static ROUTES: [Route; 2] = [
     Route {
         name: "safe",
         service: "service",
@@ -51,6 +51,10 @@
     },
 ];
 
+fn route(repeatable: bool) -> &'static Route {
+    &ROUTES[usize::from(!repeatable)]
+}
+
 /// Servers of a site; enough for a slot for each request.
 const SERVERS: u8 = 12;
 /// Callers of [`what_runs_is_answered`].
@@ -118,14 +122,14 @@
     }
 
     fn caller(&self) -> Caller {
-        let mut caller = Caller::new(self.gateway.callers);
+        let mut caller = Caller::new(0, self.gateway.callers);
         (caller.patience, caller.deadline) = (PATIENCE, PATIENCE);
         caller
     }
 
     /// Sends a request on a connection of its own; returns the status, or none without an answer.
     async fn ask(&self, id: &str, repeatable: bool) -> Option<u16> {
-        let seen = self.caller().ask(id, repeatable, false).await;
+        let seen = self.caller().ask(id, route(repeatable), false).await;
         seen.answer.map(|(status, _, _)| status)
     }
 
@@ -202,7 +206,7 @@
     let mut site = Site::start(name).await;
     site.work(LONG);
     let mut caller = site.caller();
-    let asked = tokio::spawn(async move { caller.ask("long", repeatable, false).await });
+    let asked = tokio::spawn(async move { caller.ask("long", route(repeatable), false).await });
     site.until_runs("long").await;
     site.terminate();
     let seen = asked.await.expect("the caller ends");
@@ -227,7 +231,7 @@
     site.terminate();
     site.until_stopping().await;
     tokio::time::sleep(Duration::from_millis(after_ms)).await;
-    let seen = site.caller().ask("late", repeatable, false).await;
+    let seen = site.caller().ask("late", route(repeatable), false).await;
     assert_eq!(told(&seen), Some((503, &b"stopping\n"[..])));
     site.until_ended().await;
     assert_eq!(site.runs("late"), 0);
@@ -246,13 +250,13 @@
     let mut site = Site::start(name).await;
     site.work(Duration::from_millis(700));
     let mut caller = site.caller();
-    let taken = tokio::spawn(async move { caller.ask("taken", repeatable, false).await });
+    let taken = tokio::spawn(async move { caller.ask("taken", route(repeatable), false).await });
     site.until_runs("taken").await;
     site.work(Duration::from_millis(50));
     site.terminate();
     let mut caller = site.caller();
     caller.deadline = Duration::from_millis(500);
-    let short = caller.ask("short", repeatable, false).await;
+    let short = caller.ask("short", route(repeatable), false).await;
     assert_eq!(told(&short), Some((200, site.answer("short").as_bytes())));
     let taken = taken.await.expect("the caller ends");
     assert_eq!(told(&taken), Some((200, site.answer("taken").as_bytes())));
@@ -267,7 +271,7 @@
     let mut site = Site::start(name).await;
     site.work(Duration::from_millis(700));
     let mut caller = site.caller();
-    let taken = tokio::spawn(async move { caller.ask("taken", repeatable, false).await });
+    let taken = tokio::spawn(async move { caller.ask("taken", route(repeatable), false).await });
     site.until_runs("taken").await;
     site.terminate();
     site.until_stopping().await;
@@ -333,7 +337,7 @@
                     return;
                 }
                 let id = format!("r{number}-{turn}");
-                let result = caller.ask(&id, number % 2 == 0, false).await;
+                let result = caller.ask(&id, route(number % 2 == 0), false).await;
                 lock(&seen).push(result);
                 tokio::time::sleep(Duration::from_millis(3)).await;
             }
