bug: a stopping entry takes no request that it can't finish (LOST)

Callers saw: no answer at all to a request that a stopping entry had taken after its SIGTERM and passed on, if the deadline of its route is later than the end of the stop (`drain_timeout` shorter than the deadline).

Cause: a stopping entry took every request until it refused new connections; `drain_timeout` then ended what was in flight. Settings and routes are not checked against each other.

Ruled out: the defaults (routes 5 s, `drain_timeout` 30 s) cut nothing.

Change: once the stop has begun, a request whose deadline is later than the end of the stop is refused as `stopping`, not run, before a claim or a server has it.

Test: integration/drain::stopping_entry_takes_only_what_it_can_finish failed before (no answer) and passes now. drain, path, answers and start pass.

--- a/programs/entry/src/pipeline.rs
+++ b/programs/entry/src/pipeline.rs
@@ -10,7 +10,7 @@
 use crate::receive::{Call, receive};
 use crate::release::Releases;
 use crate::reply::{self, Ended};
-use crate::route::Router;
+use crate::route::{self, Router};
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use base::http::Body;
@@ -38,6 +38,8 @@
     quarantine: Arc<Quarantine>,
     claims: Claims,
     links: Links<ShareClient>,
+    /// Until when requests are finished at least, once this entry stops.
+    end: watch::Receiver<Option<Instant>>,
     /// Requests that other entries passed on; closed when this entry refuses new work.
     passes: TaskTracker,
     confirmed: watch::Receiver<Option<Instant>>,
@@ -49,13 +51,15 @@
 }
 
 impl Pipeline {
-    /// Makes a pipeline that follows `snapshot` and the last confirmation of the keys.
+    /// Makes a pipeline that follows `snapshot`, the last confirmation of the keys, and the `end` up to
+    /// which a stopping entry finishes requests.
     pub fn new(
         settings: Settings,
         incarnation: Incarnation,
         snapshot: watch::Receiver<Arc<Snapshot>>,
         releases: Arc<Releases>,
         confirmed: watch::Receiver<Option<Instant>>,
+        end: watch::Receiver<Option<Instant>>,
         metrics: Arc<Metrics>,
     ) -> Self {
         let admission = Admission::new(
@@ -79,6 +83,7 @@
             settings,
             snapshot,
             confirmed,
+            end,
             admission,
             releases,
             metrics,
@@ -173,6 +178,11 @@
     async fn run(&self, call: &Call) -> Result<Ended, Outcome> {
         let snapshot = self.snapshot.borrow().clone();
         let grant = self.authorise(call, &snapshot)?;
+        let deadline = route::deadline(call, &grant);
+        if self.end.borrow().is_some_and(|end| end < deadline) {
+            // Its server could still be at work when this entry ends; another entry is asked at once.
+            return Err(refused(Refusal::Stopping));
+        }
         let mut track = self.track(call, &grant, &snapshot).await?;
         let result = match track.keeper() {
             None => match self.proceed(call, &grant, &track).await {
--- a/programs/entry/src/run.rs
+++ b/programs/entry/src/run.rs
@@ -42,12 +42,14 @@
     let releases = Arc::new(Releases::default());
     let followed = snapshot.subscribe();
     let confirmed = watch::Sender::new(None::<Instant>);
+    let ending = watch::Sender::new(None::<Instant>);
     let pipeline = Arc::new(Pipeline::new(
         settings.clone(),
         incarnation,
         snapshot.subscribe(),
         releases.clone(),
         confirmed.subscribe(),
+        ending.subscribe(),
         metrics.clone(),
     ));
     let seen = snapshot.subscribe();
@@ -85,7 +87,7 @@
         end.cancel();
     };
     tokio::join!(
-        stop::run(&settings, stop, withdrawn, refuse.clone()),
+        stop::run(&settings, stop, withdrawn, refuse.clone(), ending),
         serve,
         release::run(releases, seen, &settings, signs, end.clone()),
         local::follow(settings.control, Some(incarnation), end.clone(), update),
--- a/programs/entry/src/stop.rs
+++ b/programs/entry/src/stop.rs
@@ -3,18 +3,21 @@
 use crate::settings::Settings;
 use std::time::{Duration, Instant};
 use steering::drain::{Stop, Times};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 /// Time between two looks at whether the next step may begin.
 const LOOK: Duration = Duration::from_millis(20);
 
 /// Waits for `stop`, then until no caller can have a cached answer that names this VM, and then
-/// cancels `refuse`, on which the server stops accepting and finishes what is in flight.
+/// cancels `refuse`, on which the server stops accepting and finishes what is in flight. `end` is told
+/// until when requests are finished at least.
 pub async fn run(
     settings: &Settings,
     stop: CancellationToken,
     withdrawn: CancellationToken,
     refuse: CancellationToken,
+    end: watch::Sender<Option<Instant>>,
 ) {
     stop.cancelled().await;
     let times = Times {
@@ -23,7 +26,9 @@
         request: settings.drain_timeout.0,
     };
     log::info!("leaving the look-up answers");
-    let mut step = Stop::begin(Instant::now(), times);
+    let now = Instant::now();
+    end.send_replace(Some(now + times.cached + times.request));
+    let mut step = Stop::begin(now, times);
     let mut cached = loop {
         match step.withdrawn(Instant::now(), withdrawn.is_cancelled()) {
             Ok(next) => break next,
@@ -31,6 +36,7 @@
         }
         tokio::time::sleep(LOOK).await;
     };
+    end.send_replace(Some(cached.until() + times.request));
     log::info!("waiting until cached look-up answers have expired");
     while let Err(same) = cached.refuse(Instant::now()) {
         cached = same;
--- a/tests/integration/tests/drain.rs
+++ b/tests/integration/tests/drain.rs
@@ -5,8 +5,10 @@
 use bench::topology::{ATLAS, Deployment, Service};
 use callers::answer::Answer;
 use hyper::{Method, StatusCode};
+use integration::call::Call;
 use integration::{Fleet, until};
 use operators::admin::{Drain, Error, Undrain};
+use serde_json::json;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -198,6 +200,50 @@
     assert!(fleet.wait("vm-01-entry"), "the entry ends with success");
 }
 
+/// Guards against a request that a stopping entry takes although it ends before the request does: it
+/// is refused untouched, so that the caller can go elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_entry_takes_only_what_it_can_finish() {
+    const BOOKING: Deployment = Deployment {
+        services: &[
+            SMALL.services[0],
+            Service {
+                name: "booking",
+                servers: 4,
+                slots: 3,
+                service_ms: 5,
+            },
+        ],
+        ..SMALL
+    };
+    // The stop ends within 3 s of the last look-up; the deadline of the route is 5 s.
+    let settings = [("entry", "stop_cached: 2s\ndrain_timeout: 1s\n")];
+    let fleet = Fleet::start_with(BOOKING, 28_700, &settings);
+    let key = ready(&fleet).await;
+    let entry = fleet.address("vm-01-entry", "listen");
+    let booking = Call::new("POST /booking/bookings", &key);
+    until("a booking is served", async || {
+        booking.send(entry).await.outcome() == "served"
+    })
+    .await;
+    let backends = fleet.backends("booking").await;
+    fleet.signal("vm-01-entry", "TERM");
+    until("the entry has begun to stop", async || {
+        fleet.log("vm-01-entry").contains("cached look-up answers")
+    })
+    .await;
+    let short = booking.clone().with("x-deadline-ms", "500");
+    assert_eq!(short.send(entry).await.outcome(), "served");
+    let before = fleet.sum(&backends, "served").await;
+    for backend in &backends {
+        fleet.switch(backend, &json!({ "slowdown": 900.0 })).await;
+    }
+    let reply = booking.send(entry).await;
+    assert_eq!(reply.outcome(), "not-run: stopping");
+    assert_eq!(fleet.sum(&backends, "cancelled").await, 0);
+    assert_eq!(fleet.sum(&backends, "served").await, before);
+}
+
 /// Guards that a second signal ends a stopping entry at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn second_signal_stops_at_once() {
