bug: with many VMs no overdue request gets a second server

Cause: an overdue request had to leave one retry to failed ones, whatever the most is that a VM may save up.

Change: the reserve is at most what the VM may save up beyond one retry.

Test: steering/retry overdue_requests_get_a_retry_of_a_small_budget; without the change it fails at both sizes, by the rule (saved is at most 1.0 and 1.5, needed was 2.0).

--- a/crates/steering/src/retry.rs
+++ b/crates/steering/src/retry.rs
@@ -71,7 +71,8 @@
     pub fn has(&self, need: Need) -> bool {
         let reserve = match need {
             Need::Failed => 0.0,
-            Need::Overdue => HEDGE_RESERVE,
+            // With many VMs one may save up little more than one retry.
+            Need::Overdue => HEDGE_RESERVE.min((self.settings.most - 1.0).max(0.0)),
         };
         self.saved >= 1.0 + reserve
     }
