bug: a request that may have run is refused as not run after two sends

Callers would see: 503 for a request whose first server ran it, if that send ended too large or at its deadline while a second send was open, and the second server refused.

Cause: an open send learned only of ends that allow another send. Besides, a send was found by a number that is used twice after a connection that failed.

Change: an open send learns of each failure of another one; an answer that is too large ends the request. Sends are numbered by a count that only grows. The same in the entry.

Test: steering/attempt two_sends_did_not_run_if_neither_did has the ends at the deadline and too large besides; it does not compile before (new interface).

--- a/crates/steering/src/attempt.rs
+++ b/crates/steering/src/attempt.rs
@@ -170,10 +170,13 @@
         self.before.idempotent().then(|| self.before.clone())
     }
 
-    /// Takes in that another send of the request failed and left it as `other`.
-    pub fn learn(&mut self, other: &Attempt) {
-        if matches!(self.before, Attempt::Unsent(_)) {
-            self.before = other.clone();
+    /// Takes in how another send of the request failed while this one goes on.
+    pub fn learn(&mut self, failure: Failure) {
+        if let (Failure::MayHaveRun(cause), Attempt::Unsent(queued)) = (failure, &self.before) {
+            self.before = Attempt::MayHaveRun(Queued {
+                idempotent: queued.idempotent,
+                history: MayHaveRun(cause),
+            });
         }
     }
 
--- a/crates/steering/tests/attempt.rs
+++ b/crates/steering/tests/attempt.rs
@@ -54,15 +54,18 @@
     assert_eq!(Attempt::new(true).send().beside(), Some(Attempt::new(true)));
 }
 
-/// Guards against "not run" when one of two sends may have run, and against "unknown" when the servers
-/// of both said that they did not run it.
+/// Guards against "not run" when one of two sends may have run, however it ended, and against
+/// "unknown" when the servers of both said that they did not run it.
 #[rstest]
-#[case(Failure::Refused(Retry::ServerShedding), true)]
-#[case(Failure::MayHaveRun(Cause::Interrupted), false)]
-fn two_sends_did_not_run_if_neither_did(#[case] second: Failure, #[case] is_refused: bool) {
+#[case::refused(Failure::Refused(Retry::ServerShedding), true)]
+#[case::unsent(Failure::Unsent(Retry::ConnectFailed), true)]
+#[case::interrupted(Failure::MayHaveRun(Cause::Interrupted), false)]
+#[case::deadline(Failure::MayHaveRun(Cause::DeadlinePassed), false)]
+#[case::too_large(Failure::MayHaveRun(Cause::AnswerTooLarge), false)]
+fn two_sends_did_not_run_if_neither_did(#[case] other: Failure, #[case] is_refused: bool) {
     let mut first = Attempt::new(true).send();
-    let beside = first.beside().unwrap().send();
-    first.learn(&fail(beside, second).unwrap());
+    assert!(first.beside().is_some());
+    first.learn(other);
     let left = fail(first, Failure::Refused(Retry::ServerShedding)).unwrap();
     let outcome = left.give_up(Refusal::ServersRefused);
     assert_eq!(matches!(outcome, Outcome::NotRun(_)), is_refused);
--- a/programs/entry/src/forward.rs
+++ b/programs/entry/src/forward.rs
@@ -342,10 +342,8 @@
             ..
         } = self.scene;
         if !self.open.is_empty() {
-            if let Step::Retry(attempt, _) = step {
-                let others = self.open.iter_mut();
-                others.for_each(|open| open.sent.learn(&attempt));
-            }
+            let others = self.open.iter_mut();
+            others.for_each(|open| open.sent.learn(failure.into()));
             return Next::Wait;
         }
         if let Some(answer) = self.answered.take() {
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -63,12 +63,14 @@
     open: Vec<Open>,
     /// Servers that it was sent to.
     tried: Vec<id::Server>,
+    /// Sends so far.
+    sends: u32,
     /// Sends that servers may have got.
     arrivals: u32,
     /// A failure that a server answered with; passed on if no other server does better.
     answered: Option<Answer>,
     /// Why an overdue request was not sent to a second server, when last asked.
-    held: Option<Refusal>,
+    refusal: Option<Refusal>,
 }
 
 /// Sends a request until it is answered.
@@ -91,9 +93,10 @@
         shard,
         open: Vec::new(),
         tried: Vec::new(),
+        sends: 0,
         arrivals: 0,
         answered: None,
-        held: None,
+        refusal: None,
     };
     let is_decided = AtomicBool::new(false);
     let mut sends = FuturesUnordered::new();
@@ -163,18 +166,19 @@
         if !self.open.is_empty() {
             self.shared.metrics.retry(Retry::Silent);
         }
-        self.held = None;
+        self.refusal = None;
         self.tried.push(flight.server.clone());
+        self.sends += 1;
         self.arrivals += 1;
         Ok(Open {
-            number: self.arrivals,
+            number: self.sends,
             flight,
             sent: attempt.send(),
         })
     }
 
     fn denied(&mut self, attempt: Attempt) -> Unserved {
-        if self.held != Some(Refusal::BudgetSpent) {
+        if self.refusal != Some(Refusal::BudgetSpent) {
             self.shared.metrics.denied();
         }
         self.unplaced(attempt, Refusal::BudgetSpent, Some(NO_SERVER_WAIT))
@@ -182,7 +186,7 @@
 
     /// Takes in that no server gets the request now, and logs it when the reason changes.
     fn unplaced(&mut self, attempt: Attempt, reason: Refusal, retry: Option<Duration>) -> Unserved {
-        if !self.tried.is_empty() && self.held != Some(reason) {
+        if !self.tried.is_empty() && self.refusal != Some(reason) {
             let now = Instant::now();
             log::info!(
                 "event=not-resent id={} reason={reason} service={} open={} tried={} excess_ms={} left_ms={}",
@@ -196,7 +200,7 @@
                     .saturating_duration_since(now)
                     .as_millis()
             );
-            self.held = Some(reason);
+            self.refusal = Some(reason);
         }
         let outcome = attempt.give_up(reason);
         Unserved { outcome, retry }
@@ -240,15 +244,16 @@
                 failure.into()
             }
         };
-        let step = open.sent.fail(failure);
-        if !self.open.is_empty() {
-            if let attempt::Step::Retry(attempt, _) = step {
-                self.open
-                    .iter_mut()
-                    .for_each(|open| open.sent.learn(&attempt));
-            }
+        let is_final = matches!(
+            failure,
+            attempt::Failure::MayHaveRun(Uncertainty::AnswerTooLarge)
+        );
+        if !self.open.is_empty() && !is_final {
+            let others = self.open.iter_mut();
+            others.for_each(|open| open.sent.learn(failure));
             return Step::Wait;
         }
+        let step = open.sent.fail(failure);
         match step {
             attempt::Step::Retry(attempt, retry) if self.arrivals < self.grant.route.attempts => {
                 self.shared.metrics.retry(retry);
