bug: a second server is blamed for a request that it just got

Operators would see: during a takeover, requests that the old version got as second sends count as unanswered for it as soon as the first server answers, so that the new version is compared with a worse old one; and servers that helped out lose standing in the choice.

Cause: each send that was open when another server answered counted, whether its own answer was overdue or not.

Change: only an overdue send counts.

Test: none of its own; gateway/hedge and gateway/fleet pass with it.

--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -131,7 +131,8 @@
         let now = Instant::now();
         if self.is_decided.load(Ordering::Relaxed) {
             self.log("overtaken", 0, "");
-            if !self.is_held() {
+            // A server whose answer was not even overdue says nothing.
+            if !self.is_held() && self.flight.is_overdue(now) {
                 self.flight.failed(now);
                 self.judge(Outcome::Unanswered);
             }
