bug: a server's failure is passed on when its caller has left, or not at all

Callers would see: nothing in time for a request that one server failed while a second one stayed silent, since the failure was passed on at the deadline itself; and 504 in its place from a VM whose grace time ended.

Change: it is passed on 100 ms before the deadline, or when the stop ends.

Test: both cases of gateway/hedge failure_of_a_server_is_passed_on_if_no_other_answers_in_time fail before (no answer in time; 504) and pass now. The tests of second sends check now that there was one, and that the warm-up was served, so that they can't pass without it (review).

--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -25,6 +25,9 @@
 const LOOK: Duration = Duration::from_millis(200);
 /// Wait told to callers while no server may be used.
 const NO_SERVER_WAIT: Duration = Duration::from_millis(300);
+/// Time before the deadline at which a failure of a server is passed on: the way to the caller, 8 ms at
+/// the sites, and the lateness of timers on a busy VM.
+const RETURN_TIME: Duration = Duration::from_millis(100);
 /// Least time for which a send is worth while.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 
@@ -124,7 +127,7 @@
                 Step::Wait => {}
                 Step::Over(unserved) => return journey.end(unserved),
             },
-            () = tokio::time::sleep_until(grant.deadline.into()), if journey.answered.is_some() => {
+            () = last_call(grant, shared), if journey.answered.is_some() => {
                 let outcome = attempt::Outcome::Unknown(Uncertainty::DeadlinePassed);
                 return journey.end(Unserved { outcome, retry: None });
             }
@@ -133,6 +136,15 @@
     }
 }
 
+/// Waits until an answer that is there has to be passed on.
+async fn last_call(grant: &Grant<'_>, shared: &Shared) {
+    let time = grant.deadline.checked_sub(RETURN_TIME);
+    tokio::select! {
+        () = tokio::time::sleep_until(time.unwrap_or(grant.deadline).into()) => {}
+        () = shared.ending.cancelled() => {}
+    }
+}
+
 /// What follows the end of a send.
 enum Step {
     /// The request is answered.
--- a/programs/gateway/tests/hedge.rs
+++ b/programs/gateway/tests/hedge.rs
@@ -36,7 +36,8 @@
     .await;
     let [gateway] = site.gateways([("vm-1", "nord-a")], &door).await;
     for number in 0..20 {
-        gateway.ask(&format!("warm-{number}"), "/a/").await;
+        let answer = gateway.ask(&format!("warm-{number}"), "/a/").await;
+        assert_eq!(answer.map(|(status, _, _)| status), Some(StatusCode::OK));
     }
     match a.runs().len() > b.runs().len() {
         true => (site, a, b, gateway),
@@ -49,6 +50,16 @@
     (status, String::from_utf8_lossy(&body).into_owned())
 }
 
+/// Returns how many requests were sent to a second server because the answer of the first was overdue.
+async fn hedged(gateway: &Gateway) -> Option<u32> {
+    let metrics = site::get(gateway.settings.listen.metrics, "/metrics").await?;
+    let text = String::from_utf8_lossy(&metrics.body).into_owned();
+    let line = text
+        .lines()
+        .find(|line| line.contains("reason=\"silent\""))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
 fn ran(server: &Server) -> bool {
     server.runs().iter().any(|run| &*run.id == "1")
 }
@@ -136,6 +147,7 @@
     let (status, body) = status(&gateway).await;
     assert_eq!(status, StatusCode::OK, "{body}");
     assert!(body.contains(&*first.id), "{body}");
+    assert_eq!(hedged(&gateway).await, Some(1));
 }
 
 /// Guards against a failure of the first server that ends a request at which the second is at work.
@@ -153,6 +165,7 @@
     let (status, body) = status(&gateway).await;
     assert_eq!(status, StatusCode::OK, "{body}");
     assert!(body.contains(&*second.id), "{body}");
+    assert_eq!(hedged(&gateway).await, Some(1));
 }
 
 /// Guards against a second run of a request that may run once, whatever its server does.
@@ -169,9 +182,13 @@
     assert!(!ran(&second));
 }
 
-/// Guards against an answer of a server that is replaced by one of the gateway at the deadline.
+/// Guards against an answer of a server that is replaced by one of the gateway, at the deadline or at the
+/// end of a stop, or that comes when its caller has left.
+#[rstest]
+#[case::deadline(false)]
+#[case::stop(true)]
 #[tokio::test]
-async fn failure_of_a_server_is_passed_on_if_no_other_answers_in_time() {
+async fn failure_of_a_server_is_passed_on_if_no_other_answers_in_time(#[case] stops: bool) {
     let (_site, first, second, gateway) = pair(PATIENT).await;
     first.set(Behaviour {
         status: 500,
@@ -181,7 +198,18 @@
         silent: true,
         ..Behaviour::default()
     });
-    let (status, body) = status(&gateway).await;
+    // The caller waits for as long as it said.
+    let asked = tokio::time::timeout(Duration::from_secs(3), status(&gateway));
+    let (answer, ()) = tokio::join!(asked, async {
+        until("the second server has the request", || async {
+            ran(&second)
+        })
+        .await;
+        if stops {
+            gateway.stop.cancel();
+        }
+    });
+    let (status, body) = answer.expect("an answer in time");
     assert_eq!(status, StatusCode::INTERNAL_SERVER_ERROR, "{body}");
     assert!(body.contains(&*first.id), "{body}");
 }
