refactor: plain names for the sends of a request and for what disturbs one

Cause: a read of the whole change as a newcomer. Sends and Context replace Journey and Scene, answer_due replaces last_call, Disturbance replaces Touch in the soak.

--- a/programs/entry/src/forward.rs
+++ b/programs/entry/src/forward.rs
@@ -40,9 +40,9 @@
 /// Server that a request is sent to, and what its version is told of the send.
 type Placed = (Start, Flight);
 
-/// A request and what decides on its way.
+/// A request, and what the choice of its servers depends on.
 #[derive(Clone, Copy)]
-struct Scene<'a> {
+struct Context<'a> {
     call: &'a Call,
     grant: &'a Grant<'a>,
     router: &'a Arc<Router>,
@@ -70,9 +70,9 @@
     result: Result<Response<Body>, (Failure, bool)>,
 }
 
-/// A request on its way: the servers that have it, and what came back from others.
-struct Journey<'a> {
-    scene: Scene<'a>,
+/// Sends of one request: those that servers have, and what came of the others.
+struct Sends<'a> {
+    context: Context<'a>,
     /// Sends that are not answered yet.
     open: Vec<Open>,
     /// Servers that it was sent to.
@@ -111,7 +111,7 @@
     metrics: &Metrics,
     track: &Track,
 ) -> Forwarded {
-    let scene = Scene {
+    let context = Context {
         call,
         grant,
         router,
@@ -120,8 +120,8 @@
         track,
         deadline: track.deadline(route::deadline(call, grant)),
     };
-    let mut journey = Journey {
-        scene,
+    let mut sends = Sends {
+        context,
         open: Vec::new(),
         tried: Vec::new(),
         answered: None,
@@ -129,47 +129,47 @@
     };
     // Dropped when the caller leaves or another server answered: that closes the connections and
     // ends the flights.
-    let mut sends = FuturesUnordered::new();
+    let mut in_flight = FuturesUnordered::new();
     let mut beside = OptionFuture::from(None);
     let mut next = Some(Attempt::new(grant.path.idempotent));
     loop {
         if let Some(attempt) = next.take() {
-            if !journey.may_go_on() {
+            if !sends.may_go_on() {
                 return Err(attempt.give_up(Refusal::ServersRefused));
             }
-            match scene.place(&journey.tried).await {
-                Ok(placed) => sends.push(journey.send(attempt, placed)),
-                Err(Refusal::NoServer) if !journey.tried.is_empty() => {
+            match context.place(&sends.tried).await {
+                Ok(placed) => in_flight.push(sends.send(attempt, placed)),
+                Err(Refusal::NoServer) if !sends.tried.is_empty() => {
                     return Err(attempt.give_up(Refusal::ServersRefused));
                 }
                 Err(reason) => return Err(attempt.give_up(reason)),
             }
-            beside = journey.beside().into();
+            beside = sends.beside().into();
         }
         tokio::select! {
             biased;
-            Some(ended) = sends.next() => {
-                match journey.ended(ended) {
+            Some(ended) = in_flight.next() => {
+                match sends.ended(ended) {
                     Next::Answered(answer) => return Ok(*answer),
                     Next::Again(attempt) => next = Some(attempt),
                     Next::Wait => {}
                     Next::Over(outcome) => return Err(outcome),
                 }
-                beside = journey.beside().into();
+                beside = sends.beside().into();
             }
             Some(placed) = &mut beside => {
                 beside = None.into();
-                let attempt = journey.open.first().and_then(|open| open.sent.beside());
+                let attempt = sends.open.first().and_then(|open| open.sent.beside());
                 if let (Some(placed), Some(attempt)) = (placed, attempt) {
                     metrics.retry(Retry::Silent);
-                    sends.push(journey.send(attempt, placed));
+                    in_flight.push(sends.send(attempt, placed));
                 }
             }
         }
     }
 }
 
-impl<'a> Scene<'a> {
+impl<'a> Context<'a> {
     fn shard(&self) -> Arc<Shard> {
         self.router.shard(&self.grant.service.service.value)
     }
@@ -246,10 +246,10 @@
     }
 }
 
-impl<'a> Journey<'a> {
+impl<'a> Sends<'a> {
     /// Whether another send is allowed; a trial runs on its server only.
     fn may_go_on(&self) -> bool {
-        let most = self.scene.track.trial().map_or(ATTEMPTS, |_| 1);
+        let most = self.context.track.trial().map_or(ATTEMPTS, |_| 1);
         self.tried.len() < most
     }
 
@@ -259,9 +259,9 @@
         attempt: Attempt,
         (mut start, flight): Placed,
     ) -> impl Future<Output = Ended> + use<'a> {
-        let scene = self.scene;
+        let context = self.context;
         start.sent();
-        let running = flight.server().start(scene.track.digest());
+        let running = flight.server().start(context.track.digest());
         self.tried.push(flight.server().listed.name.clone());
         let number = self.tried.len();
         self.open.push(Open {
@@ -270,8 +270,8 @@
             start,
             overdue: flight.overdue(),
         });
-        scene.track.sent(true);
-        scene.send(number, flight, running)
+        context.track.sent(true);
+        context.send(number, flight, running)
     }
 
     /// Looks for a second server once the only answer that is awaited is overdue.
@@ -280,10 +280,14 @@
             return None;
         };
         let is_allowed = self.may_go_on() && !self.is_crashed && self.answered.is_none();
-        if !is_allowed || open.sent.beside().is_none() || open.overdue >= self.scene.deadline {
+        if !is_allowed || open.sent.beside().is_none() || open.overdue >= self.context.deadline {
             return None;
         }
-        Some(self.scene.second(self.tried.clone(), open.overdue).boxed())
+        Some(
+            self.context
+                .second(self.tried.clone(), open.overdue)
+                .boxed(),
+        )
     }
 
     /// Takes in the end of a send.
@@ -324,7 +328,7 @@
             return Next::Wait;
         }
         if !is_failure && self.tried.len() == 1 {
-            self.scene.shard().succeeded();
+            self.context.shard().succeeded();
         }
         // A server whose answer was not even overdue says nothing about its version.
         let now = Instant::now();
@@ -335,12 +339,12 @@
 
     /// Decides what follows a failed send.
     fn failed(&mut self, step: Step, failure: Failure, name: &str) -> Next {
-        let Scene {
+        let Context {
             call,
             metrics,
             track,
             ..
-        } = self.scene;
+        } = self.context;
         if !self.open.is_empty() {
             let others = self.open.iter_mut();
             others.for_each(|open| open.sent.learn(failure.into()));
@@ -354,7 +358,7 @@
             Step::Retry(next, _) if self.is_crashed => Next::Over(next.give_up(Refusal::Suspected)),
             // Silent until the deadline.
             Step::Retry(next, Retry::Silent) => Next::Over(next.give_up(Refusal::DeadlinePassed)),
-            Step::Retry(next, _) if loads(failure) && !self.scene.shard().retry() => {
+            Step::Retry(next, _) if loads(failure) && !self.context.shard().retry() => {
                 metrics.denied();
                 Next::Over(next.give_up(Refusal::BudgetSpent))
             }
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -56,8 +56,8 @@
     sent: attempt::Sent,
 }
 
-/// A request on its way: the servers that have it, and what came back from others.
-struct Journey<'a> {
+/// Sends of one request: those that servers have, and what came of the others.
+struct Sends<'a> {
     call: &'a Call,
     grant: &'a Grant<'a>,
     shared: &'a Shared,
@@ -67,7 +67,7 @@
     /// Servers that it was sent to.
     tried: Vec<id::Server>,
     /// Sends so far.
-    sends: u32,
+    count: u32,
     /// Sends that servers may have got.
     arrivals: u32,
     /// A failure that a server answered with; passed on if no other server does better.
@@ -89,55 +89,55 @@
     let Some(shard) = shared.services.shard(grant.service) else {
         return Err(Refused::from(Refusal::NoServer).into());
     };
-    let mut journey = Journey {
+    let mut sends = Sends {
         call,
         grant,
         shared,
         shard,
         open: Vec::new(),
         tried: Vec::new(),
-        sends: 0,
+        count: 0,
         arrivals: 0,
         answered: None,
         refusal: None,
     };
     let is_decided = AtomicBool::new(false);
-    let mut sends = FuturesUnordered::new();
+    let mut in_flight = FuturesUnordered::new();
     let mut next = Some(Attempt::new(grant.route.idempotent));
     loop {
         if let Some(attempt) = next.take() {
-            match journey.start(attempt) {
+            match sends.start(attempt) {
                 Ok(open) => {
                     let (flight, number) = (open.flight.clone(), open.number);
-                    journey.open.push(open);
-                    sends.push(send(call, grant, flight, shared, number, &is_decided));
+                    sends.open.push(open);
+                    in_flight.push(send(call, grant, flight, shared, number, &is_decided));
                 }
-                Err(unserved) if journey.open.is_empty() => return journey.end(unserved),
+                Err(unserved) if sends.open.is_empty() => return sends.end(unserved),
                 Err(_) => {}
             }
         }
         tokio::select! {
             biased;
-            Some((number, sent)) = sends.next() => match journey.ended(number, sent) {
+            Some((number, sent)) = in_flight.next() => match sends.ended(number, sent) {
                 Step::Answered(answer) => {
                     is_decided.store(true, Ordering::Relaxed);
                     return Ok(answer);
                 }
                 Step::Again(attempt) => next = Some(attempt),
                 Step::Wait => {}
-                Step::Over(unserved) => return journey.end(unserved),
+                Step::Over(unserved) => return sends.end(unserved),
             },
-            () = last_call(grant, shared), if journey.answered.is_some() => {
+            () = answer_due(grant, shared), if sends.answered.is_some() => {
                 let outcome = attempt::Outcome::Unknown(Uncertainty::DeadlinePassed);
-                return journey.end(Unserved { outcome, retry: None });
+                return sends.end(Unserved { outcome, retry: None });
             }
-            () = tokio::time::sleep(LOOK), if grant.route.idempotent => next = journey.beside(),
+            () = tokio::time::sleep(LOOK), if grant.route.idempotent => next = sends.beside(),
         }
     }
 }
 
 /// Waits until an answer that is there has to be passed on.
-async fn last_call(grant: &Grant<'_>, shared: &Shared) {
+async fn answer_due(grant: &Grant<'_>, shared: &Shared) {
     let time = grant.deadline.checked_sub(RETURN_TIME);
     tokio::select! {
         () = tokio::time::sleep_until(time.unwrap_or(grant.deadline).into()) => {}
@@ -157,7 +157,7 @@
     Over(Unserved),
 }
 
-impl Journey<'_> {
+impl Sends<'_> {
     /// Chooses a server for the next send and counts it.
     fn start(&mut self, attempt: Attempt) -> Result<Open, Unserved> {
         let need = match self.open.is_empty() {
@@ -180,10 +180,10 @@
         }
         self.refusal = None;
         self.tried.push(flight.server.clone());
-        self.sends += 1;
+        self.count += 1;
         self.arrivals += 1;
         Ok(Open {
-            number: self.sends,
+            number: self.count,
             flight,
             sent: attempt.send(),
         })
--- a/tests/soak/src/promise.rs
+++ b/tests/soak/src/promise.rs
@@ -19,9 +19,9 @@
 const SERVED: f64 = 0.95;
 
 base::value! {
-    /// What touches requests.
+    /// What may end requests without an answer.
     #[derive(Copy, Eq, Hash)]
-    pub enum Touch {
+    pub enum Disturbance {
         /// A gateway stops: from SIGTERM until it is started again.
         Stop(usize),
         /// A gateway was killed, until it is started again.
@@ -30,15 +30,15 @@
         Pause(usize),
         /// The way to a server is disturbed.
         Way(usize),
-        /// A server is silent, refuses or fails. One that is late is not touched.
+        /// A server is silent, refuses or fails. One that is late is sound.
         Server(usize),
     }
 
-    /// Time of a touch.
+    /// Time of a disturbance.
     #[derive(Copy)]
     pub struct Period {
-        /// What touches.
-        pub touch: Touch,
+        /// What it was.
+        pub disturbance: Disturbance,
         /// When it began.
         pub begin: Instant,
         /// When it ended.
@@ -128,7 +128,7 @@
 /// Returns whether the answer came in the last part of the grace time of the gateway.
 fn is_own_end(history: &History, seen: &Seen) -> bool {
     let is_end = |period: &Period| {
-        period.touch == Touch::Stop(seen.gateway)
+        period.disturbance == Disturbance::Stop(seen.gateway)
             && (period.begin + OWN_END..=period.end).contains(&seen.ended)
     };
     history.periods.iter().any(is_end)
@@ -136,7 +136,7 @@
 
 /// Returns the requests that a planned stop cut, a line each.
 ///
-/// A request that is with a gateway while it stops, and that no fault touches, gets a whole answer: its
+/// A request that is with a gateway while it stops, and that no other fault meets, gets a whole answer: its
 /// connection does not end without one after a server got it, and it is not given up (502, or 504 before
 /// the end of the grace time) while a server, which is sound, works on it.
 pub fn cut(history: &History) -> Vec<String> {
@@ -156,19 +156,21 @@
             continue;
         };
         let took = seen.ended.duration_since(seen.sent);
-        let meets = |touch| {
+        let meets = |disturbance| {
             let is_met = |period: &Period| {
-                period.touch == touch && period.begin <= seen.ended && period.end >= seen.sent
+                period.disturbance == disturbance
+                    && period.begin <= seen.ended
+                    && period.end >= seen.sent
             };
             history.periods.iter().any(is_met)
         };
         let gateway = seen.gateway;
-        let is_touched = meets(Touch::Kill(gateway))
-            || meets(Touch::Pause(gateway))
-            || servers
-                .iter()
-                .any(|&server| meets(Touch::Way(server)) || meets(Touch::Server(server)));
-        if meets(Touch::Stop(gateway)) && !is_touched && took < history.time_out {
+        let is_disturbed = meets(Disturbance::Kill(gateway))
+            || meets(Disturbance::Pause(gateway))
+            || servers.iter().any(|&server| {
+                meets(Disturbance::Way(server)) || meets(Disturbance::Server(server))
+            });
+        if meets(Disturbance::Stop(gateway)) && !is_disturbed && took < history.time_out {
             cut.push(format!(
                 "{} {what} of the stopping gateway {gateway} after {} ms, servers {servers:?} had it",
                 seen.id,
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -4,7 +4,7 @@
 use crate::place::{Addresses, NAMES, settings};
 use crate::plan::{self, CENTRES, FAULT_TIME, Fault, GATEWAYS, SERVERS, ServerFault, StoreFault};
 use crate::process::Gateway;
-use crate::promise::{self, History, Period, Run, Touch};
+use crate::promise::{self, Disturbance, History, Period, Run};
 use crate::proxy::{Mode, Proxy};
 use base::sync::lock;
 use indexmap::IndexMap;
@@ -79,7 +79,7 @@
     withdrawn: Option<Instant>,
     sequence: u64,
     /// Touches that last, and since when.
-    touches: IndexMap<Touch, Instant>,
+    disturbances: IndexMap<Disturbance, Instant>,
     /// Touches that ended.
     periods: Vec<Period>,
 }
@@ -126,8 +126,10 @@
     }
     stop.cancel();
     world.servers.iter().for_each(Server::stop);
-    let touches: Vec<Touch> = world.touches.keys().copied().collect();
-    touches.into_iter().for_each(|touch| world.end(touch));
+    let disturbances: Vec<Disturbance> = world.disturbances.keys().copied().collect();
+    disturbances
+        .into_iter()
+        .for_each(|disturbance| world.end(disturbance));
     let history = History {
         seen: lock(&seen).clone(),
         runs: world.runs(),
@@ -217,7 +219,7 @@
             version: 0,
             withdrawn: None,
             sequence: 0,
-            touches: IndexMap::new(),
+            disturbances: IndexMap::new(),
             periods: Vec::new(),
         };
         (0..SERVERS).for_each(|server| world.register(server, false));
@@ -269,15 +271,15 @@
     fn strike(&mut self, fault: &Fault) -> io::Result<()> {
         match *fault {
             Fault::Kill(gateway) => {
-                self.begin(Touch::Kill(gateway));
+                self.begin(Disturbance::Kill(gateway));
                 self.gateways[gateway].signal(Signal::KILL)?;
             }
             Fault::Stop(gateway) => {
-                self.begin(Touch::Stop(gateway));
+                self.begin(Disturbance::Stop(gateway));
                 self.gateways[gateway].signal(Signal::TERM)?;
             }
             Fault::Pause(gateway) => {
-                self.begin(Touch::Pause(gateway));
+                self.begin(Disturbance::Pause(gateway));
                 self.gateways[gateway].signal(Signal::STOP)?;
             }
             Fault::Continue(gateway) => self.go_on(gateway)?,
@@ -288,21 +290,21 @@
             Fault::Forget => self.store.forget_history(),
             Fault::ServerWay(server, mode) => {
                 if mode != Mode::Pass {
-                    self.begin(Touch::Way(server));
+                    self.begin(Disturbance::Way(server));
                 }
                 self.server_ways[server].set(mode);
                 if mode == Mode::Pass {
-                    self.end(Touch::Way(server));
+                    self.end(Disturbance::Way(server));
                 }
             }
             Fault::Server(server, fault) => {
                 let is_sound = matches!(fault, ServerFault::Sound | ServerFault::Late);
                 if !is_sound {
-                    self.begin(Touch::Server(server));
+                    self.begin(Disturbance::Server(server));
                 }
                 self.servers[server].set(behaviour(fault));
                 if is_sound {
-                    self.end(Touch::Server(server));
+                    self.end(Disturbance::Server(server));
                 }
             }
             Fault::Leave(server) => self.register(server, true),
@@ -327,8 +329,8 @@
             .iter()
             .for_each(|s| s.set(Behaviour::default()));
         for server in 0..SERVERS {
-            self.end(Touch::Way(server));
-            self.end(Touch::Server(server));
+            self.end(Disturbance::Way(server));
+            self.end(Disturbance::Server(server));
         }
         for gateway in 0..GATEWAYS {
             self.go_on(gateway)?;
@@ -340,28 +342,30 @@
     /// Continues a gateway, if it is paused.
     fn go_on(&mut self, gateway: usize) -> io::Result<()> {
         self.gateways[gateway].signal(Signal::CONT)?;
-        self.end(Touch::Pause(gateway));
+        self.end(Disturbance::Pause(gateway));
         Ok(())
     }
 
     /// Starts a gateway, if it does not run.
     fn start_again(&mut self, gateway: usize) -> io::Result<()> {
         if !self.gateways[gateway].is_running()? {
-            self.end(Touch::Stop(gateway));
-            self.end(Touch::Kill(gateway));
+            self.end(Disturbance::Stop(gateway));
+            self.end(Disturbance::Kill(gateway));
             self.gateways[gateway].start()?;
         }
         Ok(())
     }
 
-    fn begin(&mut self, touch: Touch) {
-        self.touches.entry(touch).or_insert_with(Instant::now);
+    fn begin(&mut self, disturbance: Disturbance) {
+        self.disturbances
+            .entry(disturbance)
+            .or_insert_with(Instant::now);
     }
 
-    fn end(&mut self, touch: Touch) {
-        let begin = self.touches.swap_remove(&touch);
+    fn end(&mut self, disturbance: Disturbance) {
+        let begin = self.disturbances.swap_remove(&disturbance);
         self.periods.extend(begin.map(|begin| Period {
-            touch,
+            disturbance,
             begin,
             end: Instant::now(),
         }));
--- a/tests/soak/tests/stops.rs
+++ b/tests/soak/tests/stops.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use rstest::rstest;
 use soak::caller::Seen;
-use soak::promise::{self, History, Period, Run, Touch};
+use soak::promise::{self, Disturbance, History, Period, Run};
 use std::time::{Duration, Instant};
 
 /// Time-out of the route.
@@ -30,7 +30,7 @@
         }],
         runs: vec![run(2), run(3)],
         periods: vec![Period {
-            touch: Touch::Stop(1),
+            disturbance: Disturbance::Stop(1),
             begin: sent + TOOK / 2,
             end: sent + 2 * TOOK,
         }],
@@ -70,20 +70,23 @@
 /// Guards against blame of a stop for what another fault did, and against faults of other things that
 /// excuse a cut.
 #[rstest]
-#[case::killed(Touch::Kill(1), false)]
-#[case::paused(Touch::Pause(1), false)]
-#[case::disturbed_way(Touch::Way(2), false)]
-#[case::faulty_server(Touch::Server(3), false)]
-#[case::other_gateway(Touch::Kill(0), true)]
-#[case::other_pause(Touch::Pause(2), true)]
-#[case::other_way(Touch::Way(1), true)]
-#[case::other_server(Touch::Server(0), true)]
-fn only_faults_of_the_request_excuse_a_cut(#[case] touch: Touch, #[case] is_cut: bool) {
+#[case::killed(Disturbance::Kill(1), false)]
+#[case::paused(Disturbance::Pause(1), false)]
+#[case::disturbed_way(Disturbance::Way(2), false)]
+#[case::faulty_server(Disturbance::Server(3), false)]
+#[case::other_gateway(Disturbance::Kill(0), true)]
+#[case::other_pause(Disturbance::Pause(2), true)]
+#[case::other_way(Disturbance::Way(1), true)]
+#[case::other_server(Disturbance::Server(0), true)]
+fn only_faults_of_the_request_excuse_a_cut(#[case] disturbance: Disturbance, #[case] is_cut: bool) {
     let mut history = history(None);
     let [stop] = history.periods[..] else {
         panic!("one stop");
     };
-    history.periods.push(Period { touch, ..stop });
+    history.periods.push(Period {
+        disturbance,
+        ..stop
+    });
     assert_eq!(promise::cut(&history).len(), usize::from(is_cut));
 }
 
@@ -101,14 +104,14 @@
     let sent = history.seen[0].sent;
     let zero = sent.checked_sub(Duration::from_millis(100));
     let zero = zero.expect("a time before the request");
-    let period = |touch| Period {
-        touch,
+    let period = |disturbance| Period {
+        disturbance,
         begin: zero + begin,
         end: zero + end,
     };
-    history.periods.push(period(Touch::Kill(1)));
+    history.periods.push(period(Disturbance::Kill(1)));
     assert_eq!(promise::cut(&history).is_empty(), meets);
-    history.periods = vec![period(Touch::Stop(1))];
+    history.periods = vec![period(Disturbance::Stop(1))];
     assert_eq!(!promise::cut(&history).is_empty(), meets);
 }
 
