feature: reports and choices whose cost does not grow with idle VMs and workspaces

Found by reading what a VM does for each of the about 150 reports a second that it receives, and for each request:

* each report named the totals of all workspaces, active or not: 2 to 3 kB, a third of a link of 12 Mbit/s;
* the objects handled elsewhere were looked for in a set of all servers that was built for each report;
* the relay checked its source at each report;
* for each cold server, each request hashed the names of all live VMs (BLAKE3) to find the owner: a data centre of 81 cold servers costs 24,000 hashes a request;
* lists of servers were compared with a scan for each server.

Change: a report names a workspace for 2 to 4 s after its total changed, with the total before, so that its first report counts; demand fades while a workspace is not named. Servers are found by an index.

Ruled out: a lower rate of reports, which would find failed VMs later.

--- a/crates/peers/src/report.rs
+++ b/crates/peers/src/report.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use steering::crashes::Count;
 use steering::entrance::Candidate;
-use steering::spending::Total;
+use steering::spending::Change;
 use steering::takeover::{Evidence, OrderVersion, Stage};
 use steering::warmth::{ObjectUse, ShortDigest};
 
@@ -122,8 +122,8 @@
         pub handled: Vec<ObjectUse>,
         /// Servers that refuse connections.
         pub down: Vec<ShortDigest>,
-        /// Totals of workspaces, by the short digest of their names.
-        pub totals: Vec<(ShortDigest, Total)>,
+        /// Totals of workspaces that changed lately.
+        pub spending: Vec<Change>,
         /// Counts of the requests in flight at crashes, by the VM that observed them.
         pub crashes: Vec<(Vm, Vec<Count>)>,
         /// Takeovers that the operator has ordered.
--- a/crates/steering/src/registry.rs
+++ b/crates/steering/src/registry.rs
@@ -2,7 +2,7 @@
 
 use crate::routing::Registration;
 use base::id::Server;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::time::{Duration, Instant};
 
 /// Time after the recovery of the store in which entries that expired meanwhile may return. The
@@ -53,9 +53,9 @@
     /// Applies the complete list of reports and returns the changes.
     pub fn update(&mut self, listed: Vec<Registration>, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
-        let mut present = Vec::with_capacity(listed.len());
+        let mut present = IndexSet::with_capacity(listed.len());
         for registration in listed {
-            present.push(registration.server.clone());
+            present.insert(registration.server.clone());
             self.apply_report(registration, now, &mut changes);
         }
         let is_kept = self.grace.is_some_and(|until| now < until);
--- a/crates/steering/src/spending.rs
+++ b/crates/steering/src/spending.rs
@@ -30,6 +30,12 @@
 const MIN_PART_TOKENS: f64 = 2.0;
 /// Time between two divisions of the fleet's remaining tokens; exceeds the delay of reports.
 const DIVISION_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time for which a changed total is reported at least, in case that reports are lost; longer than
+/// the time without a report after which a data centre counts as down.
+const CHANGE_REPORT_TIME: Duration = Duration::from_millis(2_000);
+/// Time without a report of a workspace after which its demand at the reporting VM fades: the
+/// period of reports to other data centres.
+const MAX_DEMAND_AGE: Duration = Duration::from_millis(1_000);
 /// Minimum wait that a refused caller is given.
 const MIN_WAIT: Duration = Duration::from_millis(100);
 
@@ -75,6 +81,38 @@
         /// Requests received, admitted or not.
         pub asked: u64,
     }
+
+    /// Total of a workspace that changed lately.
+    #[derive(Copy)]
+    pub struct Change {
+        /// Short digest of the workspace's name.
+        pub workspace: ShortDigest,
+        /// Total now.
+        pub total: Total,
+        /// Total before the reported changes, for receivers without an earlier total.
+        pub previous: Total,
+    }
+}
+
+/// Totals of a workspace at the starts of the last two report windows.
+#[derive(Debug, Clone, Copy, Default)]
+struct Window {
+    older: Total,
+    newer: Total,
+}
+
+impl Window {
+    fn rotate(&mut self, total: Total) {
+        self.older = std::mem::replace(&mut self.newer, total);
+    }
+
+    fn change(&self, workspace: ShortDigest, total: Total) -> Option<Change> {
+        (total != self.older).then_some(Change {
+            workspace,
+            total,
+            previous: self.older,
+        })
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -105,11 +143,19 @@
         self.counted = asked;
         self.updated_at = now;
     }
+
+    /// Returns the average; it fades while no report names the workspace.
+    fn rate_at(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.updated_at);
+        let silent = age.saturating_sub(MAX_DEMAND_AGE).as_secs_f64();
+        self.rate * (-silent / DEMAND_TIME_CONSTANT.as_secs_f64()).exp()
+    }
 }
 
 #[derive(Debug, Clone)]
 struct Account {
     total: Total,
+    window: Window,
     demand: Demand,
     recent_demand: Demand,
     /// Tokens that remain over all VMs.
@@ -120,6 +166,7 @@
     divided_at: Instant,
     /// Totals of this VM and of the VMs of its data centre, which report to it directly.
     data_centre_total: Total,
+    data_centre_window: Window,
     others: IndexMap<Vm, (Incarnation, Total, Demand)>,
 }
 
@@ -127,6 +174,7 @@
     fn new(now: Instant) -> Self {
         Self {
             total: Total::default(),
+            window: Window::default(),
             demand: Demand::new(now),
             recent_demand: Demand::new(now),
             fleet_tokens: 0.0,
@@ -134,14 +182,21 @@
             refilled_at: now,
             divided_at: now,
             data_centre_total: Total::default(),
+            data_centre_window: Window::default(),
             others: IndexMap::new(),
         }
     }
 
-    fn share(&self, coverage: &Coverage) -> f64 {
+    /// Returns the demand at other VMs in requests a second.
+    fn others_demand(&self, now: Instant) -> f64 {
+        let others = self.others.values();
+        others.map(|(_, _, demand)| demand.rate_at(now)).sum()
+    }
+
+    fn share(&self, coverage: &Coverage, now: Instant) -> f64 {
         let members = coverage.members.max(1) as f64;
         let reporting = coverage.reporting.max(1) as f64;
-        let others: f64 = self.others.values().map(|(_, _, demand)| demand.rate).sum();
+        let others = self.others_demand(now);
         let all = self.demand.rate + others;
         let demand_share = match all > 0.0 {
             true => self.demand.rate / all,
@@ -153,11 +208,11 @@
 
     /// Returns the tokens that other VMs may spend before their reports arrive here. Callers choose
     /// VMs at random, so a rise of demand at this VM is taken as a rise at all VMs.
-    fn reserved_for_others(&self, coverage: &Coverage) -> f64 {
+    fn reserved_for_others(&self, coverage: &Coverage, now: Instant) -> f64 {
         if coverage.reporting * 2 <= coverage.members {
             return f64::INFINITY;
         }
-        let others: f64 = self.others.values().map(|(_, _, demand)| demand.rate).sum();
+        let others = self.others_demand(now);
         // Two standard deviations below the average, so that two successive requests don't count as
         // a rise.
         let rise = self.recent_demand.rate;
@@ -171,7 +226,7 @@
             .saturating_duration_since(self.refilled_at)
             .as_secs_f64();
         self.refilled_at = now;
-        let share = self.share(coverage);
+        let share = self.share(coverage, now);
         let burst = (limit.burst * share).max(MIN_PART_TOKENS);
         self.local_tokens = (self.local_tokens + limit.rate * share * elapsed).min(burst);
         // VMs without reports spend their parts unseen.
@@ -193,6 +248,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
     accounts: IndexMap<ShortDigest, Account>,
+    /// VMs whose reports arrived.
+    sources: IndexMap<Vm, Incarnation>,
+    /// When the report windows began.
+    window_start: Option<Instant>,
 }
 
 /// Source of a report of totals.
@@ -247,7 +306,7 @@
             .update(account.total.asked, RISE_TIME_CONSTANT, now);
         account.refill(limit, coverage, now);
         let may_exceed_part = account.local_tokens < 1.0
-            && account.fleet_tokens - 1.0 >= account.reserved_for_others(coverage);
+            && account.fleet_tokens - 1.0 >= account.reserved_for_others(coverage, now);
         if account.fleet_tokens >= 1.0 && (account.local_tokens >= 1.0 || may_exceed_part) {
             account.fleet_tokens -= 1.0;
             account.local_tokens = (account.local_tokens - 1.0).max(0.0);
@@ -257,7 +316,7 @@
         }
         let rate = limit.rate.max(0.01);
         let fleet_wait = (1.0 - account.fleet_tokens) / rate;
-        let share = account.share(coverage);
+        let share = account.share(coverage, now);
         let local_wait = (1.0 - account.local_tokens) / (rate * share).max(0.01);
         let wait = Duration::from_secs_f64(fleet_wait.max(local_wait).clamp(0.0, 60.0));
         Err(Shortage {
@@ -281,53 +340,75 @@
         }
     }
 
-    /// Returns the totals of this VM, for its reports.
-    pub fn totals(&self) -> impl Iterator<Item = (ShortDigest, Total)> {
-        self.accounts
-            .iter()
-            .map(|(workspace, account)| (*workspace, account.total))
+    /// Returns the totals of this VM that changed lately, for its reports.
+    pub fn changes(&mut self, now: Instant) -> Vec<Change> {
+        self.rotate_windows(now);
+        let accounts = self.accounts.iter();
+        accounts
+            .filter_map(|(workspace, account)| account.window.change(*workspace, account.total))
+            .collect()
+    }
+
+    /// Returns the same for the sums of this VM and those of its data centre, for reports to other
+    /// data centres.
+    pub fn data_centre_changes(&mut self, now: Instant) -> Vec<Change> {
+        self.rotate_windows(now);
+        let accounts = self.accounts.iter();
+        accounts
+            .filter_map(|(workspace, account)| {
+                let window = account.data_centre_window;
+                window.change(*workspace, account.data_centre_total)
+            })
+            .collect()
     }
 
-    /// Returns the totals of this VM and those of its data centre, for reports to other data
-    /// centres.
-    pub fn data_centre_totals(&self) -> impl Iterator<Item = (ShortDigest, Total)> {
-        self.accounts
-            .iter()
-            .map(|(workspace, account)| (*workspace, account.data_centre_total))
+    fn rotate_windows(&mut self, now: Instant) {
+        let is_over = |start| now.saturating_duration_since(start) >= CHANGE_REPORT_TIME;
+        if !self.window_start.is_none_or(is_over) {
+            return;
+        }
+        self.window_start = Some(now);
+        for account in self.accounts.values_mut() {
+            account.window.rotate(account.total);
+            account.data_centre_window.rotate(account.data_centre_total);
+        }
     }
 
     /// Applies a report. The first one of an incarnation only sets the starting point: tokens spent
     /// before this VM received reports may not be recent.
-    pub fn record_report(
-        &mut self,
-        source: Source<'_>,
-        workspace: ShortDigest,
-        total: Total,
-        now: Instant,
-    ) {
-        let account = self.account(workspace, now);
-        match account.others.get_mut(source.vm) {
-            Some((incarnation, known, demand)) if *incarnation == source.incarnation => {
-                let spent = total.spent.saturating_sub(known.spent);
-                account.fleet_tokens -= spent as f64;
-                if source.is_local {
-                    account.data_centre_total.spent += spent;
-                    account.data_centre_total.asked += total.asked.saturating_sub(known.asked);
-                }
-                demand.update(total.asked, DEMAND_TIME_CONSTANT, now);
-                *known = total;
-            }
-            _ => {
+    pub fn record_report(&mut self, source: Source<'_>, changes: &[Change], now: Instant) {
+        let last = self.sources.insert(source.vm.clone(), source.incarnation);
+        let was_heard = last == Some(source.incarnation);
+        for change in changes {
+            let total = change.total;
+            let account = self.account(change.workspace, now);
+            let known = account.others.get(source.vm);
+            if known.is_none_or(|(incarnation, _, _)| *incarnation != source.incarnation) {
+                let start = if was_heard { change.previous } else { total };
                 let mut demand = Demand::new(now);
-                demand.counted = total.asked;
-                let entry = (source.incarnation, total, demand);
+                demand.counted = start.asked;
+                let entry = (source.incarnation, start, demand);
                 account.others.insert(source.vm.clone(), entry);
             }
+            let Some((_, known, demand)) = account.others.get_mut(source.vm) else {
+                continue;
+            };
+            let spent = total.spent.saturating_sub(known.spent);
+            account.fleet_tokens -= spent as f64;
+            if source.is_local {
+                account.data_centre_total.spent += spent;
+                account.data_centre_total.asked += total.asked.saturating_sub(known.asked);
+            }
+            demand.update(total.asked, DEMAND_TIME_CONSTANT, now);
+            *known = total;
         }
     }
 
     /// Removes a source that no longer reports; its demand has moved to other VMs.
     pub fn forget(&mut self, vm: &str) {
+        if self.sources.shift_remove(vm).is_none() {
+            return;
+        }
         for account in self.accounts.values_mut() {
             account.others.shift_remove(vm);
         }
--- a/crates/steering/tests/spending.rs
+++ b/crates/steering/tests/spending.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
 use std::time::{Duration, Instant};
-use steering::spending::{Coverage, Ledger, Limit, Source, workspace_digest};
+use steering::spending::{Change, Coverage, Ledger, Limit, Source, workspace_digest};
 
 const VMS: usize = 11;
 /// Time between two reports, and their network delay, in milliseconds.
@@ -50,7 +50,7 @@
         reaches: impl Fn(usize, usize) -> bool,
         rng: &mut StdRng,
     ) {
-        let mut in_transit: Vec<(u64, usize, steering::spending::Total)> = Vec::new();
+        let mut in_transit: Vec<(u64, usize, Vec<Change>)> = Vec::new();
         let workspace = self.workspace.clone();
         for ledger in &mut self.ledgers {
             ledger.open(&workspace, self.start);
@@ -59,26 +59,21 @@
             let now = self.start + Duration::from_millis(ms);
             for from in 0..VMS {
                 if (ms + from as u64 * 37).is_multiple_of(REPORT_INTERVAL_MS) {
-                    let totals: Vec<_> = self.ledgers[from].totals().collect();
-                    in_transit.extend(totals.iter().map(|(_, t)| (ms + REPORT_DELAY_MS, from, *t)));
+                    let changes = self.ledgers[from].changes(now);
+                    in_transit.push((ms + REPORT_DELAY_MS, from, changes));
                 }
             }
             let (due, rest) = in_transit.into_iter().partition(|(at, _, _)| *at <= ms);
             in_transit = rest;
-            let due: Vec<(u64, usize, steering::spending::Total)> = due;
-            for (_, from, total) in due {
+            let due: Vec<(u64, usize, Vec<Change>)> = due;
+            for (_, from, changes) in due {
                 for to in (0..VMS).filter(|to| *to != from && reaches(from, *to)) {
                     let source = Source {
                         vm: &self.vms[from],
                         incarnation: 1,
                         is_local: false,
                     };
-                    self.ledgers[to].record_report(
-                        source,
-                        workspace_digest(&workspace),
-                        total,
-                        now,
-                    );
+                    self.ledgers[to].record_report(source, &changes, now);
                 }
             }
             if rng.random::<f64>() < per_second(ms) / 1_000.0 {
@@ -194,3 +189,84 @@
     let most = fleet.max_admitted_in_window() as f64;
     assert!(most <= bound(&limit), "{most} of {}", bound(&limit));
 }
+
+fn report<'a>(vm: &'a Vm) -> Source<'a> {
+    Source {
+        vm,
+        incarnation: 1,
+        is_local: true,
+    }
+}
+
+/// Guards against reports that grow with the number of workspaces, active or not: on a fleet of 295
+/// VMs and 190 workspaces they filled a third of a link of 12 Mbit/s.
+#[test]
+fn reports_name_only_active_workspaces() {
+    let start = Instant::now();
+    let limit = Limit {
+        rate: 100.0,
+        burst: 100.0,
+    };
+    let mut ledger = Ledger::default();
+    let workspaces: Vec<Workspace> = (0..190).map(|i| format!("workspace-{i}").into()).collect();
+    workspaces.iter().for_each(|w| ledger.open(w, start));
+    let coverage = Coverage {
+        members: 1,
+        reporting: 1,
+    };
+    let at = |ms| start + Duration::from_millis(ms);
+    assert!(ledger.changes(at(0)).is_empty());
+    ledger
+        .admit(&workspaces[7], &limit, &coverage, at(1_000))
+        .expect("within its limit");
+    let named: Vec<_> = ledger
+        .changes(at(1_100))
+        .iter()
+        .map(|c| c.workspace)
+        .collect();
+    assert_eq!(named, [workspace_digest(&workspaces[7])]);
+    (2..20).for_each(|half| drop(ledger.changes(at(half * 500))));
+    assert!(ledger.changes(at(10_000)).is_empty());
+}
+
+/// Guards against spending that no VM counts because the first report that names a workspace only
+/// sets the starting point, and against counting what was spent before a VM was heard.
+#[test]
+fn first_spending_of_a_known_vm_counts() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let limit = Limit {
+        rate: 1.0,
+        burst: 20.0,
+    };
+    let coverage = Coverage {
+        members: 2,
+        reporting: 2,
+    };
+    let workspace: Workspace = "cooperative".into();
+    let (first, second): (Vm, Vm) = ("vm-1".into(), "vm-2".into());
+    let mut sender = Ledger::default();
+    let mut receivers = [Ledger::default(), Ledger::default()];
+    [&mut sender]
+        .into_iter()
+        .chain(&mut receivers)
+        .for_each(|ledger| ledger.open(&workspace, start));
+    let [known, unknown] = &mut receivers;
+    let before = sender.changes(at(20_000));
+    known.record_report(report(&first), &before, at(20_000));
+    for _ in 0..8 {
+        let admitted = sender.admit(&workspace, &limit, &coverage, at(20_100));
+        admitted.expect("within its limit");
+    }
+    let spent = sender.changes(at(20_200));
+    known.record_report(report(&first), &spent, at(20_250));
+    unknown.record_report(report(&first), &spent, at(20_250));
+    // A report that is received twice changes nothing.
+    known.record_report(report(&first), &spent, at(20_260));
+    let sum = |ledger: &mut Ledger| ledger.data_centre_changes(at(20_300))[0].total.spent;
+    assert_eq!(sum(known), 8);
+    assert!(unknown.data_centre_changes(at(20_300)).is_empty());
+    known.forget(&first);
+    known.record_report(report(&second), &[], at(20_400));
+    assert_eq!(sum(known), 8);
+}
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -351,7 +351,7 @@
         };
         let is_allowed_in =
             |region: &str| routing::is_allowed_in(admitted.route, admitted.account, region);
-        let is_warmup_owner = |server: &str| shared.is_warmup_owner(server, now);
+        let is_warmup_owner = |server: Digest| shared.is_warmup_owner(server, now);
         servers.place(&criteria, is_allowed_in, is_warmup_owner, now)
     };
     let takeovers = &shared.takeovers;
--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -24,7 +24,7 @@
 const PATH: &str = "/store";
 /// Longest time between two checks whether another VM has newer data.
 const CHECK_INTERVAL: Duration = Duration::from_millis(400);
-/// Minimum time between two requests.
+/// Minimum time between two requests, and between two checks.
 const MIN_INTERVAL: Duration = Duration::from_millis(30);
 /// Minimum age difference for which data is requested from a VM that is not the delegate.
 const MIN_AGE_DIFFERENCE: Duration = Duration::from_millis(500);
@@ -164,10 +164,13 @@
         let _ = tokio::time::timeout(CHECK_INTERVAL, shared.report_received.notified()).await;
         let now = Instant::now();
         let Some(source) = select_source(&shared, now) else {
+            tokio::time::sleep(MIN_INTERVAL).await;
             continue;
         };
         if is_synced(&shared, &source) {
             confirm_age(&shared, &source, now);
+            // Reports of a large data centre come in hundreds a second.
+            tokio::time::sleep(MIN_INTERVAL).await;
             continue;
         }
         let fetched = fetch(&shared, &source).await;
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -120,7 +120,7 @@
         in_flight,
         handled: shared.services.recent_handled(false, now),
         down,
-        totals: lock(&shared.ledger).totals().collect(),
+        spending: lock(&shared.ledger).changes(now),
         crashes: match crashes.is_empty() {
             true => Vec::new(),
             false => vec![(settings.vm.clone(), crashes)],
@@ -164,7 +164,7 @@
         in_flight: loads.into_iter().collect(),
         handled: shared.services.recent_handled(true, now),
         down: down.into_iter().collect(),
-        totals: lock(&shared.ledger).data_centre_totals().collect(),
+        spending: lock(&shared.ledger).data_centre_changes(now),
         crashes,
         takeovers: shared.takeovers.report(true),
         ..own
@@ -285,9 +285,7 @@
             incarnation: report.incarnation,
             is_local: !report.is_summary(),
         };
-        for (workspace, total) in &report.totals {
-            ledger.record_report(source, *workspace, *total, now);
-        }
+        ledger.record_report(source, &report.spending, now);
     }
     let is_near = !report.is_summary();
     shared.services.merge_handled(&report.handled, is_near, now);
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -34,6 +34,8 @@
 #[derive(Debug)]
 pub struct Services {
     server_sets: RwLock<IndexMap<Service, Arc<ServerSet>>>,
+    /// Service of each server, by which reports of other VMs find it.
+    by_server: RwLock<IndexMap<ShortDigest, Arc<ServerSet>>>,
     settings: Settings,
 }
 
@@ -42,6 +44,7 @@
     pub fn new(settings: &Settings) -> Self {
         Self {
             server_sets: RwLock::default(),
+            by_server: RwLock::default(),
             settings: settings.clone(),
         }
     }
@@ -113,10 +116,19 @@
             self.get_or_create(service)
                 .replace(&[], &self.settings, now);
         }
+        let mut by_server = IndexMap::new();
         for (service, entries) in by_service {
-            self.get_or_create(service)
-                .replace(&entries, &self.settings, now);
+            let set = self.get_or_create(service);
+            set.replace(&entries, &self.settings, now);
+            let state = lock(&set.state);
+            let servers = state.servers.values();
+            let digests = servers.map(|server| warmth::short_digest(server.digest));
+            by_server.extend(digests.map(|digest| (digest, set.clone())));
         }
+        *self
+            .by_server
+            .write()
+            .unwrap_or_else(std::sync::PoisonError::into_inner) = by_server;
     }
 
     /// Treats the servers of these data centres as cold, since their evacuation ended and they had
@@ -161,22 +173,22 @@
     /// Records objects that servers handled for other VMs; `is_same_data_centre` if these VMs are
     /// in the data centre of this one.
     pub fn merge_handled(&self, pairs: &[ObjectUse], is_same_data_centre: bool, now: Instant) {
-        for set in self.read().values() {
+        let by_server = self
+            .by_server
+            .read()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        for pair in pairs {
+            let Some(set) = by_server.get(&pair.server) else {
+                continue;
+            };
             let mut state = lock(&set.state);
-            let own: IndexSet<ShortDigest> = state
-                .servers
-                .values()
-                .map(|server| warmth::short_digest(server.digest))
-                .collect();
-            for pair in pairs.iter().filter(|pair| own.contains(&pair.server)) {
-                let is_new = state.warm_objects.record(*pair, now);
-                if is_same_data_centre && is_new {
-                    state.recently_handled.push(HandledRecord {
-                        at: now,
-                        pair: *pair,
-                        is_from_peer: is_same_data_centre,
-                    });
-                }
+            let is_new = state.warm_objects.record(*pair, now);
+            if is_same_data_centre && is_new {
+                state.recently_handled.push(HandledRecord {
+                    at: now,
+                    pair: *pair,
+                    is_from_peer: is_same_data_centre,
+                });
             }
         }
     }
--- a/programs/gateway/src/servers/server_set.rs
+++ b/programs/gateway/src/servers/server_set.rs
@@ -115,7 +115,7 @@
         self: &Arc<Self>,
         criteria: &ServerCriteria<'_>,
         is_allowed_in: impl Fn(&str) -> bool,
-        is_warmup_owner: impl Fn(&str) -> bool,
+        is_warmup_owner: impl Fn(Digest) -> bool,
         now: Instant,
     ) -> Placement {
         let mut state = lock(&self.state);
@@ -175,8 +175,7 @@
             !criteria.tried.contains(&registration.server)
                 && !server.performance.is_silent(now, oldest, service_time.cold)
                 && server.warmup.as_ref().is_none_or(|warmup| {
-                    !warmup.is_cold(now)
-                        || (warmup.allows(now) && is_warmup_owner(&registration.server))
+                    !warmup.is_cold(now) || (warmup.allows(now) && is_warmup_owner(server.digest))
                 })
         };
         let demand = PlacementRequest {
@@ -362,11 +361,12 @@
             warm_objects,
             ..
         } = &mut *state;
+        let runs: IndexMap<&ServerId, u64> = entries
+            .iter()
+            .map(|entry| (&entry.registration.server, entry.registration.born))
+            .collect();
         servers.retain(|id, server| {
-            let is_registered = entries.iter().any(|entry| {
-                entry.registration.server == *id
-                    && entry.registration.born == server.registration.born
-            });
+            let is_registered = runs.get(id) == Some(&server.registration.born);
             if !is_registered {
                 server.pool.close_idle();
                 warm_objects.remove(warmth::short_digest(server.digest));
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -15,13 +15,14 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
+use steering::affinity::{self, Digest};
 use steering::crashes::CrashCounter;
 use steering::drain::StopDeadlines;
 use steering::entrance::{Candidate, TimerLag};
 use steering::routing::{DesiredState, Table};
 use steering::spending::{Coverage, Ledger};
 use steering::split::Split;
-use steering::warmup;
+use steering::warmup::Ownership;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -68,6 +69,8 @@
     pub fleet: Mutex<Fleet>,
     /// Backend servers by service.
     pub services: Services,
+    /// Cold servers to which this VM sends requests.
+    ownership: Mutex<Ownership>,
     /// Spending of workspaces.
     pub ledger: Mutex<Ledger>,
     /// Crash counts of requests.
@@ -106,6 +109,7 @@
     pub fn new(settings: Settings, incarnation: Incarnation) -> Self {
         Self {
             services: Services::new(&settings),
+            ownership: Mutex::new(Ownership::new(&settings.vm)),
             settings,
             incarnation,
             phase: Mutex::new(Phase::Starting),
@@ -186,12 +190,16 @@
     }
 
     /// Returns whether this VM is the one that warms up a cold server.
-    pub fn is_warmup_owner(&self, server: &str, now: Instant) -> bool {
-        let fleet = lock(&self.fleet);
-        let own = &self.settings.vm;
-        let others = fleet.alive(now).map(|alive| alive.vm);
-        let alive = others.chain(std::iter::once(own));
-        warmup::is_owner(server, own, alive, fleet.coverage(own, now).members)
+    pub fn is_warmup_owner(&self, server: Digest, now: Instant) -> bool {
+        let mut ownership = lock(&self.ownership);
+        if ownership.is_expired(now) {
+            let fleet = lock(&self.fleet);
+            let own = &self.settings.vm;
+            let others = fleet.alive(now).map(|alive| affinity::digest(alive.vm));
+            let alive: Vec<Digest> = others.chain([affinity::digest(own)]).collect();
+            ownership.set_view(&alive, fleet.coverage(own, now).members, now);
+        }
+        ownership.owns(server)
     }
 
     /// Returns the VM that is the delegate of this data centre; none if it is this VM.
