feature: few calls to the store at the start and when its reader is lost

Each VM read the member table, wrote its entry, read the table again, and read orders and servers (two pages) itself, since no other VM was known to read yet. The same happened in a data centre whose reader was lost: all VMs noticed it at the same moment and all began to read.

Change: the VMs of a data centre begin to read one after the other, 150 ms apart (steering::reading), in the order by link and name, which the member table now holds; one that hears of a reader stays out. Where the platform says that all VMs start for the first time, each writes its entry first and reads the table once. The list of servers is kept up to date by the store's changes, half of the rows in one period, in place of whole reads of two pages. A list that is read in several calls has the version of the first one: with that of the last, a server that left in between would stay in use for good.

Ruled out: leaving out the member entry and learning of VMs from the seeds alone; all three may be down.

--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod membership;
 pub mod placement;
 pub mod quarantine;
+pub mod reading;
 pub mod registry;
 pub mod release;
 pub mod retry;
--- /dev/null
+++ b/crates/steering/src/reading.rs
@@ -0,0 +1,60 @@
+//! Turn in which a VM of a data centre begins to read the store for the others.
+//!
+//! The load to expect is a data centre of dozens of VMs that start together, or that lose the VM
+//! which read the store: all of them lack its data at the same moment, and each call to the store
+//! is paid for. They begin one after the other, in an order that all of them know, until one reads.
+
+use std::time::{Duration, Instant};
+
+base::value! {
+    /// Settings of the turns.
+    #[derive(Copy)]
+    pub struct Settings {
+        /// Time between the turns of two VMs: a read, and the report that it succeeded.
+        pub step: Duration,
+        /// Longest wait for a turn; the store may turn away the VMs whose turns come first.
+        pub max_wait: Duration,
+        /// Longest wait for the list of VMs, from which a VM learns its place.
+        pub max_list_wait: Duration,
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            step: Duration::from_millis(150),
+            max_wait: Duration::from_millis(900),
+            max_list_wait: Duration::from_millis(1_000),
+        }
+    }
+}
+
+base::value! {
+    /// What a VM knows of its place in the order.
+    #[derive(Copy)]
+    pub enum Place {
+        /// It has not read the list of VMs.
+        Unlisted,
+        /// So many VMs of the data centre come before it.
+        After(usize),
+    }
+}
+
+/// Returns the time from which a VM reads the store.
+///
+/// `started_at` is the start of its process, `lost_at` the time since which it knows of no VM that
+/// reads.
+pub fn begins_at(
+    settings: &Settings,
+    place: Place,
+    started_at: Instant,
+    lost_at: Instant,
+) -> Instant {
+    match place {
+        Place::Unlisted => lost_at.max(started_at + settings.max_list_wait),
+        Place::After(count) => {
+            let steps = u32::try_from(count).unwrap_or(u32::MAX);
+            lost_at + settings.step.saturating_mul(steps).min(settings.max_wait)
+        }
+    }
+}
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -63,6 +63,10 @@
         }
     }
 
+    fn reads(&self) -> bool {
+        !self.lacks_store
+    }
+
     fn of(report: &Report) -> Self {
         Self::new(report.known.reads, report.entrance.link_mbps, &report.vm)
     }
@@ -108,6 +112,8 @@
     pub address: SocketAddr,
     /// Data centre.
     pub data_centre: DataCentre,
+    /// Link bandwidth in Mbit/s; 0 if unknown.
+    pub link_mbps: u32,
 }
 
 /// Other VMs.
@@ -134,6 +140,7 @@
         let entry = MemberEntry {
             address: report.address,
             data_centre: report.data_centre.clone(),
+            link_mbps: report.entrance.link_mbps,
         };
         self.members.insert(report.vm.clone(), entry);
     }
@@ -246,6 +253,26 @@
             .map(|(_, peer)| peer)
     }
 
+    /// Returns how many VMs of this data centre begin to read the store before the VM `own`: those
+    /// that are up and, if `expected`, those in the member table that were not heard yet.
+    pub fn readers_before(
+        &self,
+        own: &Rank,
+        data_centre: &DataCentre,
+        expected: bool,
+        now: Instant,
+    ) -> usize {
+        let reports = self.local(now).map(|peer| &peer.report);
+        let up = reports
+            .filter(|report| report.phase != Phase::Leaving)
+            .map(|report| Rank::new(own.reads(), report.entrance.link_mbps, &report.vm));
+        let unheard = self.members.iter().filter(|(vm, member)| {
+            expected && member.data_centre == *data_centre && !self.local.contains_key(*vm)
+        });
+        let unheard = unheard.map(|(vm, member)| Rank::new(own.reads(), member.link_mbps, vm));
+        up.chain(unheard).filter(|rank| rank < own).count()
+    }
+
     /// Returns the destinations of reports: the other VMs of this data centre.
     pub fn local_targets(&self, own: &DataCentre) -> IndexSet<SocketAddr> {
         let peers = self.local.values().map(|peer| peer.report.address);
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -6,8 +6,9 @@
     self, Client, OPERATIONS, Put, REGISTRATIONS, Row, RowVersion, Rows, TransactionResult,
 };
 use adapter::{desired, registration};
-use base::id::DataCentre;
+use base::id::{DataCentre, Server};
 use base::sync::lock;
+use indexmap::IndexMap;
 use peers::report::Phase;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -17,6 +18,12 @@
 /// Longest wait of the orders feed for a change. A dead connection is detected after this plus the
 /// call's time-out, within the time limit for applying a configuration.
 const MAX_FEED_WAIT: Duration = Duration::from_millis(2_000);
+/// Age up to which the list of registrations is brought up to date by its changes. The store keeps
+/// more history than this.
+const MAX_FEED_AGE: Duration = Duration::from_secs(5);
+/// Wait of a VM that starts together with all others between the write of its member entry and its
+/// first read of the table; all start within 300 ms.
+const FIRST_START_WAIT: Duration = Duration::from_millis(450);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Time between two checks whether another VM reads the store for this one, and between the write
@@ -60,10 +67,22 @@
         delegate.is_some_and(|delegate| delegate.known.reads)
     }
 
-    /// Waits until no delegate reads the store for this VM.
-    async fn wait_without_delegate(&self) {
-        while self.delegate_reads() {
-            self.shared.set_store_read(None);
+    /// Waits until no delegate reads the store for this VM and its turn has come.
+    async fn wait_turn(&self) {
+        let mut lost_at = None;
+        loop {
+            let now = Instant::now();
+            if self.delegate_reads() {
+                self.shared.set_store_read(None);
+                lost_at = None;
+            } else if self.shared.reads_store(now) {
+                return;
+            } else {
+                let lost_at = *lost_at.get_or_insert(now);
+                if now >= self.shared.reads_from(lost_at, now) {
+                    return;
+                }
+            }
             tokio::time::sleep(CHECK_INTERVAL).await;
         }
     }
@@ -76,7 +95,7 @@
         // When the feed last failed.
         let mut feed_failed_at: Option<Instant> = None;
         loop {
-            self.wait_without_delegate().await;
+            self.wait_turn().await;
             let result = self.read_orders(changed_at).await;
             let mut version = match result {
                 Ok(version) => version,
@@ -222,14 +241,17 @@
     /// Polls the registrations until the task is dropped.
     pub async fn poll_registrations(&self) {
         let mut is_lost = false;
+        let mut table = None;
         loop {
-            self.wait_without_delegate().await;
+            self.wait_turn().await;
             let began = Instant::now();
-            match self.client.rows(REGISTRATIONS).await {
-                Ok(rows) => {
+            match self.read_registrations(table.take()).await {
+                Ok(read) => {
                     log_store_access(&mut is_lost, "registrations", None);
                     self.shared.set_store_read(Some(Instant::now()));
-                    self.apply_registrations(decode_rows(&rows), Some(Instant::now()));
+                    let registrations = read.registrations.values().cloned().collect();
+                    self.apply_registrations(registrations, Some(Instant::now()));
+                    table = Some(read);
                 }
                 Err(error) => {
                     self.shared.set_store_read(None);
@@ -244,6 +266,28 @@
         }
     }
 
+    /// Reads the table of registrations, or what changed in it since the last read.
+    async fn read_registrations(
+        &self,
+        last: Option<RegistrationTable>,
+    ) -> Result<RegistrationTable, store::Error> {
+        if let Some(mut table) = last.filter(|last| last.read_at.elapsed() < MAX_FEED_AGE) {
+            match table.update(&self.client).await {
+                Ok(()) => return Ok(table),
+                Err(store::Error::HistoryGone) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        let rows = self.client.rows(REGISTRATIONS).await?;
+        let mut table = RegistrationTable {
+            registrations: IndexMap::with_capacity(rows.rows.len()),
+            version: rows.version,
+            read_at: Instant::now(),
+        };
+        table.apply(&rows);
+        Ok(table)
+    }
+
     /// Applies the full list of registrations; `read_at` is when it was read from the store, none
     /// if it came from another VM.
     pub fn apply_registrations(&self, registrations: Vec<Registration>, read_at: Option<Instant>) {
@@ -287,6 +331,13 @@
     /// Maintains this VM's member entry and reads those of the others until the task is dropped.
     pub async fn maintain_membership(&self) {
         let mut is_entered = false;
+        if self.shared.settings.first_start {
+            // The others start at the same time; after the wait, one read finds all their entries.
+            match self.write_member_entry().await {
+                Ok(_) => tokio::time::sleep(FIRST_START_WAIT).await,
+                Err(error) => log::debug!("event=member-unwritten error=\"{error}\""),
+            }
+        }
         loop {
             let period = match self.read_members().await {
                 Ok(true) => {
@@ -304,32 +355,40 @@
             tokio::time::sleep(period).await;
             if is_entered {
                 // The delegate maintains the table; the others learn of VMs from reports.
-                self.wait_without_delegate().await;
+                self.wait_turn().await;
             }
         }
     }
 
+    /// Returns this VM's member entry: address for reports, data centre and link bandwidth.
+    fn member_entry(&self) -> String {
+        let settings = &self.shared.settings;
+        let (address, data_centre) = (settings.listen.peers, &settings.data_centre);
+        format!("{address} {data_centre} {}", settings.link_mbps())
+    }
+
+    async fn write_member_entry(&self) -> Result<TransactionResult, store::Error> {
+        let put = Put {
+            table: MEMBER_TABLE,
+            key: self.shared.settings.vm.clone(),
+            expected: None,
+            value: Some(self.member_entry().into_bytes()),
+        };
+        self.client.transact(&[put]).await
+    }
+
     /// Reads the member table and writes this VM's entry if it is missing or out of date; returns
     /// whether it was current. A delegate also removes the entries of lost VMs.
     async fn read_members(&self) -> Result<bool, store::Error> {
         let shared = &self.shared;
         let own = &shared.settings.vm;
-        let entry = format!(
-            "{} {}",
-            shared.settings.listen.peers, shared.settings.data_centre
-        );
+        let entry = self.member_entry();
         let rows = self.client.rows(MEMBER_TABLE).await?.rows;
         let mine = rows.iter().find(|row| row.key == *own);
         let is_current = |value: &Option<Vec<u8>>| value.as_deref() == Some(entry.as_bytes());
         let is_entered = mine.is_some_and(|row| is_current(&row.value));
         if !is_entered {
-            let put = Put {
-                table: MEMBER_TABLE,
-                key: own.clone(),
-                expected: None,
-                value: Some(entry.into_bytes()),
-            };
-            self.client.transact(&[put]).await?;
+            self.write_member_entry().await?;
         }
         let members = rows
             .iter()
@@ -337,11 +396,8 @@
             .filter_map(|row| Some((row.key.clone(), decode_member(row)?)))
             .collect();
         let now = Instant::now();
-        let lost = {
-            let mut fleet = lock(&shared.fleet);
-            fleet.set_members(members);
-            fleet.lost_members(MEMBER_RETENTION, now)
-        };
+        shared.set_members(members);
+        let lost = lock(&shared.fleet).lost_members(MEMBER_RETENTION, now);
         let is_delegate = shared.delegate(now).is_none();
         for vm in lost.into_iter().filter(|_| is_delegate) {
             let Some(row) = rows.iter().find(|row| row.key == vm) else {
@@ -361,31 +417,66 @@
     }
 }
 
-/// Decodes a member entry: address for reports and data centre.
+/// Decodes a member entry; entries of earlier versions have no link bandwidth.
 fn decode_member(row: &Row) -> Option<MemberEntry> {
     let text = std::str::from_utf8(row.value.as_deref()?).ok()?;
-    let (address, data_centre) = text.split_once(' ')?;
+    let mut parts = text.split(' ');
     Some(MemberEntry {
-        address: address.parse().ok()?,
-        data_centre: data_centre.into(),
+        address: parts.next()?.parse().ok()?,
+        data_centre: parts.next()?.into(),
+        link_mbps: parts.next().map_or(Some(0), |link| link.parse().ok())?,
     })
 }
 
-/// Decodes registrations; logs and drops those that can't be decoded.
-fn decode_rows(rows: &Rows) -> Vec<Registration> {
-    let decoded = rows.rows.iter().filter_map(|row| {
-        let result = registration::decode(row);
-        result
-            .inspect_err(|reason| {
-                log::warn!(
-                    "event=registration-unreadable server={} row_version={} reason={reason:?}",
-                    row.key,
-                    row.version
-                );
-            })
-            .ok()
-    });
-    decoded.collect()
+/// Registrations as last read from the store.
+struct RegistrationTable {
+    registrations: IndexMap<Server, Registration>,
+    version: RowVersion,
+    read_at: Instant,
+}
+
+impl RegistrationTable {
+    /// Reads what changed since the last read: about half of the rows in one period, while a whole
+    /// read of a large table takes several calls.
+    async fn update(&mut self, client: &Client) -> Result<(), store::Error> {
+        loop {
+            let rows = client
+                .changes(REGISTRATIONS, self.version, Duration::ZERO)
+                .await?;
+            let is_last = rows.rows.len() < store::PAGE_ROWS;
+            self.apply(&rows);
+            self.version = rows.version;
+            if is_last {
+                self.read_at = Instant::now();
+                return Ok(());
+            }
+        }
+    }
+
+    fn apply(&mut self, rows: &Rows) {
+        for row in &rows.rows {
+            // A row that can't be read names no server.
+            match decode_registration(row) {
+                Some(registration) => self.registrations.insert(row.key.clone(), registration),
+                None => self.registrations.swap_remove(&row.key),
+            };
+        }
+    }
+}
+
+/// Decodes a registration; none if the row was removed, or if it can't be decoded, which is logged.
+fn decode_registration(row: &Row) -> Option<Registration> {
+    row.value.as_ref()?;
+    let result = registration::decode(row);
+    result
+        .inspect_err(|reason| {
+            log::warn!(
+                "event=registration-unreadable server={} row_version={} reason={reason:?}",
+                row.key,
+                row.version
+            );
+        })
+        .ok()
 }
 
 /// Logs once per change that reading the store began to fail or works again.
--- a/programs/gateway/src/settings.rs
+++ b/programs/gateway/src/settings.rs
@@ -61,6 +61,9 @@
         /// Bandwidth of this VM's link in Mbit/s; 0 if unknown.
         #[serde(default)]
         pub link_mbps: f64,
+        /// Whether all VMs start for the first time, so that the store holds nothing of them.
+        #[serde(default)]
+        pub first_start: bool,
         /// Operator's bounds.
         pub bounds: Bounds,
         /// Time in milliseconds between two reads of the registrations.
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -1,24 +1,25 @@
 //! State shared by the tasks of the gateway; each field has its own lock.
 
 use crate::answer_memory::AnswerMemory;
-use crate::fleet::{Fleet, Rank, StoreSource};
+use crate::fleet::{Fleet, MemberEntry, Rank, StoreSource};
 use crate::listing::Listing;
 use crate::metrics::Metrics;
 use crate::relay::PackedCache;
 use crate::servers::Services;
 use crate::settings::Settings;
 use crate::takeovers::Takeovers;
-use base::id::Incarnation;
+use base::id::{Incarnation, Vm};
 use base::sync::lock;
 use indexmap::IndexMap;
 use peers::report::Phase;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 use steering::affinity::{self, Digest};
 use steering::crashes::CrashCounter;
 use steering::drain::StopDeadlines;
 use steering::entrance::{Candidate, TimerLag};
+use steering::reading::{self, Place};
 use steering::routing::{DesiredState, Table};
 use steering::spending::{Coverage, Ledger};
 use steering::split::Split;
@@ -93,6 +94,9 @@
     pub report_requested: Notify,
     /// When this VM last read the store; none if the last read failed.
     store_read_at: Mutex<Option<Instant>>,
+    started_at: Instant,
+    /// Whether the member table was read.
+    has_members: AtomicBool,
     in_flight: AtomicU64,
 }
 
@@ -100,6 +104,9 @@
 /// time of an answer from a slow store.
 const MAX_READ_AGE: Duration = Duration::from_millis(1_100);
 
+/// Time after the start of the process in which VMs of the member table may not have reported yet.
+const START_TIME: Duration = Duration::from_millis(1_500);
+
 /// Guard that counts a caller's request while it is in the process.
 #[derive(Debug)]
 pub struct RequestGuard<'a>(&'a Shared);
@@ -130,6 +137,8 @@
             report_received: Notify::new(),
             report_requested: Notify::new(),
             store_read_at: Mutex::default(),
+            started_at: Instant::now(),
+            has_members: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
         }
     }
@@ -227,6 +236,34 @@
         *known = read_at;
     }
 
+    /// Replaces the members by those of the store's table.
+    pub fn set_members(&self, members: IndexMap<Vm, MemberEntry>) {
+        lock(&self.fleet).set_members(members);
+        self.has_members.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the time from which this VM reads the store, if no VM of its data centre is known to
+    /// read since `lost_at`.
+    pub fn reads_from(&self, lost_at: Instant, now: Instant) -> Instant {
+        let settings = &self.settings;
+        let place = match self.has_members.load(Ordering::Relaxed) {
+            false => Place::Unlisted,
+            true => {
+                let own = Rank::new(false, settings.link_mbps(), &settings.vm);
+                let is_starting = now.saturating_duration_since(self.started_at) < START_TIME;
+                let fleet = lock(&self.fleet);
+                let centre = &settings.data_centre;
+                Place::After(fleet.readers_before(&own, centre, is_starting, now))
+            }
+        };
+        reading::begins_at(
+            &reading::Settings::default(),
+            place,
+            self.started_at,
+            lost_at,
+        )
+    }
+
     /// Counts a caller's request until the guard is dropped.
     pub fn track_request(&self) -> RequestGuard<'_> {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/programs/gateway/tests/fleet.rs
+++ b/programs/gateway/tests/fleet.rs
@@ -5,6 +5,7 @@
 mod takeover;
 
 use adapter::{call, header};
+use gateway::settings::Settings;
 use hyper::StatusCode;
 use operators::gateway::State;
 use site::{Gateway, Site, wait_until};
@@ -138,6 +139,105 @@
     assert!(calls <= 10, "{calls} calls in 2 s");
 }
 
+/// Guards against a start that costs each VM seven calls to the store: at 295 VMs, over two thousand
+/// calls in a second, a fifteenth of the day's worth. Each VM may write its entry and read the table
+/// once; one VM reads the rest.
+#[tokio::test]
+async fn vms_that_start_for_the_first_time_call_the_store_rarely() {
+    const VMS: usize = 16;
+    let (site, door, [_server]) = Site::with_servers(&Desired::default()).await;
+    let started = Instant::now();
+    let gateways: Vec<Gateway> = (0..VMS)
+        .map(|number| {
+            site.run_gateway(Settings {
+                first_start: true,
+                ..Site::gateway_settings(&format!("vm-{number:02}"), "nord-a", &door)
+            })
+        })
+        .collect();
+    for gateway in &gateways {
+        gateway.wait_ready().await;
+    }
+    let took = started.elapsed();
+    let calls = site.store.calls() as usize;
+    // Lists at 300 ms, feeds, and the first reads of two further VMs.
+    let reader = 2 * took.as_millis() as usize / 300 + 12;
+    assert!(calls <= 2 * VMS + reader, "{calls} calls in {took:?}");
+}
+
+/// Guards against a data centre whose VMs all read the store when the one that did can't any more.
+#[tokio::test]
+async fn lost_reader_is_replaced_by_one_vm() {
+    const VMS: usize = 12;
+    let (site, door, [_server]) = Site::with_servers(&Desired::default()).await;
+    let first_door = site.store_endpoint().await;
+    let mut gateways = vec![site.gateway("vm-00", "nord-a", &first_door).await];
+    for number in 1..VMS {
+        let vm = format!("vm-{number:02}");
+        gateways.push(site.gateway(&vm, "nord-a", &door).await);
+    }
+    for gateway in &gateways {
+        gateway.wait_ready().await;
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    first_door.set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let before = site.store.calls();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let calls = site.store.calls() - before;
+    // The first VM tries again each 250 ms, for lists and orders; lists at 300 ms, feeds, and the
+    // first reads of two further VMs.
+    assert!(calls <= 16 + 7 + 12, "{calls} calls in 2 s");
+    site.publish(&Desired {
+        version: 2,
+        keys: &["key-1"],
+        ..Desired::default()
+    });
+    assert!(time_to_refuse(&gateways[VMS - 1], "key-2").await < IN_FORCE);
+}
+
+/// Guards against a server that left while a long list was read in several calls, and stays in use
+/// because the changes after the last call don't name it.
+#[tokio::test]
+async fn server_that_leaves_between_two_pages_of_the_list_is_not_used() {
+    let site = Site::new();
+    let door = site.store_endpoint().await;
+    site.publish(&Desired::default());
+    let early = site.server("a", &Entry::default()).await;
+    let late = site.server("z", &Entry::default()).await;
+    let other = Entry {
+        service: "other",
+        ..Entry::default()
+    };
+    for number in 0..adapter::store::PAGE_ROWS {
+        other.publish(&site.store, &format!("m-{number}"), late.address);
+    }
+    door.set(Faults {
+        read_delay: Duration::from_millis(400),
+        ..Faults::default()
+    });
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    // The first page is read, the second one is not.
+    wait_until("the list is being read", || async {
+        site.store.calls() >= 5
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    site.store.remove(adapter::store::REGISTRATIONS, "a");
+    door.set(Faults::default());
+    gateway.wait_ready().await;
+    tokio::time::sleep(IN_FORCE).await;
+    let removed = Instant::now();
+    for number in 0..20 {
+        gateway.request(&number.to_string(), "/a/").await;
+    }
+    let runs = early.runs();
+    assert_eq!(runs.iter().filter(|run| run.at > removed).count(), 0);
+    assert_eq!(late.runs().len(), 20);
+}
+
 /// Guards against VMs that miss the withdrawal of a key because their delegate or they themselves
 /// can't reach the store.
 #[tokio::test]
--- a/programs/gateway/tests/settings.rs
+++ b/programs/gateway/tests/settings.rs
@@ -25,6 +25,10 @@
         ),
         ("{{platform.address|json}}", "\"10.200.1.7:8382\""),
         ("{{limits.linkMbps}}", "1000.0"),
+        (
+            "{{#bootstrap}}first_start: true{{/bootstrap}}",
+            "first_start: true",
+        ),
         ("{{bounds.graceS}}", "6"),
         ("{{bounds.retryRatio}}", "0.2"),
         ("{{bounds.retrySlack}}", "62"),
@@ -47,6 +51,7 @@
     assert_eq!(settings.problem(), None);
     assert_eq!(settings.link_mbps(), 1_000);
     assert_eq!(settings.seeds.len(), 2);
+    assert!(settings.first_start);
     assert_eq!(settings.region_of("sud-a"), "sud".into());
 }
 
--- a/programs/gateway/tests/site/mod.rs
+++ b/programs/gateway/tests/site/mod.rs
@@ -125,9 +125,17 @@
         door: &Endpoint,
         link: f64,
     ) -> Gateway {
+        self.run_gateway(Settings {
+            link_mbps: link,
+            ..Self::gateway_settings(vm, data_centre, door)
+        })
+    }
+
+    /// Returns the settings of a gateway at an address of its own.
+    pub fn gateway_settings(vm: &str, data_centre: &str, door: &Endpoint) -> Settings {
         let ip = unused_address();
         let at = |port| SocketAddr::new(ip, port);
-        let settings = Settings {
+        Settings {
             vm: vm.into(),
             data_centre: data_centre.into(),
             region: region(data_centre).into(),
@@ -144,7 +152,8 @@
             },
             seeds: Vec::new(),
             store: door.address,
-            link_mbps: link,
+            link_mbps: 1_000.0,
+            first_start: false,
             bounds: Bounds {
                 grace_s: 2.0,
                 retry_ratio: 0.2,
@@ -155,7 +164,11 @@
             },
             list_period_ms: 300,
             log: "info".into(),
-        };
+        }
+    }
+
+    /// Starts a gateway with these settings.
+    pub fn run_gateway(&self, settings: Settings) -> Gateway {
         let stop = self.stop.child_token();
         let running = run::run(settings.clone(), "/dev/null".into(), stop.clone());
         tokio::spawn(async move { running.await.expect("the gateway listens") });
