feature: memory of answers is bounded by the VM's memory, for any number of answers

Report of other operators: a faulty server sends bytes without end, and the VM that called it runs out of memory.

Here each answer was cut at 16 MiB and all together held 48 MiB, but beyond 256 KiB of each, whatever their number: by calculation 250 endless answers hold 112 MB, on VMs of 160 MB of which a process without answers takes up to 45.

Change: what all answers are guaranteed together is bounded as well, and both bounds follow from the VM's memory (memory_mb, rendered by the platform): a fifth guaranteed, 0.3 shared, at most 32 and 48 MiB. 16 KiB of each answer always have memory, so that common answers pass beside endless ones.

Test: many_endless_answers_leave_half_of_the_memory.

--- a/programs/gateway/src/answer_memory.rs
+++ b/programs/gateway/src/answer_memory.rs
@@ -17,8 +17,54 @@
 /// Most bytes that all answers together hold beyond the first [`GUARANTEED_BYTES`] of each. The
 /// smallest VMs have 160 MB for everything, which endless answers would fill.
 pub const MAX_SHARED_BYTES: usize = 48 * 1024 * 1024;
-/// Bytes of each answer that get memory whatever other answers need.
+/// Bytes of each answer that get memory whatever other answers need, as far as all of these
+/// together stay below [`Settings::guaranteed_bytes`].
 pub const GUARANTEED_BYTES: usize = 256 * 1024;
+/// Bytes of each answer that always get memory, so that common answers, of 5 kB on average, pass
+/// beside any number of endless ones.
+pub const FLOOR_BYTES: usize = 16 * 1024;
+/// Share of a VM's memory for the guaranteed bytes; with the shared bytes, half of it is left for
+/// everything else.
+const GUARANTEED_SHARE: f64 = 0.2;
+/// Share of a VM's memory for the shared bytes.
+const SHARED_SHARE: f64 = 0.3;
+
+base::value! {
+    /// Bounds in bytes.
+    #[derive(Copy)]
+    pub struct Settings {
+        /// Largest answer that is passed on.
+        pub answer_bytes: usize,
+        /// Most bytes of all answers beyond their guaranteed bytes.
+        pub shared_bytes: usize,
+        /// Most guaranteed bytes of all answers together, beyond [`FLOOR_BYTES`] of each.
+        pub guaranteed_bytes: usize,
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            answer_bytes: MAX_ANSWER_BYTES,
+            shared_bytes: MAX_SHARED_BYTES,
+            guaranteed_bytes: 32 * 1024 * 1024,
+        }
+    }
+}
+
+impl Settings {
+    /// Returns the bounds for a VM with so many bytes of memory, which are at most the default.
+    pub fn of_memory(bytes: u64) -> Self {
+        let default = Self::default();
+        let share = |share: f64| (bytes as f64 * share) as usize;
+        let shared_bytes = default.shared_bytes.min(share(SHARED_SHARE));
+        Self {
+            answer_bytes: default.answer_bytes.min(shared_bytes),
+            shared_bytes,
+            guaranteed_bytes: default.guaranteed_bytes.min(share(GUARANTEED_SHARE)),
+        }
+    }
+}
 
 /// Why an answer gets no memory for more bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,7 +75,7 @@
     Full,
 }
 
-/// Shared memory of one answer, without its first [`GUARANTEED_BYTES`].
+/// Shared memory of one answer, without its guaranteed bytes.
 #[derive(Debug, Clone, Copy)]
 struct Claim {
     held: usize,
@@ -39,9 +85,12 @@
 
 #[derive(Debug, Default)]
 struct State {
+    settings: Settings,
     held: usize,
+    /// Guaranteed bytes of all answers beyond [`FLOOR_BYTES`] of each.
+    guaranteed: usize,
     last_id: u64,
-    /// Answers longer than [`GUARANTEED_BYTES`], by id.
+    /// Answers longer than their guaranteed bytes, by id.
     claims: IndexMap<u64, Claim>,
 }
 
@@ -51,7 +100,7 @@
         let mut claims: Vec<Claim> = self.claims.values().copied().collect();
         claims.sort_unstable_by_key(|claim| claim.remaining);
         let held = claims.iter().map(|claim| claim.held).sum();
-        let Some(mut free) = MAX_SHARED_BYTES.checked_sub(held) else {
+        let Some(mut free) = self.settings.shared_bytes.checked_sub(held) else {
             return false;
         };
         claims.iter().all(|claim| {
@@ -70,21 +119,36 @@
 }
 
 impl AnswerMemory {
+    /// Creates the memory with these bounds.
+    pub fn new(settings: Settings) -> Self {
+        let state = State {
+            settings,
+            ..State::default()
+        };
+        Self {
+            state: Mutex::new(state),
+            freed: Notify::new(),
+        }
+    }
+
     /// Creates the reservation of an answer, without memory yet, of this length if that is known.
     ///
     /// # Errors
     ///
     /// Fails if the answer is [`ReservationError::TooLarge`].
     pub fn reserve(&self, length: Option<u64>) -> Result<Reservation<'_>, ReservationError> {
-        let max_length = length.map_or(Ok(MAX_ANSWER_BYTES), usize::try_from);
-        let max_length = max_length.ok().filter(|length| *length <= MAX_ANSWER_BYTES);
-        let max_length = max_length.ok_or(ReservationError::TooLarge)?;
         let mut state = lock(&self.state);
+        let limit = state.settings.answer_bytes;
+        let max_length = length.map_or(Ok(limit), usize::try_from);
+        let max_length = max_length.ok().filter(|length| *length <= limit);
+        let max_length = max_length.ok_or(ReservationError::TooLarge)?;
         state.last_id += 1;
         Ok(Reservation {
             memory: self,
             id: state.last_id,
             held: 0,
+            guaranteed: FLOOR_BYTES,
+            answer_bytes: limit,
             max_length,
         })
     }
@@ -101,6 +165,10 @@
     memory: &'a AnswerMemory,
     id: u64,
     held: usize,
+    /// Bytes that need no shared memory.
+    guaranteed: usize,
+    /// Length from which the answer is too large.
+    answer_bytes: usize,
     max_length: usize,
 }
 
@@ -112,13 +180,21 @@
     /// Fails with the reason if there is none; the reservation is unchanged then.
     pub fn try_grow(&mut self, bytes: usize) -> Result<(), ReservationError> {
         let held = self.held.saturating_add(bytes);
-        if held > MAX_ANSWER_BYTES {
+        if held > self.answer_bytes {
             return Err(ReservationError::TooLarge);
         }
         let mut state = lock(&self.memory.state);
-        if held > GUARANTEED_BYTES {
+        // More is guaranteed only before the answer has shared memory, so that a claim never shrinks.
+        if !state.claims.contains_key(&self.id) {
+            let wanted = held.min(GUARANTEED_BYTES).saturating_sub(self.guaranteed);
+            let free = state.settings.guaranteed_bytes - state.guaranteed;
+            let added = wanted.min(free);
+            state.guaranteed += added;
+            self.guaranteed += added;
+        }
+        if held > self.guaranteed {
             let claim = Claim {
-                held: held - GUARANTEED_BYTES,
+                held: held - self.guaranteed,
                 remaining: self.max_length.saturating_sub(held),
             };
             let previous = state.claims.insert(self.id, claim);
@@ -159,6 +235,7 @@
     fn drop(&mut self) {
         let mut state = lock(&self.memory.state);
         state.held -= self.held;
+        state.guaranteed -= self.guaranteed - FLOOR_BYTES;
         let had_claim = state.claims.swap_remove(&self.id).is_some();
         drop(state);
         if had_claim {
--- a/programs/gateway/src/settings.rs
+++ b/programs/gateway/src/settings.rs
@@ -7,6 +7,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Least memory of a VM in megabytes; a process without requests takes up to 45.
+const MIN_MEMORY_MB: u64 = 64;
+
 base::message! {
     /// Addresses on which the gateway listens.
     #[serde(deny_unknown_fields)]
@@ -61,6 +64,9 @@
         /// Bandwidth of this VM's link in Mbit/s; 0 if unknown.
         #[serde(default)]
         pub link_mbps: f64,
+        /// Memory of this VM in megabytes; bounds what answers of servers may hold.
+        #[serde(default = "memory")]
+        pub memory_mb: u64,
         /// Whether all VMs start for the first time, so that the store holds nothing of them.
         #[serde(default)]
         pub first_start: bool,
@@ -81,6 +87,11 @@
     700
 }
 
+/// The smallest VMs of the sites.
+fn memory() -> u64 {
+    160
+}
+
 fn log() -> Box<str> {
     "info".into()
 }
@@ -114,6 +125,9 @@
         if !self.data_centres.contains_key(&self.data_centre) {
             return Some("data_centre is not one of data_centres");
         }
+        if self.memory_mb < MIN_MEMORY_MB {
+            return Some("memory_mb must be at least 64");
+        }
         if self.list_period_ms == 0 {
             return Some("list_period_ms must not be 0");
         }
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by the tasks of the gateway; each field has its own lock.
 
-use crate::answer_memory::AnswerMemory;
+use crate::answer_memory::{self, AnswerMemory};
 use crate::fleet::{Fleet, MemberEntry, Rank, StoreSource};
 use crate::listing::Listing;
 use crate::metrics::Metrics;
@@ -114,6 +114,7 @@
 impl Shared {
     /// Creates the state of a process that starts.
     pub fn new(settings: Settings, incarnation: Incarnation) -> Self {
+        let answers = answer_memory::Settings::of_memory(settings.memory_mb * 1_000_000);
         Self {
             services: Services::new(&settings),
             ownership: Mutex::new(Ownership::new(&settings.vm)),
@@ -130,7 +131,7 @@
             crashes: Mutex::default(),
             splits: Mutex::default(),
             takeovers: Takeovers::default(),
-            answers: AnswerMemory::default(),
+            answers: AnswerMemory::new(answers),
             metrics: Metrics::default(),
             lateness: Mutex::default(),
             orders_outdated: Notify::new(),
--- a/programs/gateway/tests/answer_memory.rs
+++ b/programs/gateway/tests/answer_memory.rs
@@ -1,9 +1,10 @@
 //! Memory for answers of servers that are being read.
 
 use gateway::answer_memory::{AnswerMemory, GUARANTEED_BYTES, MAX_ANSWER_BYTES, MAX_SHARED_BYTES};
-use gateway::answer_memory::{Reservation, ReservationError};
+use gateway::answer_memory::{FLOOR_BYTES, Reservation, ReservationError, Settings};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use rstest::rstest;
 use std::task::{Context, Poll, Waker};
 
 /// Bytes that arrive at once.
@@ -146,3 +147,28 @@
     drop(holders);
     assert_eq!(grow.as_mut().poll(&mut context), Poll::Ready(Ok(())));
 }
+
+/// Guards against a VM of little memory that hundreds of endless answers fill, each within what it
+/// is guaranteed, and against common answers that wait for them.
+#[rstest]
+#[case::smallest_vm(160)]
+#[case::largest_vm(512)]
+fn many_endless_answers_leave_half_of_the_memory(#[case] megabytes: u64) {
+    const ANSWERS: usize = 250;
+    let bytes = megabytes * 1_000_000;
+    let memory = AnswerMemory::new(Settings::of_memory(bytes));
+    let mut endless: Vec<_> = (0..ANSWERS).map(|_| reserve(&memory)).collect();
+    let floors = ANSWERS * FLOOR_BYTES;
+    while !endless.is_empty() {
+        let before = (endless.len(), memory.held());
+        endless.retain_mut(|answer| answer.try_grow(CHUNK) != Err(ReservationError::TooLarge));
+        assert!(
+            memory.held() <= bytes as usize / 2 + floors,
+            "{}",
+            memory.held()
+        );
+        assert_ne!((endless.len(), memory.held()), before, "all wait");
+        assert_eq!(reserve(&memory).try_grow(FLOOR_BYTES), Ok(()));
+    }
+    assert_eq!(memory.held(), 0);
+}
--- a/programs/gateway/tests/settings.rs
+++ b/programs/gateway/tests/settings.rs
@@ -25,6 +25,7 @@
         ),
         ("{{platform.address|json}}", "\"10.200.1.7:8382\""),
         ("{{limits.linkMbps}}", "1000.0"),
+        ("{{limits.memoryMb}}", "260"),
         (
             "{{#bootstrap}}first_start: true{{/bootstrap}}",
             "first_start: true",
@@ -52,6 +53,7 @@
     assert_eq!(settings.link_mbps(), 1_000);
     assert_eq!(settings.seeds.len(), 2);
     assert!(settings.first_start);
+    assert_eq!(settings.memory_mb, 260);
     assert_eq!(settings.region_of("sud-a"), "sud".into());
 }
 
@@ -61,6 +63,9 @@
     let text = rendered().replace("retry_ratio: 0.2", "retry_ratio: 20");
     let settings: Settings = parse("gateway.yaml", &text).expect("well-formed settings");
     assert!(settings.problem().is_some());
+    let text = rendered().replace("memory_mb: 260", "memory_mb: 10");
+    let settings: Settings = parse("gateway.yaml", &text).expect("well-formed settings");
+    assert!(settings.problem().is_some());
     let unknown = format!("{}\nunknown: 1\n", rendered());
     assert!(parse::<Settings>("gateway.yaml", &unknown).is_err());
 }
--- a/programs/gateway/tests/site/mod.rs
+++ b/programs/gateway/tests/site/mod.rs
@@ -153,6 +153,7 @@
             seeds: Vec::new(),
             store: door.address,
             link_mbps: 1_000.0,
+            memory_mb: 260,
             first_start: false,
             bounds: Bounds {
                 grace_s: 2.0,
