feature: idle VMs report twice a second, and the relay wakes on news only

Change: a VM that has nothing to report but that it is up reports each 500 ms in place of 250 ms; two reports may still come before it counts as down (1.1 s). A VM checks each 200 ms in place of 100 ms whether its reader still reads.

Ruled out: longer times until a silent VM counts as down, which callers would notice.

--- a/crates/peers/src/report.rs
+++ b/crates/peers/src/report.rs
@@ -39,7 +39,29 @@
     }
 }
 
+impl Known {
+    /// Returns whether a copy holds the same data and is read in the same way, whatever its age.
+    pub fn holds_same(&self, other: &Self) -> bool {
+        let other = Self {
+            age: self.age,
+            ..*other
+        };
+        *self == other
+    }
+}
+
 impl Report {
+    /// Returns whether a VM has nothing to report but that it is up.
+    pub fn is_idle(&self) -> bool {
+        let is_quiet = self.in_flight.is_empty()
+            && self.handled.is_empty()
+            && self.down.is_empty()
+            && self.spending.is_empty()
+            && self.crashes.is_empty()
+            && self.takeovers.is_empty();
+        is_quiet && self.phase == Phase::Ready && !self.known.reads
+    }
+
     /// Returns whether this is the report of a data centre by its delegate.
     pub fn is_summary(&self) -> bool {
         !self.members.is_empty()
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -79,8 +79,11 @@
     Outdated,
     /// The sender is new, restarted, or sent nothing for longer than its time-out.
     NewSender,
-    /// The sender was already up.
-    KnownSender,
+    /// The sender was already up; whether it holds other store data than at its last report.
+    KnownSender {
+        /// Whether other VMs may want to request store data now.
+        has_news: bool,
+    },
 }
 
 /// A VM that serves store data to others.
@@ -161,8 +164,13 @@
         } else {
             LOCAL_TIMEOUT
         };
-        let was_up =
-            same_run.is_some_and(|peer| now.saturating_duration_since(peer.received_at) < timeout);
+        let is_up = |peer: &&Peer| now.saturating_duration_since(peer.received_at) < timeout;
+        let receipt = match same_run.filter(is_up) {
+            Some(peer) => Receipt::KnownSender {
+                has_news: !peer.report.known.holds_same(&report.known),
+            },
+            None => Receipt::NewSender,
+        };
         self.last_alive.insert(report.vm.clone(), now);
         for member in &report.members {
             self.last_alive.insert(member.vm.clone(), now);
@@ -175,10 +183,7 @@
             true => self.remote.insert(peer.report.data_centre.clone(), peer),
             false => self.local.insert(peer.report.vm.clone(), peer),
         };
-        match was_up {
-            true => Receipt::KnownSender,
-            false => Receipt::NewSender,
-        }
+        receipt
     }
 
     /// Removes VMs that are not members and sent nothing for [`PEER_RETENTION`]; returns the
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -26,9 +26,11 @@
 const FIRST_START_WAIT: Duration = Duration::from_millis(450);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Time between two checks whether another VM reads the store for this one, and between the write
+/// Time between two checks whether this VM's turn to read has come, and between the write
 /// of this VM's member entry and the next read.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two checks whether the VM that reads the store for this one still does.
+const DELEGATE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without a read after which the store counts as having been unavailable.
 const MIN_OUTAGE: Duration = Duration::from_millis(2_500);
 /// Member table: store table in which VMs find each other.
@@ -75,6 +77,8 @@
             if self.delegate_reads() {
                 self.shared.set_store_read(None);
                 lost_at = None;
+                tokio::time::sleep(DELEGATE_CHECK_INTERVAL).await;
+                continue;
             } else if self.shared.reads_store(now) {
                 return;
             } else {
--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -161,7 +161,10 @@
 pub async fn sync_from_peers(shared: Arc<Shared>, reader: Arc<StoreReader>) {
     let mut is_lost = false;
     loop {
-        let _ = tokio::time::timeout(CHECK_INTERVAL, shared.report_received.notified()).await;
+        // After a failure, the next try waits for no report.
+        if !is_lost {
+            let _ = tokio::time::timeout(CHECK_INTERVAL, shared.report_received.notified()).await;
+        }
         let now = Instant::now();
         let Some(source) = select_source(&shared, now) else {
             tokio::time::sleep(MIN_INTERVAL).await;
@@ -169,7 +172,6 @@
         };
         if is_synced(&shared, &source) {
             confirm_age(&shared, &source, now);
-            // Reports of a large data centre come in hundreds a second.
             tokio::time::sleep(MIN_INTERVAL).await;
             continue;
         }
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -15,6 +15,9 @@
 
 /// Longest time between two reports to the VMs of this data centre.
 const LOCAL_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time between two reports of a VM that has nothing to report but that it is up. Two of them
+/// may come before it counts as down.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two summaries to other data centres; traffic between regions is expensive.
 const REMOTE_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum time between two reports.
@@ -26,13 +29,19 @@
 pub async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut sequence = 0;
     let mut next_summary = Instant::now();
+    let mut interval = LOCAL_INTERVAL;
     loop {
-        let is_requested = tokio::time::timeout(LOCAL_INTERVAL, shared.report_requested.notified())
+        let is_requested = tokio::time::timeout(interval, shared.report_requested.notified())
             .await
             .is_ok();
         sequence += 1;
         let now = Instant::now();
         let own = vm_report(&shared, sequence, now);
+        interval = if own.is_idle() {
+            IDLE_INTERVAL
+        } else {
+            LOCAL_INTERVAL
+        };
         let targets = local_targets(&shared, now);
         send_report(&socket, &own, targets).await;
         if is_requested || now >= next_summary {
@@ -252,6 +261,7 @@
     match receipt {
         Receipt::Outdated => return targets,
         Receipt::NewSender => {
+            shared.report_received.notify_one();
             log::info!(
                 "event=vm-heard vm={} incarnation={} data_centre={} members={} phase={:?}",
                 report.vm,
@@ -262,7 +272,8 @@
             );
             shared.report_requested.notify_one();
         }
-        Receipt::KnownSender => {}
+        Receipt::KnownSender { has_news: true } => shared.report_received.notify_one(),
+        Receipt::KnownSender { has_news: false } => {}
     }
     merge_report(shared, report, previous_delegate.as_ref(), now);
     let mut targets = targets;
@@ -300,5 +311,4 @@
     if report.known.orders > snapshot && report.phase != Phase::Starting {
         shared.orders_outdated.notify_one();
     }
-    shared.report_received.notify_one();
 }
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -88,7 +88,7 @@
     pub lateness: Mutex<TimerLag>,
     /// Wakes the reader of orders when another VM has newer ones.
     pub orders_outdated: Notify,
-    /// Wakes the relay when a report arrived.
+    /// Wakes the relay when another VM holds other store data than before.
     pub report_received: Notify,
     /// Wakes the sender of reports when a change is to be reported at once.
     pub report_requested: Notify,
