--- a/programs/ctl/tests/orders.rs
+++ b/programs/ctl/tests/orders.rs
@@ -13,6 +13,7 @@
         key: key.into(),
         version: 7,
         value: store.get("op", key),
+        removed: false,
     }
 }
 
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -10,6 +10,7 @@
 use base::sync::lock;
 use indexmap::IndexMap;
 use peers::report::Phase;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use steering::registry::{Change, Registry};
@@ -46,6 +47,8 @@
     shared: Arc<Shared>,
     client: Client,
     registry: Mutex<Registry>,
+    /// Whether this VM's turn to read has come since it knew of another reader.
+    has_turn: AtomicBool,
 }
 
 impl StoreReader {
@@ -55,6 +58,7 @@
             shared,
             client,
             registry: Mutex::default(),
+            has_turn: AtomicBool::new(false),
         }
     }
 
@@ -76,16 +80,21 @@
             let now = Instant::now();
             if self.delegate_reads() {
                 self.shared.set_store_read(None);
+                self.has_turn.store(false, Ordering::Relaxed);
                 lost_at = None;
                 tokio::time::sleep(DELEGATE_CHECK_INTERVAL).await;
                 continue;
-            } else if self.shared.reads_store(now) {
+            }
+            if self.shared.reads_store(now) {
                 return;
-            } else {
-                let lost_at = *lost_at.get_or_insert(now);
-                if now >= self.shared.reads_from(lost_at, now) {
-                    return;
+            }
+            let lost_at = *lost_at.get_or_insert(now);
+            if now >= self.shared.reads_from(lost_at, now) {
+                if !self.has_turn.swap(true, Ordering::Relaxed) {
+                    let waited = now.saturating_duration_since(lost_at);
+                    log::info!("event=store-turn waited_ms={}", waited.as_millis());
                 }
+                return;
             }
             tokio::time::sleep(CHECK_INTERVAL).await;
         }
@@ -470,7 +479,9 @@
 
 /// Decodes a registration; none if the row was removed, or if it can't be decoded, which is logged.
 fn decode_registration(row: &Row) -> Option<Registration> {
-    row.value.as_ref()?;
+    if row.removed {
+        return None;
+    }
     let result = registration::decode(row);
     result
         .inspect_err(|reason| {
