--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. The variable
 //! TROUBLE=0 leaves the disruption out.
 
+mod cold;
 mod connection_header;
 mod crashes;
 mod http;
@@ -61,6 +62,7 @@
         match case.as_str() {
             "memory" => memory::play(&record, &folder, trouble).await,
             "connection-header" => connection_header::play(&record, &folder, trouble).await,
+            "cold" => cold::play(&record, &folder, trouble).await,
             "crashes" => crashes::play(&record, &folder, trouble).await,
             "idle" => idle::play(&record, &folder, trouble).await,
             _ => Err("unknown case".into()),
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{self, Head};
 use serde_json::json;
-use standin_site::store::Store;
+use standin_site::store::{Endpoint, Store};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -11,7 +11,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::process::{Child, Command};
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
 
 pub const HOST: &str = "jepu9.example";
@@ -41,17 +41,37 @@
 pub struct Backend {
     pub id: String,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    /// Times at which requests arrived.
+    pub arrivals: Arc<Mutex<Vec<Instant>>>,
     slots: Arc<Semaphore>,
     work: Duration,
+    data_centre: &'static str,
+    cold_until: Arc<Mutex<Option<Instant>>>,
+    changed: Arc<Notify>,
 }
 
 /// Starts a backend server with three slots and registers it; its entry is renewed every 1.5 s.
 pub async fn backend(store: &Store, id: &str, service: &'static str, work: Duration) -> Backend {
+    backend_in("nord-a", store, id, service, work).await
+}
+
+/// Starts a backend server in a data centre.
+pub async fn backend_in(
+    data_centre: &'static str,
+    store: &Store,
+    id: &str,
+    service: &'static str,
+    work: Duration,
+) -> Backend {
     let backend = Backend {
         id: id.into(),
         runs: Arc::default(),
+        arrivals: Arc::default(),
         slots: Arc::new(Semaphore::new(3)),
         work,
+        data_centre,
+        cold_until: Arc::default(),
+        changed: Arc::default(),
     };
     let address = free_address().await;
     let (own, store) = (backend.clone(), store.clone());
@@ -82,12 +102,14 @@
         let register = async {
             for sequence in 1.. {
                 let row = json!({
-                    "service": service, "address": address, "zone": "nord-a", "version": "v1",
-                    "slots": 3, "state": "ready", "warmupLeftMs": 0, "sequence": sequence,
+                    "service": service, "address": address, "zone": self.data_centre,
+                    "version": "v1", "slots": 3, "state": "ready",
+                    "warmupLeftMs": self.cold_time().as_millis() as u64, "sequence": sequence,
                     "born": born,
                 });
                 store.put("servers", &self.id, row.to_string());
-                tokio::time::sleep(Duration::from_millis(1_500)).await;
+                let beat = Duration::from_millis(1_500);
+                let _ = tokio::time::timeout(beat, self.changed.notified()).await;
             }
         };
         tokio::select! {
@@ -111,10 +133,14 @@
                 .get("x-cardamomhall-attempt-id")
                 .unwrap_or_default()
                 .to_owned();
+            if head.target != "/health" {
+                self.arrivals.lock().expect("lock").push(Instant::now());
+            }
             let answer = if head.target == "/health" {
                 format!(
-                    "HTTP/1.1 200 OK\r\nX-Cardamomhall-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
-                    self.id
+                    "HTTP/1.1 200 OK\r\nX-Cardamomhall-Instance-Id: {}\r\nX-Cardamomhall-Warmup-Ms: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id,
+                    self.cold_time().as_millis()
                 )
             } else if id.is_empty() {
                 "HTTP/1.1 400 Bad Request\r\nX-Cardamomhall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".into()
@@ -141,7 +167,8 @@
                     crash.cancel();
                     return;
                 }
-                tokio::time::sleep(self.work).await;
+                let is_cold = !self.cold_time().is_zero();
+                tokio::time::sleep(self.work * if is_cold { 2 } else { 1 }).await;
                 let text = format!("ran {id}\n");
                 format!(
                     "HTTP/1.1 200 OK\r\nX-Cardamomhall-Attempt-Id: {id}\r\nX-Cardamomhall-Response-Signature: {}.{id}\r\nContent-Length: {}\r\n\r\n{text}",
@@ -155,6 +182,20 @@
         }
     }
 
+    /// Returns how long the server stays cold.
+    fn cold_time(&self) -> Duration {
+        let until = *self.cold_until.lock().expect("lock");
+        until.map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(Instant::now())
+        })
+    }
+
+    /// Turns the server cold for `time` and reports it to the store.
+    pub fn turn_cold(&self, time: Duration) {
+        *self.cold_until.lock().expect("lock") = Some(Instant::now() + time);
+        self.changed.notify_one();
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().expect("lock").clone()
     }
@@ -300,11 +341,17 @@
 
 /// Opens the store at a free address.
 pub async fn store() -> (Store, SocketAddr) {
+    let (store, endpoint) = store_with_faults().await;
+    (store, endpoint.address)
+}
+
+/// Opens the store at a free address whose faults can be switched.
+pub async fn store_with_faults() -> (Store, Endpoint) {
     let store = Store::default();
     let address = "127.0.0.1:0".parse().expect("an address");
     let endpoint = store
         .open(address, CancellationToken::new())
         .await
         .expect("open the store");
-    (store, endpoint.address)
+    (store, endpoint)
 }
