--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -7,6 +7,7 @@
 mod connection_header;
 mod crashes;
 mod http;
+mod idle;
 mod memory;
 mod site;
 
@@ -63,6 +64,7 @@
             "connection-header" => connection_header::play(&record, &folder, trouble).await,
             "cold" => cold::play(&record, &folder, trouble).await,
             "crashes" => crashes::play(&record, &folder, trouble).await,
+            "idle" => idle::play(&record, &folder, trouble).await,
             _ => Err("unknown case".into()),
         }
     };
