--- a/review/harness/src/connection_header.rs
+++ b/review/harness/src/connection_header.rs
@@ -20,7 +20,7 @@
     )
     .await;
     site::publish(&store);
-    let mut gateway = Gateway::new(folder, address).await;
+    let mut gateway = Gateway::new(folder, address, "nord-a").await;
     if !gateway.start().await {
         return Err("the gateway is not ready".into());
     }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -4,7 +4,9 @@
 //! TROUBLE=0 leaves the disruption out.
 
 mod connection_header;
+mod crashes;
 mod http;
+mod idle;
 mod memory;
 mod site;
 
@@ -59,6 +61,8 @@
         match case.as_str() {
             "memory" => memory::play(&record, &folder, trouble).await,
             "connection-header" => connection_header::play(&record, &folder, trouble).await,
+            "crashes" => crashes::play(&record, &folder, trouble).await,
+            "idle" => idle::play(&record, &folder, trouble).await,
             _ => Err("unknown case".into()),
         }
     };
--- a/review/harness/src/memory.rs
+++ b/review/harness/src/memory.rs
@@ -127,7 +127,7 @@
         backends.push(site::backend(&store, &id, "booking-api", Duration::from_millis(500)).await);
     }
     site::publish(&store);
-    let mut gateway = Gateway::new(folder, address).await;
+    let mut gateway = Gateway::new(folder, address, "nord-a").await;
     if !gateway.start().await {
         return Err("the gateway is not ready".into());
     }
