--- a/crates/base/src/http/server/rest.rs
+++ b/crates/base/src/http/server/rest.rs
@@ -1,7 +1,7 @@
 //! Connections that wait for a request, by how long they have.
 
 use crate::sync::lock;
-use indexmap::IndexMap;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -42,7 +42,8 @@
 #[derive(Debug, Default)]
 struct State {
     last: Id,
-    entries: IndexMap<Id, Entry>,
+    /// A standard map: `base` keeps to the dependencies in the lock file of `review/harness`.
+    entries: BTreeMap<Id, Entry>,
 }
 
 /// One open connection; leaves the others when it is dropped.
@@ -140,6 +141,6 @@
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        lock(&self.others.0).entries.swap_remove(&self.id);
+        lock(&self.others.0).entries.remove(&self.id);
     }
 }
