bug: a deployment without takeovers starts

Callers saw no service at all on deployments whose bounds have no `canaryShare` and `canarySlack`: the template rendered `exposure_share:` without a value, and no process started ("invalid floating point").

Cause: the template took every bound for granted, and the settings had no way to say that one is absent.

A takeover that is ordered all the same is refused with a log line (`event=takeover-refused`), since no number of requests to the new version is known to be safe.

--- a/programs/gateway/src/settings.rs
+++ b/programs/gateway/src/settings.rs
@@ -26,8 +26,9 @@
         pub metrics: SocketAddr,
     }
 
-    /// Bounds that the operator sets; times are in seconds.
-    #[serde(deny_unknown_fields)]
+    /// Bounds that the operator sets; times are in seconds. A deployment states only the bounds of
+    /// what it uses.
+    #[serde(deny_unknown_fields, default)]
     pub struct Bounds {
         /// Time from SIGTERM to SIGKILL, in seconds.
         pub grace_s: f64,
@@ -35,14 +36,25 @@
         pub retry_ratio: f64,
         /// Sends beyond the first that are allowed in addition, over all VMs.
         pub retry_slack: f64,
-        /// Share of a service's requests that a new version may get before its deadline.
-        pub exposure_share: f64,
-        /// Requests that a new version may get in addition, over all VMs.
-        pub exposure_slack: f64,
+        /// Share of a service's requests that a new version may get before its deadline; none if
+        /// the deployment has no takeovers.
+        pub exposure_share: Option<f64>,
+        /// Requests that a new version may get in addition, over all VMs; none if the deployment
+        /// has no takeovers.
+        pub exposure_slack: Option<f64>,
         /// Longest time in seconds for which callers may use a look-up.
         pub lookup_ttl_s: f64,
     }
 
+    /// What a new version may get before its deadline.
+    #[derive(Copy)]
+    pub struct ExposureBounds {
+        /// Share of its service's requests.
+        pub share: f64,
+        /// Requests in addition, over all VMs.
+        pub slack: f64,
+    }
+
     /// Settings of the gateway.
     #[serde(deny_unknown_fields)]
     pub struct Settings {
@@ -71,6 +83,7 @@
         #[serde(default)]
         pub first_start: bool,
         /// Operator's bounds.
+        #[serde(default)]
         pub bounds: Bounds,
         /// Time in milliseconds between two reads of the registrations.
         #[serde(default = "list_period")]
@@ -81,6 +94,30 @@
     }
 }
 
+impl Default for Bounds {
+    /// Bounds of deployments that state none: the tightest that any deployment has stated.
+    fn default() -> Self {
+        Self {
+            grace_s: 6.0,
+            retry_ratio: 0.2,
+            retry_slack: 0.0,
+            exposure_share: None,
+            exposure_slack: None,
+            lookup_ttl_s: 5.0,
+        }
+    }
+}
+
+impl Bounds {
+    /// Returns the bounds of takeovers; none if the deployment has no takeovers.
+    pub fn exposure(&self) -> Option<ExposureBounds> {
+        Some(ExposureBounds {
+            share: self.exposure_share?,
+            slack: self.exposure_slack.unwrap_or(0.0),
+        })
+    }
+}
+
 /// A leaving server must get no requests 2 s after its report. If the VM that reads the store loses
 /// it at that moment, another one has to notice, read and inform the others within this time.
 fn list_period() -> u64 {
@@ -131,7 +168,8 @@
         if self.list_period_ms == 0 {
             return Some("list_period_ms must not be 0");
         }
-        let shares = [self.bounds.retry_ratio, self.bounds.exposure_share];
+        let exposure_share = self.bounds.exposure_share.unwrap_or(0.0);
+        let shares = [self.bounds.retry_ratio, exposure_share];
         if shares.iter().any(|share| !(0.0..=1.0).contains(share)) {
             return Some("retry_ratio and exposure_share must be between 0 and 1");
         }
--- a/programs/gateway/src/takeovers.rs
+++ b/programs/gateway/src/takeovers.rs
@@ -174,6 +174,16 @@
             if active.contains_key(&order.service) {
                 continue;
             }
+            let Some(bounds) = bounds.exposure() else {
+                // Without bounds, no number of requests to the new version is known to be safe.
+                log::warn!(
+                    "event=takeover-refused service={} target={} order={} reason=\"the settings have no exposure_share\"",
+                    order.service,
+                    order.label,
+                    order.order
+                );
+                continue;
+            };
             log::info!(
                 "event=takeover-ordered service={} target={} order={} term_ms={}",
                 order.service,
@@ -186,8 +196,8 @@
                 share: settings.share,
                 final_share: settings.final_share,
                 final_window: settings.final_window,
-                cap: Cap::from_ppm((bounds.exposure_share * EXPOSURE_FRACTION * 1e6) as u32),
-                slack: bounds.exposure_slack * EXPOSURE_FRACTION / members.max(1) as f64,
+                cap: Cap::from_ppm((bounds.share * EXPOSURE_FRACTION * 1e6) as u32),
+                slack: bounds.slack * EXPOSURE_FRACTION / members.max(1) as f64,
                 term: order.term,
                 order: affinity::digest(&format!("{} {}", order.service, order.order)),
                 vm: affinity::digest(own),
