feature: pipelined reads run side by side

Callers of some deployments send further requests on a connection before the first is answered; the connection was served one request at a time. Reads of idempotent routes behind such reads now start at once, and their answers are returned in order. A stop and a connection that gives way answer what is started.

--- a/crates/base/src/http/server.rs
+++ b/crates/base/src/http/server.rs
@@ -5,16 +5,18 @@
 use super::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rest::{Answering, Connections, OpenConnection};
 use std::convert::Infallible;
-use std::future::Future;
+use std::error::Error;
+use std::future::{Future, Ready, ready};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
@@ -75,6 +77,19 @@
     pub is_full: Arc<AtomicBool>,
 }
 
+/// An accepted connection: its stream, what answers its requests, and when it may end.
+#[derive(Debug)]
+pub struct Session<I, H, R> {
+    /// Stream that is read and written.
+    pub stream: I,
+    /// Answers a request; an error ends the connection.
+    pub handler: H,
+    /// Called once when the server wants the connection to end. The connection ends after the
+    /// request that is under way when the returned future is ready; the future is polled whenever the
+    /// connection is.
+    pub release: R,
+}
+
 /// Serves connections as [`serve`] does. If all are taken, the one that has waited longest for a
 /// request gives way to a new one.
 pub async fn serve_resting<H, F>(
@@ -86,6 +101,35 @@
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let open = |stream, peer| {
+        let handler = handler.clone();
+        Session {
+            stream,
+            handler: move |request| {
+                let answer = handler(request, peer);
+                async move { Ok::<_, Infallible>(answer.await) }
+            },
+            release: || -> Ready<()> { ready(()) },
+        }
+    };
+    serve_sessions(listener, limits, rest, stop, open).await;
+}
+
+/// Serves connections as [`serve_resting`] does, each by the session that `open` returns for it.
+pub async fn serve_sessions<I, H, F, E, R, W>(
+    listener: TcpListener,
+    limits: Limits,
+    rest: Rest<impl Fn() -> Duration>,
+    stop: CancellationToken,
+    open: impl Fn(TcpStream, SocketAddr) -> Session<I, H, R>,
+) where
+    I: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Result<Response<Body>, E>> + Send + 'static,
+    E: Into<Box<dyn Error + Send + Sync>> + 'static,
+    R: FnOnce() -> W + Send + 'static,
+    W: Future<Output = ()> + Send,
 {
     let Rest { limit, is_full } = rest;
     let tasks = TaskTracker::new();
@@ -110,11 +154,13 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let open = connections.open(Instant::now());
-        let connection = connection(stream, peer, limits, open.answering(), handler.clone());
+        let entry = connections.open(Instant::now());
+        let session = open(stream, peer);
+        let release = session.release;
+        let connection = connection(session.stream, limits, entry.answering(), session.handler);
         let stop = stop.clone();
         tasks.spawn(async move {
-            if let Err(error) = run(connection, &open, &stop).await {
+            if let Err(error) = run(connection, release, &entry, &stop).await {
                 log::debug!("connection of {peer} ended: {error}");
             }
             drop(slot);
@@ -130,25 +176,33 @@
     }
 }
 
-/// Runs a connection to its end; it ends after its current request when the server stops or when it
-/// gives way to another.
-async fn run<S>(
-    connection: http1::Connection<TokioIo<TcpStream>, S>,
-    open: &OpenConnection,
+/// Runs a connection to its end; when the server stops or when it gives way to another, it ends
+/// after the request that is under way once it is released.
+async fn run<I, S, W>(
+    connection: http1::Connection<TokioIo<I>, S>,
+    release: impl FnOnce() -> W,
+    entry: &OpenConnection,
     stop: &CancellationToken,
 ) -> hyper::Result<()>
 where
-    S: hyper::service::HttpService<Incoming, ResBody = Body, Error = Infallible>,
+    I: AsyncRead + AsyncWrite + Unpin,
+    S: HttpService<Incoming, ResBody = Body, Error: Into<Box<dyn Error + Send + Sync>>>,
+    W: Future<Output = ()>,
 {
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         result = connection.as_mut() => return result,
         () = stop.cancelled() => {}
         // Nothing was read of a connection without a request, and hyper would wait for one.
-        () = open.close.notified() => if open.is_fresh() {
+        () = entry.close.notified() => if entry.is_fresh() {
             return Ok(());
         }
     }
+    tokio::select! {
+        biased;
+        () = release() => {}
+        result = connection.as_mut() => return result,
+    }
     connection.as_mut().graceful_shutdown();
     connection.await
 }
@@ -178,32 +232,33 @@
     Some((stream, peer, slot?))
 }
 
-fn connection<H, F>(
-    stream: TcpStream,
-    peer: SocketAddr,
+fn connection<I, H, F, E>(
+    stream: I,
     limits: Limits,
-    begin: impl Fn() -> Answering + Clone + Send + Sync + 'static,
+    begin: impl Fn() -> Answering + Send + 'static,
     handler: H,
 ) -> http1::Connection<
-    TokioIo<TcpStream>,
-    impl hyper::service::HttpService<
+    TokioIo<I>,
+    impl HttpService<
         Incoming,
         ResBody = Body,
-        Error = Infallible,
-        Future = impl Future<Output = Result<Response<Body>, Infallible>> + Send,
+        Error = E,
+        Future = impl Future<Output = Result<Response<Body>, E>> + Send,
     >,
 >
 where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
+    I: AsyncRead + AsyncWrite + Unpin,
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Result<Response<Body>, E>> + Send + 'static,
+    E: Into<Box<dyn Error + Send + Sync>> + 'static,
 {
     let service = service_fn(move |request| {
         let answering = begin();
-        let answer = handler(request, peer);
+        let answer = handler(request);
         async move {
             let answer = answer.await;
             drop(answering);
-            Ok::<_, Infallible>(answer)
+            answer
         }
     });
     http1::Builder::new()
--- a/crates/base/tests/server.rs
+++ b/crates/base/tests/server.rs
@@ -1,8 +1,9 @@
 //! Connections of a server that waits for requests on them.
 
-use base::http::server::{Limits, Rest, serve_resting};
+use base::http::server::{Limits, Rest, Session, serve_resting, serve_sessions};
 use base::http::text;
 use hyper::StatusCode;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -166,3 +167,43 @@
     assert!(request(&mut late, "/").await);
     assert!(!is_full.load(Ordering::Relaxed));
 }
+
+/// Guards against a connection that ends at a stop although its session has answers to give.
+#[tokio::test]
+async fn stopped_connection_ends_only_when_it_is_released() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let rest = Rest {
+        limit: || SOON,
+        is_full: Arc::default(),
+    };
+    let stop = CancellationToken::new();
+    let (asked, released) = (CancellationToken::new(), CancellationToken::new());
+    let (ask, release) = (asked.clone(), released.clone());
+    let open = move |stream, _| {
+        let (asked, released) = (ask.clone(), release.clone());
+        Session {
+            stream,
+            handler: |_| async { Ok::<_, Infallible>(text(StatusCode::OK, "done")) },
+            release: move || {
+                asked.cancel();
+                released.cancelled_owned()
+            },
+        }
+    };
+    let serving = serve_sessions(listener, Limits::default(), rest, stop.clone(), open);
+    let serving = tokio::spawn(serving);
+    let mut stream = open_and_request(address).await;
+    stop.cancel();
+    asked.cancelled().await;
+    assert!(request(&mut stream, "/").await);
+    released.cancel();
+    assert!(is_closed(&mut stream).await);
+    assert!(serving.await.is_ok());
+}
+
+async fn open_and_request(address: SocketAddr) -> TcpStream {
+    let mut stream = open(address).await;
+    assert!(request(&mut stream, "/").await);
+    stream
+}
--- a/programs/gateway/src/answer_memory.rs
+++ b/programs/gateway/src/answer_memory.rs
@@ -8,7 +8,7 @@
 
 use base::sync::lock;
 use indexmap::IndexMap;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use tokio::sync::Notify;
 
 /// Largest answer that is passed on, in bytes; an answer is read completely before its first byte
@@ -23,6 +23,12 @@
 /// Bytes of each answer that always get memory, so that common answers, of 5 kB on average, pass
 /// beside any number of endless ones.
 pub const FLOOR_BYTES: usize = 16 * 1024;
+/// Bytes of an answer that are read before its turn on its connection; the rest is read at its turn.
+/// They count as guaranteed, so that an answer that waits for its turn never holds shared memory,
+/// which the answers in front of it may need.
+pub const AHEAD_BYTES: usize = 64 * 1024;
+/// Share of the guaranteed bytes for answers that wait for their turn.
+const AHEAD_SHARE: f64 = 0.25;
 /// Share of a VM's memory for the guaranteed bytes; with the shared bytes, half of it is left for
 /// everything else.
 const GUARANTEED_SHARE: f64 = 0.2;
@@ -89,6 +95,8 @@
     held: usize,
     /// Guaranteed bytes of all answers beyond [`FLOOR_BYTES`] of each.
     guaranteed: usize,
+    /// Part of the guaranteed bytes that is held for answers before their turn.
+    ahead: usize,
     last_id: u64,
     /// Answers longer than their guaranteed bytes, by id.
     claims: IndexMap<u64, Claim>,
@@ -137,6 +145,23 @@
     ///
     /// Fails if the answer is [`ReservationError::TooLarge`].
     pub fn reserve(&self, length: Option<u64>) -> Result<Reservation<'_>, ReservationError> {
+        self.reserve_beyond(FLOOR_BYTES, length)
+    }
+
+    /// Creates the reservation of an answer for which [`hold_ahead`](Self::hold_ahead) holds memory.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is [`ReservationError::TooLarge`].
+    pub fn reserve_ahead(&self, length: Option<u64>) -> Result<Reservation<'_>, ReservationError> {
+        self.reserve_beyond(AHEAD_BYTES, length)
+    }
+
+    fn reserve_beyond(
+        &self,
+        floor: usize,
+        length: Option<u64>,
+    ) -> Result<Reservation<'_>, ReservationError> {
         let mut state = lock(&self.state);
         let limit = state.settings.answer_bytes;
         let max_length = length.map_or(Ok(limit), usize::try_from);
@@ -147,24 +172,52 @@
             memory: self,
             id: state.last_id,
             held: 0,
-            guaranteed: FLOOR_BYTES,
+            floor,
+            guaranteed: floor,
             answer_bytes: limit,
             max_length,
         })
     }
 
+    /// Holds [`AHEAD_BYTES`] for an answer before its turn; none if there is no room for more.
+    pub fn hold_ahead(self: &Arc<Self>) -> Option<HeldAhead> {
+        let mut state = lock(&self.state);
+        let bound = state.settings.guaranteed_bytes;
+        let ahead = state.ahead + AHEAD_BYTES;
+        let guaranteed = state.guaranteed + AHEAD_BYTES;
+        if guaranteed > bound || ahead > (bound as f64 * AHEAD_SHARE) as usize {
+            return None;
+        }
+        (state.ahead, state.guaranteed) = (ahead, guaranteed);
+        Some(HeldAhead(self.clone()))
+    }
+
     /// Returns the bytes that all answers hold.
     pub fn held(&self) -> usize {
         lock(&self.state).held
     }
 }
 
+/// Memory of an answer before its turn; freed when it is dropped.
+#[derive(Debug)]
+pub struct HeldAhead(Arc<AnswerMemory>);
+
+impl Drop for HeldAhead {
+    fn drop(&mut self) {
+        let mut state = lock(&self.0.state);
+        state.ahead -= AHEAD_BYTES;
+        state.guaranteed -= AHEAD_BYTES;
+    }
+}
+
 /// Memory of one answer; freed when it is dropped.
 #[derive(Debug)]
 pub struct Reservation<'a> {
     memory: &'a AnswerMemory,
     id: u64,
     held: usize,
+    /// Guaranteed bytes from the start.
+    floor: usize,
     /// Bytes that need no shared memory.
     guaranteed: usize,
     /// Length from which the answer is too large.
@@ -235,7 +288,7 @@
     fn drop(&mut self) {
         let mut state = lock(&self.memory.state);
         state.held -= self.held;
-        state.guaranteed -= self.guaranteed - FLOOR_BYTES;
+        state.guaranteed -= self.guaranteed - self.floor;
         let had_claim = state.claims.swap_remove(&self.id).is_some();
         drop(state);
         if had_claim {
--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -1,7 +1,7 @@
 //! One send of a request to a backend server.
 
 use crate::admit::AdmittedRequest;
-use crate::answer_memory::AnswerMemory;
+use crate::answer_memory::{AHEAD_BYTES, AnswerMemory};
 use crate::receive::CallerRequest;
 use crate::servers::InFlightRequest;
 use crate::shared::Shared;
@@ -18,6 +18,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Instant;
 use steering::takeover::Outcome;
+use tokio_util::sync::CancellationToken;
 
 /// Whole answer of a server.
 pub type Answer = Response<Bytes>;
@@ -268,7 +269,7 @@
         in_flight.record_shedding(load, Instant::now());
         return SendOutcome::NotRun(load);
     }
-    match read_body(body, &shared.answers, paused_at).await {
+    match read_body(body, &shared.answers, request.turn.as_ref(), paused_at).await {
         Ok(body) => check_answer(Response::from_parts(parts, body)),
         Err(ReadError::TooLarge) => SendOutcome::Oversized,
         Err(ReadError::Interrupted) if Instant::now() >= admitted.deadline => {
@@ -286,14 +287,20 @@
     TooLarge,
 }
 
-/// Reads a body to its end; reading pauses while there is no memory for it.
+/// Reads a body to its end; reading pauses while there is no memory for it, and after
+/// [`AHEAD_BYTES`] until `turn`.
 async fn read_body(
     mut body: Body,
     answers: &AnswerMemory,
+    turn: Option<&CancellationToken>,
     paused_at: &OnceLock<Instant>,
 ) -> Result<Bytes, ReadError> {
     let length = body.size_hint().exact();
-    let mut reservation = answers.reserve(length).map_err(|_| ReadError::TooLarge)?;
+    let reservation = match turn {
+        Some(_) => answers.reserve_ahead(length),
+        None => answers.reserve(length),
+    };
+    let mut reservation = reservation.map_err(|_| ReadError::TooLarge)?;
     let mut buffer = BytesMut::new();
     let on_pause = || {
         paused_at.get_or_init(Instant::now);
@@ -301,6 +308,13 @@
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ReadError::Interrupted)?;
         if let Some(data) = frame.data_ref() {
+            if let Some(turn) = turn
+                && buffer.len() + data.len() > AHEAD_BYTES
+                && !turn.is_cancelled()
+            {
+                on_pause();
+                turn.cancelled().await;
+            }
             let reserved = reservation.grow(data.len(), on_pause).await;
             reserved.map_err(|_| ReadError::TooLarge)?;
             buffer.extend_from_slice(data);
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -3,8 +3,9 @@
 //!
 //! One VM of a data centre reads configuration and servers from the platform's store (`reader`)
 //! and passes them on (`relay`, `listing`). VMs report their state to each other by datagrams
-//! (`fleet`, `reports`). `pipeline` takes a request through `receive`, `admit` and `forward`. The
-//! decisions are made by the package `steering`.
+//! (`fleet`, `reports`). `pipeline` takes a request through `receive`, `admit` and `forward`;
+//! `pipelining` starts further requests of a connection ahead of their turn. The decisions are made
+//! by the package `steering`.
 
 pub mod admit;
 pub mod answer_memory;
@@ -15,6 +16,7 @@
 pub mod listing;
 pub mod metrics;
 pub mod pipeline;
+pub mod pipelining;
 pub mod reader;
 pub mod receive;
 pub mod relay;
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
 const MIN_BUCKET_S: f64 = 0.005;
 /// Number of latency buckets; each bound is twice the one before, up to 10 s.
 const BUCKETS: u16 = 12;
+/// Bounds of the buckets of waiting requests.
+const DEPTHS: [f64; 4] = [1.0, 2.0, 4.0, 8.0];
 
 /// Metrics of one process.
 #[derive(Debug)]
@@ -35,6 +37,9 @@
     reports: Family<Labels, Counter>,
     report_bytes: Family<Labels, Counter>,
     takeover_sends: Family<Labels, Counter>,
+    started_ahead: Counter,
+    held_answers: Counter,
+    depth: Histogram,
     latency: Histogram,
     /// Answers since the start by status, for the log line at the stop.
     answers_by_status: Mutex<IndexMap<u16, u64>>,
@@ -55,6 +60,9 @@
             reports: Family::default(),
             report_bytes: Family::default(),
             takeover_sends: Family::default(),
+            started_ahead: Counter::default(),
+            held_answers: Counter::default(),
+            depth: Histogram::new(DEPTHS),
             latency: Histogram::new(exponential_buckets(MIN_BUCKET_S, 2.0, BUCKETS)),
             answers_by_status: Mutex::default(),
         }
@@ -117,6 +125,21 @@
             "Ends of sends to the old and the new version during a takeover",
             self.takeover_sends.clone(),
         );
+        registry.register(
+            "pipelined_started",
+            "Requests started while an earlier one of their connection was under way",
+            self.started_ahead.clone(),
+        );
+        registry.register(
+            "pipelined_held",
+            "Answers that were ready before their turn on their connection",
+            self.held_answers.clone(),
+        );
+        registry.register(
+            "pipelined_depth",
+            "Requests that wait behind the one under way on their connection, at each arrival",
+            self.depth.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time from a request's head to its answer",
@@ -195,6 +218,21 @@
         self.report_bytes.get_or_create(&label).inc_by(sum);
     }
 
+    /// Counts a request that was started ahead of its turn.
+    pub fn record_started_ahead(&self) {
+        self.started_ahead.inc();
+    }
+
+    /// Counts an answer that was ready before its turn.
+    pub fn record_held_answer(&self) {
+        self.held_answers.inc();
+    }
+
+    /// Records how many requests wait behind the one under way on a connection.
+    pub fn record_depth(&self, depth: usize) {
+        self.depth.observe(depth as f64);
+    }
+
     /// Returns the answers since the start by status.
     pub fn answers_by_status(&self) -> IndexMap<u16, u64> {
         lock(&self.answers_by_status).clone()
--- a/programs/gateway/src/pipeline.rs
+++ b/programs/gateway/src/pipeline.rs
@@ -2,14 +2,13 @@
 
 use crate::admit::{self, Rejection};
 use crate::forward::{self, Answer, ForwardError};
-use crate::receive::{self, CallerRequest, DEFAULT_MAX_BODY_BYTES, RequestHead};
+use crate::receive::{CallerRequest, DEFAULT_MAX_BODY_BYTES, RequestHead};
 use crate::shared::Shared;
 use base::http::{Body, full, text};
+use bytes::Bytes;
 use callers::outcome;
-use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderName, HeaderValue, RETRY_AFTER};
-use hyper::{Request, Response, StatusCode};
-use peers::report::Phase;
+use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use steering::attempt::{Outcome, Refusal, Uncertainty};
@@ -25,28 +24,29 @@
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
 /// Answers one request of a caller.
-pub async fn handle(request: Request<Incoming>, shared: Arc<Shared>) -> Response<Body> {
+pub async fn handle<B>(head: RequestHead<B>, shared: Arc<Shared>) -> Response<Body>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
     let _running = shared.track_request();
-    let head = receive::read_head(request);
     let (request, result) = process(head, &shared).await;
     let took = request.arrived_at.elapsed();
-    let mut response = match result {
+    let response = match result {
         Ok(answer) => answer.map(full),
         Err(error) => error_answer(&request, &error, &shared),
     };
     shared.metrics.record_answer(response.status(), took);
-    if shared.phase() == Phase::Leaving {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
-    }
     response
 }
 
 /// Reads, admits and forwards a request.
-async fn process(
-    head: RequestHead,
+async fn process<B>(
+    head: RequestHead<B>,
     shared: &Shared,
-) -> (CallerRequest, Result<Answer, ForwardError>) {
+) -> (CallerRequest, Result<Answer, ForwardError>)
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
     let Some(table) = shared.table() else {
         let rejection = Rejection {
             reason: Refusal::NoServer,
--- a/programs/gateway/src/receive.rs
+++ b/programs/gateway/src/receive.rs
@@ -7,7 +7,7 @@
 use base::id;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Uri};
 use std::time::{Duration, Instant};
@@ -43,6 +43,9 @@
     pub received: EndToEnd,
     /// Whole body; empty until it is read.
     pub body: Bytes,
+    /// Cancelled when the answer's turn on its connection has come; none if the request was not
+    /// started ahead.
+    pub turn: Option<CancellationToken>,
 }
 
 /// Request whose body is not read yet.
@@ -53,9 +56,16 @@
     body: B,
 }
 
-/// Reads the head of a request.
-pub fn read_head<B>(request: Request<B>) -> RequestHead<B> {
-    let arrived_at = Instant::now();
+/// Returns the host to which a request was sent.
+pub fn host<B>(request: &Request<B>) -> Box<str> {
+    let field = request.headers().get(HOST);
+    let field = field.and_then(|value| value.to_str().ok());
+    field.or(request.uri().host()).unwrap_or_default().into()
+}
+
+/// Reads the head of a request, which had arrived at this time.
+pub fn read_head<B>(request: Request<B>, arrived_at: Instant) -> RequestHead<B> {
+    let host = host(&request);
     let (parts, body) = request.into_parts();
     let mut headers = parts.headers;
     let text = |headers: &HeaderMap, name: &str| -> Option<Box<str>> {
@@ -65,9 +75,6 @@
     let time_left = text(&headers, header::DEADLINE).and_then(|text| text.parse().ok());
     let object = header::object(&headers).map(affinity::digest);
     let id = text(&headers, header::REQUEST_ID).unwrap_or_default();
-    let host = text(&headers, HOST.as_str())
-        .or_else(|| parts.uri.host().map(Into::into))
-        .unwrap_or_default();
     // The key is not passed on, the others are set by this system.
     let own = [
         header::KEY,
@@ -90,11 +97,12 @@
         deadline: arrived_at + time_left.map_or(DEFAULT_TIMEOUT, Duration::from_millis),
         received: EndToEnd::reduce(headers),
         body: Bytes::new(),
+        turn: None,
     };
     RequestHead { request, body }
 }
 
-impl RequestHead {
+impl<B: Body<Data = Bytes> + Unpin> RequestHead<B> {
     /// Reads the body until `cancel` is cancelled; returns the memory that it holds beside it.
     ///
     /// # Errors
@@ -123,7 +131,7 @@
 
 /// Reads a body to its end, within the memory that it may hold.
 async fn collect(
-    mut body: Incoming,
+    mut body: impl Body<Data = Bytes> + Unpin,
     max_bytes: usize,
     held: &mut HeldBody<'_>,
 ) -> Result<Bytes, Refusal> {
--- a/programs/gateway/src/run.rs
+++ b/programs/gateway/src/run.rs
@@ -1,12 +1,13 @@
 //! Start and shutdown of the gateway.
 
+use crate::pipelining::Connection;
 use crate::reader::StoreReader;
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{directory, pipeline, relay, reports, status, takeovers};
+use crate::{directory, relay, reports, status, takeovers};
 use adapter::store::Client;
 use base::http::Body;
-use base::http::server::{self, Limits, Rest};
+use base::http::server::{self, Limits, Rest, Session};
 use base::{metrics, program, settings};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -108,12 +109,20 @@
         limit: move || bounds.idle_timeout().unwrap_or(HEAD_TIMEOUT),
         is_full: shared.is_full.clone(),
     };
-    let serving = tokio::spawn(server::serve_resting(
+    let serving = tokio::spawn(server::serve_sessions(
         callers,
         limits,
         rest,
         stop_accepting.clone(),
-        move |request, _| pipeline::handle(request, state.clone()),
+        move |stream, _| {
+            let connection = Connection::new(stream, state.clone());
+            let released = connection.clone();
+            Session {
+                stream: connection.stream(),
+                handler: move |request| connection.answer(request),
+                release: move || released.release(),
+            }
+        },
     ));
     stop.cancelled().await;
     let grace = StopDeadlines::begin(Instant::now(), grace);
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -85,7 +85,7 @@
     /// Takeovers by new versions.
     pub takeovers: Takeovers,
     /// Memory budget for incomplete answers.
-    pub answers: AnswerMemory,
+    pub answers: Arc<AnswerMemory>,
     /// Memory budget for bodies of callers' requests.
     pub bodies: BodyMemory,
     /// Counters and histograms.
@@ -144,7 +144,7 @@
             crashes: Mutex::default(),
             splits: Mutex::default(),
             takeovers: Takeovers::default(),
-            answers: AnswerMemory::new(answers),
+            answers: Arc::new(AnswerMemory::new(answers)),
             bodies: BodyMemory::new(bodies),
             metrics: Metrics::default(),
             lateness: Mutex::default(),
