feature: admission of requests that compete for a service, first state

Less urgent requests are thinned to follow the share of the more urgent ones that is answered in time, and leave no queue that makes these late. Not tuned yet; the gateway is not yet compiled.

--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod membership;
 pub mod notice;
 pub mod placement;
+pub mod priority;
 pub mod quarantine;
 pub mod reading;
 pub mod registry;
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -77,6 +77,27 @@
         pub time_left: Duration,
         /// Overload of the service, from 0 to 1, from [`Overload`].
         pub overload: f64,
+        /// Terms for a request that competes with more urgent ones.
+        pub terms: Terms,
+    }
+
+    /// Terms of a placement, from [`crate::priority`]; the default restricts nothing.
+    #[derive(Copy, Default)]
+    pub struct Terms {
+        /// Maximum wait at the selected server that the request may leave to the next one.
+        pub max_wait: Option<Duration>,
+        /// Whether the request may go to a server that has not cached its object.
+        pub cold: ColdPolicy,
+    }
+
+    /// Whether a request may go to a server that has not cached its object.
+    #[derive(Copy, Eq, Default)]
+    pub enum ColdPolicy {
+        /// To any server.
+        #[default]
+        Any,
+        /// Only if no server has cached the object, and to a server with a free slot.
+        IfNoneIsWarm,
     }
 
     /// Server selected for a request, or why none was.
@@ -120,6 +141,15 @@
         each.mul_f64(f64::from(ahead) / f64::from(self.slots.max(1)))
     }
 
+    /// Returns the time that a request waits for a slot that arrives after this one has joined.
+    fn wait_behind(&self, service_time: &ServiceTime) -> Duration {
+        let joined = Self {
+            load: self.load + 1,
+            ..*self
+        };
+        joined.queue_wait(service_time)
+    }
+
     /// Returns the expected time until the answer, with the credit for the server's rank in the
     /// object's order and the penalty for failures.
     fn score(
@@ -243,10 +273,16 @@
         Some([_, second]) if second == Some(index) => Rank::Second,
         Some(_) => Rank::Later,
     };
+    let is_warm_anywhere = (request.terms.cold == ColdPolicy::IfNoneIsWarm)
+        && (0..candidates.len()).any(|index| candidates[index].warm && usable(index));
+    let fits = |c: &Candidate| match request.terms.cold {
+        ColdPolicy::Any => true,
+        ColdPolicy::IfNoneIsWarm => c.warm || (!is_warm_anywhere && c.load < c.slots),
+    };
     let best = candidates
         .iter()
         .enumerate()
-        .filter(|(index, _)| usable(*index))
+        .filter(|(index, c)| fits(c) && usable(*index))
         .map(|(index, c)| {
             (
                 c.score(settings, service_time, rank(index), request.overload),
@@ -255,7 +291,11 @@
         })
         .min();
     let Some((time, index)) = best else {
-        return Choice::NoCandidate;
+        return match (0..candidates.len()).any(usable) {
+            // Servers that the terms exclude can be used again when the shortage ends.
+            true => Choice::Late(service_time.cold),
+            false => Choice::NoCandidate,
+        };
     };
     check_limit(settings, request, service_time, candidates, index, time)
 }
@@ -295,6 +335,15 @@
     if time > limit {
         return Choice::Late(time - limit);
     }
+    let selected = &candidates[index];
+    if let Some(max_wait) = request.terms.max_wait
+        && selected.load >= selected.slots
+    {
+        let wait = selected.wait_behind(service_time);
+        if wait > max_wait {
+            return Choice::Late(wait - max_wait);
+        }
+    }
     Choice::Server {
         index,
         time: candidates[index].time(service_time),
--- /dev/null
+++ b/crates/steering/src/priority/competition.rs
@@ -0,0 +1,57 @@
+//! Priorities that compete for a service, from the configuration.
+
+use crate::routing::{Account, Configuration, Route};
+use indexmap::{IndexMap, IndexSet};
+use std::time::Duration;
+
+/// Priority of a request; 0 is the most urgent.
+pub type Priority = u32;
+
+/// Returns the priority of a request: that of its workspace, where it is set, or else of its route.
+pub fn of_request(route: &Route, account: Option<&Account>) -> Priority {
+    let own = account.and_then(|account| account.priority);
+    own.unwrap_or(route.priority)
+}
+
+base::value! {
+    /// Kinds of requests that compete for a service.
+    pub struct Competition {
+        /// Shortest latency objective by priority, the most urgent first.
+        kinds: IndexMap<Priority, Duration>,
+    }
+}
+
+impl Competition {
+    /// Returns the kinds of requests that lead to a service; none unless its routes have different
+    /// priorities.
+    pub fn new(configuration: &Configuration, service: &str) -> Option<Self> {
+        let leads = |route: &&Route| {
+            let mut parts = route.parts.iter();
+            parts.any(|part| *part.service == *service && part.weight > 0)
+        };
+        let routes: Vec<&Route> = configuration.routes.iter().filter(leads).collect();
+        let priorities: IndexSet<Priority> = routes.iter().map(|route| route.priority).collect();
+        if priorities.len() < 2 {
+            return None;
+        }
+        let mut kinds: IndexMap<Priority, Duration> = IndexMap::new();
+        let mut add = |priority: Priority, objective: Duration| {
+            let shortest = kinds.entry(priority).or_insert(objective);
+            *shortest = objective.min(*shortest);
+        };
+        for route in routes {
+            add(route.priority, route.objective);
+            let accounts = configuration.accounts.iter().filter(|_| !route.open);
+            for priority in accounts.filter_map(|account| account.priority) {
+                add(priority, route.objective);
+            }
+        }
+        kinds.sort_keys();
+        Some(Self { kinds })
+    }
+
+    /// Returns the shortest latency objective by priority, the most urgent first.
+    pub fn kinds(&self) -> &IndexMap<Priority, Duration> {
+        &self.kinds
+    }
+}
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 use steering::affinity::digest;
 use steering::placement::{
-    Candidate, Choice, Overload, PlacementRequest, ServiceTime, Settings, choose,
+    Candidate, Choice, Overload, PlacementRequest, ServiceTime, Settings, Terms, choose,
 };
 use steering::warmth::{ObjectUse, WarmObjects, short_digest};
 use steering::work::ServerPerformance;
@@ -39,6 +39,7 @@
         objective: OBJECTIVE,
         time_left: Duration::from_secs(3),
         overload: 0.0,
+        terms: Terms::default(),
     }
 }
 
--- /dev/null
+++ b/crates/steering/tests/priority.rs
@@ -0,0 +1,310 @@
+//! Requests of two priorities that compete for one service: what callers get, with the admission and
+//! without it.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rstest::rstest;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::{Duration, Instant};
+use steering::affinity::digest;
+use steering::placement::{
+    self, Candidate, Choice, Overload, PlacementRequest, ServiceTime, Terms, choose,
+};
+use steering::priority::{Admission, Competition, Ending, Settings};
+use steering::routing::{Bounds, Configuration, Route, ServiceWeight};
+use steering::warmth::{ObjectUse, WarmObjects, short_digest};
+
+/// Reads and scheduled orders: priority, cold work, objective, deadline (ms), share of requests.
+const KINDS: [(u32, u64, u64, u64, f64); 2] =
+    [(1, 680, 500, 3_000, 0.69), (2, 880, 1_200, 4_000, 0.31)];
+const SERVERS: usize = 24;
+const SLOTS: usize = 4;
+/// Objects that a server keeps warm, and the number of all objects.
+const CACHE_OBJECTS: usize = 20;
+const OBJECTS: usize = 240;
+const WORKSPACES: usize = 12;
+const VMS: usize = 4;
+/// Requests a second that the servers answer if all are warm.
+const SATURATION: f64 = (SERVERS * SLOTS) as f64 / 0.223;
+/// Load in multiples of saturation, and how long it lasts in seconds.
+const PHASES: [(f64, f64); 5] = [(0.8, 12.0), (1.0, 8.0), (1.3, 8.0), (2.5, 12.0), (0.8, 6.0)];
+/// Time after the overload in which callers still see it.
+const RECOVERY: f64 = 2.0;
+
+fn service_time(kind: usize) -> ServiceTime {
+    let cold = Duration::from_millis(KINDS[kind].1);
+    ServiceTime {
+        warm: cold.mul_f64(0.3),
+        cold,
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Request {
+    kind: usize,
+    workspace: usize,
+    object: usize,
+    vm: usize,
+    arrived: u64,
+    phase: usize,
+    is_second: bool,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Next,
+    Arrival(Request),
+    End(usize, Request),
+}
+
+#[derive(Default)]
+struct Server {
+    running: usize,
+    queue: VecDeque<Request>,
+    cache: Vec<usize>,
+}
+
+impl Server {
+    /// Starts queued requests; returns them with their work.
+    fn start(&mut self) -> Vec<(Request, Duration)> {
+        let free = (SLOTS - self.running).min(self.queue.len());
+        self.running += free;
+        let begun: Vec<Request> = self.queue.drain(..free).collect();
+        let works = begun.into_iter().map(|request| {
+            let known = self.cache.iter().position(|o| *o == request.object);
+            known.map(|index| self.cache.remove(index));
+            self.cache.push(request.object);
+            if self.cache.len() > CACHE_OBJECTS {
+                self.cache.remove(0);
+            }
+            let time = service_time(request.kind);
+            (request, if known.is_some() { time.warm } else { time.cold })
+        });
+        works.collect()
+    }
+}
+
+/// Callers' requests by how they ended: in time, late, refused for good.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally([u32; 3]);
+
+impl Tally {
+    fn add(&mut self, ending: Ending) {
+        self.0[ending as usize] += 1;
+    }
+    fn offered(&self) -> f64 {
+        f64::from(self.0.iter().sum::<u32>()).max(1.0)
+    }
+    fn in_time(&self) -> f64 {
+        f64::from(self.0[0]) / self.offered()
+    }
+    fn served(&self) -> f64 {
+        1.0 - f64::from(self.0[2]) / self.offered()
+    }
+}
+
+/// Result by phase (the last one only after [`RECOVERY`]) and kind, and by workspace at 2.5 times
+/// the load.
+#[derive(Default)]
+struct Outcome {
+    kinds: [[Tally; 2]; 5],
+    workspaces: [[Tally; WORKSPACES]; 2],
+}
+
+impl Outcome {
+    fn in_time_rate(&self, phase: usize) -> f64 {
+        let count: u32 = self.kinds[phase].iter().map(|tally| tally.0[0]).sum();
+        f64::from(count) / PHASES[phase].1
+    }
+
+    fn print(&self, name: &str) {
+        for (phase, (load, _)) in PHASES.iter().enumerate() {
+            let rate = self.in_time_rate(phase);
+            let kinds = self.kinds[phase].map(|tally| {
+                let share = |n: usize| 100.0 * f64::from(tally.0[n]) / tally.offered();
+                format!("{:4.0} {:4.0} {:4.0}", share(0), share(1), share(2))
+            });
+            println!("{name:>8} {load:.1}  {rate:6.1}/s  {}  | {}", kinds[0], kinds[1]);
+        }
+    }
+}
+
+fn competition() -> Competition {
+    let route = |kind: usize| Route {
+        name: format!("route-{kind}").into(),
+        host: "a.example".into(),
+        prefix: "/".into(),
+        parts: vec![ServiceWeight { service: "one".into(), weight: 1 }],
+        idempotent: kind == 0,
+        objective: Duration::from_millis(KINDS[kind].2),
+        timeout: Duration::from_millis(KINDS[kind].3),
+        attempts: 2,
+        priority: KINDS[kind].0,
+        open: false,
+        sticky: true,
+        regions: Vec::new(),
+    };
+    let configuration = Configuration {
+        version: 1,
+        routes: vec![route(0), route(1)],
+        accounts: Vec::new(),
+        services: Default::default(),
+        bounds: Bounds { head_bytes: 1, body_bytes: 1, idle_timeout: Duration::ZERO },
+    };
+    Competition::new(&configuration, "one").expect("two priorities")
+}
+
+/// Simulates the phases; `heavy` is how many times its share the first workspace sends.
+fn simulate(with_admission: bool, heavy: f64, seed: u64) -> Outcome {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let names: Vec<u64> = (0..SERVERS).map(|index| digest(&format!("server-{index}"))).collect();
+    let objects: Vec<u64> = (0..OBJECTS).map(|index| digest(&format!("object-{index}"))).collect();
+    let mut servers: Vec<Server> = (0..SERVERS).map(|_| Server::default()).collect();
+    let mut warm = WarmObjects::default();
+    let mut overload: Vec<Overload> = vec![Overload::new(start); VMS];
+    let mut admissions = vec![Admission::new(Settings::default(), &competition(), start); VMS];
+    let mut outcome = Outcome::default();
+    let mut events = BinaryHeap::from([Reverse((0_u64, 0_u64, Event::Next))]);
+    let mut number = 0;
+    while let Some(Reverse((nanos, _, event))) = events.pop() {
+        let now = start + Duration::from_nanos(nanos);
+        let mut push = |after: Duration, event: Event| {
+            number += 1;
+            events.push(Reverse((nanos + after.as_nanos() as u64, number, event)));
+        };
+        let mut finish = |request: &Request, ending: Ending| {
+            let begin: f64 = PHASES[..request.phase].iter().map(|(_, length)| length).sum();
+            let age = request.arrived as f64 / 1e9 - begin;
+            if age >= RECOVERY {
+                outcome.kinds[request.phase][request.kind].add(ending);
+            }
+            if request.phase == 3 {
+                outcome.workspaces[request.kind][request.workspace].add(ending);
+            }
+        };
+        match event {
+            Event::Next => {
+                let mut left = nanos as f64 / 1e9;
+                let phase = PHASES.iter().position(|(_, length)| {
+                    left -= length;
+                    left < 0.0
+                });
+                let Some(phase) = phase else { continue };
+                let gap = -(1.0 - rng.random::<f64>()).ln() / (PHASES[phase].0 * SATURATION);
+                push(Duration::from_secs_f64(gap), Event::Next);
+                let total = heavy + (WORKSPACES - 1) as f64;
+                let workspace = (rng.random::<f64>() * total - heavy + 1.0).max(0.0) as usize;
+                let per_workspace = OBJECTS / WORKSPACES;
+                let request = Request {
+                    kind: usize::from(rng.random::<f64>() > KINDS[0].4),
+                    workspace,
+                    object: workspace * per_workspace + rng.random_range(0..per_workspace),
+                    vm: rng.random_range(0..VMS),
+                    arrived: nanos,
+                    phase,
+                    is_second: false,
+                };
+                push(Duration::ZERO, Event::Arrival(request));
+            }
+            Event::Arrival(request) => {
+                let (priority, _, objective, deadline, _) = KINDS[request.kind];
+                let admission = &mut admissions[request.vm];
+                let spent = Duration::from_nanos(nanos - request.arrived);
+                let time_left = Duration::from_millis(deadline).saturating_sub(spent);
+                let name = format!("workspace-{}", request.workspace);
+                let is_admitted = !with_admission || admission.admit(priority, &name, now);
+                let candidates: Vec<Candidate> = (0..SERVERS)
+                    .map(|index| Candidate {
+                        server: names[index],
+                        slots: SLOTS as u32,
+                        load: (servers[index].running + servers[index].queue.len()) as u32,
+                        round_trip: Duration::from_millis(1),
+                        weight: 1.0,
+                        slowdown: 1.0,
+                        failure_rate: 0.0,
+                        warm: warm.is_warm(short_digest(names[index]), short_digest(objects[request.object])),
+                        has_cache_room: warm.has_room(short_digest(names[index])),
+                    })
+                    .collect();
+                let by_objective = |objective: Duration| {
+                    service_time(usize::from(objective.as_millis() as u64 == KINDS[1].2))
+                };
+                let (terms, shortage) = match with_admission {
+                    true => (admission.terms(priority, by_objective, now), admission.shortage(now)),
+                    false => (Terms::default(), 0.0),
+                };
+                let demand = PlacementRequest {
+                    object: Some(objects[request.object]),
+                    objective: Duration::from_millis(objective),
+                    time_left,
+                    overload: overload[request.vm].level().max(shortage),
+                    terms,
+                };
+                let settings = placement::Settings::default();
+                let time = service_time(request.kind);
+                let choice = match is_admitted {
+                    true => choose(&settings, &demand, &time, &candidates, |_| true),
+                    false => Choice::Late(Duration::ZERO),
+                };
+                if is_admitted {
+                    overload[request.vm].record(matches!(choice, Choice::Late(_)), now);
+                }
+                match choice {
+                    Choice::Server { index, warm: is_warm, .. } => {
+                        if !is_warm {
+                            admission.record_cold(now);
+                        }
+                        servers[index].queue.push_back(request);
+                        for (begun, work) in servers[index].start() {
+                            push(work, Event::End(index, begun));
+                        }
+                    }
+                    Choice::Late(excess) => {
+                        if is_admitted {
+                            admission.record(priority, Ending::Refused, now);
+                        }
+                        let wait = match with_admission {
+                            true => admission.retry_after(excess, time_left, &mut rng, now),
+                            false => excess,
+                        };
+                        let wait = wait.max(Duration::from_millis(50)).min(time_left / 3);
+                        match request.is_second {
+                            true => finish(&request, Ending::Refused),
+                            false => push(wait, Event::Arrival(Request { is_second: true, ..request })),
+                        }
+                    }
+                    Choice::NoCandidate => unreachable!("all servers may be used"),
+                }
+            }
+            Event::End(index, request) => {
+                servers[index].running -= 1;
+                let pair = ObjectUse {
+                    server: short_digest(names[index]),
+                    object: short_digest(objects[request.object]),
+                };
+                warm.record(pair, now);
+                let took = Duration::from_nanos(nanos - request.arrived);
+                let is_in_time = took <= Duration::from_millis(KINDS[request.kind].2);
+                let ending = if is_in_time { Ending::InTime } else { Ending::Late };
+                admissions[request.vm].record(KINDS[request.kind].0, ending, now);
+                finish(&request, ending);
+                for (begun, work) in servers[index].start() {
+                    push(work, Event::End(index, begun));
+                }
+            }
+        }
+    }
+    outcome
+}
+
+#[rstest]
+#[case(1)]
+fn trial(#[case] seed: u64) {
+    simulate(false, 1.0, seed).print("without");
+    simulate(true, 1.0, seed).print("with");
+    let heavy = simulate(true, 10.0, seed);
+    heavy.print("heavy");
+    println!("{:?}", heavy.workspaces);
+}
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -6,7 +6,7 @@
 
 use crate::admit::{AdmittedRequest, Rejection};
 use crate::receive::CallerRequest;
-use crate::servers::{InFlightRequest, Placement, ServerCriteria, ServerSet, VersionFilter};
+use crate::servers::{InFlightRequest, Placement, ServerCriteria, ServerSet, Thinned, VersionFilter};
 use crate::shared::Shared;
 use backends::client::Failure;
 use base::id;
@@ -19,6 +19,7 @@
 use steering::affinity::Digest;
 use steering::attempt::{self, Attempt, Refusal, RetryReason, Uncertainty};
 use steering::notice;
+use steering::priority::{self, Ending};
 use steering::retry::RetryCause;
 use steering::routing;
 
@@ -77,6 +78,57 @@
     last_refusal: Option<Refusal>,
 }
 
+/// Forwards a request to its service, if it is admitted beside those that compete with it.
+///
+/// # Errors
+///
+/// Fails with what the caller is told if no server answered.
+pub async fn forward(
+    request: &CallerRequest,
+    admitted: &AdmittedRequest<'_>,
+    shared: &Shared,
+) -> Result<Answer, ForwardError> {
+    let Some(servers) = shared.services.server_set(admitted.service) else {
+        return Err(Rejection::from(Refusal::NoServer).into());
+    };
+    let workspace = admitted.account.map_or("", |account| &account.name);
+    let guard = servers.admit(
+        admitted.service,
+        priority::of_request(admitted.route, admitted.account),
+        workspace,
+        &shared.metrics,
+        Instant::now(),
+    );
+    let result = match &guard {
+        Ok(_) => dispatch(request, admitted, shared, servers.clone()).await,
+        Err(Thinned) => Err(ForwardError::from(Rejection {
+            reason: Refusal::Overloaded,
+            retry_after: Some(Duration::ZERO),
+        })),
+    };
+    let now = Instant::now();
+    if let Ok(Some(guard)) = guard {
+        let objective = admitted.route.objective;
+        let is_in_time = now.saturating_duration_since(request.arrived_at) <= objective;
+        guard.record(match &result {
+            Ok(answer) if is_in_time && !answer.status().is_server_error() => Ending::InTime,
+            Err(error) if matches!(error.outcome, attempt::Outcome::NotRun(_)) => Ending::Refused,
+            _ => Ending::Late,
+        });
+    }
+    let time_left = admitted.deadline.saturating_duration_since(now);
+    result.map_err(|error| match &error.outcome {
+        attempt::Outcome::NotRun(proof) if proof.reason() == Refusal::Overloaded => {
+            let retry_after = error.retry_after;
+            ForwardError {
+                retry_after: retry_after.map(|wait| servers.retry_after(wait, time_left, now)),
+                ..error
+            }
+        }
+        _ => error,
+    })
+}
+
 /// Sends a request until it is answered.
 ///
 /// A send to a server is not given up before its answer or the deadline. When the answer to an
@@ -86,14 +138,12 @@
 /// # Errors
 ///
 /// Fails with what the caller is told if no server answered.
-pub async fn forward(
+async fn dispatch(
     request: &CallerRequest,
     admitted: &AdmittedRequest<'_>,
     shared: &Shared,
+    servers: Arc<ServerSet>,
 ) -> Result<Answer, ForwardError> {
-    let Some(servers) = shared.services.server_set(admitted.service) else {
-        return Err(Rejection::from(Refusal::NoServer).into());
-    };
     let mut dispatcher = Dispatcher {
         request,
         admitted,
@@ -345,6 +395,7 @@
             object: request.object.filter(|_| admitted.route.sticky),
             objective: admitted.route.objective,
             time_left,
+            priority: priority::of_request(admitted.route, admitted.account),
             version,
             sample,
             tried,
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -35,6 +35,7 @@
     reports: Family<Labels, Counter>,
     report_bytes: Family<Labels, Counter>,
     takeover_sends: Family<Labels, Counter>,
+    competing: Family<Labels, Counter>,
     latency: Histogram,
     /// Answers since the start by status, for the log line at the stop.
     answers_by_status: Mutex<IndexMap<u16, u64>>,
@@ -55,6 +56,7 @@
             reports: Family::default(),
             report_bytes: Family::default(),
             takeover_sends: Family::default(),
+            competing: Family::default(),
             latency: Histogram::new(exponential_buckets(MIN_BUCKET_S, 2.0, BUCKETS)),
             answers_by_status: Mutex::default(),
         }
@@ -117,6 +119,11 @@
             "Ends of sends to the old and the new version during a takeover",
             self.takeover_sends.clone(),
         );
+        registry.register(
+            "competing",
+            "Requests of different priority that compete for a service, by what became of them",
+            self.competing.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time from a request's head to its answer",
@@ -165,6 +172,16 @@
         self.takeover_sends.get_or_create(&label).inc();
     }
 
+    /// Counts what became of a request that competes with others for its service.
+    pub fn record_competing(&self, service: &str, priority: u32, result: &'static str) {
+        let label = vec![
+            ("service", service.to_owned()),
+            ("priority", priority.to_string()),
+            ("result", result.to_owned()),
+        ];
+        self.competing.get_or_create(&label).inc();
+    }
+
     /// Counts a request of another VM for store data.
     pub fn record_store_request(&self) {
         self.store_requests.inc();
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -1,10 +1,12 @@
 //! Backend servers of each service: their state and the choice among them.
 
+mod admission;
 mod in_flight;
 mod notices;
 mod server;
 mod server_set;
 
+pub use admission::{AdmissionGuard, Thinned};
 pub use in_flight::InFlightRequest;
 pub use notices::PassedWords;
 pub use server_set::{Placement, ServerCriteria, ServerSet, VersionFilter};
@@ -19,6 +21,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 use steering::locality::PinnedShares;
+use steering::priority::Competition;
 use steering::registry::Registry;
 use steering::retry::{self, Budget};
 use steering::routing::Configuration;
@@ -100,6 +103,7 @@
                     new_labels: IndexMap::new(),
                     warmup_rate: 1.0,
                     warmup: Duration::ZERO,
+                    admission: None,
                     last_ticket: 0,
                     words: Words::default(),
                 }),
@@ -121,6 +125,16 @@
             state.warmup_rate = settings.warmup_rate;
             state.warmup = settings.warmup;
         }
+        let now = Instant::now();
+        let parts = configuration.routes.iter().flat_map(|route| &route.parts);
+        let routed: IndexSet<&Service> = parts.map(|part| &part.service).collect();
+        let competing = |name: &&&Service| Competition::new(configuration, name).is_some();
+        for name in routed.iter().filter(competing) {
+            self.get_or_create(name);
+        }
+        for (name, set) in &*self.read() {
+            set.configure_admission(name, configuration, now);
+        }
     }
 
     /// Replaces the servers by the registered ones.
--- a/programs/gateway/src/servers/server_set.rs
+++ b/programs/gateway/src/servers/server_set.rs
@@ -13,6 +13,7 @@
 use steering::hedge;
 use steering::locality::{self, PinnedShares};
 use steering::placement::{self, Candidate, Choice, Overload, PlacementRequest};
+use steering::priority::{Admission, Priority};
 use steering::registry::Entry;
 use steering::retry::{Budget, RetryCause};
 use steering::warmth::{self, ObjectUse, WarmObjects};
@@ -46,6 +47,8 @@
     pub objective: Duration,
     /// Time until its deadline.
     pub time_left: Duration,
+    /// Its priority; 0 is the most urgent.
+    pub priority: Priority,
     /// Versions that it may use.
     pub version: &'a VersionFilter,
     /// Digest that selects the server, for a request that samples a new version.
@@ -97,6 +100,8 @@
     pub(super) new_labels: IndexMap<Label, Instant>,
     pub(super) warmup_rate: f64,
     pub(super) warmup: Duration,
+    /// Admission of requests that compete for the service; none if all have the same priority.
+    pub(super) admission: Option<Admission>,
     /// Ticket of the latest request.
     pub(super) last_ticket: u64,
     /// Words that this VM passes on.
@@ -125,6 +130,7 @@
     ) -> Placement {
         let mut state = lock(&self.state);
         let state = &mut *state;
+        let (terms, shortage) = state.terms(criteria, now);
         let labels = state.usable_labels(criteria.version, now);
         let is_serving = |server: &&Server| {
             let registration = &server.registration;
@@ -188,7 +194,8 @@
             object: criteria.object,
             objective: criteria.objective,
             time_left: criteria.time_left,
-            overload: overload.level(),
+            overload: overload.level().max(shortage),
+            terms,
         };
         let settings = placement::Settings::default();
         let choice = match criteria.sample {
@@ -217,6 +224,9 @@
         };
         let id = servers[index].registration.server.clone();
         let candidate = candidates[index];
+        if !warm {
+            state.record_cold(now);
+        }
         state.last_ticket += 1;
         let ticket = state.last_ticket;
         let warmup_rate = state.warmup_rate;
--- a/tools/bench/src/experiment/placement.rs
+++ b/tools/bench/src/experiment/placement.rs
@@ -13,7 +13,7 @@
 use steering::affinity::{Digest, digest};
 use steering::locality::{self, PinnedShares};
 use steering::placement::{
-    Candidate, Choice, Overload, PlacementRequest, ServiceTime, Settings, choose,
+    Candidate, Choice, Overload, PlacementRequest, ServiceTime, Settings, Terms, choose,
 };
 use steering::warmth::{ObjectUse, WarmObjects, short_digest};
 
@@ -182,6 +182,7 @@
             objective: OBJECTIVE,
             time_left: Duration::from_secs(3),
             overload: overload.level(),
+            terms: Terms::default(),
         };
         let choice = choose(
             &Settings::default(),
