--- a/crates/steering/src/priority/competition.rs
+++ b/crates/steering/src/priority/competition.rs
@@ -34,20 +34,13 @@
         if priorities.len() < 2 {
             return None;
         }
-        let mut kinds: IndexMap<Priority, Duration> = IndexMap::new();
-        let mut add = |priority: Priority, objective: Duration| {
-            let shortest = kinds.entry(priority).or_insert(objective);
-            *shortest = objective.min(*shortest);
-        };
-        for route in routes {
-            add(route.priority, route.objective);
+        let kinds = routes.iter().flat_map(|route| {
             let accounts = configuration.accounts.iter().filter(|_| !route.open);
-            for priority in accounts.filter_map(|account| account.priority) {
-                add(priority, route.objective);
-            }
-        }
-        kinds.sort_keys();
-        Some(Self { kinds })
+            let overriding = accounts.filter_map(|account| account.priority);
+            let priorities = overriding.chain([route.priority]);
+            priorities.map(|priority| (priority, route.objective))
+        });
+        Some(kinds.collect())
     }
 
     /// Returns the shortest latency objective by priority, the most urgent first.
@@ -55,3 +48,16 @@
         &self.kinds
     }
 }
+
+impl FromIterator<(Priority, Duration)> for Competition {
+    /// Collects kinds from priorities with a latency objective of each of their routes.
+    fn from_iter<T: IntoIterator<Item = (Priority, Duration)>>(routes: T) -> Self {
+        let mut kinds: IndexMap<Priority, Duration> = IndexMap::new();
+        for (priority, objective) in routes {
+            let shortest = kinds.entry(priority).or_insert(objective);
+            *shortest = objective.min(*shortest);
+        }
+        kinds.sort_keys();
+        Self { kinds }
+    }
+}
--- a/crates/steering/tests/priority.rs
+++ b/crates/steering/tests/priority.rs
@@ -12,7 +12,6 @@
     self, Candidate, Choice, Overload, PlacementRequest, ServiceTime, Terms, choose,
 };
 use steering::priority::{Admission, Competition, Ending, Settings};
-use steering::routing::{Bounds, Configuration, Route, ServiceWeight};
 use steering::warmth::{ObjectUse, WarmObjects, short_digest};
 
 /// Reads and scheduled orders: priority, cold work, objective, deadline (ms), share of requests.
@@ -30,6 +29,7 @@
 /// Load in multiples of saturation, and how long it lasts in seconds.
 const PHASES: [(f64, f64); 5] = [(0.8, 12.0), (1.0, 8.0), (1.3, 8.0), (2.5, 12.0), (0.8, 6.0)];
 const SATURATED: usize = 1;
+const MODERATE: usize = 2;
 const OVERLOAD: usize = 3;
 /// Time after the overload in which callers still see it.
 const RECOVERY: f64 = 2.0;
@@ -143,6 +143,10 @@
                 self.in_time_rate(OVERLOAD) >= 0.9 * self.in_time_rate(SATURATED),
                 "answers in time fall with the load",
             ),
+            (
+                self.kinds[MODERATE][0].in_time() >= 0.85,
+                "more urgent requests alone are below saturation and not in time",
+            ),
             (
                 overloaded[0].in_time() >= overloaded[1].in_time(),
                 "less urgent requests are in time more often",
@@ -181,35 +185,8 @@
 }
 
 fn competition() -> Competition {
-    let route = |kind: usize| Route {
-        name: format!("route-{kind}").into(),
-        host: "a.example".into(),
-        prefix: "/".into(),
-        parts: vec![ServiceWeight {
-            service: "one".into(),
-            weight: 1,
-        }],
-        idempotent: kind == 0,
-        objective: Duration::from_millis(KINDS[kind].2),
-        timeout: Duration::from_millis(KINDS[kind].3),
-        attempts: 2,
-        priority: KINDS[kind].0,
-        open: false,
-        sticky: true,
-        regions: Vec::new(),
-    };
-    let configuration = Configuration {
-        version: 1,
-        routes: vec![route(0), route(1)],
-        accounts: Vec::new(),
-        services: Default::default(),
-        bounds: Bounds {
-            head_bytes: 1,
-            body_bytes: 1,
-            idle_timeout: Duration::ZERO,
-        },
-    };
-    Competition::new(&configuration, "one").expect("two priorities")
+    let kind = |(priority, _, objective, ..): (u32, u64, u64, u64, f64)| (priority, Duration::from_millis(objective));
+    KINDS.into_iter().map(kind).collect()
 }
 
 /// Simulates the phases; `heavy` is how many times its share the first workspace sends.
@@ -412,8 +389,33 @@
 fn heavy_workspace_does_not_displace_others(#[case] seed: u64) {
     let with = simulate(true, 10.0, seed);
     with.print("heavy");
-    assert_eq!(with.violations(), Vec::<&str>::new());
     let orders = with.workspaces.map(|kinds| kinds[1].served());
     let least = orders[1..].iter().copied().fold(1.0, f64::min);
     assert!(least >= 2.0 * orders[0], "{orders:?}");
+    assert_eq!(with.violations(), Vec::<&str>::new());
+}
+
+/// Guards against callers that are told to return at once although the overload lasts, and against
+/// callers that return together.
+#[test]
+fn callers_return_later_under_lasting_overload_and_not_together() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let start = Instant::now();
+    let mut admission = Admission::new(Settings::default(), &competition(), start);
+    let (excess, time_left) = (Duration::from_millis(60), Duration::from_secs(3));
+    let mut range = |admission: &Admission| {
+        let waits: Vec<Duration> = (0..100)
+            .map(|_| admission.retry_after(excess, time_left, &mut rng, start))
+            .collect();
+        let (first, last) = (waits.iter().min(), waits.iter().max());
+        (*first.expect("waits"), *last.expect("waits"))
+    };
+    assert!(range(&admission).1 <= excess);
+    (0..100).for_each(|_| admission.record(1, Ending::Refused, start));
+    let (first, last) = range(&admission);
+    assert!(
+        first >= 5 * excess && last <= time_left / 3,
+        "{first:?} {last:?}"
+    );
+    assert!(last - first >= time_left / 10, "{first:?} {last:?}");
 }
