bug: thinning ends within 2 s on VMs with few requests

At 8 requests a second the average of 2 s was used in turns with that of 0.5 s, and 0.59 of the less urgent requests were admitted 2 s after the overload. The short one now counts from two requests on. A test of the control loop alone fails without thinning (admitted share 1).

--- a/crates/steering/src/priority/average.rs
+++ b/crates/steering/src/priority/average.rs
@@ -9,7 +9,7 @@
 /// Time constant for a VM with few requests.
 const LONG_TIME_CONSTANT: Duration = Duration::from_secs(2);
 /// Decayed requests above which the short average is used.
-const ENOUGH: f64 = 4.0;
+const ENOUGH: f64 = 2.0;
 /// Decayed requests below which nothing is known.
 const TOO_FEW: f64 = 1.0;
 
--- a/crates/steering/tests/priority.rs
+++ b/crates/steering/tests/priority.rs
@@ -422,3 +422,44 @@
     );
     assert!(last - first >= time_left / 10, "{first:?} {last:?}");
 }
+
+/// Guards against thinning that oscillates, starves a kind or outlasts the overload: 40 in 100 of the
+/// more urgent requests are refused for 10 s, then nearly all, then none.
+#[rstest]
+#[case::many_requests(40)]
+#[case::few_requests(8)]
+fn thinning_follows_the_more_urgent_kind(#[case] per_second: u32) {
+    let start = Instant::now();
+    let mut admission = Admission::new(Settings::default(), &competition(), start);
+    let mut shares = Vec::new();
+    let mut changes = Vec::new();
+    for number in 0..per_second * 24 {
+        let now = start + Duration::from_secs(1) * number / per_second;
+        let refused_of_ten = [4, 9, 0][(number / per_second / 10).min(2) as usize];
+        // Refusals are spread evenly over the requests.
+        let ending = match number * 7 % 10 < refused_of_ten {
+            true => Ending::Refused,
+            false => Ending::InTime,
+        };
+        assert!(admission.admit(1, "a", now));
+        admission.record(1, ending, now);
+        if admission.admit(2, "a", now) {
+            admission.record(2, Ending::InTime, now);
+        }
+        changes.extend(admission.take_change(now).map(|change| change.is_begin));
+        shares.push(admission.shares(now).0[1].1);
+    }
+    let during = |from: u32, to: u32| {
+        let part = &shares[(from * per_second) as usize..(to * per_second) as usize];
+        let least = part.iter().copied().fold(1.0, f64::min);
+        (least, part.iter().copied().fold(0.0, f64::max))
+    };
+    // The average holds the requests of half a second; one of them more or less moves the share.
+    let one = 1.25 / (f64::from(per_second) / 2.0);
+    let (least, most) = during(3, 10);
+    assert!(least >= 0.5 - one && most <= 0.5 + one, "{least} to {most}");
+    let (least, most) = during(13, 20);
+    assert!(least >= 0.1 && most <= 0.2, "{least} to {most}");
+    assert!(during(22, 24).0 >= 0.9, "{:?}", during(22, 24));
+    assert_eq!(changes, [true, false]);
+}
