--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -40,6 +40,7 @@
     started_ahead: Counter,
     held_answers: Counter,
     depth: Histogram,
+    competing: Family<Labels, Counter>,
     latency: Histogram,
     /// Answers since the start by status, for the log line at the stop.
     answers_by_status: Mutex<IndexMap<u16, u64>>,
@@ -63,6 +64,7 @@
             started_ahead: Counter::default(),
             held_answers: Counter::default(),
             depth: Histogram::new(DEPTHS),
+            competing: Family::default(),
             latency: Histogram::new(exponential_buckets(MIN_BUCKET_S, 2.0, BUCKETS)),
             answers_by_status: Mutex::default(),
         }
@@ -139,6 +141,9 @@
             "pipelined_depth",
             "Requests that wait behind the one under way on their connection, at each arrival",
             self.depth.clone(),
+            "competing",
+            "Requests of different priority that compete for a service, by what became of them",
+            self.competing.clone(),
         );
         registry.register(
             "latency_seconds",
@@ -188,6 +193,16 @@
         self.takeover_sends.get_or_create(&label).inc();
     }
 
+    /// Counts what became of a request that competes with others for its service.
+    pub fn record_competing(&self, service: &str, priority: u32, result: &'static str) {
+        let label = vec![
+            ("service", service.to_owned()),
+            ("priority", priority.to_string()),
+            ("result", result.to_owned()),
+        ];
+        self.competing.get_or_create(&label).inc();
+    }
+
     /// Counts a request of another VM for store data.
     pub fn record_store_request(&self) {
         self.store_requests.inc();
