feature: requests that crash servers are kept in the store

Cause: VMs count the crashes of a request in memory and in their reports, so a kill of all gateway processes loses the counts, and the request crashes three more servers each time. Change: the requests that are refused are one row of the member table, which each VM reads at its start anyway. A VM is ready after its first read, or after 0.6 s.

--- a/crates/steering/src/crashes.rs
+++ b/crates/steering/src/crashes.rs
@@ -2,10 +2,13 @@
 //!
 //! A caller may repeat a request that crashes one server after the other. Each VM counts the
 //! crashes at which a request was in flight and reports them to the others, so that the request is
-//! refused after a bounded number of crashes; an answer clears it.
+//! refused after a bounded number of crashes; an answer clears it. A [`record`] in the store outlives
+//! a restart of all VMs.
+
+pub mod record;
 
 use crate::affinity::Digest;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::time::{Duration, Instant};
 
 /// Crashes from which a request is refused. One crash may be caused by another request, and two may
@@ -27,24 +30,48 @@
     }
 }
 
-/// Counts of the own VM and of other VMs, by request.
+/// Counts of the own VM, of other VMs and of the record in the store, by request.
 #[derive(Debug, Clone, Default)]
 pub struct CrashCounter {
     own: IndexMap<Digest, (u32, Instant)>,
     others: IndexMap<(Box<str>, Digest), (u32, Instant)>,
+    /// Counts that the store had at the start of this VM.
+    restored: IndexMap<Digest, (u32, Instant)>,
+    has_restored: bool,
+    /// Requests that were answered while they were refused, until the record is without them.
+    answered: IndexSet<Digest>,
 }
 
 impl CrashCounter {
     /// Returns whether the request was in flight at so many crashes that it is refused.
     pub fn is_refused(&self, request: Digest, now: Instant) -> bool {
-        let fresh = |at: Instant| now.saturating_duration_since(at) < RETENTION;
-        let own = self.own.get(&request).filter(|(_, at)| fresh(*at));
-        let others = self
-            .others
-            .iter()
-            .filter(|((_, digest), (_, at))| *digest == request && fresh(*at));
-        let seen: u32 = own.map_or(0, |(n, _)| *n) + others.map(|(_, (n, _))| *n).sum::<u32>();
-        seen >= MAX_CRASHES
+        let counts = self.fresh(now).filter(|count| count.request == request);
+        counts.map(|count| count.crashes).sum::<u32>() >= MAX_CRASHES
+    }
+
+    /// Returns the requests that are refused, with all their crashes.
+    pub fn refused(&self, now: Instant) -> Vec<Count> {
+        let mut totals: IndexMap<Digest, u32> = IndexMap::new();
+        for count in self.fresh(now) {
+            *totals.entry(count.request).or_default() += count.crashes;
+        }
+        let refused = totals.into_iter().filter(|(_, n)| *n >= MAX_CRASHES);
+        refused
+            .map(|(request, crashes)| Count { request, crashes })
+            .collect()
+    }
+
+    /// Returns all counts within the retention.
+    fn fresh(&self, now: Instant) -> impl Iterator<Item = Count> {
+        let own = self.own.iter().chain(&self.restored);
+        let others = self.others.iter().map(|((_, digest), seen)| (digest, seen));
+        let fresh = own
+            .chain(others)
+            .filter(move |(_, (_, at))| is_fresh(*at, now));
+        fresh.map(|(request, (crashes, _))| Count {
+            request: *request,
+            crashes: *crashes,
+        })
     }
 
     /// Counts a crash with the request in flight.
@@ -57,23 +84,63 @@
         }
     }
 
-    /// Clears a request after the answer of a server.
-    pub fn record_answer(&mut self, request: Digest) {
-        if self.own.is_empty() && self.others.is_empty() {
-            return;
+    /// Clears a request after the answer of a server; returns whether it was refused until now.
+    pub fn record_answer(&mut self, request: Digest, now: Instant) -> bool {
+        if self.own.is_empty() && self.others.is_empty() && self.restored.is_empty() {
+            return false;
+        }
+        let was_refused = self.is_refused(request, now);
+        if was_refused {
+            self.answered.insert(request);
         }
         self.own.shift_remove(&request);
+        self.restored.shift_remove(&request);
         self.others.retain(|(_, digest), _| *digest != request);
+        was_refused
+    }
+
+    /// Returns the requests that were answered while they were refused.
+    pub fn answered(&self) -> &IndexSet<Digest> {
+        &self.answered
+    }
+
+    /// Forgets answered requests that the record no longer has.
+    pub fn settle_answered(&mut self, settled: &IndexSet<Digest>) {
+        self.answered.retain(|request| !settled.contains(request));
     }
 
-    /// Returns the newest counts for a report, `most` at the maximum.
-    pub fn counts(&self, most: usize) -> Vec<Count> {
-        let newest = self.own.iter().rev().take(most);
-        newest
-            .map(|(request, (crashes, _))| Count {
-                request: *request,
-                crashes: *crashes,
-            })
+    /// Takes the counts of the record in the store, given with the times of their entries.
+    ///
+    /// Only the first record is taken. Later ones clear requests that they no longer have: in the
+    /// meantime the VMs report newer counts, which answers may have cleared. Returns whether requests
+    /// were taken.
+    pub fn restore(&mut self, record: impl IntoIterator<Item = (Count, Instant)>) -> bool {
+        let record = record.into_iter();
+        let record: IndexMap<Digest, (u32, Instant)> = record
+            .map(|(count, at)| (count.request, (count.crashes, at)))
+            .collect();
+        if self.has_restored {
+            self.restored
+                .retain(|digest, _| record.contains_key(digest));
+            return false;
+        }
+        self.has_restored = true;
+        self.restored = record;
+        !self.restored.is_empty()
+    }
+
+    /// Returns the newest counts for a report, `most` at the maximum. They include those of the
+    /// record, for VMs that can't read the store.
+    pub fn counts(&self, most: usize, now: Instant) -> Vec<Count> {
+        let restored = self.restored.iter();
+        let restored = restored.filter(|(_, (_, at))| is_fresh(*at, now));
+        let mut counts: IndexMap<Digest, u32> = IndexMap::new();
+        for (request, (crashes, _)) in self.own.iter().rev().chain(restored) {
+            *counts.entry(*request).or_default() += crashes;
+        }
+        let counts = counts.into_iter().take(most);
+        counts
+            .map(|(request, crashes)| Count { request, crashes })
             .collect()
     }
 
@@ -86,3 +153,7 @@
         }
     }
 }
+
+fn is_fresh(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < RETENTION
+}
--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -200,7 +200,9 @@
     match &result {
         SendOutcome::Answered(answer) => {
             in_flight.record_answer(header::load(answer.headers()), active.answered_at(now), now);
-            lock(&shared.crashes).record_answer(admitted.digest);
+            if lock(&shared.crashes).record_answer(admitted.digest, now) {
+                shared.crashes_changed.notify_one();
+            }
             if answer.status().is_server_error() {
                 in_flight.record_failure(now);
             }
@@ -216,7 +218,7 @@
         SendOutcome::Failed(Failure::After(after)) => {
             in_flight.record_failure(now);
             if *after == After::Interrupted {
-                lock(&shared.crashes).record_crash(admitted.digest, now);
+                shared.record_crash(admitted.digest, now);
             }
         }
         SendOutcome::NotRun(_) | SendOutcome::Failed(Failure::NotRun(_)) => {
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admit;
 pub mod answer_memory;
 pub mod body_memory;
+pub mod crashes;
 pub mod directory;
 pub mod fleet;
 pub mod forward;
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -2,6 +2,7 @@
 
 mod registrations;
 
+use crate::crashes;
 use crate::fleet::MemberEntry;
 use crate::shared::Shared;
 use adapter::desired;
@@ -31,8 +32,12 @@
 const DELEGATE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without a read after which the store counts as having been unavailable.
 const MIN_OUTAGE: Duration = Duration::from_millis(2_500);
-/// Member table: store table in which VMs find each other.
-const MEMBER_TABLE: &str = "members";
+/// Member table: store table in which VMs find each other. It also holds the record of crashing
+/// requests ([`crashes::RECORD_KEY`]), which VMs read with it.
+pub const MEMBER_TABLE: &str = "members";
+/// Longest time from the start in which a VM that has not read the record of crashing requests is
+/// not ready. A store that is 100 times slower than usual answers after 460 ms.
+const RECORD_WAIT: Duration = Duration::from_millis(600);
 /// Time between two reads of the member table; VMs that join in between send reports themselves.
 const MEMBER_READ_INTERVAL: Duration = Duration::from_secs(10);
 /// Time without a report after which a delegate removes a VM's member entry.
@@ -46,6 +51,8 @@
     registry: Mutex<Registry>,
     /// Whether this VM's turn to read has come since it knew of another reader.
     has_turn: AtomicBool,
+    /// Whether the first read of the record of crashing requests has ended, or took too long.
+    has_tried_record: AtomicBool,
 }
 
 impl StoreReader {
@@ -56,6 +63,7 @@
             client,
             registry: Mutex::default(),
             has_turn: AtomicBool::new(false),
+            has_tried_record: AtomicBool::new(false),
         }
     }
 
@@ -312,17 +320,34 @@
         self.check_ready();
     }
 
-    /// Enters the phase `Ready` once there are a configuration and servers.
+    /// Enters the phase `Ready` once there are a configuration and servers, and the record of crashing
+    /// requests was tried: such a request may come at once after a restart of all VMs.
     fn check_ready(&self) {
         let has_table = lock(&self.shared.orders).table.is_some();
         let has_list = !lock(&self.shared.listing).is_empty();
-        if has_table && has_list && self.shared.phase() == Phase::Starting {
+        let has_tried = self.has_tried_record.load(Ordering::Relaxed);
+        if has_table && has_list && has_tried && self.shared.phase() == Phase::Starting {
             self.shared.enter(Phase::Ready);
         }
     }
 
+    /// Records that the first read of the record of crashing requests has ended, or took too long.
+    fn end_record_wait(&self) {
+        if !self.has_tried_record.swap(true, Ordering::Relaxed) {
+            self.check_ready();
+        }
+    }
+
     /// Maintains this VM's member entry and reads those of the others until the task is dropped.
     pub async fn maintain_membership(&self) {
+        let limit = async {
+            tokio::time::sleep(RECORD_WAIT).await;
+            self.end_record_wait();
+        };
+        tokio::join!(limit, self.keep_membership());
+    }
+
+    async fn keep_membership(&self) {
         let mut is_entered = false;
         if self.shared.settings.first_start {
             // The others start at the same time; after the wait, one read finds all their entries.
@@ -332,7 +357,9 @@
             }
         }
         loop {
-            let period = match self.read_members().await {
+            let read = self.read_members().await;
+            self.end_record_wait();
+            let period = match read {
                 Ok(true) => {
                     is_entered = true;
                     MEMBER_READ_INTERVAL
@@ -376,7 +403,10 @@
         let shared = &self.shared;
         let own = &shared.settings.vm;
         let entry = self.member_entry();
-        let rows = self.client.rows(MEMBER_TABLE).await?.rows;
+        let read = self.client.rows(MEMBER_TABLE).await?;
+        crashes::apply(shared, &read, Instant::now());
+        self.end_record_wait();
+        let rows = read.rows;
         let mine = rows.iter().find(|row| row.key == *own);
         let is_current = |value: &Option<Vec<u8>>| value.as_deref() == Some(entry.as_bytes());
         let is_entered = mine.is_some_and(|row| is_current(&row.value));
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -128,7 +128,7 @@
 fn vm_report(shared: &Shared, sequence: u64, now: Instant) -> Report {
     let (in_flight, down) = shared.services.load_report(now);
     let settings = &shared.settings;
-    let crashes = lock(&shared.crashes).counts(MAX_CRASHES);
+    let crashes = lock(&shared.crashes).counts(MAX_CRASHES, now);
     let words = shared.services.words(now);
     Report {
         vm: settings.vm.clone(),
@@ -348,6 +348,9 @@
             crashes.merge(vm, counts, now);
         }
     }
+    if !report.crashes.is_empty() {
+        shared.crashes_changed.notify_one();
+    }
     shared.takeovers.merge_report(report);
     let snapshot = lock(&shared.orders).snapshot;
     if report.known.orders > snapshot && report.phase != Phase::Starting {
--- a/programs/gateway/src/run.rs
+++ b/programs/gateway/src/run.rs
@@ -3,7 +3,7 @@
 use crate::reader::StoreReader;
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{directory, pipeline, relay, reports, status, takeovers};
+use crate::{crashes, directory, pipeline, relay, reports, status, takeovers};
 use adapter::store::Client;
 use base::http::Body;
 use base::http::server::{self, Limits, Rest};
@@ -71,6 +71,7 @@
     tokio::spawn(relay::sync_from_peers(shared.clone(), reader));
     tokio::spawn(reports::send(shared.clone(), socket.clone()));
     tokio::spawn(reports::receive(shared.clone(), socket));
+    tokio::spawn(crashes::run(shared.clone(), client.clone()));
     tokio::spawn(takeovers::run(shared.clone(), client));
     tokio::spawn(reload(file));
     serve_local(readiness, &shared, &closed, directory::readiness);
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -18,6 +18,7 @@
 use std::time::{Duration, Instant};
 use steering::affinity::{self, Digest};
 use steering::crashes::CrashCounter;
+use steering::crashes::record::Record;
 use steering::drain::StopDeadlines;
 use steering::entrance::{Candidate, TimerLag};
 use steering::reading::{self, Place};
@@ -80,6 +81,10 @@
     pub ledger: Mutex<Ledger>,
     /// Crash counts of requests.
     pub crashes: Mutex<CrashCounter>,
+    /// Record in the store of requests that are refused for their crashes.
+    pub crash_record: Mutex<Record>,
+    /// Wakes the writer of that record.
+    pub crashes_changed: Notify,
     /// State of routes that are divided by share, by route.
     pub splits: Mutex<IndexMap<Box<str>, Split>>,
     /// Takeovers by new versions.
@@ -142,6 +147,8 @@
             fleet: Mutex::default(),
             ledger: Mutex::default(),
             crashes: Mutex::default(),
+            crash_record: Mutex::default(),
+            crashes_changed: Notify::new(),
             splits: Mutex::default(),
             takeovers: Takeovers::default(),
             answers: AnswerMemory::new(answers),
@@ -286,6 +293,17 @@
         )
     }
 
+    /// Counts a crash with the request in flight; the other VMs learn at once that it is refused.
+    pub fn record_crash(&self, request: Digest, now: Instant) {
+        let mut crashes = lock(&self.crashes);
+        crashes.record_crash(request, now);
+        if crashes.is_refused(request, now) {
+            self.report_requested.notify_one();
+        }
+        drop(crashes);
+        self.crashes_changed.notify_one();
+    }
+
     /// Counts a caller's request until the guard is dropped.
     pub fn track_request(&self) -> RequestGuard<'_> {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/programs/gateway/src/takeovers.rs
+++ b/programs/gateway/src/takeovers.rs
@@ -2,7 +2,7 @@
 
 mod leader;
 
-pub use leader::run;
+pub use leader::{is_leader, run};
 
 use crate::servers::{InFlightRequest, VersionFilter};
 use crate::settings::Bounds;
--- a/programs/gateway/src/takeovers/leader.rs
+++ b/programs/gateway/src/takeovers/leader.rs
@@ -51,8 +51,9 @@
     }
 }
 
-/// Returns whether this VM ranks first for the service among the delegates that read the store.
-fn is_leader(shared: &Shared, service: &str) -> bool {
+/// Returns whether this VM ranks first for a service, or for another duty, among the delegates that
+/// read the store.
+pub fn is_leader(shared: &Shared, service: &str) -> bool {
     let now = Instant::now();
     if !shared.reads_store(now) || shared.delegate(now).is_some() {
         return false;
--- /dev/null
+++ b/programs/gateway/tests/crashes.rs
@@ -0,0 +1,233 @@
+//! Requests that crash servers, while gateway processes are killed and the store fails.
+
+#[allow(dead_code, reason = "other tests use the rest of the site")]
+mod site;
+
+use gateway::settings::Settings;
+use rstest::rstest;
+use site::{Gateway, Site, unused_address, wait_until};
+use standin_site::operator::{Desired, Route};
+use standin_site::server::Entry;
+use standin_site::store::{Endpoint, Faults};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use steering::crashes::MAX_CRASHES;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+/// VMs with data centre and link in Mbit/s; `vm-2` has a delegate that reads the store for it.
+const VMS: [(&str, &str, f64); 3] = [
+    ("vm-1", "nord-a", 1_000.0),
+    ("vm-2", "nord-a", 100.0),
+    ("vm-3", "sud-a", 1_000.0),
+];
+/// Path of the request that crashes servers.
+const CRASHING: &str = "/a/crash";
+
+/// Site with servers that crash at each request.
+struct Scene {
+    site: Site,
+    door: Endpoint,
+    crashes: Arc<AtomicUsize>,
+}
+
+/// A gateway process, which is killed when it is dropped.
+struct Process {
+    gateway: Gateway,
+    child: Child,
+    file: std::path::PathBuf,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+impl Process {
+    fn start(settings: Settings) -> Self {
+        let name = settings.listen.callers.ip().to_string();
+        let file = std::env::temp_dir().join(format!("crashes-{name}.json"));
+        let text = serde_json::to_string(&settings).expect("settings");
+        std::fs::write(&file, text).expect("a settings file");
+        let child = Command::new(env!("CARGO_BIN_EXE_gateway"))
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the gateway starts");
+        let stop = CancellationToken::new();
+        let gateway = Gateway { settings, stop };
+        Self {
+            gateway,
+            child,
+            file,
+        }
+    }
+
+    /// Sends the request; returns the reason for which it is refused.
+    async fn send(&self, id: &str) -> String {
+        let answer = self.gateway.request(id, CRASHING).await;
+        let (_, _, body) = answer.expect("an answer");
+        String::from_utf8_lossy(&body).trim().into()
+    }
+}
+
+impl Scene {
+    async fn new() -> Self {
+        let site = Site::new();
+        let door = site.store_endpoint().await;
+        site.publish(&Desired {
+            routes: &[Route {
+                repeatable: false,
+                ..Route::PLAIN
+            }],
+            ..Desired::default()
+        });
+        let crashes = Arc::new(AtomicUsize::new(0));
+        for number in 1..=6 {
+            let address = SocketAddr::new(unused_address(), 8080);
+            let listener = TcpListener::bind(address).await.expect("an address");
+            tokio::spawn(crash_always(listener, crashes.clone()));
+            Entry::default().publish(&site.store, &format!("i-{number}"), address);
+        }
+        Self {
+            site,
+            door,
+            crashes,
+        }
+    }
+
+    fn process(&self, number: usize, door: &Endpoint) -> Process {
+        let (vm, data_centre, link_mbps) = VMS[number];
+        Process::start(Settings {
+            link_mbps,
+            ..Site::gateway_settings(vm, data_centre, door)
+        })
+    }
+
+    /// Starts all VMs and waits until they have heard of each other.
+    async fn start(&self) -> [Process; 3] {
+        let processes = [0, 1, 2].map(|number| self.process(number, &self.door));
+        for process in &processes {
+            process.gateway.wait_ready().await;
+            wait_until("all VMs are heard", || async {
+                let target = site::target(process.gateway.settings.listen.peers);
+                let state = operators::gateway::state(&target).await;
+                state.is_ok_and(|state| state.on == VMS.len())
+            })
+            .await;
+        }
+        processes
+    }
+
+    /// Sends the request to a VM until it is refused for its crashes.
+    async fn send_until_refused(&self, process: &Process) {
+        wait_until("the request is refused", || async {
+            process.send("1").await == "quarantined"
+        })
+        .await;
+        assert_eq!(self.crashes(), MAX_CRASHES as usize);
+    }
+
+    async fn wait_recorded(&self) {
+        wait_until("the request is recorded", || async {
+            let row = self.site.store.get("members", "crashes");
+            row.is_some_and(|row| String::from_utf8_lossy(&row).contains("request"))
+        })
+        .await;
+    }
+
+    fn crashes(&self) -> usize {
+        self.crashes.load(Ordering::Relaxed)
+    }
+}
+
+async fn crash_always(listener: TcpListener, crashes: Arc<AtomicUsize>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(crash(stream, crashes.clone()));
+    }
+}
+
+/// Reads one request and ends its connection.
+async fn crash(mut stream: TcpStream, crashes: Arc<AtomicUsize>) -> Option<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    if String::from_utf8_lossy(&head).contains(CRASHING) {
+        crashes.fetch_add(1, Ordering::Relaxed);
+    }
+    Some(())
+}
+
+/// Guards against a request that crashes three more servers after a kill of all gateways
+/// (`review/4/run.sh`). The VM that sees the crashes does not read the store; in the second case the
+/// store is down at the crashes, in the third at the start.
+#[rstest]
+#[case::store_up(false, false)]
+#[case::store_down_at_the_crashes(true, false)]
+#[case::store_down_at_the_start(false, true)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashes_are_known_after_a_kill_of_all_gateways(
+    #[case] down_at_crashes: bool,
+    #[case] down_at_start: bool,
+) {
+    let scene = Scene::new().await;
+    let down = |down| Faults {
+        down,
+        ..Faults::default()
+    };
+    let first = scene.start().await;
+    scene.door.set(down(down_at_crashes));
+    scene.send_until_refused(&first[1]).await;
+    scene.door.set(Faults::default());
+    scene.wait_recorded().await;
+    drop(first);
+    scene.door.set(down(down_at_start));
+    let second = [0, 1, 2].map(|number| scene.process(number, &scene.door));
+    if down_at_start {
+        assert_ne!(second[0].send("2").await, "quarantined");
+        scene.door.set(Faults::default());
+    }
+    for process in &second {
+        process.gateway.wait_ready().await;
+        assert_eq!(process.send("3").await, "quarantined");
+    }
+    assert_eq!(scene.crashes(), MAX_CRASHES as usize);
+}
+
+/// Guards against a VM that never becomes ready because the store gives it no answer, and against one
+/// that sends a request which the other VMs know from the store.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn vm_without_the_store_learns_of_crashes_from_reports() {
+    let scene = Scene::new().await;
+    let first = scene.start().await;
+    scene.send_until_refused(&first[0]).await;
+    scene.wait_recorded().await;
+    drop(first);
+    let silent = scene.site.store_endpoint().await;
+    silent.set(Faults {
+        silent: true,
+        ..Faults::default()
+    });
+    let reader = scene.process(0, &scene.door);
+    reader.gateway.wait_ready().await;
+    let other = Settings {
+        seeds: vec![reader.gateway.settings.listen.peers],
+        ..Site::gateway_settings("vm-2", "nord-a", &silent)
+    };
+    let other = Process::start(other);
+    other.gateway.wait_ready().await;
+    wait_until("the other VM refuses the request", || async {
+        other.send("2").await == "quarantined"
+    })
+    .await;
+    assert_eq!(scene.crashes(), MAX_CRASHES as usize);
+}
