--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -141,6 +141,8 @@
             "pipelined_depth",
             "Requests that wait behind the one under way on their connection, at each arrival",
             self.depth.clone(),
+        );
+        registry.register(
             "competing",
             "Requests of different priority that compete for a service, by what became of them",
             self.competing.clone(),
