--- a/crates/base/src/http/client.rs
+++ b/crates/base/src/http/client.rs
@@ -80,6 +80,21 @@
         method: Method,
         path: &str,
         body: impl Into<Bytes>,
+    ) -> Result<Answer, Error> {
+        let request = self.request(method, path, body.into())?;
+        self.call_if(request, || true).await
+    }
+
+    /// Sends one request if `may_send` holds once the connection is open, and reads the complete
+    /// answer. Connecting may take as long as the process was suspended.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Target::call`] does, and with [`Error::Connect`] if the request may not be sent.
+    pub async fn call_if(
+        &self,
+        request: Request<Full<Bytes>>,
+        may_send: impl FnOnce() -> bool,
     ) -> Result<Answer, Error> {
         let connect = tokio::time::timeout(self.timeout, TcpStream::connect(self.address));
         let stream = match connect.await {
@@ -87,7 +102,9 @@
             Ok(Err(error)) => return Err(Error::Connect(error)),
             Err(_) => return Err(Error::Connect(std::io::ErrorKind::TimedOut.into())),
         };
-        let request = self.request(method, path, body.into())?;
+        if !may_send() {
+            return Err(Error::Connect(std::io::ErrorKind::Interrupted.into()));
+        }
         match tokio::time::timeout(self.timeout, exchange(stream, request)).await {
             Ok(answer) => answer,
             Err(_) => Err(Error::Lost("timed out".into())),
@@ -109,7 +126,12 @@
         self.call(method, path, body).await
     }
 
-    fn request(
+    /// Builds a request to this server.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the path or the credential is not valid in a request.
+    pub fn request(
         &self,
         method: Method,
         path: &str,
--- a/crates/operators/src/gateway.rs
+++ b/crates/operators/src/gateway.rs
@@ -41,6 +41,18 @@
         pub rejects_ms: Option<u64>,
     }
 
+    /// State of the usage reports.
+    pub struct Usage {
+        /// VM that reports; empty before the first.
+        pub holder: Vm,
+        /// Its fencing token.
+        pub token: u64,
+        /// Last window whose report is fixed; 0 for none.
+        pub fixed: u64,
+        /// Last window whose report was sent; 0 for none.
+        pub sent: u64,
+    }
+
     /// State of the fleet, as one gateway knows it.
     pub struct State {
         /// VM that answers.
@@ -60,6 +72,9 @@
         /// Servers that have said that they leave or want nothing for a time.
         #[serde(default)]
         pub notices: Vec<Notice>,
+        /// Usage reports; none if the deployment has none.
+        #[serde(default)]
+        pub usage: Option<Usage>,
         /// Milliseconds since the VM's data was read from the store; none before the first read.
         pub age_ms: Option<u64>,
     }
--- a/crates/peers/src/report.rs
+++ b/crates/peers/src/report.rs
@@ -13,6 +13,7 @@
 use steering::notice::Word;
 use steering::spending::Change;
 use steering::takeover::{Evidence, OrderVersion, Stage};
+use steering::usage::{Progress, Share, Window};
 use steering::warmth::{ObjectUse, ShortDigest};
 
 base::label! {
@@ -157,6 +158,35 @@
         pub crashes: Vec<(Vm, Vec<Count>)>,
         /// Takeovers that the operator has ordered.
         pub takeovers: Vec<Takeover>,
+        /// Usage reports, where the deployment has them. Encoded behind the other fields, so that
+        /// reports of other deployments don't grow.
+        #[serde(skip)]
+        pub usage: Option<Usage>,
+    }
+
+    /// What VMs tell each other for the usage reports.
+    pub struct Usage {
+        /// Wall clocks of the VMs for which the report speaks, in milliseconds since 1970: the
+        /// sender's, and how far the others are ahead of it.
+        pub clock_ms: i64,
+        /// See above.
+        pub ahead_ms: Vec<i32>,
+        /// How far the usage reports have come.
+        pub progress: Progress,
+        /// Window at the sender; 0 while it is not known.
+        pub newest: Window,
+        /// Counts of the sender, by distance from `newest`; empty in most reports and in those of
+        /// a data centre.
+        pub shares: Vec<Share>,
+    }
+}
+
+impl Usage {
+    /// Returns the wall clocks in milliseconds since 1970.
+    pub fn clocks(&self) -> impl Iterator<Item = i64> {
+        let others = self.ahead_ms.iter().map(|ahead| i64::from(*ahead));
+        let others = others.map(|ahead| self.clock_ms.saturating_add(ahead));
+        others.chain([self.clock_ms])
     }
 }
 
@@ -177,7 +207,13 @@
 ///
 /// Fails if it is larger than [`MAX_REPORT_BYTES`].
 pub fn encode(report: &Report) -> Result<Vec<u8>, Error> {
-    options().serialize(report)
+    let mut bytes = options().serialize(report)?;
+    if let Some(usage) = &report.usage {
+        let room = MAX_REPORT_BYTES.saturating_sub(bytes.len());
+        let options = options().with_limit(room as u64);
+        options.serialize_into(&mut bytes, usage)?;
+    }
+    Ok(bytes)
 }
 
 /// Decodes a report.
@@ -186,5 +222,10 @@
 ///
 /// Fails if the bytes do not encode a report.
 pub fn decode(bytes: &[u8]) -> Result<Report, Error> {
-    options().deserialize(bytes)
+    let mut rest = bytes;
+    let mut report: Report = options().deserialize_from(&mut rest)?;
+    if !rest.is_empty() {
+        report.usage = Some(options().deserialize(rest)?);
+    }
+    Ok(report)
 }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod split;
 pub mod takeover;
 pub mod transfer;
+pub mod usage;
 pub mod warmth;
 pub mod warmup;
 pub mod work;
--- a/programs/ctl/src/output.rs
+++ b/programs/ctl/src/output.rs
@@ -142,6 +142,13 @@
     }));
     lines.extend(names("evacuated", &state.evacuated));
     lines.extend(state.notices.iter().flat_map(notice));
+    lines.extend(state.usage.as_ref().map(|usage| match usage.token {
+        0 => "no VM reports usage yet".into(),
+        token => format!(
+            "{} reports usage with token {token}: window {} fixed, {} sent",
+            usage.holder, usage.fixed, usage.sent
+        ),
+    }));
     lines.push(match state.age_ms {
         Some(age) => format!("{} read the store {age} ms ago", state.vm),
         None => format!("{} has not read the store yet", state.vm),
--- a/programs/ctl/tests/orders.rs
+++ b/programs/ctl/tests/orders.rs
@@ -3,7 +3,7 @@
 use adapter::store::Row;
 use cardamomctl::orders::Orders;
 use cardamomctl::output;
-use operators::gateway::{Departure, Notice, Release, State};
+use operators::gateway::{Departure, Notice, Release, State, Usage};
 use standin_site::operator::{self, Desired};
 use standin_site::store::Store;
 use steering::notice::Origin;
@@ -69,6 +69,12 @@
             }),
             rejects_ms: Some(700),
         }],
+        usage: Some(Usage {
+            holder: "vm-2".into(),
+            token: 41,
+            fixed: 353_445_121,
+            sent: 353_445_120,
+        }),
         age_ms: Some(120),
     };
     let expected = "version 00000002 in force on 2 of 3\n\
@@ -77,6 +83,7 @@
                     evacuated: sud-a\n\
                     server i-1 leaves, from its answer 40 ms ago\n\
                     server i-1 wants no requests for 700 ms\n\
+                    vm-2 reports usage with token 41: window 353445121 fixed, 353445120 sent\n\
                     vm-1 read the store 120 ms ago";
     assert_eq!(output::state(&state), expected);
 }
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -302,6 +302,23 @@
             .collect()
     }
 
+    /// Returns the data centres other than `own` that have VMs, with the address of the delegate of
+    /// each that is up.
+    pub fn delegates(
+        &self,
+        own: &DataCentre,
+        now: Instant,
+    ) -> IndexMap<DataCentre, Option<SocketAddr>> {
+        let members = self.members.values().map(|member| &member.data_centre);
+        let known = members.chain(self.remote.keys());
+        let others = known.filter(|data_centre| *data_centre != own);
+        let mut delegates: IndexMap<DataCentre, Option<SocketAddr>> =
+            others.map(|data_centre| (data_centre.clone(), None)).collect();
+        let up = self.remote(now).map(|peer| &peer.report);
+        delegates.extend(up.map(|report| (report.data_centre.clone(), Some(report.address))));
+        delegates
+    }
+
     /// Returns whether a VM of this data centre receives reports at an address.
     pub fn is_local(&self, address: &SocketAddr) -> bool {
         let mut local = self.local.values();
--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -180,6 +180,8 @@
         is_recorded: false,
         paused_at: &paused_at,
     };
+    let counted = shared.usage.as_ref().zip(admitted.account);
+    let counted = counted.map(|(usage, account)| (usage, &account.name, usage.count(&account.name)));
     let result = active.exchange().await;
     let now = Instant::now();
     let (text, status) = match &result {
@@ -197,6 +199,9 @@
         _ => String::new(),
     };
     active.log(text, status, &reason);
+    if let (Some((usage, workspace, count)), true) = (counted, states_not_run(&result)) {
+        usage.revert(workspace, count);
+    }
     match &result {
         SendOutcome::Answered(answer) => {
             in_flight.record_answer(header::load(answer.headers()), active.answered_at(now), now);
@@ -230,6 +235,14 @@
     (number, result)
 }
 
+/// Whether the server did not run the request for sure.
+fn states_not_run(outcome: &SendOutcome) -> bool {
+    matches!(
+        outcome,
+        SendOutcome::NotRun(_) | SendOutcome::Failed(Failure::Before(_) | Failure::NotRun(_))
+    )
+}
+
 /// Returns the outcome that is recorded for a takeover. There is none if the server did not run the
 /// request or this VM had no memory for its answer: both say nothing about the version.
 fn takeover_outcome(outcome: &SendOutcome, is_paused: bool) -> Option<Outcome> {
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod shared;
 pub mod status;
 pub mod takeovers;
+pub mod usage;
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -3,6 +3,7 @@
 use crate::fleet::Receipt;
 use crate::servers::PassedWords;
 use crate::shared::Shared;
+use crate::usage::Usage;
 use base::id::Vm;
 use base::sync::lock;
 use indexmap::{IndexMap, IndexSet};
@@ -154,6 +155,10 @@
             false => vec![(settings.vm.clone(), crashes)],
         },
         takeovers: shared.takeovers.report(false),
+        usage: shared
+            .usage
+            .as_ref()
+            .map(|usage| usage.part(shared.phase() == Phase::Leaving)),
     }
 }
 
@@ -204,6 +209,7 @@
         spending: lock(&shared.ledger).data_centre_changes(now),
         crashes,
         takeovers: shared.takeovers.report(true),
+        usage: shared.usage.as_ref().map(Usage::data_centre_part),
         ..own
     }
 }
@@ -349,6 +355,9 @@
         }
     }
     shared.takeovers.merge_report(report);
+    if let Some(usage) = &shared.usage {
+        usage.merge_report(report);
+    }
     let snapshot = lock(&shared.orders).snapshot;
     if report.known.orders > snapshot && report.phase != Phase::Starting {
         shared.orders_outdated.notify_one();
--- a/programs/gateway/src/run.rs
+++ b/programs/gateway/src/run.rs
@@ -3,7 +3,7 @@
 use crate::reader::StoreReader;
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{directory, pipeline, relay, reports, status, takeovers};
+use crate::{directory, pipeline, relay, reports, status, takeovers, usage};
 use adapter::store::Client;
 use base::http::Body;
 use base::http::server::{self, Limits, Rest};
@@ -71,7 +71,9 @@
     tokio::spawn(relay::sync_from_peers(shared.clone(), reader));
     tokio::spawn(reports::send(shared.clone(), socket.clone()));
     tokio::spawn(reports::receive(shared.clone(), socket));
-    tokio::spawn(takeovers::run(shared.clone(), client));
+    tokio::spawn(takeovers::run(shared.clone(), client.clone()));
+    tokio::spawn(usage::catch_up(shared.clone()));
+    tokio::spawn(usage::run(shared.clone(), client));
     tokio::spawn(reload(file));
     serve_local(readiness, &shared, &closed, directory::readiness);
     serve_local(lookups, &shared, &closed, directory::lookup);
@@ -122,6 +124,8 @@
     tokio::time::sleep_until(grace.accept_until.into()).await;
     stop_accepting.cancel();
     finish_requests(serving, &grace, &shared).await;
+    // The last counts of the usage reports.
+    shared.report_requested.notify_one();
     closed.cancel();
     log::info!(
         "event=stop running={} answers={:?}",
@@ -168,6 +172,7 @@
 async fn handle_peer(request: Request<Incoming>, shared: &Shared) -> Response<Body> {
     match request.uri().path() {
         operators::gateway::PATH => status::handle(shared),
+        usage::PATH => usage::answer(&request, shared),
         _ => relay::handle(request, shared).await,
     }
 }
--- a/programs/gateway/src/settings.rs
+++ b/programs/gateway/src/settings.rs
@@ -55,6 +55,22 @@
         pub slack: f64,
     }
 
+    /// Reports of usage to the platform.
+    #[serde(deny_unknown_fields)]
+    pub struct Usage {
+        /// Address of the platform's interface.
+        pub address: SocketAddr,
+        /// What the deployment has to report; anything but usage is ignored.
+        #[serde(default)]
+        pub duties: Vec<Box<str>>,
+        /// Time in milliseconds within which the holder must not change and change back.
+        pub lease_ms: Option<f64>,
+        /// Length of a window in seconds.
+        pub window_s: Option<f64>,
+        /// Time in seconds after the end of a window at which its report is due.
+        pub late_s: Option<f64>,
+    }
+
     /// Settings of the gateway.
     #[serde(deny_unknown_fields)]
     pub struct Settings {
@@ -85,6 +101,9 @@
         /// Operator's bounds.
         #[serde(default)]
         pub bounds: Bounds,
+        /// Usage reports; none if the deployment has none.
+        #[serde(default)]
+        pub usage: Option<Usage>,
         /// Time in milliseconds between two reads of the registrations.
         #[serde(default = "list_period")]
         pub list_period_ms: u64,
@@ -118,6 +137,21 @@
     }
 }
 
+impl Usage {
+    /// Returns the times of the reports; none if the deployment has no such duty, or states too
+    /// little of it.
+    pub fn times(&self) -> Option<steering::usage::Settings> {
+        let seconds = |value: f64| Duration::try_from_secs_f64(value).ok().filter(|t| !t.is_zero());
+        let has_duty = self.duties.iter().any(|duty| &**duty == adapter::usage::DUTY);
+        has_duty.then_some(())?;
+        Some(steering::usage::Settings::new(
+            seconds(self.window_s?)?,
+            seconds(self.late_s?)?,
+            seconds(self.lease_ms? / 1e3)?,
+        ))
+    }
+}
+
 /// A leaving server must get no requests 2 s after its report. If the VM that reads the store loses
 /// it at that moment, another one has to notice, read and inform the others within this time.
 fn list_period() -> u64 {
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -9,6 +9,7 @@
 use crate::servers::Services;
 use crate::settings::Settings;
 use crate::takeovers::Takeovers;
+use crate::usage::Usage;
 use base::id::{Incarnation, Vm};
 use base::sync::lock;
 use indexmap::IndexMap;
@@ -20,6 +21,7 @@
 use steering::crashes::CrashCounter;
 use steering::drain::StopDeadlines;
 use steering::entrance::{Candidate, TimerLag};
+use steering::membership::rendezvous;
 use steering::reading::{self, Place};
 use steering::routing::{DesiredState, Table};
 use steering::spending::{Coverage, Ledger};
@@ -84,6 +86,8 @@
     pub splits: Mutex<IndexMap<Box<str>, Split>>,
     /// Takeovers by new versions.
     pub takeovers: Takeovers,
+    /// Usage reports; none if the deployment has none.
+    pub usage: Option<Usage>,
     /// Memory budget for incomplete answers.
     pub answers: AnswerMemory,
     /// Memory budget for bodies of callers' requests.
@@ -130,6 +134,7 @@
         Self {
             services: Services::new(&settings),
             ownership: Mutex::new(Ownership::new(&settings.vm)),
+            usage: Usage::new(settings.usage.as_ref(), incarnation),
             settings,
             incarnation,
             phase: Mutex::new(Phase::Starting),
@@ -248,6 +253,26 @@
         read_at.is_some_and(|at| now.saturating_duration_since(at) < MAX_READ_AGE)
     }
 
+    /// Returns whether this VM reads the store for its data centre.
+    pub fn is_speaker(&self, now: Instant) -> bool {
+        self.reads_store(now) && self.delegate(now).is_none()
+    }
+
+    /// Returns whether this VM ranks first for a subject among the delegates that read the store.
+    pub fn is_leader(&self, subject: &str) -> bool {
+        let now = Instant::now();
+        if !self.is_speaker(now) {
+            return false;
+        }
+        let fleet = lock(&self.fleet);
+        let others: Vec<Vm> = fleet
+            .remote(now)
+            .filter(|peer| peer.report.known.reads)
+            .map(|peer| peer.report.vm.clone())
+            .collect();
+        rendezvous::rank(subject, &self.settings.vm, &others) == 0
+    }
+
     /// Records when a read of the store succeeded; none if it failed or if the delegate reads for
     /// this VM.
     pub fn set_store_read(&self, read_at: Option<Instant>) {
--- a/programs/gateway/src/status.rs
+++ b/programs/gateway/src/status.rs
@@ -6,7 +6,7 @@
 use base::sync::lock;
 use hyper::{Response, StatusCode};
 use indexmap::IndexMap;
-use operators::gateway::State;
+use operators::gateway::{State, Usage};
 use std::time::Instant;
 
 /// Answers a status request of an operator.
@@ -43,6 +43,15 @@
         releases: shared.takeovers.releases(),
         evacuated,
         notices: shared.services.notices(now),
+        usage: shared.usage.as_ref().map(|usage| {
+            let progress = usage.progress();
+            Usage {
+                holder: progress.holder,
+                token: progress.token,
+                fixed: progress.fixed,
+                sent: progress.sent,
+            }
+        }),
         age_ms: shared.store_data_age(now).map(|age| age.as_millis() as u64),
     }
 }
--- a/programs/gateway/src/takeovers/leader.rs
+++ b/programs/gateway/src/takeovers/leader.rs
@@ -4,11 +4,10 @@
 use crate::shared::Shared;
 use adapter::status;
 use adapter::store::{self, Client, Put, Row, RowVersion, STATUS, TransactionResult};
-use base::id::{Service, Vm};
+use base::id::Service;
 use base::sync::lock;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use steering::membership::rendezvous;
 use steering::routing::TakeoverOrder;
 use steering::takeover::{self, Evidence, Settings, Stage};
 
@@ -37,7 +36,7 @@
             shared.report_requested.notify_one();
         }
         for service in shared.takeovers.unsettled() {
-            if !is_leader(&shared, &service) {
+            if !shared.is_leader(&service) {
                 continue;
             }
             if is_log_due {
@@ -51,21 +50,6 @@
     }
 }
 
-/// Returns whether this VM ranks first for the service among the delegates that read the store.
-fn is_leader(shared: &Shared, service: &str) -> bool {
-    let now = Instant::now();
-    if !shared.reads_store(now) || shared.delegate(now).is_some() {
-        return false;
-    }
-    let fleet = lock(&shared.fleet);
-    let others: Vec<Vm> = fleet
-        .remote(now)
-        .filter(|peer| peer.report.known.reads)
-        .map(|peer| peer.report.vm.clone())
-        .collect();
-    rendezvous::rank(service, &shared.settings.vm, &others) == 0
-}
-
 /// Advances the takeover of a service by one step as its leader.
 async fn advance(shared: &Shared, client: &Client, service: &Service) -> Result<(), store::Error> {
     let (order, known) = {
--- a/programs/gateway/tests/relay.rs
+++ b/programs/gateway/tests/relay.rs
@@ -184,6 +184,7 @@
         spending: Vec::new(),
         crashes: Vec::new(),
         takeovers: Vec::new(),
+        usage: None,
     };
     Report {
         members: vec![Member::of(&own)],
--- a/programs/gateway/tests/site/mod.rs
+++ b/programs/gateway/tests/site/mod.rs
@@ -155,6 +155,7 @@
             link_mbps: 1_000.0,
             memory_mb: 260,
             first_start: false,
+            usage: None,
             bounds: Bounds {
                 grace_s: 2.0,
                 retry_ratio: 0.2,
