--- a/crates/steering/src/usage.rs
+++ b/crates/steering/src/usage.rs
@@ -13,8 +13,8 @@
 
 pub use clock::{Clock, Source};
 pub use holder::{
-    Call, Duty, Fixed, Held, Observed, Row, State, Stored, Transaction, Unread, Unresolved, Written,
-    Writing,
+    Call, Duty, Fixed, Held, Observed, Row, State, Stored, Transaction, Unread, Unresolved,
+    Writing, Written,
 };
 pub use ledger::{Ledger, Share};
 pub use reporter::{CallResult, Progress, Rank, Reporter, Step};
--- a/crates/steering/src/usage/holder.rs
+++ b/crates/steering/src/usage/holder.rs
@@ -173,7 +173,11 @@
     fn by(self, stored: Stored, renewed_at: Option<Boot>, sent: &[Window], now: Boot) -> State {
         match &stored.row {
             Some(row) if self.owns(row) => {
-                let token = if row.token == 0 { stored.version } else { row.token };
+                let token = if row.token == 0 {
+                    stored.version
+                } else {
+                    row.token
+                };
                 let (sent, unsent) = stored
                     .fixed
                     .into_iter()
@@ -273,8 +277,11 @@
     pub fn call(&self, now: Boot) -> Option<Call> {
         let fixed = self.state.unsent.first()?;
         let renewed_at = self.state.renewed_at?;
-        let start_before =
-            renewed_at + self.settings.lease.saturating_sub(self.settings.call_timeout);
+        let start_before = renewed_at
+            + self
+                .settings
+                .lease
+                .saturating_sub(self.settings.call_timeout);
         (now < start_before).then(|| Call {
             window: fixed.window,
             bytes: fixed.bytes.clone(),
--- a/crates/steering/src/usage/reporter.rs
+++ b/crates/steering/src/usage/reporter.rs
@@ -1,6 +1,8 @@
 //! Choice of what a VM does next about the usage reports.
 
-use super::{Boot, Call, Duty, Fixed, Settings, State, Stored, Token, Transaction, Window, Written};
+use super::{
+    Boot, Call, Duty, Fixed, Settings, State, Stored, Token, Transaction, Window, Written,
+};
 use base::id::{Incarnation, Vm};
 
 base::label! {
--- a/crates/steering/tests/usage.rs
+++ b/crates/steering/tests/usage.rs
@@ -24,7 +24,11 @@
     for seed in SEEDS {
         let world = World::played(seed, Removed::Nothing);
         assert_eq!(world.violations(), Vec::<String>::new(), "seed {seed}");
-        assert_eq!(world.missing_after_faults(), Vec::<u64>::new(), "seed {seed}");
+        assert_eq!(
+            world.missing_after_faults(),
+            Vec::<u64>::new(),
+            "seed {seed}"
+        );
     }
 }
 
@@ -47,7 +51,11 @@
     assert_eq!(world.missing_after_faults(), Vec::<u64>::new());
     // One read and one takeover.
     let windows = world.windows();
-    assert!(world.store_calls <= windows + 2, "{} calls", world.store_calls);
+    assert!(
+        world.store_calls <= windows + 2,
+        "{} calls",
+        world.store_calls
+    );
     assert_eq!(world.calls.len(), windows);
 }
 
--- a/crates/steering/tests/usage/world.rs
+++ b/crates/steering/tests/usage/world.rs
@@ -28,7 +28,7 @@
     Condition,
     /// The holder sends what it counts at the time of the call.
     FixedReport,
-    /// Successors wait for a tenth of the lease only.
+    /// Successors do not wait for the lease.
     Wait,
     /// Calls are started however late.
     Deadline,
@@ -96,6 +96,10 @@
     pub store_calls: usize,
 }
 
+fn reporter(number: usize, incarnation: u64) -> Reporter {
+    Reporter::new(number.to_string().into(), incarnation, Settings::default())
+}
+
 impl World {
     pub fn played(seed: u64, removed: Removed) -> Self {
         Self::new(seed, removed, true).play()
@@ -124,12 +128,16 @@
         };
         for number in 0..VMS {
             let vm = Vm {
-                reporter: world.reporter(number, 1),
+                reporter: reporter(number, 1),
                 incarnation: 1,
                 pending: None,
                 suspended_until: Boot::ZERO,
                 clock_error: (0, Boot::ZERO),
-                rank: if number == 0 { Rank::Leader } else { Rank::Delegate },
+                rank: if number == 0 {
+                    Rank::Leader
+                } else {
+                    Rank::Delegate
+                },
                 progress: Progress::default(),
             };
             world.vms.push(vm);
@@ -137,20 +145,6 @@
         world
     }
 
-    fn reporter(&self, number: usize, incarnation: u64) -> Reporter {
-        let settings = Settings::default();
-        // The deadline of calls follows from the lease as well and stays.
-        let settings = match self.removed == Removed::Wait {
-            true => Settings {
-                lease: settings.lease / 10,
-                call_timeout: Duration::ZERO,
-                ..settings
-            },
-            false => settings,
-        };
-        Reporter::new(number.to_string().into(), incarnation, settings)
-    }
-
     fn play(mut self) -> Self {
         let mut next_faults = Boot::ZERO;
         while self.now < END {
@@ -186,10 +180,9 @@
             }
             if self.rng.random_bool(0.02) {
                 let incarnation = self.vms[number].incarnation + 1;
-                let reporter = self.reporter(number, incarnation);
                 let vm = &mut self.vms[number];
                 vm.incarnation = incarnation;
-                vm.reporter = reporter;
+                vm.reporter = reporter(number, incarnation);
                 vm.pending = None;
             }
         }
@@ -347,7 +340,11 @@
                     let fixed = fixed.collect();
                     let stored = stored.filter(|_| !is_lost);
                     let stored = stored.map(|stored| Stored { fixed, ..stored });
-                    self.vms[number].reporter.read(stored, now);
+                    let seen_at = match self.removed == Removed::Wait {
+                        true => now.saturating_sub(Settings::default().lease),
+                        false => now,
+                    };
+                    self.vms[number].reporter.read(stored, seen_at);
                     None
                 } else {
                     Some(Pending::Read {
@@ -416,7 +413,11 @@
                 return Some(Pending::Answer(call.window, arrival, CallResult::Taken));
             }
         }
-        Some(Pending::Answer(call.window, now + timeout, CallResult::Failed))
+        Some(Pending::Answer(
+            call.window,
+            now + timeout,
+            CallResult::Failed,
+        ))
     }
 
     /// Returns the rules that the calls break.
@@ -425,18 +426,24 @@
         let lease = Settings::default().lease;
         for (index, call) in self.calls.iter().enumerate() {
             let earlier = &self.calls[..index];
-            if earlier.iter().any(|other| other.window == call.window && other.bytes != call.bytes)
+            if earlier
+                .iter()
+                .any(|other| other.window == call.window && other.bytes != call.bytes)
             {
                 broken.push(format!("two reports of a window: {call:?}"));
             }
-            if earlier.iter().any(|other| other.token == call.token && other.holder != call.holder)
+            if earlier
+                .iter()
+                .any(|other| other.token == call.token && other.holder != call.holder)
             {
                 broken.push(format!("two holders with a token: {call:?}"));
             }
             if earlier.iter().any(|other| other.token > call.token) {
                 broken.push(format!("a lower token: {call:?}"));
             }
-            let foreign = earlier.iter().rposition(|other| other.holder != call.holder);
+            let foreign = earlier
+                .iter()
+                .rposition(|other| other.holder != call.holder);
             let before = &earlier[..foreign.unwrap_or_default()];
             let own = before.iter().rfind(|other| other.holder == call.holder);
             if own.is_some_and(|own| call.at - own.at < lease) {
@@ -451,7 +458,11 @@
         let window = Settings::default().window;
         let first = TRUE_MS / window.as_millis() as u64;
         let late = Duration::from_secs(10);
-        let from = if self.has_faults { (FAULTS_END + late).as_secs() / 5 } else { 0 };
+        let from = if self.has_faults {
+            (FAULTS_END + late).as_secs() / 5
+        } else {
+            0
+        };
         let windows = from..(END - late).as_secs() / 5 - 1;
         let is_reported = |number: &u64| {
             let due = window * (*number as u32 + 1) + late;
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -312,8 +312,9 @@
         let members = self.members.values().map(|member| &member.data_centre);
         let known = members.chain(self.remote.keys());
         let others = known.filter(|data_centre| *data_centre != own);
-        let mut delegates: IndexMap<DataCentre, Option<SocketAddr>> =
-            others.map(|data_centre| (data_centre.clone(), None)).collect();
+        let mut delegates: IndexMap<DataCentre, Option<SocketAddr>> = others
+            .map(|data_centre| (data_centre.clone(), None))
+            .collect();
         let up = self.remote(now).map(|peer| &peer.report);
         delegates.extend(up.map(|report| (report.data_centre.clone(), Some(report.address))));
         delegates
--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -181,7 +181,8 @@
         paused_at: &paused_at,
     };
     let counted = shared.usage.as_ref().zip(admitted.account);
-    let counted = counted.map(|(usage, account)| (usage, &account.name, usage.count(&account.name)));
+    let counted =
+        counted.map(|(usage, account)| (usage, &account.name, usage.count(&account.name)));
     let result = active.exchange().await;
     let now = Instant::now();
     let (text, status) = match &result {
--- a/programs/gateway/src/settings.rs
+++ b/programs/gateway/src/settings.rs
@@ -141,8 +141,15 @@
     /// Returns the times of the reports; none if the deployment has no such duty, or states too
     /// little of it.
     pub fn times(&self) -> Option<steering::usage::Settings> {
-        let seconds = |value: f64| Duration::try_from_secs_f64(value).ok().filter(|t| !t.is_zero());
-        let has_duty = self.duties.iter().any(|duty| &**duty == adapter::usage::DUTY);
+        let seconds = |value: f64| {
+            Duration::try_from_secs_f64(value)
+                .ok()
+                .filter(|t| !t.is_zero())
+        };
+        let has_duty = self
+            .duties
+            .iter()
+            .any(|duty| &**duty == adapter::usage::DUTY);
         has_duty.then_some(())?;
         Some(steering::usage::Settings::new(
             seconds(self.window_s?)?,
--- a/programs/gateway/src/usage/exchange.rs
+++ b/programs/gateway/src/usage/exchange.rs
@@ -11,10 +11,10 @@
 use futures::future::join_all;
 use hyper::{Method, Request, Response, StatusCode};
 use peers::packed;
+use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use serde::de::DeserializeOwned;
 use steering::usage::{self, Counts, Share, Window};
 
 /// Path of the requests, at the address for other VMs.
--- a/programs/gateway/tests/settings.rs
+++ b/programs/gateway/tests/settings.rs
@@ -4,9 +4,11 @@
 
 use base::program::Settings as _;
 use base::settings::parse;
-use gateway::settings::Settings;
+use gateway::settings::{Settings, Usage};
 use rstest::rstest;
 use serde_json::{Value, json};
+use std::time::Duration;
+use steering::usage;
 use template::render;
 
 /// The template of the deploy folder.
@@ -37,6 +39,18 @@
             "canaryShare": 0.1,
             "canarySlack": 50,
             "ttl_max_s": 5,
+            "enforceFencing": false,
+            "leaseMs": 3000,
+            "thawSlackMs": 300,
+            "reportWindowS": 5,
+            "usageTolerance": 0.05,
+            "usageLateS": 10,
+        },
+        "cloud": {
+            "address": "10.200.0.117:8529",
+            "ratePerS": 50.0,
+            "duties": ["usage_report", "other"],
+            "dutyPerS": 50.0,
         },
         "platform": {"address": "10.200.1.7:8382"},
     })
@@ -85,7 +99,12 @@
 #[case::later_start(&["/bootstrap"])]
 #[case::seeds(&["/seeds"])]
 #[case::limits(&["/limits/linkMbps", "/limits/memoryMb"])]
-#[case::together(&["/bounds", "/bootstrap", "/seeds", "/limits"])]
+#[case::cloud(&["/cloud"])]
+#[case::duties(&["/cloud/duties"])]
+#[case::lease(&["/bounds/leaseMs"])]
+#[case::windows(&["/bounds/reportWindowS"])]
+#[case::late(&["/bounds/usageLateS"])]
+#[case::together(&["/bounds", "/bootstrap", "/seeds", "/limits", "/cloud"])]
 fn absent_fields_give_valid_settings(#[case] absent: &[&str]) {
     let settings = settings(&without(absent));
     assert_eq!(settings.problem(), None);
@@ -95,6 +114,28 @@
     assert_eq!(settings.bounds.exposure().is_some(), has_exposure);
 }
 
+/// Guards against usage that is not reported where the deployment requires it, and against reports
+/// where it does not, or states no lease, windows or due time.
+#[test]
+fn usage_is_reported_where_the_deployment_requires_it() {
+    let times = |settings: &Settings| settings.usage.as_ref().and_then(Usage::times);
+    let required = settings(&fields());
+    let second = Duration::from_secs(1);
+    let expected = usage::Settings::new(5 * second, 10 * second, 3 * second);
+    assert_eq!(times(&required), Some(expected));
+    let address = required.usage.map(|usage| usage.address.to_string());
+    assert_eq!(address.as_deref(), Some("10.200.0.117:8529"));
+    assert!(settings(&without(&["/cloud"])).usage.is_none());
+    for path in [
+        "/cloud/duties",
+        "/bounds/leaseMs",
+        "/bounds/reportWindowS",
+        "/bounds/usageLateS",
+    ] {
+        assert_eq!(times(&settings(&without(&[path]))), None, "{path}");
+    }
+}
+
 /// Guards against invalid settings that are accepted: a share above 1, or an unknown key.
 #[test]
 fn invalid_settings_are_refused() {
