--- a/crates/steering/src/usage/holder.rs
+++ b/crates/steering/src/usage/holder.rs
@@ -268,6 +268,24 @@
         self.state.window
     }
 
+    /// Returns the last window up to which all reports are sent or given up.
+    pub fn sent_through(&self) -> Window {
+        let unsent = self.state.unsent.iter().map(|fixed| fixed.window);
+        unsent
+            .min()
+            .map_or(self.state.window, |first| first.saturating_sub(1))
+    }
+
+    /// Moves a report behind the others after a failed call, so that it does not delay them.
+    pub fn postpone(&mut self, window: Window) {
+        let is_failed = |fixed: &Fixed| fixed.window == window;
+        let unsent = &mut self.state.unsent;
+        if let Some(index) = unsent.iter().position(is_failed) {
+            let failed = unsent.remove(index);
+            unsent.push(failed);
+        }
+    }
+
     /// Returns whether a fixed report is not known to be sent.
     pub fn has_unsent(&self) -> bool {
         !self.state.unsent.is_empty()
--- a/crates/steering/src/usage/reporter.rs
+++ b/crates/steering/src/usage/reporter.rs
@@ -20,8 +20,10 @@
     pub enum CallResult {
         /// The platform took the report.
         Taken,
-        /// It did not, or its answer is not known.
+        /// It did not yet, or its answer is not known.
         Failed,
+        /// It refused the report for good.
+        Rejected,
     }
 }
 
@@ -35,7 +37,7 @@
         pub token: Token,
         /// Last window that is fixed; 0 for none.
         pub fixed: Window,
-        /// Last window that was sent; 0 for none.
+        /// Last window up to which all were sent or given up; 0 for none.
         pub sent: Window,
     }
 }
@@ -77,21 +79,21 @@
     /// What this VM knows of the reports.
     pub progress: Progress,
     vm: Vm,
-    /// First window that this VM has seen.
-    start: Option<Window>,
+    /// When the process started.
+    started_at: Boot,
     /// Pause after a failure.
     pause_until: Boot,
 }
 
 impl Reporter {
-    /// Starts as a VM that does not hold.
-    pub fn new(vm: Vm, incarnation: Incarnation, settings: Settings) -> Self {
+    /// Starts as a VM that does not hold; `now` is when the process started.
+    pub fn new(vm: Vm, incarnation: Incarnation, settings: Settings, now: Boot) -> Self {
         Self {
             settings,
             state: State::Unread(Duty::new(vm.clone(), incarnation, settings)),
             progress: Progress::default(),
             vm,
-            start: None,
+            started_at: now,
             pause_until: Boot::ZERO,
         }
     }
@@ -101,7 +103,7 @@
         let Some(true_ms) = true_ms else {
             return Step::Wait;
         };
-        let start = *self.start.get_or_insert(self.settings.window_at(true_ms));
+        let start = self.first_window(true_ms, now);
         if now < self.pause_until || !self.is_acting(rank, start, true_ms) {
             return Step::Wait;
         }
@@ -128,6 +130,14 @@
         }
     }
 
+    /// Returns the first window to be reported if no VM has held yet: the one before this VM's start,
+    /// in which other VMs that start with it may have served.
+    fn first_window(&self, true_ms: u64, now: Boot) -> Window {
+        let running = now.saturating_sub(self.started_at).as_millis();
+        let started = true_ms.saturating_sub(u64::try_from(running).unwrap_or(u64::MAX));
+        self.settings.window_at(started).saturating_sub(1)
+    }
+
     /// Whether this VM may act: the leader always, another one when a window is overdue.
     fn is_acting(&self, rank: Rank, start: Window, true_ms: u64) -> bool {
         let next = (self.progress.sent + 1).max(start);
@@ -143,6 +153,11 @@
         let is_given_up = |window| settings.is_past(window, settings.give_up, true_ms);
         duty.settle(|window| window <= self.progress.sent || is_given_up(window));
         self.state = State::Held(duty.clone());
+        let next = self.next_window(&duty, true_ms);
+        // Reports that the platform does not take must not delay the next window.
+        if settings.is_past(next, settings.fix, true_ms) {
+            return Step::Collect(next);
+        }
         if duty.has_unsent() {
             return match duty.call(now) {
                 Some(call) => Step::Send(call),
@@ -152,11 +167,7 @@
                 }
             };
         }
-        let next = self.next_window(&duty, true_ms);
-        match settings.is_past(next, settings.fix, true_ms) {
-            true => Step::Collect(next),
-            false => Step::Wait,
-        }
+        Step::Wait
     }
 
     /// Returns the next window to be fixed.
@@ -221,15 +232,16 @@
 
     /// Applies the result of a call with the report of a window.
     pub fn called(&mut self, window: Window, result: CallResult, now: Boot) {
-        match result {
-            CallResult::Taken => {
-                self.progress.sent = self.progress.sent.max(window);
-                if let State::Held(duty) = &mut self.state {
-                    duty.settle(|settled| settled == window);
-                }
+        if let State::Held(duty) = &mut self.state {
+            match result {
+                CallResult::Taken | CallResult::Rejected => duty.settle(|sent| sent == window),
+                CallResult::Failed => duty.postpone(window),
             }
-            CallResult::Failed => self.pause_until = now + self.settings.pause,
         }
+        if result == CallResult::Failed {
+            self.pause_until = now + self.settings.pause;
+        }
+        self.note_held();
     }
 
     fn note_held(&mut self) {
@@ -238,7 +250,7 @@
                 holder: self.vm.clone(),
                 token: duty.token(),
                 fixed: duty.window(),
-                sent: 0,
+                sent: duty.sent_through(),
             };
             self.progress.merge(&held);
         }
--- a/crates/steering/tests/usage/world.rs
+++ b/crates/steering/tests/usage/world.rs
@@ -96,8 +96,13 @@
     pub store_calls: usize,
 }
 
-fn reporter(number: usize, incarnation: u64) -> Reporter {
-    Reporter::new(number.to_string().into(), incarnation, Settings::default())
+fn reporter(number: usize, incarnation: u64, now: Boot) -> Reporter {
+    Reporter::new(
+        number.to_string().into(),
+        incarnation,
+        Settings::default(),
+        now,
+    )
 }
 
 impl World {
@@ -128,7 +133,7 @@
         };
         for number in 0..VMS {
             let vm = Vm {
-                reporter: reporter(number, 1),
+                reporter: reporter(number, 1, Boot::ZERO),
                 incarnation: 1,
                 pending: None,
                 suspended_until: Boot::ZERO,
@@ -182,7 +187,7 @@
                 let incarnation = self.vms[number].incarnation + 1;
                 let vm = &mut self.vms[number];
                 vm.incarnation = incarnation;
-                vm.reporter = reporter(number, incarnation);
+                vm.reporter = reporter(number, incarnation, self.now);
                 vm.pending = None;
             }
         }
@@ -472,8 +477,9 @@
         windows.filter(|number| !is_reported(number)).collect()
     }
 
-    /// Returns the number of windows that ended long enough before the end to be reported.
+    /// Returns the number of windows to be reported: from the one before the start to the last that
+    /// ended long enough before the end.
     pub fn windows(&self) -> usize {
-        (END.as_secs() / 5 - 1) as usize
+        (END.as_secs() / 5) as usize
     }
 }
--- a/programs/gateway/src/usage/report.rs
+++ b/programs/gateway/src/usage/report.rs
@@ -6,6 +6,7 @@
 use adapter::usage as wire;
 use base::id::Vm;
 use base::sync::lock;
+use hyper::StatusCode;
 use peers::report::Phase;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -22,7 +23,7 @@
         return;
     };
     let vm = shared.settings.vm.clone();
-    let mut reporter = Reporter::new(vm, shared.incarnation, usage.settings);
+    let mut reporter = Reporter::new(vm, shared.incarnation, usage.settings, boot());
     loop {
         usage.update(shared.coverage(Instant::now()).members);
         reporter.progress.merge(&usage.progress());
@@ -108,11 +109,20 @@
             log::warn!(
                 "event=usage-unsent window={window} token={token} took_ms={took_ms} error=\"{error}\""
             );
-            CallResult::Failed
+            match error {
+                wire::Error::Refused(status) if is_final(status) => CallResult::Rejected,
+                _ => CallResult::Failed,
+            }
         }
     }
 }
 
+/// Whether the platform will not take a report that it answers with this status.
+fn is_final(status: StatusCode) -> bool {
+    let may_return = [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS];
+    status.is_client_error() && !may_return.contains(&status)
+}
+
 /// Passes on how far the reports have come, and logs what is new.
 fn publish(reporter: &Reporter, usage: &Usage) {
     let mut state = lock(&usage.state);
--- a/programs/gateway/tests/relay.rs
+++ b/programs/gateway/tests/relay.rs
@@ -23,6 +23,7 @@
 use steering::entrance::Candidate;
 use steering::registry::RECOVERY_GRACE;
 use steering::routing::Registration;
+use steering::usage::Progress;
 use tokio::net::UdpSocket;
 
 /// VMs of the largest data centre of the largest deployment, without the one that reads the store.
@@ -192,6 +193,27 @@
     }
 }
 
+/// Guards against reports that grow where there are no usage reports, and against a part that is lost
+/// on the way.
+#[test]
+fn usage_does_not_change_the_other_parts_of_a_report() {
+    let plain = summary(([127, 0, 0, 1], 1).into());
+    let counted = Report {
+        usage: Some(report::Usage {
+            clock_ms: 1_767_225_600_000,
+            ahead_ms: vec![-4_000, 7],
+            progress: Progress::default(),
+            newest: 353_445_120,
+            shares: Vec::new(),
+        }),
+        ..plain.clone()
+    };
+    let [short, long] = [&plain, &counted].map(|report| report::encode(report).expect("bytes"));
+    assert!(long.len() > short.len() && long.starts_with(&short));
+    assert_eq!(report::decode(&short).expect("a report"), plain);
+    assert_eq!(report::decode(&long).expect("a report"), counted);
+}
+
 /// Guards against a storm of datagrams in a data centre whose delegate is silent: the other data
 /// centres then send their summaries to all its VMs, and each of these passed them on to all others
 /// (24 MB in a second at 33 VMs).
