bug: a data centre that does not answer no longer delays fixed reports

The successor's test failed once ("the successor reports", 10 s): counts were collected again and again for a data centre that is down, before reports that were fixed.

--- a/crates/steering/src/usage/reporter.rs
+++ b/crates/steering/src/usage/reporter.rs
@@ -81,8 +81,12 @@
     vm: Vm,
     /// When the process started.
     started_at: Boot,
-    /// Pause after a failure.
+    /// Pause after a failure of the store.
     pause_until: Boot,
+    /// When counts are collected again after a data centre did not answer. Reports are sent meanwhile.
+    collect_from: Boot,
+    /// When reports are sent again after a failed call. Windows are fixed meanwhile.
+    send_from: Boot,
 }
 
 impl Reporter {
@@ -95,6 +99,8 @@
             vm,
             started_at: now,
             pause_until: Boot::ZERO,
+            collect_from: Boot::ZERO,
+            send_from: Boot::ZERO,
         }
     }
 
@@ -155,10 +161,10 @@
         self.state = State::Held(duty.clone());
         let next = self.next_window(&duty, true_ms);
         // Reports that the platform does not take must not delay the next window.
-        if settings.is_past(next, settings.fix, true_ms) {
+        if settings.is_past(next, settings.fix, true_ms) && now >= self.collect_from {
             return Step::Collect(next);
         }
-        if duty.has_unsent() {
+        if duty.has_unsent() && now >= self.send_from {
             return match duty.call(now) {
                 Some(call) => Step::Send(call),
                 None => {
@@ -198,7 +204,7 @@
             .settings
             .is_past(fixed.window, self.settings.wait_missing, true_ms);
         if fixed.window <= duty.window() || (!is_complete && may_wait) {
-            self.pause_until = now + self.settings.pause;
+            self.collect_from = now + self.settings.pause;
             return Step::Wait;
         }
         let (writing, transaction) = duty.renew(Some(fixed), now);
@@ -239,7 +245,7 @@
             }
         }
         if result == CallResult::Failed {
-            self.pause_until = now + self.settings.pause;
+            self.send_from = now + self.settings.pause;
         }
         self.note_held();
     }
--- a/crates/steering/tests/usage.rs
+++ b/crates/steering/tests/usage.rs
@@ -59,6 +59,14 @@
     assert_eq!(world.calls.len(), windows);
 }
 
+/// Guards against reports that wait for a data centre that is cut off until they are late.
+#[test]
+fn fleet_without_a_data_centre_reports_in_time() {
+    let world = World::cut_off();
+    assert_eq!(world.missing_after_faults(), Vec::<u64>::new());
+    assert_eq!(world.violations(), Vec::<String>::new());
+}
+
 /// Fleet of clocks: each VM's wall clock is true time plus an error.
 struct Clocks {
     clocks: Vec<Clock>,
--- a/crates/steering/tests/usage/world.rs
+++ b/crates/steering/tests/usage/world.rs
@@ -83,6 +83,8 @@
     removed: Removed,
     rng: StdRng,
     has_faults: bool,
+    /// Whether a data centre never answers the holder.
+    is_cut_off: bool,
     now: Boot,
     vms: Vec<Vm>,
     version: u64,
@@ -114,11 +116,19 @@
         Self::new(1, Removed::Nothing, false).play()
     }
 
+    /// A quiet fleet in which a data centre does not answer.
+    pub fn cut_off() -> Self {
+        let mut world = Self::new(1, Removed::Nothing, false);
+        world.is_cut_off = true;
+        world.play()
+    }
+
     fn new(seed: u64, removed: Removed, has_faults: bool) -> Self {
         let mut world = Self {
             removed,
             rng: StdRng::seed_from_u64(seed),
             has_faults,
+            is_cut_off: false,
             now: Boot::ZERO,
             vms: Vec::new(),
             version: 10,
@@ -377,7 +387,7 @@
                 let fixed = Fixed { window, bytes };
                 let true_ms = TRUE_MS + now.as_millis() as u64;
                 let reporter = &mut self.vms[number].reporter;
-                match reporter.collected(fixed, true, Some(true_ms), now) {
+                match reporter.collected(fixed, !self.is_cut_off, Some(true_ms), now) {
                     Step::Write(transaction) => Some(self.write(transaction)),
                     _ => None,
                 }
