--- a/crates/steering/src/usage/holder.rs
+++ b/crates/steering/src/usage/holder.rs
@@ -226,15 +226,11 @@
     }
 
     /// Takes over; must be called just before the transaction is made. `first` is the first window
-    /// to be reported if there was no holder yet.
-    ///
-    /// # Errors
-    ///
-    /// Returns the duty unchanged if another VM may still hold.
-    pub fn claim(self, first: Window, now: Boot) -> Result<(Duty<Writing>, Transaction), Self> {
+    /// to be reported if there was no holder yet. Returns none if another VM may still hold.
+    pub fn claim(self, first: Window, now: Boot) -> Option<(Duty<Writing>, Transaction)> {
         let is_free = self.state.stored.version == 0;
         if !is_free && now.saturating_sub(self.state.since) < self.settings.lease {
-            return Err(self);
+            return None;
         }
         let window = self
             .holder()
@@ -246,7 +242,7 @@
             remove: Vec::new(),
         };
         let before = Before::Observed(self.state.clone());
-        Ok((
+        Some((
             self.with(Writing {
                 before,
                 transaction: transaction.clone(),
--- a/crates/steering/src/usage/reporter.rs
+++ b/crates/steering/src/usage/reporter.rs
@@ -128,8 +128,8 @@
                     return Step::Wait;
                 }
                 match duty.claim(start, now) {
-                    Ok((writing, transaction)) => self.write(writing, transaction),
-                    Err(_) => Step::Wait,
+                    Some((writing, transaction)) => self.write(writing, transaction),
+                    None => Step::Wait,
                 }
             }
             State::Held(duty) => self.report(duty, true_ms, now),
--- a/crates/steering/tests/usage.rs
+++ b/crates/steering/tests/usage.rs
@@ -37,6 +37,7 @@
 #[case::fencing(Removed::Condition)]
 #[case::fixed_report(Removed::FixedReport)]
 #[case::wait_of_a_successor(Removed::Wait)]
+#[case::read_back(Removed::ReadBack)]
 #[case::deadline_of_calls(Removed::Deadline)]
 fn rules_break_without_a_part(#[case] removed: Removed) {
     let broken = SEEDS.filter(|seed| !World::played(*seed, removed).violations().is_empty());
--- a/crates/steering/tests/usage/world.rs
+++ b/crates/steering/tests/usage/world.rs
@@ -30,6 +30,8 @@
     FixedReport,
     /// Successors do not wait for the lease.
     Wait,
+    /// A transaction without an answer counts as applied.
+    ReadBack,
     /// Calls are started however late.
     Deadline,
 }
@@ -376,7 +378,11 @@
                     None
                 }
                 None if now >= until => {
-                    self.vms[number].reporter.written(Written::Unknown, now);
+                    let written = match self.removed == Removed::ReadBack {
+                        true => Written::Applied(self.version),
+                        false => Written::Unknown,
+                    };
+                    self.vms[number].reporter.written(written, now);
                     None
                 }
                 None => Some(Pending::Write { id, until }),
