feature: merge usage reports by a single holder

Where the settings have `usage`, one VM reports the requests of each workspace that servers began, per window. The choice of the leader is now `Shared::is_leader`, which the record of crashing requests uses as well.

--- a/programs/gateway/src/crashes.rs
+++ b/programs/gateway/src/crashes.rs
@@ -5,7 +5,6 @@
 
 use crate::reader::MEMBER_TABLE;
 use crate::shared::Shared;
-use crate::takeovers;
 use adapter::store::{self, Client, Put, Rows, TransactionResult};
 use base::id::Vm;
 use base::sync::lock;
@@ -62,7 +61,7 @@
 
 /// Returns whether this VM writes what all VMs refuse.
 fn is_writer(shared: &Shared) -> bool {
-    if takeovers::is_leader(shared, RECORD_KEY) {
+    if shared.is_leader(RECORD_KEY) {
         return true;
     }
     let now = Instant::now();
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -28,3 +28,4 @@
 pub mod shared;
 pub mod status;
 pub mod takeovers;
+pub mod usage;
