--- a/crates/steering/src/hedge.rs
+++ b/crates/steering/src/hedge.rs
@@ -32,6 +32,9 @@
         pub expected: Duration,
         /// Service time of the request on a cold server.
         pub cold: Duration,
+        /// Learned time that very few requests exceed, or zero. An answer that is merely one of the
+        /// slow few does not mean that its server is lost.
+        pub slowest: Duration,
     }
 }
 
@@ -55,7 +58,8 @@
         .expected
         .mul_f64(settings.min_wait_factor)
         .max(settings.min_wait);
-    let most = send.cold.mul_f64(settings.max_wait_factor).max(least);
+    let most = send.cold.mul_f64(settings.max_wait_factor);
+    let most = most.max(send.slowest).max(least);
     let left = send.deadline.saturating_duration_since(send.at);
     let last = left.saturating_sub(send.cold.mul_f64(settings.reserve));
     send.at + last.clamp(least, most)
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -5,9 +5,11 @@
 
 pub mod affinity;
 pub mod attempt;
+pub mod backlog;
 pub mod balance;
 pub mod claims;
 pub mod config;
+pub mod cost;
 pub mod crashes;
 pub mod drain;
 pub mod entrance;
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -64,6 +64,23 @@
         pub warm: bool,
         /// Whether it can cache a further object without evicting one.
         pub has_cache_room: bool,
+        /// Expected time until a slot is free, from [`crate::backlog`]; used by
+        /// [`Estimate::Learned`].
+        pub wait: Duration,
+    }
+
+    /// How the expected completion time is estimated.
+    #[derive(Copy, Default)]
+    pub enum Estimate {
+        /// Number of requests times the average service time of the objective.
+        #[default]
+        Fixed,
+        /// Learned costs, and the backlog of each server.
+        Learned {
+            /// Random number that decides between servers whose times do not differ by more than
+            /// their uncertainty. Without it all VMs would choose the same server.
+            draw: u64,
+        },
     }
 
     /// Request for which a server is selected.
@@ -77,6 +94,8 @@
         pub time_left: Duration,
         /// Overload of the service, from 0 to 1, from [`Overload`].
         pub overload: f64,
+        /// How expected times are estimated.
+        pub estimate: Estimate,
     }
 
     /// Server selected for a request, or why none was.
@@ -98,6 +117,16 @@
     }
 }
 
+impl Estimate {
+    /// Returns the name for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Fixed => "fixed",
+            Self::Learned { .. } => "learned",
+        }
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
@@ -114,7 +143,10 @@
 
 impl Candidate {
     /// Returns the time that a request which arrives now waits for a slot.
-    fn queue_wait(&self, service_time: &ServiceTime) -> Duration {
+    fn queue_wait(&self, service_time: &ServiceTime, estimate: Estimate) -> Duration {
+        if let Estimate::Learned { .. } = estimate {
+            return self.wait;
+        }
         let ahead = (self.load + 1).saturating_sub(self.slots);
         let each = service_time.warm.mul_f64(self.slowdown);
         each.mul_f64(f64::from(ahead) / f64::from(self.slots.max(1)))
@@ -127,12 +159,16 @@
         settings: &Settings,
         service_time: &ServiceTime,
         rank: Rank,
-        overload: f64,
+        request: &PlacementRequest,
     ) -> Duration {
         let saved = service_time.cold.saturating_sub(service_time.warm);
         // A cold request on a server with a full cache evicts an object. Under overload that costs
         // the next request for the evicted object more than refusing this one.
-        let overload = if self.has_cache_room { 0.0 } else { overload };
+        let overload = if self.has_cache_room {
+            0.0
+        } else {
+            request.overload
+        };
         let credit = match rank {
             _ if self.warm => 1.0,
             Rank::NoObject => 1.0,
@@ -141,28 +177,31 @@
             Rank::Later => 0.0,
         };
         let own = service_time.cold.saturating_sub(saved.mul_f64(credit));
-        let time = self.queue_wait(service_time) + own.mul_f64(self.slowdown) + self.round_trip;
+        let wait = self.queue_wait(service_time, request.estimate);
+        let time = wait + own.mul_f64(self.slowdown) + self.round_trip;
         time.mul_f64(1.0 + settings.failure_weight * self.failure_rate)
     }
 
     /// Returns the expected time until the answer, as if the server had ordinary speed.
-    pub fn nominal_time(&self, service_time: &ServiceTime) -> Duration {
+    pub fn nominal_time(&self, service_time: &ServiceTime, estimate: Estimate) -> Duration {
         let server = Self {
             slowdown: 1.0,
+            wait: self.wait.div_f64(self.slowdown.max(0.1)),
             ..*self
         };
-        server.time(service_time)
+        server.time(service_time, estimate)
     }
 
     /// Returns the expected time until the answer, without the credit for a cache that is still
     /// cold and without the penalty for failures.
-    fn time(&self, service_time: &ServiceTime) -> Duration {
+    fn time(&self, service_time: &ServiceTime, estimate: Estimate) -> Duration {
         let own = if self.warm {
             service_time.warm
         } else {
             service_time.cold
         };
-        self.queue_wait(service_time) + own.mul_f64(self.slowdown) + self.round_trip
+        let wait = self.queue_wait(service_time, estimate);
+        wait + own.mul_f64(self.slowdown) + self.round_trip
     }
 }
 
@@ -203,6 +242,10 @@
     }
 }
 
+/// Difference of expected times that says nothing under learned estimates, in latency objectives:
+/// the figures of other VMs are up to 0.5 s old, a good part of an objective.
+const UNCERTAINTY: f64 = 0.05;
+
 /// Rank of a server in the rendezvous order of an object.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Rank {
@@ -213,10 +256,15 @@
     NoObject,
 }
 
-/// Returns the indices of the first two servers in the order of an object.
-fn first_two(object: Digest, candidates: &[Candidate]) -> [Option<usize>; 2] {
+/// Returns the first two servers in the order of an object among those at `indices`.
+fn first_two(
+    object: Digest,
+    candidates: &[Candidate],
+    indices: impl Iterator<Item = usize>,
+) -> [Option<usize>; 2] {
     let mut best: [Option<(f64, usize)>; 2] = [None, None];
-    for (index, candidate) in candidates.iter().enumerate() {
+    for index in indices {
+        let candidate = &candidates[index];
         let weight = candidate.weight * f64::from(candidate.slots);
         let rank = affinity::rank(object, candidate.server, weight);
         if best[0].is_none_or(|(first, _)| rank > first) {
@@ -236,30 +284,63 @@
     candidates: &[Candidate],
     usable: impl Fn(usize) -> bool,
 ) -> Choice {
-    let order = request.object.map(|object| first_two(object, candidates));
+    let order = request
+        .object
+        .map(|object| first_two(object, candidates, 0..candidates.len()));
     let rank = |index: usize| match order {
         None => Rank::NoObject,
         Some([first, _]) if first == Some(index) => Rank::First,
         Some([_, second]) if second == Some(index) => Rank::Second,
         Some(_) => Rank::Later,
     };
-    let best = candidates
-        .iter()
-        .enumerate()
-        .filter(|(index, _)| usable(*index))
-        .map(|(index, c)| {
-            (
-                c.score(settings, service_time, rank(index), request.overload),
-                index,
-            )
-        })
+    let score = |index: usize| {
+        let candidate: &Candidate = &candidates[index];
+        candidate.score(settings, service_time, rank(index), request)
+    };
+    let best = (0..candidates.len())
+        .filter(|index| usable(*index))
+        .map(|index| (score(index), index))
         .min();
     let Some((time, index)) = best else {
         return Choice::NoCandidate;
     };
+    let index = match request.estimate {
+        Estimate::Fixed => index,
+        Estimate::Learned { draw } => {
+            let limit = time + request.objective.mul_f64(UNCERTAINTY);
+            let is_near = |other: &usize| {
+                let is_as_near = candidates[*other].round_trip <= candidates[index].round_trip;
+                is_as_near && usable(*other) && score(*other) <= limit
+            };
+            let near = (0..candidates.len()).filter(is_near);
+            break_tie(near, request.object, draw, candidates).unwrap_or(index)
+        }
+    };
     check_limit(settings, request, service_time, candidates, index, time)
 }
 
+/// Selects one of several servers whose times do not differ by more than their uncertainty.
+///
+/// The first in the order of the object, so that few servers cache it. Without an object all VMs
+/// would agree on one order, so the order is drawn at random, and among the first two the server with
+/// more free slots is selected.
+fn break_tie(
+    near: impl Iterator<Item = usize>,
+    object: Option<Digest>,
+    draw: u64,
+    candidates: &[Candidate],
+) -> Option<usize> {
+    let [first, second] = first_two(object.unwrap_or(draw), candidates, near);
+    let free =
+        |index: usize| i64::from(candidates[index].slots) - i64::from(candidates[index].load);
+    match (first, second) {
+        (Some(first), Some(second)) if object.is_none() && free(second) > free(first) => {
+            Some(second)
+        }
+        _ => first,
+    }
+}
+
 /// Selects a server for a request that samples its version: the same one for the same `sample`,
 /// whatever its speed and failures. A selection by these would measure only the version's best
 /// servers.
@@ -278,7 +359,7 @@
     let Some(index) = first else {
         return Choice::NoCandidate;
     };
-    let time = candidates[index].nominal_time(service_time);
+    let time = candidates[index].nominal_time(service_time, request.estimate);
     check_limit(settings, request, service_time, candidates, index, time)
 }
 
@@ -297,7 +378,7 @@
     }
     Choice::Server {
         index,
-        time: candidates[index].time(service_time),
+        time: candidates[index].time(service_time, request.estimate),
         warm: candidates[index].warm,
     }
 }
--- a/crates/steering/src/routing.rs
+++ b/crates/steering/src/routing.rs
@@ -153,6 +153,16 @@
     }
 }
 
+impl Configuration {
+    /// Returns the routes of which some requests go to a service.
+    pub fn routes_to(&self, service: &str) -> impl Iterator<Item = &Route> {
+        let leads_to = move |part: &ServiceWeight| *part.service == *service && part.weight > 0;
+        self.routes
+            .iter()
+            .filter(move |route| route.parts.iter().any(leads_to))
+    }
+}
+
 /// Why a request has no route or may not use it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AccessError {
--- a/crates/steering/src/work.rs
+++ b/crates/steering/src/work.rs
@@ -4,6 +4,7 @@
 //! passes, stop answering, or restart. Only answers to real requests are used: probes would take a
 //! slot of the server and can mislead.
 
+use crate::backlog;
 use crate::placement::ServiceTime;
 use std::time::{Duration, Instant};
 
@@ -42,6 +43,45 @@
     }
 }
 
+/// Returns the assumed service times on a warm and on a cold server, in latency objectives.
+pub fn prior_service_times() -> (f64, f64) {
+    (WARM.initial, COLD.initial)
+}
+
+/// Returns the time of which several are waited for without an answer before a server counts as
+/// silent, where few requests take longer than `slowest`.
+pub fn silence_unit(usual: Duration, slowest: Duration) -> Duration {
+    usual.max(slowest.div_f64(SILENCE_FACTOR))
+}
+
+base::value! {
+    /// How long work takes on a machine, as a server stated; it changes within tenths of a second.
+    #[derive(Copy)]
+    pub struct Pace {
+        /// Time for work divided by the time on an ordinary machine.
+        pub factor: f64,
+        /// Time of the statement.
+        pub at: Instant,
+    }
+}
+
+impl Pace {
+    /// Creates the pace from a figure in percent.
+    pub fn from_percent(percent: u32, at: Instant) -> Self {
+        Self {
+            factor: f64::from(percent) / 100.0,
+            at,
+        }
+    }
+
+    /// Returns the expected time for work divided by the ordinary time: the stated pace while it is
+    /// new, then `otherwise`.
+    pub fn factor_or(&self, otherwise: f64, now: Instant) -> f64 {
+        let weight = backlog::weight(now.saturating_duration_since(self.at));
+        weight * self.factor + (1.0 - weight) * otherwise
+    }
+}
+
 base::value! {
     /// Average service time of the requests with one latency objective.
     pub struct ServiceTimeEstimate {
@@ -85,6 +125,8 @@
     /// Slowdown and failure rate of one server, from its answers.
     pub struct ServerPerformance {
         slowdown: f64,
+        /// Ratio of the last answer's time to the expected one.
+        last_ratio: f64,
         failure_rate: f64,
         updated_at: Instant,
         last_answer: Instant,
@@ -96,6 +138,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             slowdown: 1.0,
+            last_ratio: 1.0,
             failure_rate: 0.0,
             updated_at: now,
             last_answer: now,
@@ -128,6 +171,21 @@
         self.apply_decay(now);
         self.last_answer = now;
         let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        self.record_ratio(ratio);
+    }
+
+    /// Records an answer as [`Self::record_answer`] does, by the lesser ratio of this answer and the
+    /// last one: where a few requests take far longer than the rest, one of them says nothing about
+    /// the server.
+    pub fn record_uneven_answer(&mut self, now: Instant, took: Duration, expected: Duration) {
+        self.apply_decay(now);
+        self.last_answer = now;
+        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        self.record_ratio(ratio.min(self.last_ratio));
+        self.last_ratio = ratio;
+    }
+
+    fn record_ratio(&mut self, ratio: f64) {
         let sample = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
         self.slowdown += SLOWDOWN_WEIGHT * (sample - self.slowdown);
         self.failure_rate -= FAILURE_WEIGHT * self.failure_rate;
--- a/crates/steering/tests/hedge.rs
+++ b/crates/steering/tests/hedge.rs
@@ -32,6 +32,7 @@
         deadline: at + ms(deadline),
         expected: ms(expected),
         cold: ms(cold),
+        slowest: Duration::ZERO,
     };
     let found = hedge::due(&Settings::default(), &send) - at;
     assert!(found.abs_diff(ms(due)) < ms(1), "{found:?}");
--- a/crates/steering/tests/locality.rs
+++ b/crates/steering/tests/locality.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 use steering::affinity::digest;
 use steering::locality::{PinnedShares, weights};
-use steering::placement::{Candidate, Choice, PlacementRequest, ServiceTime, Settings, choose};
+use steering::placement::{
+    Candidate, Choice, Estimate, PlacementRequest, ServiceTime, Settings, choose,
+};
 
 const REGIONS: [&str; 3] = ["north", "centre", "south"];
 const OBJECTIVE: Duration = Duration::from_millis(400);
@@ -114,6 +116,7 @@
                 failure_rate: 0.0,
                 warm: cached[server].contains(&object),
                 has_cache_room: cached[server].len() < 25,
+                wait: Duration::ZERO,
             })
             .collect();
         let request = PlacementRequest {
@@ -121,6 +124,7 @@
             objective: OBJECTIVE,
             time_left: Duration::from_secs(3),
             overload: 0.0,
+            estimate: Estimate::Fixed,
         };
         let may_run = |server: usize| !is_pinned || regions[server] == 2;
         let own: Vec<Candidate> = candidates
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 use steering::affinity::digest;
 use steering::placement::{
-    Candidate, Choice, Overload, PlacementRequest, ServiceTime, Settings, choose,
+    Candidate, Choice, Estimate, Overload, PlacementRequest, ServiceTime, Settings, choose,
 };
 use steering::warmth::{ObjectUse, WarmObjects, short_digest};
 use steering::work::ServerPerformance;
@@ -30,6 +30,7 @@
         failure_rate: 0.0,
         warm: false,
         has_cache_room: true,
+        wait: Duration::ZERO,
     }
 }
 
@@ -39,6 +40,7 @@
         objective: OBJECTIVE,
         time_left: Duration::from_secs(3),
         overload: 0.0,
+        estimate: Estimate::Fixed,
     }
 }
 
@@ -203,6 +205,7 @@
             .collect();
         let request = PlacementRequest {
             overload: overload.level(),
+            estimate: Estimate::Fixed,
             ..request(&name)
         };
         let choice = match by_affinity {
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -342,6 +342,7 @@
     let evacuated = lock(&shared.orders).evacuated.clone();
     let place = |version: &VersionFilter, sample: Option<Digest>| {
         let criteria = ServerCriteria {
+            route: admitted.route,
             object: request.object.filter(|_| admitted.route.sticky),
             objective: admitted.route.objective,
             time_left,
--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -58,7 +58,7 @@
         self.is_logged = true;
         let (request, admitted, in_flight) = (self.request, self.admitted, self.in_flight);
         log::info!(
-            "event=send id={} number={} route={} workspace={} service={} server={} data_centre={} version={} object={:x} load={} warm={} expected_ms={} result={result} status={status} took_ms={}{reason}",
+            "event=send id={} number={} route={} workspace={} service={} server={} data_centre={} version={} object={:x} load={} warm={} expected_ms={} wait_ms={} pace={:.2} estimate={} result={result} status={status} took_ms={}{reason}",
             request.id,
             self.number,
             admitted.route.name,
@@ -71,6 +71,9 @@
             in_flight.load,
             in_flight.warm,
             in_flight.expected.as_millis(),
+            in_flight.wait.as_millis(),
+            in_flight.pace,
+            in_flight.estimate.as_str(),
             self.started_at.elapsed().as_millis()
         );
     }
@@ -141,6 +144,7 @@
             self.log("overtaken", 0, "");
             // An answer that was not overdue yet says nothing about the server.
             if !self.is_paused() && self.in_flight.is_overdue(now) {
+                self.in_flight.record_unanswered(now);
                 self.in_flight.record_failure(now);
                 self.record_outcome(Outcome::Unanswered);
             }
@@ -148,6 +152,7 @@
             self.log("no-room", 0, "");
         } else if now >= self.admitted.deadline {
             self.log("deadline", 0, "");
+            self.in_flight.record_unanswered(now);
             self.record_outcome(Outcome::Unanswered);
         } else if self.shared.grace_token.is_cancelled() {
             self.log("stopped", 0, "");
@@ -199,7 +204,14 @@
     active.log(text, status, &reason);
     match &result {
         SendOutcome::Answered(answer) => {
-            in_flight.record_answer(header::load(answer.headers()), active.answered_at(now), now);
+            let arrived = active.answered_at(now);
+            in_flight.record_answer(header::load(answer.headers()), arrived, now);
+            let took = arrived.saturating_duration_since(active.started_at);
+            let (route, expected) = (&admitted.route.name, in_flight.expected);
+            let estimate = in_flight.estimate;
+            shared
+                .metrics
+                .record_expectation(route, estimate, took, expected);
             lock(&shared.crashes).record_answer(admitted.digest);
             if answer.status().is_server_error() {
                 in_flight.record_failure(now);
@@ -210,7 +222,8 @@
                 in_flight.record_unreachable(now);
             }
         }
-        SendOutcome::Failed(Failure::After(After::Deadline)) | SendOutcome::Oversized => {}
+        SendOutcome::Failed(Failure::After(After::Deadline)) => in_flight.record_unanswered(now),
+        SendOutcome::Oversized => {}
         // A server may cancel an answer that is not read.
         SendOutcome::Failed(Failure::After(_)) if active.is_paused() => {}
         SendOutcome::Failed(Failure::After(after)) => {
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 use steering::attempt::RetryReason;
+use steering::placement::Estimate;
 use steering::release::Side;
 use steering::takeover::Outcome;
 
@@ -20,6 +21,11 @@
 /// Number of latency buckets; each bound is twice the one before, up to 10 s.
 const BUCKETS: u16 = 12;
 
+/// Upper bound of the lowest bucket of measured by expected time.
+const MIN_RATIO: f64 = 0.125;
+/// Number of these buckets; each bound is twice the one before, up to 16.
+const RATIO_BUCKETS: u16 = 8;
+
 /// Metrics of one process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -36,6 +42,7 @@
     report_bytes: Family<Labels, Counter>,
     takeover_sends: Family<Labels, Counter>,
     latency: Histogram,
+    expectations: Family<Labels, Histogram, fn() -> Histogram>,
     /// Answers since the start by status, for the log line at the stop.
     answers_by_status: Mutex<IndexMap<u16, u64>>,
 }
@@ -56,6 +63,9 @@
             report_bytes: Family::default(),
             takeover_sends: Family::default(),
             latency: Histogram::new(exponential_buckets(MIN_BUCKET_S, 2.0, BUCKETS)),
+            expectations: Family::new_with_constructor(|| {
+                Histogram::new(exponential_buckets(MIN_RATIO, 2.0, RATIO_BUCKETS))
+            }),
             answers_by_status: Mutex::default(),
         }
     }
@@ -122,9 +132,30 @@
             "Time from a request's head to its answer",
             self.latency.clone(),
         );
+        registry.register(
+            "expected_time_ratio",
+            "Time until a server's answer divided by the time expected at the choice, by route and estimate",
+            self.expectations.clone(),
+        );
         registry
     }
 
+    /// Records the time of a server's answer beside the time that was expected.
+    pub fn record_expectation(
+        &self,
+        route: &str,
+        estimate: Estimate,
+        took: Duration,
+        expected: Duration,
+    ) {
+        let label = vec![
+            ("route", route.to_owned()),
+            ("estimate", estimate.as_str().to_owned()),
+        ];
+        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        self.expectations.get_or_create(&label).observe(ratio);
+    }
+
     /// Counts an answer to a caller.
     pub fn record_answer(&self, status: StatusCode, took: Duration) {
         let label = vec![("status", status.as_str().to_owned())];
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -18,6 +18,7 @@
 use server_set::{HandledRecord, State};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
+use steering::cost;
 use steering::locality::PinnedShares;
 use steering::registry::Registry;
 use steering::retry::{self, Budget};
@@ -88,6 +89,9 @@
                 state: Mutex::new(State {
                     servers: IndexMap::new(),
                     service_times: IndexMap::new(),
+                    costs: cost::Model::default(),
+                    route_count: 0,
+                    pace_stated_at: None,
                     retry_budget: Budget::new(retry::Settings {
                         ratio: self.settings.bounds.retry_ratio * RETRY_BOUND_SHARE,
                         max_saved: 1.0,
@@ -120,6 +124,12 @@
             let mut state = lock(&set.state);
             state.warmup_rate = settings.warmup_rate;
             state.warmup = settings.warmup;
+            let routes: Vec<&str> = configuration
+                .routes_to(name)
+                .map(|route| &*route.name)
+                .collect();
+            state.route_count = routes.len();
+            state.costs.retain(|route| routes.contains(&route));
         }
     }
 
--- a/programs/gateway/src/servers/in_flight.rs
+++ b/programs/gateway/src/servers/in_flight.rs
@@ -4,12 +4,13 @@
 use super::server_set::{HandledRecord, ServerSet, State};
 use adapter::header::{Load, Notice};
 use backends::client::Pool;
-use base::id::{DataCentre, Label, Server as ServerId};
+use base::id::{DataCentre, Label, Route, Server as ServerId};
 use base::sync::lock;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use steering::affinity::{self, Digest};
 use steering::notice::Rejection;
+use steering::placement::Estimate;
 use steering::warmth::{self, ObjectUse};
 
 /// Slowdown up to which the answers of a server count in the estimated service times.
@@ -29,13 +30,22 @@
     pub data_centre: DataCentre,
     /// Connections to the server.
     pub pool: Pool,
+    pub(super) route: Route,
     /// Latency objective of the request.
     pub objective: Duration,
+    /// How its times were estimated.
+    pub estimate: Estimate,
     /// Expected time until the answer.
     pub expected: Duration,
+    /// Part of the expected time in which it waits for a slot; zero for [`Estimate::Fixed`].
+    pub wait: Duration,
+    /// Time of the server divided by that of one of ordinary speed, when it was chosen.
+    pub pace: f64,
+    pub(super) round_trip: Duration,
     /// Expected time until the answer of a server of ordinary speed.
     pub baseline: Duration,
     pub(super) cold_service_time: Duration,
+    pub(super) silence_unit: Duration,
     /// Time from which the unanswered request may be sent to a second server.
     pub(super) hedge_at: Instant,
     /// Whether the server had a free slot when it was chosen.
@@ -66,18 +76,37 @@
         let took = arrived.saturating_duration_since(self.sent_at);
         let mut state = lock(&self.servers.state);
         let mut is_ordinary_speed = false;
+        // The pace changes while a request runs; its mean counts.
+        let pace = match load.and_then(|load| load.pace) {
+            Some(percent) => f64::midpoint(self.pace, f64::from(percent) / 100.0),
+            None => self.pace,
+        };
+        if load.is_some_and(|load| load.pace.is_some()) {
+            state.pace_stated_at = Some(now);
+        }
         if let Some(server) = self.find_server(&mut state) {
             server.down_since = None;
             let is_ramp_over =
                 |rejection: &mut Box<Rejection>| rejection.record_answer(self.sent_at);
             server.rejection.take_if(is_ramp_over);
-            server.reported_load = load.map(|load| (load, now));
+            // The answered request no longer counts in the load that its answer states.
+            let own = server.unanswered.len().saturating_sub(1);
+            server.record_load(load, own, now);
             is_ordinary_speed =
                 server.performance.slowdown(now) < MAX_SAMPLED_SLOWDOWN && !server.is_cold(now);
-            // The expected time includes the known slowdown of the server.
-            let slowdown = server.performance.slowdown(now);
-            let expected = self.expected.div_f64(slowdown.max(0.1));
-            server.performance.record_answer(now, took, expected);
+            match self.estimate {
+                Estimate::Fixed => {
+                    // The expected time includes the known slowdown of the server.
+                    let slowdown = server.performance.slowdown(now);
+                    let expected = self.expected.div_f64(slowdown.max(0.1));
+                    server.performance.record_answer(now, took, expected);
+                }
+                // A phase in which the machine is known to be slow does not mark the server.
+                Estimate::Learned { .. } => {
+                    let expected = self.baseline.mul_f64(pace);
+                    server.performance.record_uneven_answer(now, took, expected);
+                }
+            }
         }
         if let Some(object) = self.object {
             let pair = ObjectUse {
@@ -92,11 +121,26 @@
                 });
             }
         }
-        if is_ordinary_speed
-            && self.had_free_slot
-            && let Some(estimate) = state.service_times.get_mut(&self.objective)
-        {
-            estimate.sample(self.warm, took);
+        if is_ordinary_speed && self.had_free_slot {
+            if let Some(estimate) = state.service_times.get_mut(&self.objective) {
+                estimate.sample(self.warm, took);
+            }
+            let took = took.saturating_sub(self.round_trip);
+            let took = took.div_f64(pace.max(0.1));
+            let costs = &mut state.costs;
+            costs.record(&self.route, self.objective, self.warm, took);
+        }
+    }
+
+    /// Records that the request was given up although it would have taken longer: its deadline passed
+    /// or another server answered. Without these times the costs would lack the slowest requests.
+    pub fn record_unanswered(&self, now: Instant) {
+        let mut state = lock(&self.servers.state);
+        if self.had_free_slot {
+            let took = now.saturating_duration_since(self.sent_at);
+            let took = took.div_f64(self.pace.max(0.1));
+            let costs = &mut state.costs;
+            costs.record(&self.route, self.objective, self.warm, took);
         }
     }
 
@@ -125,8 +169,10 @@
                 running: server.registration.slots,
                 waiting: server.registration.slots * 2,
                 slots: server.registration.slots,
+                pace: None,
             };
-            server.reported_load = Some((load.unwrap_or(full), now));
+            let own = server.unanswered.len().saturating_sub(1);
+            server.record_load(Some(load.unwrap_or(full)), own, now);
         });
     }
 
@@ -143,12 +189,8 @@
     pub fn is_overdue(&self, now: Instant) -> bool {
         let mut state = lock(&self.servers.state);
         let server = self.find_server(&mut state);
-        let is_silent = server.is_some_and(|server| {
-            let oldest = server.unanswered.values().copied().min();
-            server
-                .performance
-                .is_silent(now, oldest, self.cold_service_time)
-        });
+        let is_silent = server
+            .is_some_and(|server| server.is_silent(now, self.cold_service_time, self.silence_unit));
         is_silent || now >= self.hedge_at
     }
 }
--- a/programs/gateway/src/servers/server_set.rs
+++ b/programs/gateway/src/servers/server_set.rs
@@ -2,26 +2,35 @@
 
 use super::InFlightRequest;
 use super::notices::Words;
-use super::server::Server;
+use super::server::{Server, Unanswered};
 use crate::settings::Settings;
 use base::id::{DataCentre, Label, Region, Server as ServerId};
 use base::sync::lock;
 use indexmap::{IndexMap, IndexSet};
+use rand::RngExt;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use steering::affinity::Digest;
+use steering::cost;
 use steering::hedge;
 use steering::locality::{self, PinnedShares};
-use steering::placement::{self, Candidate, Choice, Overload, PlacementRequest};
+use steering::placement::{
+    self, Candidate, Choice, Estimate, Overload, PlacementRequest, ServiceTime,
+};
 use steering::registry::Entry;
 use steering::retry::{Budget, RetryCause};
+use steering::routing::Route;
 use steering::warmth::{self, ObjectUse, WarmObjects};
-use steering::work::ServiceTimeEstimate;
+use steering::work::{self, ServiceTimeEstimate};
 
 /// Round trip to a server of the own region.
 const SAME_REGION_ROUND_TRIP: Duration = Duration::from_millis(1);
 /// Round trip to a server of another region; the sites state 12 ms one way.
 const OTHER_REGION_ROUND_TRIP: Duration = Duration::from_millis(25);
+/// Time for which a service's estimates are learned after a server stated its pace.
+const PACE_MEMORY: Duration = Duration::from_secs(30);
+/// Share of requests that are faster than the slow few.
+const SLOWEST_SHARE: f64 = 0.99;
 /// Time for which a new version without a takeover order gets no requests, since the order may
 /// arrive after its servers.
 const NEW_VERSION_DELAY: Duration = Duration::from_secs(5);
@@ -40,6 +49,8 @@
 /// Criteria for the server of a request.
 #[derive(Debug)]
 pub struct ServerCriteria<'a> {
+    /// Route of the request.
+    pub route: &'a Route,
     /// Digest of its object, if servers are faster at objects that they handled before.
     pub object: Option<Digest>,
     /// Latency objective of the route.
@@ -83,6 +94,12 @@
 pub(super) struct State {
     pub(super) servers: IndexMap<ServerId, Server>,
     pub(super) service_times: IndexMap<Duration, ServiceTimeEstimate>,
+    /// Costs by route; used by [`Estimate::Learned`].
+    pub(super) costs: cost::Model,
+    /// Number of routes that lead to the service.
+    pub(super) route_count: usize,
+    /// Last time when a server stated its pace.
+    pub(super) pace_stated_at: Option<Instant>,
     pub(super) retry_budget: Budget,
     /// Overload, by the regions to which requests are pinned, separated by spaces; the key is empty
     /// for requests that may run in every region.
@@ -125,6 +142,10 @@
     ) -> Placement {
         let mut state = lock(&self.state);
         let state = &mut *state;
+        let estimate = state.estimate(now);
+        let service_time = state.service_time(criteria, estimate);
+        let slowest = state.slowest(criteria, estimate);
+        let silence_unit = work::silence_unit(service_time.cold, slowest);
         let labels = state.usable_labels(criteria.version, now);
         let is_serving = |server: &&Server| {
             let registration = &server.registration;
@@ -161,24 +182,37 @@
             .overload
             .entry(pinned_regions.join(" ").into())
             .or_insert_with(|| Overload::new(now));
+        let learned = match estimate {
+            Estimate::Fixed => None,
+            Estimate::Learned { .. } => {
+                Some((&state.costs, state.costs.average(criteria.objective)))
+            }
+        };
         let candidates: Vec<Candidate> = servers
             .iter()
-            .map(|server| Candidate {
-                weight: weights.get(&*server.region).copied().unwrap_or(0.0),
-                ..self.candidate(server, criteria.object, &state.warm_objects, now)
+            .map(|server| {
+                let weight = weights.get(&*server.region).copied().unwrap_or(0.0);
+                let candidate = self.candidate(server, criteria.object, &state.warm_objects, now);
+                let candidate = Candidate {
+                    weight,
+                    ..candidate
+                };
+                match learned {
+                    None => candidate,
+                    Some((costs, average)) => Candidate {
+                        load: server.expected_load(now),
+                        slowdown: server.pace(now),
+                        wait: server.wait(costs, average, now),
+                        ..candidate
+                    },
+                }
             })
             .collect();
-        let estimate = state
-            .service_times
-            .entry(criteria.objective)
-            .or_insert_with(|| ServiceTimeEstimate::new(criteria.objective));
-        let service_time = estimate.service_time();
         let is_usable = |index: usize| {
             let server = servers[index];
             let registration = &server.registration;
-            let oldest = server.unanswered.values().copied().min();
             !criteria.tried.contains(&registration.server)
-                && !server.performance.is_silent(now, oldest, service_time.cold)
+                && !server.is_silent(now, service_time.cold, silence_unit)
                 && server.takes_requests(now)
                 && server.warmup.as_ref().is_none_or(|warmup| {
                     !warmup.is_cold(now) || (warmup.allows(now) && is_warmup_owner(server.digest))
@@ -189,6 +223,7 @@
             objective: criteria.objective,
             time_left: criteria.time_left,
             overload: overload.level(),
+            estimate,
         };
         let settings = placement::Settings::default();
         let choice = match criteria.sample {
@@ -223,7 +258,14 @@
         let Some(server) = state.servers.get_mut(&id) else {
             return Placement::NoServer;
         };
-        server.unanswered.insert(ticket, now);
+        let unanswered = Unanswered {
+            sent_at: now,
+            starts_at: now + candidate.wait,
+            route: criteria.route.name.clone(),
+            objective: criteria.objective,
+            warm,
+        };
+        server.unanswered.insert(ticket, unanswered);
         if server.rejection.is_some() {
             server.update_pool(now);
         }
@@ -235,6 +277,7 @@
             deadline: now + criteria.time_left,
             expected: time,
             cold: service_time.cold,
+            slowest,
         };
         Placement::Server(Box::new(InFlightRequest {
             servers: self.clone(),
@@ -244,10 +287,16 @@
             label: server.registration.label.clone(),
             data_centre: server.registration.data_centre.clone(),
             pool: server.pool.clone(),
+            route: criteria.route.name.clone(),
             objective: criteria.objective,
+            estimate,
             expected: time,
-            baseline: candidate.nominal_time(&service_time),
+            wait: candidate.wait,
+            pace: candidate.slowdown,
+            round_trip: candidate.round_trip,
+            baseline: candidate.nominal_time(&service_time, estimate),
             cold_service_time: service_time.cold,
+            silence_unit,
             hedge_at: hedge::due(&hedge::Settings::default(), &send),
             had_free_slot: candidate.load < candidate.slots,
             load: candidate.load,
@@ -281,6 +330,7 @@
             },
             slowdown: server.performance.slowdown(now),
             failure_rate: server.performance.failure_rate(now),
+            wait: Duration::ZERO,
         }
     }
 
@@ -317,6 +367,45 @@
 }
 
 impl State {
+    /// Returns how expected times are estimated: from learned costs where several routes lead to the
+    /// service or its servers state their pace, and by fixed assumptions elsewhere.
+    fn estimate(&self, now: Instant) -> Estimate {
+        let states_pace = self
+            .pace_stated_at
+            .is_some_and(|at| now.saturating_duration_since(at) < PACE_MEMORY);
+        match self.route_count > 1 || states_pace {
+            true => Estimate::Learned {
+                draw: rand::rng().random(),
+            },
+            false => Estimate::Fixed,
+        }
+    }
+
+    /// Returns the expected service time of a request.
+    fn service_time(&mut self, criteria: &ServerCriteria<'_>, estimate: Estimate) -> ServiceTime {
+        let objective = criteria.objective;
+        let fixed = self
+            .service_times
+            .entry(objective)
+            .or_insert_with(|| ServiceTimeEstimate::new(objective));
+        match estimate {
+            Estimate::Fixed => fixed.service_time(),
+            Estimate::Learned { .. } => self.costs.service_time(&criteria.route.name, objective),
+        }
+    }
+
+    /// Returns the learned time that very few requests exceed, or zero.
+    fn slowest(&self, criteria: &ServerCriteria<'_>, estimate: Estimate) -> Duration {
+        match estimate {
+            Estimate::Fixed => Duration::ZERO,
+            Estimate::Learned { .. } => {
+                let route = &criteria.route.name;
+                let cost = self.costs.cost(route, criteria.objective, false);
+                cost.quantile(SLOWEST_SHARE)
+            }
+        }
+    }
+
     /// Returns the versions that a request may use now, and updates the versions in service.
     fn usable_labels(&mut self, version: &VersionFilter, now: Instant) -> IndexSet<Label> {
         let is_delay_over = |at: &Instant| now.saturating_duration_since(*at) >= NEW_VERSION_DELAY;
--- a/tools/bench/src/experiment/placement.rs
+++ b/tools/bench/src/experiment/placement.rs
@@ -13,7 +13,7 @@
 use steering::affinity::{Digest, digest};
 use steering::locality::{self, PinnedShares};
 use steering::placement::{
-    Candidate, Choice, Overload, PlacementRequest, ServiceTime, Settings, choose,
+    Candidate, Choice, Estimate, Overload, PlacementRequest, ServiceTime, Settings, choose,
 };
 use steering::warmth::{ObjectUse, WarmObjects, short_digest};
 
@@ -170,6 +170,7 @@
                     .warmth
                     .is_warm(short_digest(name(server)), short_digest(object)),
                 has_cache_room: self.warmth.has_room(short_digest(name(server))),
+                wait: Duration::ZERO,
             })
             .collect();
         let allowed: Vec<usize> = (0..servers.len())
@@ -182,6 +183,7 @@
             objective: OBJECTIVE,
             time_left: Duration::from_secs(3),
             overload: overload.level(),
+            estimate: Estimate::Fixed,
         };
         let choice = choose(
             &Settings::default(),
