feature: paces in reports, backlog of a server in steering

Each VM sees an answer of a server about every 3 s at 20 VMs, so a pace that only the VM itself has heard is hardly ever new.

--- a/crates/peers/src/report.rs
+++ b/crates/peers/src/report.rs
@@ -8,6 +8,7 @@
 use base::id::{DataCentre, Incarnation, Region, Service, Version, Vm};
 use bincode::Options;
 use std::net::SocketAddr;
+use steering::backlog::StatedPace;
 use steering::crashes::Count;
 use steering::entrance::Candidate;
 use steering::notice::Word;
@@ -61,7 +62,8 @@
             && self.staying.is_empty()
             && self.spending.is_empty()
             && self.crashes.is_empty()
-            && self.takeovers.is_empty();
+            && self.takeovers.is_empty()
+            && self.paces.is_empty();
         is_quiet && self.phase == Phase::Ready && !self.known.reads
     }
 
@@ -157,6 +159,8 @@
         pub crashes: Vec<(Vm, Vec<Count>)>,
         /// Takeovers that the operator has ordered.
         pub takeovers: Vec<Takeover>,
+        /// Paces that servers stated lately.
+        pub paces: Vec<(ShortDigest, StatedPace)>,
     }
 }
 
--- a/crates/steering/src/backlog.rs
+++ b/crates/steering/src/backlog.rs
@@ -4,42 +4,16 @@
 //! and will run longer. The VM's own requests are known by age and cost; those of other VMs only by
 //! number, from figures that are up to half a second old.
 
+mod server;
+
+pub use server::{Sent, Server, StatedPace};
+
 use std::time::Duration;
 
 /// Slots that are followed one by one; servers with more are treated as this many faster ones.
 const MAX_SLOTS: usize = 16;
 /// Requests ahead that are followed one by one; a longer queue adds its work divided by the slots.
 const MAX_AHEAD: u32 = 32;
-/// Age at which a figure that a server stated has lost its weight.
-const FIGURE_LIFETIME: Duration = Duration::from_millis(600);
-
-/// Returns the weight of a figure that a server stated, from 1 when new to 0 after 0.6 s.
-pub fn weight(age: Duration) -> f64 {
-    (1.0 - age.as_secs_f64() / FIGURE_LIFETIME.as_secs_f64()).max(0.0)
-}
-
-base::value! {
-    /// Requests of other VMs at a server when it answered.
-    #[derive(Copy)]
-    pub struct Statement {
-        /// Running and waiting requests, without those of this VM.
-        pub others: u32,
-        /// Time since the answer.
-        pub age: Duration,
-    }
-}
-
-/// Returns the number of requests of other VMs at a server, from its own statement and from the
-/// reports of these VMs. The statement is exact but ages; reports are 0.25 to 0.5 s old.
-pub fn others(statement: Option<Statement>, reported: u32) -> u32 {
-    let Some(statement) = statement else {
-        return reported;
-    };
-    let weight = weight(statement.age);
-    let mixed = weight * f64::from(statement.others) + (1.0 - weight) * f64::from(reported);
-    mixed.round() as u32
-}
-
 base::value! {
     /// Requests at a server.
     #[derive(Copy)]
--- a/crates/steering/src/work.rs
+++ b/crates/steering/src/work.rs
@@ -4,7 +4,6 @@
 //! passes, stop answering, or restart. Only answers to real requests are used: probes would take a
 //! slot of the server and can mislead.
 
-use crate::backlog;
 use crate::placement::ServiceTime;
 use std::time::{Duration, Instant};
 
@@ -54,34 +53,6 @@
     usual.max(slowest.div_f64(SILENCE_FACTOR))
 }
 
-base::value! {
-    /// How long work takes on a machine, as a server stated; it changes within tenths of a second.
-    #[derive(Copy)]
-    pub struct Pace {
-        /// Time for work divided by the time on an ordinary machine.
-        pub factor: f64,
-        /// Time of the statement.
-        pub at: Instant,
-    }
-}
-
-impl Pace {
-    /// Creates the pace from a figure in percent.
-    pub fn from_percent(percent: u32, at: Instant) -> Self {
-        Self {
-            factor: f64::from(percent) / 100.0,
-            at,
-        }
-    }
-
-    /// Returns the expected time for work divided by the ordinary time: the stated pace while it is
-    /// new, then `otherwise`.
-    pub fn factor_or(&self, otherwise: f64, now: Instant) -> f64 {
-        let weight = backlog::weight(now.saturating_duration_since(self.at));
-        weight * self.factor + (1.0 - weight) * otherwise
-    }
-}
-
 base::value! {
     /// Average service time of the requests with one latency objective.
     pub struct ServiceTimeEstimate {
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -154,6 +154,7 @@
             false => vec![(settings.vm.clone(), crashes)],
         },
         takeovers: shared.takeovers.report(false),
+        paces: shared.services.stated_paces(false, now),
     }
 }
 
@@ -204,6 +205,7 @@
         spending: lock(&shared.ledger).data_centre_changes(now),
         crashes,
         takeovers: shared.takeovers.report(true),
+        paces: shared.services.stated_paces(true, now),
         ..own
     }
 }
@@ -341,6 +343,7 @@
         .services
         .apply_words(&report.leaving, &report.staying, now);
     let is_near = !report.is_summary();
+    shared.services.apply_paces(&report.paces, now);
     shared.services.merge_handled(&report.handled, is_near, now);
     {
         let mut crashes = lock(&shared.crashes);
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -18,6 +18,7 @@
 use server_set::{HandledRecord, State};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
+use steering::backlog::StatedPace;
 use steering::cost;
 use steering::locality::PinnedShares;
 use steering::registry::Registry;
@@ -34,6 +35,12 @@
 /// absorbs that the bound and the budget are counted over different windows.
 const RETRY_BOUND_SHARE: f64 = 0.7;
 
+/// Maximum number of paces in one report; a summary of them takes about 250 bytes.
+const MAX_PACES: usize = 32;
+/// Pace of an ordinary machine in percent, and the least deviation from it that is summarised.
+const USUAL_PACE: u16 = 100;
+const MIN_DEVIATION: u16 = 15;
+
 /// Backend servers of all services.
 #[derive(Debug)]
 pub struct Services {
@@ -193,7 +200,8 @@
                 .set_max_saved(slack / members.max(1) as f64);
             for server in state.servers.values_mut() {
                 let digest = warmth::short_digest(server.digest);
-                server.peer_load = loads.get(&digest).copied().unwrap_or(0);
+                let load = loads.get(&digest).copied().unwrap_or(0);
+                server.backlog.set_reported(load);
                 if server.down_since.is_none() && down.contains(&digest) {
                     server.down_since = Some((now, server.registration.sequence));
                 }
@@ -201,6 +209,45 @@
         }
     }
 
+    /// Returns the paces that servers stated to this VM lately, or those of slow and fast machines
+    /// that any VM of its data centre knows if `is_summary`.
+    pub fn stated_paces(&self, is_summary: bool, now: Instant) -> Vec<(ShortDigest, StatedPace)> {
+        let mut paces = Vec::new();
+        for set in self.read().values() {
+            let state = lock(&set.state);
+            let stated = state.servers.values().filter_map(|server| {
+                let (pace, is_own) = server.backlog.stated_pace(now)?;
+                let is_reported = match is_summary {
+                    true => pace.percent.abs_diff(USUAL_PACE) >= MIN_DEVIATION,
+                    false => is_own,
+                };
+                is_reported.then(|| (warmth::short_digest(server.digest), pace))
+            });
+            paces.extend(stated);
+        }
+        paces.sort_by_key(|(_, pace)| pace.age_ms);
+        paces.truncate(MAX_PACES);
+        paces
+    }
+
+    /// Applies the paces of servers that other VMs report.
+    pub fn apply_paces(&self, paces: &[(ShortDigest, StatedPace)], now: Instant) {
+        let by_server = self
+            .by_server
+            .read()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        for (server, pace) in paces {
+            let Some((set, id)) = by_server.get(server) else {
+                continue;
+            };
+            let mut state = lock(&set.state);
+            state.pace_stated_at = Some(now);
+            if let Some(server) = state.servers.get_mut(id) {
+                server.backlog.apply_pace(*pace, now);
+            }
+        }
+    }
+
     /// Records objects that servers handled for other VMs; `is_same_data_centre` if these VMs are
     /// in the data centre of this one.
     pub fn merge_handled(&self, pairs: &[ObjectUse], is_same_data_centre: bool, now: Instant) {
@@ -249,7 +296,7 @@
         for set in self.read().values() {
             let state = lock(&set.state);
             for server in state.servers.values() {
-                let own = u16::try_from(server.unanswered.len()).unwrap_or(u16::MAX);
+                let own = u16::try_from(server.backlog.own()).unwrap_or(u16::MAX);
                 if own > 0 {
                     loads.push((warmth::short_digest(server.digest), own));
                 }
--- a/programs/gateway/src/servers/in_flight.rs
+++ b/programs/gateway/src/servers/in_flight.rs
@@ -89,9 +89,7 @@
             let is_ramp_over =
                 |rejection: &mut Box<Rejection>| rejection.record_answer(self.sent_at);
             server.rejection.take_if(is_ramp_over);
-            // The answered request no longer counts in the load that its answer states.
-            let own = server.unanswered.len().saturating_sub(1);
-            server.record_load(load, own, now);
+            server.record_load(load, now);
             is_ordinary_speed =
                 server.performance.slowdown(now) < MAX_SAMPLED_SLOWDOWN && !server.is_cold(now);
             match self.estimate {
@@ -171,8 +169,7 @@
                 slots: server.registration.slots,
                 pace: None,
             };
-            let own = server.unanswered.len().saturating_sub(1);
-            server.record_load(Some(load.unwrap_or(full)), own, now);
+            server.record_load(Some(load.unwrap_or(full)), now);
         });
     }
 
@@ -199,7 +196,7 @@
     fn drop(&mut self) {
         let ticket = self.ticket;
         self.with_server(|server| {
-            server.unanswered.shift_remove(&ticket);
+            server.backlog.remove(ticket);
         });
     }
 }
--- a/programs/gateway/src/servers/server.rs
+++ b/programs/gateway/src/servers/server.rs
@@ -3,17 +3,15 @@
 use crate::settings::Settings;
 use adapter::header::Load;
 use backends::client::{self, Names, Pool};
-use base::id::{Region, Route};
+use base::id::Region;
 use hyper::header::HeaderName;
-use indexmap::IndexMap;
 use std::time::{Duration, Instant};
 use steering::affinity::{self, Digest};
-use steering::backlog::{self, Queue, Statement};
-use steering::cost;
+use steering::backlog;
 use steering::notice::{Departure, Rejection};
 use steering::routing::Registration;
 use steering::warmup::Warmup;
-use steering::work::{Pace, ServerPerformance};
+use steering::work::ServerPerformance;
 
 /// Age up to which the load that a server reported itself is used.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(300);
@@ -30,17 +28,6 @@
 /// been under way when the server went down.
 const REPORTS_UNTIL_UP: u64 = 2;
 
-/// A request of this VM that is not answered yet.
-#[derive(Debug)]
-pub(super) struct Unanswered {
-    pub(super) sent_at: Instant,
-    /// Expected time of its start, after the wait for a slot.
-    pub(super) starts_at: Instant,
-    pub(super) route: Route,
-    pub(super) objective: Duration,
-    pub(super) warm: bool,
-}
-
 /// A registered server.
 #[derive(Debug)]
 pub(super) struct Server {
@@ -50,16 +37,10 @@
     pub(super) pool: Pool,
     pub(super) performance: ServerPerformance,
     pub(super) warmup: Option<Warmup>,
-    /// Unanswered requests of this VM by ticket, in the order of their sends.
-    pub(super) unanswered: IndexMap<u64, Unanswered>,
-    /// Requests of other VMs at this server, as they report.
-    pub(super) peer_load: u32,
+    /// Requests at the server, of this VM and of others.
+    pub(super) backlog: backlog::Server,
     /// Load that the server reported last, and when.
     pub(super) reported_load: Option<(Load, Instant)>,
-    /// Requests of other VMs by that load, and when.
-    pub(super) stated_others: Option<(u32, Instant)>,
-    /// Pace that the server stated last.
-    pub(super) pace: Option<Pace>,
     /// When the server refused a connection, and the sequence number of its report at that time.
     pub(super) down_since: Option<(Instant, u64)>,
     /// Whether it has said that it leaves.
@@ -97,11 +78,8 @@
             registration: registration.clone(),
             performance: ServerPerformance::new(now),
             warmup: None,
-            unanswered: IndexMap::new(),
-            peer_load: 0,
+            backlog: backlog::Server::default(),
             reported_load: None,
-            stated_others: None,
-            pace: None,
             down_since: None,
             departure: Departure::default(),
             rejection: None,
@@ -111,82 +89,35 @@
 
     /// Returns the requests that the server has, of this VM and of others.
     pub(super) fn load(&self, now: Instant) -> u32 {
-        let own = u32::try_from(self.unanswered.len()).unwrap_or(u32::MAX);
+        let own = u32::try_from(self.backlog.own()).unwrap_or(u32::MAX);
         let other_load = match self.reported_load {
             Some((load, at)) if now.saturating_duration_since(at) < MAX_LOAD_AGE => load
                 .running
                 .saturating_add(load.waiting)
                 .saturating_sub(own),
-            _ => self.peer_load,
+            _ => self.backlog.reported(),
         };
         own.saturating_add(other_load)
     }
 
-    /// Records the load that the server stated, while `own` requests of this VM were at it.
-    pub(super) fn record_load(&mut self, load: Option<Load>, own: usize, now: Instant) {
+    /// Records the load that the server stated in an answer.
+    pub(super) fn record_load(&mut self, load: Option<Load>, now: Instant) {
         self.reported_load = load.map(|load| (load, now));
-        let own = u32::try_from(own).unwrap_or(u32::MAX);
-        self.stated_others = load.map(|load| {
+        if let Some(load) = load {
             let all = load.running.saturating_add(load.waiting);
-            (all.saturating_sub(own), now)
-        });
-        if let Some(percent) = load.and_then(|load| load.pace) {
-            self.pace = Some(Pace::from_percent(percent, now));
+            self.backlog.record_load(all, now);
+        }
+        if let Some(pace) = load.and_then(|load| load.pace) {
+            self.backlog.record_pace(pace, now);
         }
-    }
-
-    /// Returns the requests that the server has, under learned estimates.
-    pub(super) fn expected_load(&self, now: Instant) -> u32 {
-        let statement = self.stated_others.map(|(others, at)| Statement {
-            others,
-            age: now.saturating_duration_since(at),
-        });
-        let own = u32::try_from(self.unanswered.len()).unwrap_or(u32::MAX);
-        own.saturating_add(backlog::others(statement, self.peer_load))
-    }
-
-    /// Returns its time for work divided by the time on an ordinary machine, under learned
-    /// estimates.
-    pub(super) fn pace(&self, now: Instant) -> f64 {
-        let slowdown = self.performance.slowdown(now);
-        self.pace
-            .map_or(slowdown, |pace| pace.factor_or(slowdown, now))
-    }
-
-    /// Returns the expected time until a slot is free; `average` is the mean cost of a request.
-    pub(super) fn wait(&self, costs: &cost::Model, average: Duration, now: Instant) -> Duration {
-        let queue = Queue {
-            slots: self.registration.slots,
-            load: self.expected_load(now),
-            average,
-            pace: self.pace(now),
-        };
-        let running = self
-            .unanswered
-            .values()
-            .filter(|sent| sent.starts_at <= now);
-        queue.wait(running.map(|sent| {
-            let age = now.saturating_duration_since(sent.starts_at);
-            let cost = costs.cost(&sent.route, sent.objective, sent.warm);
-            cost.residual(age.div_f64(queue.pace.max(0.1)))
-        }))
     }
 
     /// Returns whether the server has not answered for so long that it may be dead: one request
     /// waits for several times as long as the `slowest` ones take, or two as long as most take.
     pub(super) fn is_silent(&self, now: Instant, usual: Duration, slowest: Duration) -> bool {
-        let mut oldest = [None, None];
-        for sent_at in self.unanswered.values().map(|sent| sent.sent_at) {
-            match oldest {
-                [Some(first), _] if sent_at >= first => {
-                    let second = oldest[1].map_or(sent_at, |second: Instant| second.min(sent_at));
-                    oldest[1] = Some(second);
-                }
-                [first, _] => oldest = [Some(sent_at), first],
-            }
-        }
-        self.performance.is_silent(now, oldest[0], slowest)
-            || self.performance.is_silent(now, oldest[1], usual)
+        let [first, second] = self.backlog.oldest();
+        self.performance.is_silent(now, first, slowest)
+            || self.performance.is_silent(now, second, usual)
     }
 
     /// Whether the server refused a connection lately and has not reported enough since.
@@ -205,7 +136,7 @@
     /// Returns whether the server takes another request of this VM, as far as it has said.
     pub(super) fn takes_requests(&self, now: Instant) -> bool {
         let rejection = self.rejection.as_ref();
-        rejection.is_none_or(|rejection| rejection.allows(self.unanswered.len(), now))
+        rejection.is_none_or(|rejection| rejection.allows(self.backlog.own(), now))
     }
 
     /// Lets requests that wait for a connection through, or not.
--- a/programs/gateway/src/servers/server_set.rs
+++ b/programs/gateway/src/servers/server_set.rs
@@ -2,7 +2,7 @@
 
 use super::InFlightRequest;
 use super::notices::Words;
-use super::server::{Server, Unanswered};
+use super::server::Server;
 use crate::settings::Settings;
 use base::id::{DataCentre, Label, Region, Server as ServerId};
 use base::sync::lock;
@@ -11,6 +11,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use steering::affinity::Digest;
+use steering::backlog::Sent;
 use steering::cost;
 use steering::hedge;
 use steering::locality::{self, PinnedShares};
@@ -197,12 +198,15 @@
                     weight,
                     ..candidate
                 };
+                let pace = server.backlog.pace(candidate.slowdown, now);
                 match learned {
                     None => candidate,
                     Some((costs, average)) => Candidate {
-                        load: server.expected_load(now),
-                        slowdown: server.pace(now),
-                        wait: server.wait(costs, average, now),
+                        load: server.backlog.load(now),
+                        slowdown: pace,
+                        wait: server
+                            .backlog
+                            .wait(candidate.slots, pace, costs, average, now),
                         ..candidate
                     },
                 }
@@ -258,14 +262,14 @@
         let Some(server) = state.servers.get_mut(&id) else {
             return Placement::NoServer;
         };
-        let unanswered = Unanswered {
-            sent_at: now,
+        let sent = Sent {
+            at: now,
             starts_at: now + candidate.wait,
             route: criteria.route.name.clone(),
             objective: criteria.objective,
             warm,
         };
-        server.unanswered.insert(ticket, unanswered);
+        server.backlog.add(ticket, sent);
         if server.rejection.is_some() {
             server.update_pool(now);
         }
--- a/programs/gateway/tests/relay.rs
+++ b/programs/gateway/tests/relay.rs
@@ -184,6 +184,7 @@
         spending: Vec::new(),
         crashes: Vec::new(),
         takeovers: Vec::new(),
+        paces: Vec::new(),
     };
     Report {
         members: vec![Member::of(&own)],
