--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -64,6 +64,23 @@
         pub warm: bool,
         /// Whether it can cache a further object without evicting one.
         pub has_cache_room: bool,
+        /// Expected time until a slot is free, from [`crate::backlog`]; used by
+        /// [`Estimate::Learned`].
+        pub wait: Duration,
+    }
+
+    /// How the expected completion time is estimated.
+    #[derive(Copy, Default)]
+    pub enum Estimate {
+        /// Number of requests times the average service time of the objective.
+        #[default]
+        Fixed,
+        /// Learned costs, and the backlog of each server.
+        Learned {
+            /// Random number that decides between servers whose times do not differ by more than
+            /// their uncertainty. Without it all VMs would choose the same server.
+            draw: u64,
+        },
     }
 
     /// Request for which a server is selected.
@@ -79,6 +96,8 @@
         pub overload: f64,
         /// Terms for a request that competes with more urgent ones.
         pub terms: Terms,
+        /// How expected times are estimated.
+        pub estimate: Estimate,
     }
 
     /// Terms of a placement, from [`crate::priority`]; the default restricts nothing.
@@ -119,6 +138,16 @@
     }
 }
 
+impl Estimate {
+    /// Returns the name for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Fixed => "fixed",
+            Self::Learned { .. } => "learned",
+        }
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
@@ -135,19 +164,27 @@
 
 impl Candidate {
     /// Returns the time that a request which arrives now waits for a slot.
-    fn queue_wait(&self, service_time: &ServiceTime) -> Duration {
+    fn queue_wait(&self, service_time: &ServiceTime, estimate: Estimate) -> Duration {
+        if let Estimate::Learned { .. } = estimate {
+            return self.wait;
+        }
         let ahead = (self.load + 1).saturating_sub(self.slots);
         let each = service_time.warm.mul_f64(self.slowdown);
         each.mul_f64(f64::from(ahead) / f64::from(self.slots.max(1)))
     }
 
     /// Returns the time that a request waits for a slot that arrives after this one has joined.
-    fn wait_behind(&self, service_time: &ServiceTime) -> Duration {
+    fn wait_behind(&self, service_time: &ServiceTime, estimate: Estimate) -> Duration {
         let joined = Self {
             load: self.load + 1,
+            // The request adds its own work, divided among the slots.
+            wait: self.wait
+                + service_time
+                    .warm
+                    .mul_f64(self.slowdown / f64::from(self.slots.max(1))),
             ..*self
         };
-        joined.queue_wait(service_time)
+        joined.queue_wait(service_time, estimate)
     }
 
     /// Returns the expected time until the answer, with the credit for the server's rank in the
@@ -157,12 +194,16 @@
         settings: &Settings,
         service_time: &ServiceTime,
         rank: Rank,
-        overload: f64,
+        request: &PlacementRequest,
     ) -> Duration {
         let saved = service_time.cold.saturating_sub(service_time.warm);
         // A cold request on a server with a full cache evicts an object. Under overload that costs
         // the next request for the evicted object more than refusing this one.
-        let overload = if self.has_cache_room { 0.0 } else { overload };
+        let overload = if self.has_cache_room {
+            0.0
+        } else {
+            request.overload
+        };
         let credit = match rank {
             _ if self.warm => 1.0,
             Rank::NoObject => 1.0,
@@ -171,28 +212,31 @@
             Rank::Later => 0.0,
         };
         let own = service_time.cold.saturating_sub(saved.mul_f64(credit));
-        let time = self.queue_wait(service_time) + own.mul_f64(self.slowdown) + self.round_trip;
+        let wait = self.queue_wait(service_time, request.estimate);
+        let time = wait + own.mul_f64(self.slowdown) + self.round_trip;
         time.mul_f64(1.0 + settings.failure_weight * self.failure_rate)
     }
 
     /// Returns the expected time until the answer, as if the server had ordinary speed.
-    pub fn nominal_time(&self, service_time: &ServiceTime) -> Duration {
+    pub fn nominal_time(&self, service_time: &ServiceTime, estimate: Estimate) -> Duration {
         let server = Self {
             slowdown: 1.0,
+            wait: self.wait.div_f64(self.slowdown.max(0.1)),
             ..*self
         };
-        server.time(service_time)
+        server.time(service_time, estimate)
     }
 
     /// Returns the expected time until the answer, without the credit for a cache that is still
     /// cold and without the penalty for failures.
-    fn time(&self, service_time: &ServiceTime) -> Duration {
+    fn time(&self, service_time: &ServiceTime, estimate: Estimate) -> Duration {
         let own = if self.warm {
             service_time.warm
         } else {
             service_time.cold
         };
-        self.queue_wait(service_time) + own.mul_f64(self.slowdown) + self.round_trip
+        let wait = self.queue_wait(service_time, estimate);
+        wait + own.mul_f64(self.slowdown) + self.round_trip
     }
 }
 
@@ -233,6 +277,11 @@
     }
 }
 
+/// Difference of expected times that says nothing under learned estimates, in latency objectives:
+/// the figures of other VMs are up to 0.5 s old. It does not apply to requests with an object, whose
+/// first servers differ anyway; there it cost 0.01 to 0.03 of the share in time.
+const UNCERTAINTY: f64 = 0.05;
+
 /// Rank of a server in the rendezvous order of an object.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Rank {
@@ -243,10 +292,15 @@
     NoObject,
 }
 
-/// Returns the indices of the first two servers in the order of an object.
-fn first_two(object: Digest, candidates: &[Candidate]) -> [Option<usize>; 2] {
+/// Returns the first two servers in the order of an object among those at `indices`.
+fn first_two(
+    object: Digest,
+    candidates: &[Candidate],
+    indices: impl Iterator<Item = usize>,
+) -> [Option<usize>; 2] {
     let mut best: [Option<(f64, usize)>; 2] = [None, None];
-    for (index, candidate) in candidates.iter().enumerate() {
+    for index in indices {
+        let candidate = &candidates[index];
         let weight = candidate.weight * f64::from(candidate.slots);
         let rank = affinity::rank(object, candidate.server, weight);
         if best[0].is_none_or(|(first, _)| rank > first) {
@@ -266,7 +320,9 @@
     candidates: &[Candidate],
     usable: impl Fn(usize) -> bool,
 ) -> Choice {
-    let order = request.object.map(|object| first_two(object, candidates));
+    let order = request
+        .object
+        .map(|object| first_two(object, candidates, 0..candidates.len()));
     let rank = |index: usize| match order {
         None => Rank::NoObject,
         Some([first, _]) if first == Some(index) => Rank::First,
@@ -279,16 +335,13 @@
         ColdPolicy::Any => true,
         ColdPolicy::IfNoneIsWarm => c.warm || (!is_warm_anywhere && c.load < c.slots),
     };
-    let best = candidates
-        .iter()
-        .enumerate()
-        .filter(|(index, c)| fits(c) && usable(*index))
-        .map(|(index, c)| {
-            (
-                c.score(settings, service_time, rank(index), request.overload),
-                index,
-            )
-        })
+    let score = |index: usize| {
+        let candidate: &Candidate = &candidates[index];
+        candidate.score(settings, service_time, rank(index), request)
+    };
+    let best = (0..candidates.len())
+        .filter(|index| fits(&candidates[*index]) && usable(*index))
+        .map(|index| (score(index), index))
         .min();
     let Some((time, index)) = best else {
         return match (0..candidates.len()).any(usable) {
@@ -297,9 +350,44 @@
             false => Choice::NoCandidate,
         };
     };
+    let index = match request.estimate {
+        Estimate::Fixed => index,
+        Estimate::Learned { draw } => {
+            let uncertainty = request.object.map_or(UNCERTAINTY, |_| 0.0);
+            let limit = time + request.objective.mul_f64(uncertainty);
+            let is_near = |other: &usize| {
+                let is_as_near = candidates[*other].round_trip <= candidates[index].round_trip;
+                is_as_near && fits(&candidates[*other]) && usable(*other) && score(*other) <= limit
+            };
+            let near = (0..candidates.len()).filter(is_near);
+            break_tie(near, request.object, draw, candidates).unwrap_or(index)
+        }
+    };
     check_limit(settings, request, service_time, candidates, index, time)
 }
 
+/// Selects one of several servers whose times do not differ by more than their uncertainty.
+///
+/// With an object it is the first in the object's order, so that few servers cache it. Without one,
+/// all VMs would agree on the order, so it is drawn at random, and of the first two servers the one
+/// with more free slots is selected.
+fn break_tie(
+    near: impl Iterator<Item = usize>,
+    object: Option<Digest>,
+    draw: u64,
+    candidates: &[Candidate],
+) -> Option<usize> {
+    let [first, second] = first_two(object.unwrap_or(draw), candidates, near);
+    let free =
+        |index: usize| i64::from(candidates[index].slots) - i64::from(candidates[index].load);
+    match (first, second) {
+        (Some(first), Some(second)) if object.is_none() && free(second) > free(first) => {
+            Some(second)
+        }
+        _ => first,
+    }
+}
+
 /// Selects a server for a request that samples its version: the same one for the same `sample`,
 /// whatever its speed and failures. A selection by these would measure only the version's best
 /// servers.
@@ -318,7 +406,7 @@
     let Some(index) = first else {
         return Choice::NoCandidate;
     };
-    let time = candidates[index].nominal_time(service_time);
+    let time = candidates[index].nominal_time(service_time, request.estimate);
     check_limit(settings, request, service_time, candidates, index, time)
 }
 
@@ -339,14 +427,14 @@
     if let Some(max_wait) = request.terms.max_wait
         && selected.load >= selected.slots
     {
-        let wait = selected.wait_behind(service_time);
+        let wait = selected.wait_behind(service_time, request.estimate);
         if wait > max_wait {
             return Choice::Late(wait - max_wait);
         }
     }
     Choice::Server {
         index,
-        time: candidates[index].time(service_time),
+        time: candidates[index].time(service_time, request.estimate),
         warm: candidates[index].warm,
     }
 }
--- a/crates/steering/src/work.rs
+++ b/crates/steering/src/work.rs
@@ -42,6 +42,17 @@
     }
 }
 
+/// Returns the assumed service times on a warm and on a cold server, in latency objectives.
+pub fn prior_service_times() -> (f64, f64) {
+    (WARM.initial, COLD.initial)
+}
+
+/// Returns the time of which several are waited for without an answer before a server counts as
+/// silent, where few requests take longer than `slowest`.
+pub fn silence_unit(usual: Duration, slowest: Duration) -> Duration {
+    usual.max(slowest.div_f64(SILENCE_FACTOR))
+}
+
 base::value! {
     /// Average service time of the requests with one latency objective.
     pub struct ServiceTimeEstimate {
--- a/crates/steering/tests/priority.rs
+++ b/crates/steering/tests/priority.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 use steering::affinity::digest;
 use steering::placement::{
-    self, Candidate, Choice, Overload, PlacementRequest, ServiceTime, Terms, choose,
+    self, Candidate, Choice, Estimate, Overload, PlacementRequest, ServiceTime, Terms, choose,
 };
 use steering::priority::{Admission, Competition, Ending, Settings};
 use steering::warmth::{ObjectUse, WarmObjects, short_digest};
@@ -274,6 +274,7 @@
                             short_digest(objects[request.object]),
                         ),
                         has_cache_room: warm.has_room(short_digest(names[index])),
+                        wait: Duration::ZERO,
                     })
                     .collect();
                 let by_objective = |objective: Duration| {
@@ -292,6 +293,7 @@
                     time_left,
                     overload: overload[request.vm].level().max(shortage),
                     terms,
+                    estimate: Estimate::Fixed,
                 };
                 let settings = placement::Settings::default();
                 let time = service_time(request.kind);
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -159,6 +159,7 @@
             .usage
             .as_ref()
             .map(|usage| usage.part(shared.phase() == Phase::Leaving)),
+        paces: shared.services.stated_paces(false, now),
     }
 }
 
@@ -210,6 +211,7 @@
         crashes,
         takeovers: shared.takeovers.report(true),
         usage: shared.usage.as_ref().map(Usage::data_centre_part),
+        paces: shared.services.stated_paces(true, now),
         ..own
     }
 }
@@ -347,6 +349,7 @@
         .services
         .apply_words(&report.leaving, &report.staying, now);
     let is_near = !report.is_summary();
+    shared.services.apply_paces(&report.paces, now);
     shared.services.merge_handled(&report.handled, is_near, now);
     {
         let mut crashes = lock(&shared.crashes);
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -20,6 +20,8 @@
 use server_set::{HandledRecord, State};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
+use steering::backlog::StatedPace;
+use steering::cost;
 use steering::locality::PinnedShares;
 use steering::priority::Competition;
 use steering::registry::Registry;
@@ -36,6 +38,12 @@
 /// absorbs that the bound and the budget are counted over different windows.
 const RETRY_BOUND_SHARE: f64 = 0.7;
 
+/// Maximum number of paces in one report; a summary of them takes about 250 bytes.
+const MAX_PACES: usize = 32;
+/// Pace of an ordinary machine in percent, and the least deviation from it that is summarised.
+const USUAL_PACE: u16 = 100;
+const MIN_DEVIATION: u16 = 15;
+
 /// Backend servers of all services.
 #[derive(Debug)]
 pub struct Services {
@@ -91,6 +99,9 @@
                 state: Mutex::new(State {
                     servers: IndexMap::new(),
                     service_times: IndexMap::new(),
+                    costs: cost::Model::default(),
+                    route_count: 0,
+                    pace_stated_at: None,
                     retry_budget: Budget::new(retry::Settings {
                         ratio: self.settings.bounds.retry_ratio * RETRY_BOUND_SHARE,
                         max_saved: 1.0,
@@ -124,6 +135,12 @@
             let mut state = lock(&set.state);
             state.warmup_rate = settings.warmup_rate;
             state.warmup = settings.warmup;
+            let routes: Vec<&str> = configuration
+                .routes_to(name)
+                .map(|route| &*route.name)
+                .collect();
+            state.route_count = routes.len();
+            state.costs.retain(|route| routes.contains(&route));
         }
         let now = Instant::now();
         let parts = configuration.routes.iter().flat_map(|route| &route.parts);
@@ -197,7 +214,8 @@
                 .set_max_saved(slack / members.max(1) as f64);
             for server in state.servers.values_mut() {
                 let digest = warmth::short_digest(server.digest);
-                server.peer_load = loads.get(&digest).copied().unwrap_or(0);
+                let load = loads.get(&digest).copied().unwrap_or(0);
+                server.backlog.set_reported(load);
                 if server.down_since.is_none() && down.contains(&digest) {
                     server.down_since = Some((now, server.registration.sequence));
                 }
@@ -205,6 +223,45 @@
         }
     }
 
+    /// Returns the paces that servers stated to this VM lately, or those of slow and fast machines
+    /// that any VM of its data centre knows if `is_summary`.
+    pub fn stated_paces(&self, is_summary: bool, now: Instant) -> Vec<(ShortDigest, StatedPace)> {
+        let mut paces = Vec::new();
+        for set in self.read().values() {
+            let state = lock(&set.state);
+            let stated = state.servers.values().filter_map(|server| {
+                let (pace, is_own) = server.backlog.stated_pace(now)?;
+                let is_reported = match is_summary {
+                    true => pace.percent.abs_diff(USUAL_PACE) >= MIN_DEVIATION,
+                    false => is_own,
+                };
+                is_reported.then(|| (warmth::short_digest(server.digest), pace))
+            });
+            paces.extend(stated);
+        }
+        paces.sort_by_key(|(_, pace)| pace.age_ms);
+        paces.truncate(MAX_PACES);
+        paces
+    }
+
+    /// Applies the paces of servers that other VMs report.
+    pub fn apply_paces(&self, paces: &[(ShortDigest, StatedPace)], now: Instant) {
+        let by_server = self
+            .by_server
+            .read()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        for (server, pace) in paces {
+            let Some((set, id)) = by_server.get(server) else {
+                continue;
+            };
+            let mut state = lock(&set.state);
+            state.pace_stated_at = Some(now);
+            if let Some(server) = state.servers.get_mut(id) {
+                server.backlog.apply_pace(*pace, now);
+            }
+        }
+    }
+
     /// Records objects that servers handled for other VMs; `is_same_data_centre` if these VMs are
     /// in the data centre of this one.
     pub fn merge_handled(&self, pairs: &[ObjectUse], is_same_data_centre: bool, now: Instant) {
@@ -253,7 +310,7 @@
         for set in self.read().values() {
             let state = lock(&set.state);
             for server in state.servers.values() {
-                let own = u16::try_from(server.unanswered.len()).unwrap_or(u16::MAX);
+                let own = u16::try_from(server.backlog.own()).unwrap_or(u16::MAX);
                 if own > 0 {
                     loads.push((warmth::short_digest(server.digest), own));
                 }
--- a/programs/gateway/src/servers/server.rs
+++ b/programs/gateway/src/servers/server.rs
@@ -5,9 +5,9 @@
 use backends::client::{self, Names, Pool};
 use base::id::Region;
 use hyper::header::HeaderName;
-use indexmap::IndexMap;
 use std::time::{Duration, Instant};
 use steering::affinity::{self, Digest};
+use steering::backlog;
 use steering::notice::{Departure, Rejection};
 use steering::routing::Registration;
 use steering::warmup::Warmup;
@@ -37,10 +37,8 @@
     pub(super) pool: Pool,
     pub(super) performance: ServerPerformance,
     pub(super) warmup: Option<Warmup>,
-    /// Send time of each unanswered request of this VM, by ticket.
-    pub(super) unanswered: IndexMap<u64, Instant>,
-    /// Requests of other VMs at this server, as they report.
-    pub(super) peer_load: u32,
+    /// Requests at the server, of this VM and of others.
+    pub(super) backlog: backlog::Server,
     /// Load that the server reported last, and when.
     pub(super) reported_load: Option<(Load, Instant)>,
     /// When the server refused a connection, and the sequence number of its report at that time.
@@ -80,8 +78,7 @@
             registration: registration.clone(),
             performance: ServerPerformance::new(now),
             warmup: None,
-            unanswered: IndexMap::new(),
-            peer_load: 0,
+            backlog: backlog::Server::default(),
             reported_load: None,
             down_since: None,
             departure: Departure::default(),
@@ -92,17 +89,37 @@
 
     /// Returns the requests that the server has, of this VM and of others.
     pub(super) fn load(&self, now: Instant) -> u32 {
-        let own = u32::try_from(self.unanswered.len()).unwrap_or(u32::MAX);
+        let own = u32::try_from(self.backlog.own()).unwrap_or(u32::MAX);
         let other_load = match self.reported_load {
             Some((load, at)) if now.saturating_duration_since(at) < MAX_LOAD_AGE => load
                 .running
                 .saturating_add(load.waiting)
                 .saturating_sub(own),
-            _ => self.peer_load,
+            _ => self.backlog.reported(),
         };
         own.saturating_add(other_load)
     }
 
+    /// Records the load that the server stated in an answer.
+    pub(super) fn record_load(&mut self, load: Option<Load>, now: Instant) {
+        self.reported_load = load.map(|load| (load, now));
+        if let Some(load) = load {
+            let all = load.running.saturating_add(load.waiting);
+            self.backlog.record_load(all, now);
+        }
+        if let Some(pace) = load.and_then(|load| load.pace) {
+            self.backlog.record_pace(pace, now);
+        }
+    }
+
+    /// Returns whether the server has not answered for so long that it may be dead: one request
+    /// waits for several times as long as the `slowest` ones take, or two as long as most take.
+    pub(super) fn is_silent(&self, now: Instant, usual: Duration, slowest: Duration) -> bool {
+        let [first, second] = self.backlog.oldest();
+        self.performance.is_silent(now, first, slowest)
+            || self.performance.is_silent(now, second, usual)
+    }
+
     /// Whether the server refused a connection lately and has not reported enough since.
     pub(super) fn is_down(&self, now: Instant) -> bool {
         self.down_since.is_some_and(|(since, sequence)| {
@@ -119,7 +136,7 @@
     /// Returns whether the server takes another request of this VM, as far as it has said.
     pub(super) fn takes_requests(&self, now: Instant) -> bool {
         let rejection = self.rejection.as_ref();
-        rejection.is_none_or(|rejection| rejection.allows(self.unanswered.len(), now))
+        rejection.is_none_or(|rejection| rejection.allows(self.backlog.own(), now))
     }
 
     /// Lets requests that wait for a connection through, or not.
--- a/programs/gateway/tests/relay.rs
+++ b/programs/gateway/tests/relay.rs
@@ -186,6 +186,7 @@
         crashes: Vec::new(),
         takeovers: Vec::new(),
         usage: None,
+        paces: Vec::new(),
     };
     Report {
         members: vec![Member::of(&own)],
