bug: competing requests are thinned for lack of slots only

Cause: the shortage was the share of late or refused requests, and answers are late for other reasons too (cold caches at the start, costly requests, slow servers). Then requests were thinned, and refused for their queue at one server, while others had free slots.

Change: the shortage follows the share of the service's slots in use, by the loads of all VMs; without a shortage there is neither thinning nor a limit on the wait. `late_answers_of_a_service_with_free_slots_thin_nothing` fails with the former shortage. The two tests that feed refusals directly now also say that all slots are in use.

--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -439,15 +439,23 @@
     }
 }
 
+/// Returns the share of the slots that are in use, from 0 to 1; 1 without slots.
+pub fn occupancy(candidates: &[Candidate]) -> f64 {
+    let slots: u32 = candidates.iter().map(|c| c.slots).sum();
+    let load: u32 = candidates.iter().map(|c| c.load.min(c.slots)).sum();
+    match slots {
+        0 => 1.0,
+        _ => f64::from(load) / f64::from(slots),
+    }
+}
+
 /// Returns the maximum expected completion time of a request.
 fn time_limit(
     settings: &Settings,
     request: &PlacementRequest,
     candidates: &[Candidate],
 ) -> Duration {
-    let slots: u32 = candidates.iter().map(|c| c.slots).sum();
-    let load: u32 = candidates.iter().map(|c| c.load.min(c.slots)).sum();
-    let busy = f64::from(load) >= settings.busy_share * f64::from(slots);
+    let busy = occupancy(candidates) >= settings.busy_share;
     let change = settings.overload_limit - settings.busy_limit;
     let objectives = match busy {
         true => settings.busy_limit + change * request.overload,
--- a/crates/steering/src/priority.rs
+++ b/crates/steering/src/priority.rs
@@ -38,7 +38,9 @@
         /// Maximum change of the admitted share in one interval. From the floor to all requests
         /// takes 0.9 s, half of the time allowed for the recovery.
         pub step: f64,
-        /// Shares of requests refused or late at which the shortage begins and is complete.
+        /// Shares of the service's slots in use at which the shortage begins and is complete. Requests
+        /// are late for other reasons too, such as cold caches, slow servers and costly requests;
+        /// thinning for these would only take requests from servers with free slots.
         pub shortage: (f64, f64),
         /// Requests without a warm server that may be queued while the service is short, per
         /// request offered. Without them, objects that no server has cached would never be.
@@ -78,7 +80,7 @@
             min_placed: 0.5,
             interval: Duration::from_millis(100),
             step: 0.1,
-            shortage: (0.05, 0.2),
+            shortage: (0.75, 0.95),
             cold_share: 0.05,
             log_shares: (0.9, 0.97),
         }
@@ -131,6 +133,8 @@
     kinds: IndexMap<Priority, Kind>,
     /// Requests without a warm server that may still be queued.
     cold_credit: f64,
+    /// Share of the service's slots in use, from 0 to 1.
+    occupancy: f64,
     controlled_at: Instant,
     is_thinning: bool,
 }
@@ -150,6 +154,7 @@
             settings,
             kinds: IndexMap::new(),
             cold_credit: MAX_COLD_CREDIT,
+            occupancy: 0.0,
             controlled_at: now,
             is_thinning: false,
         };
@@ -191,14 +196,19 @@
         }
     }
 
+    /// Records the share of the service's slots that are in use, by the loads of all VMs.
+    pub fn record_occupancy(&mut self, occupancy: f64) {
+        self.occupancy = occupancy;
+    }
+
     /// Returns the terms of the placement of an admitted request; `service_time` returns the
     /// service time of requests by their objective.
     pub fn terms(
         &self,
         priority: Priority,
         service_time: impl Fn(Duration) -> ServiceTime,
-        now: Instant,
     ) -> Terms {
+        let is_short = self.shortage() > 0.0;
         let more_urgent = self.kinds.iter().filter(|(other, _)| **other < priority);
         let tolerated = more_urgent.map(|(_, kind)| {
             let own = service_time(kind.objective).warm;
@@ -207,33 +217,31 @@
         // A kind below its floor may queue for as long as its own objective allows.
         let kind = self.kinds.get(&priority);
         let is_due = kind.is_some_and(|kind| f64::from(kind.unsent) * self.settings.floor >= 1.0);
-        let cold = match self.shortage(now) > 0.0 {
+        let cold = match is_short {
             false => ColdPolicy::Any,
             true if self.cold_credit >= 1.0 => ColdPolicy::Any,
             true => ColdPolicy::IfNoneIsWarm,
         };
         Terms {
-            max_wait: tolerated.min().filter(|_| !is_due),
+            max_wait: tolerated.min().filter(|_| is_short && !is_due),
             cold,
         }
     }
 
     /// Records that a request was sent to a server; `is_warm` if that has cached its object.
-    pub fn record_send(&mut self, priority: Priority, is_warm: bool, now: Instant) {
+    pub fn record_send(&mut self, priority: Priority, is_warm: bool) {
         if let Some(kind) = self.kinds.get_mut(&priority) {
             kind.unsent = 0;
         }
-        if !is_warm && self.shortage(now) > 0.0 {
+        if !is_warm && self.shortage() > 0.0 {
             self.cold_credit = (self.cold_credit - 1.0).max(0.0);
         }
     }
 
-    /// Returns the shortage from 0 to 1, from the share of all requests refused or late.
-    pub fn shortage(&self, now: Instant) -> f64 {
-        let ended = self.kinds.values().map(|kind| &kind.ended);
-        let in_time = average::in_time_of_all(ended, now).unwrap_or(1.0);
+    /// Returns the shortage from 0 to 1, from the share of the slots in use.
+    pub fn shortage(&self) -> f64 {
         let (from, to) = self.settings.shortage;
-        ((1.0 - in_time - from) / (to - from)).clamp(0.0, 1.0)
+        ((self.occupancy - from) / (to - from)).clamp(0.0, 1.0)
     }
 
     /// Returns when the caller of a refused request should return: when its wait is over, later
@@ -243,11 +251,10 @@
         excess: Duration,
         time_left: Duration,
         random: &mut impl Rng,
-        now: Instant,
     ) -> Duration {
         let latest = time_left.mul_f64(LASTING_PART);
         let excess = excess.min(latest);
-        let lasting = latest.saturating_sub(excess).mul_f64(self.shortage(now));
+        let lasting = latest.saturating_sub(excess).mul_f64(self.shortage());
         (excess + lasting).mul_f64(random.random_range(SPREAD.0..SPREAD.1))
     }
 
@@ -297,6 +304,7 @@
             min_placed,
             ..
         } = self.settings;
+        let pressure = pressure * self.shortage();
         let mut least_in_time = 1.0_f64;
         for kind in self.kinds.values_mut() {
             let target = (1.0 - pressure * (1.0 - least_in_time)).max(floor);
--- a/crates/steering/src/priority/average.rs
+++ b/crates/steering/src/priority/average.rs
@@ -96,19 +96,3 @@
     let counts = if short.sum() >= ENOUGH { short } else { long };
     (counts.sum() >= TOO_FEW).then(|| part(&counts) / counts.sum())
 }
-
-/// Returns the share of the requests of several kinds that were answered in time; none if too few
-/// ended.
-pub(super) fn in_time_of_all<'a>(
-    averages: impl Iterator<Item = &'a Average>,
-    now: Instant,
-) -> Option<f64> {
-    let add = |a: Counts, b: Counts| Counts {
-        in_time: a.in_time + b.in_time,
-        late: a.late + b.late,
-        refused: a.refused + b.refused,
-    };
-    let counts = averages.map(|average| average.counts(now));
-    let sum = counts.reduce(|(short, long), (s, l)| (add(short, s), add(long, l)));
-    share_of(sum?, |counts| counts.in_time)
-}
--- a/crates/steering/tests/priority.rs
+++ b/crates/steering/tests/priority.rs
@@ -280,10 +280,11 @@
                 let by_objective = |objective: Duration| {
                     service_time(usize::from(objective.as_millis() as u64 == KINDS[1].2))
                 };
+                admission.record_occupancy(placement::occupancy(&candidates));
                 let (terms, shortage) = match with_admission {
                     true => (
-                        admission.terms(priority, by_objective, now),
-                        admission.shortage(now),
+                        admission.terms(priority, by_objective),
+                        admission.shortage(),
                     ),
                     false => (Terms::default(), 0.0),
                 };
@@ -310,7 +311,7 @@
                         warm: is_warm,
                         ..
                     } => {
-                        admission.record_send(priority, is_warm, now);
+                        admission.record_send(priority, is_warm);
                         servers[index].queue.push_back(request);
                         for (begun, work) in servers[index].start() {
                             push(work, Event::End(index, begun));
@@ -321,7 +322,7 @@
                             admission.record(priority, Ending::Refused, now);
                         }
                         let wait = match with_admission {
-                            true => admission.retry_after(excess, time_left, &mut rng, now),
+                            true => admission.retry_after(excess, time_left, &mut rng),
                             false => excess,
                         };
                         let wait = wait.max(Duration::from_millis(50)).min(time_left / 3);
@@ -410,13 +411,13 @@
     let (excess, time_left) = (Duration::from_millis(60), Duration::from_secs(3));
     let mut range = |admission: &Admission| {
         let waits: Vec<Duration> = (0..100)
-            .map(|_| admission.retry_after(excess, time_left, &mut rng, start))
+            .map(|_| admission.retry_after(excess, time_left, &mut rng))
             .collect();
         let (first, last) = (waits.iter().min(), waits.iter().max());
         (*first.expect("waits"), *last.expect("waits"))
     };
     assert!(range(&admission).1 <= excess);
-    (0..100).for_each(|_| admission.record(1, Ending::Refused, start));
+    admission.record_occupancy(1.0);
     let (first, last) = range(&admission);
     assert!(
         first >= 5 * excess && last <= time_left / 3,
@@ -433,6 +434,7 @@
 fn thinning_follows_the_more_urgent_kind(#[case] per_second: u32) {
     let start = Instant::now();
     let mut admission = Admission::new(Settings::default(), &competition(), start);
+    admission.record_occupancy(1.0);
     let mut shares = Vec::new();
     let mut changes = Vec::new();
     for number in 0..per_second * 24 {
@@ -465,3 +467,25 @@
     assert!(during(22, 24).0 >= 0.9, "{:?}", during(22, 24));
     assert_eq!(changes, [true, false]);
 }
+
+/// Guards against requests that are refused although servers have free slots: answers are late there
+/// for other reasons, such as cold caches, which thinning does not mend. Before the shortage followed
+/// the slots in use, a quiet day refused twice as many requests as without thinning.
+#[test]
+fn late_answers_of_a_service_with_free_slots_thin_nothing() {
+    let start = Instant::now();
+    let mut admission = Admission::new(Settings::default(), &competition(), start);
+    admission.record_occupancy(0.6);
+    for number in 0..400 {
+        let now = start + Duration::from_millis(10) * number;
+        admission.record(1, Ending::Late, now);
+        assert!(admission.admit(2, "a", now), "request {number}");
+    }
+    let terms = admission.terms(2, |_| service_time(0));
+    assert_eq!(terms, Terms::default());
+    assert!(
+        admission
+            .take_change(start + Duration::from_secs(4))
+            .is_none()
+    );
+}
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -123,7 +123,7 @@
         attempt::Outcome::NotRun(proof) if proof.reason() == Refusal::Overloaded => {
             let retry_after = error.retry_after;
             ForwardError {
-                retry_after: retry_after.map(|wait| servers.retry_after(wait, time_left, now)),
+                retry_after: retry_after.map(|wait| servers.retry_after(wait, time_left)),
                 ..error
             }
         }
--- a/programs/gateway/src/servers/admission.rs
+++ b/programs/gateway/src/servers/admission.rs
@@ -113,10 +113,10 @@
 
     /// Returns the time after which the caller of a refused request should return; `excess` if no
     /// requests compete for the service.
-    pub fn retry_after(&self, excess: Duration, time_left: Duration, now: Instant) -> Duration {
+    pub fn retry_after(&self, excess: Duration, time_left: Duration) -> Duration {
         let state = lock(&self.state);
         state.admission.as_ref().map_or(excess, |admission| {
-            admission.retry_after(excess, time_left, &mut rand::rng(), now)
+            admission.retry_after(excess, time_left, &mut rand::rng())
         })
     }
 }
@@ -127,7 +127,7 @@
 
 impl State {
     /// Returns the terms of a placement and the shortage of the service, from 0 to 1.
-    pub(super) fn terms(&self, criteria: &ServerCriteria<'_>, now: Instant) -> (Terms, f64) {
+    pub(super) fn terms(&self, criteria: &ServerCriteria<'_>) -> (Terms, f64) {
         let service_time = |objective| {
             let known = self.service_times.get(&objective);
             let estimate = known.cloned();
@@ -137,15 +137,15 @@
         self.admission
             .as_ref()
             .map_or((Terms::default(), 0.0), |admission| {
-                let terms = admission.terms(criteria.priority, service_time, now);
-                (terms, admission.shortage(now))
+                let terms = admission.terms(criteria.priority, service_time);
+                (terms, admission.shortage())
             })
     }
 
     /// Records that a request was sent to a server; `is_warm` if that has cached its object.
-    pub(super) fn record_send(&mut self, priority: Priority, is_warm: bool, now: Instant) {
+    pub(super) fn record_send(&mut self, priority: Priority, is_warm: bool) {
         if let Some(admission) = &mut self.admission {
-            admission.record_send(priority, is_warm, now);
+            admission.record_send(priority, is_warm);
         }
     }
 }
--- a/programs/gateway/src/servers/server_set.rs
+++ b/programs/gateway/src/servers/server_set.rs
@@ -148,7 +148,7 @@
     ) -> Placement {
         let mut state = lock(&self.state);
         let state = &mut *state;
-        let (terms, shortage) = state.terms(criteria, now);
+        let (terms, shortage) = state.terms(criteria);
         let estimate = state.estimate(now);
         let service_time = state.service_time(criteria, estimate);
         let slowest = state.slowest(criteria, estimate);
@@ -218,6 +218,9 @@
                 }
             })
             .collect();
+        if let Some(admission) = &mut state.admission {
+            admission.record_occupancy(placement::occupancy(&candidates));
+        }
         let is_usable = |index: usize| {
             let server = servers[index];
             let registration = &server.registration;
@@ -263,7 +266,7 @@
         };
         let id = servers[index].registration.server.clone();
         let candidate = candidates[index];
-        state.record_send(criteria.priority, warm, now);
+        state.record_send(criteria.priority, warm);
         state.last_ticket += 1;
         let ticket = state.last_ticket;
         let warmup_rate = state.warmup_rate;
