feature: soak with callers that pipeline and usage reports

The fault soak did not judge pipelined requests and usage reports. Seeds from 7000 on also have callers that pipeline, from 8000 on also usage reports, whose holder is killed, paused and cut off from the store.

--- a/tests/soak/src/addresses.rs
+++ b/tests/soak/src/addresses.rs
@@ -1,8 +1,11 @@
 //! Listen addresses and settings files of the processes of a run.
 
 use crate::plan::DATA_CENTRES;
+use adapter::usage::DUTY;
+use serde_json::{Value, json};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
 
 /// Names of the data centres.
 pub const DATA_CENTRE_NAMES: [&str; DATA_CENTRES] = ["nord-a", "sud-a"];
@@ -39,14 +42,27 @@
     }
 }
 
+/// Lease of the holder of the usage reports, short enough for several holders in one run.
+pub const USAGE_LEASE: Duration = Duration::from_secs(1);
+
+/// Adds usage reports to `address` to the content of a settings file. Windows of 1 s that are due
+/// 3 s after their end leave time for several holders in one run.
+pub fn with_usage(mut settings: Value, address: SocketAddr) -> Value {
+    settings["usage"] = json!({
+        "address": address, "duties": [DUTY], "window_s": 1, "late_s": 3,
+        "lease_ms": USAGE_LEASE.as_millis() as u64,
+    });
+    settings
+}
+
 /// Returns the content of a gateway's settings file.
 pub fn settings(
     vm: &str,
     data_centre: &str,
     at: impl Fn(u16) -> SocketAddr,
     store: SocketAddr,
-) -> String {
-    let settings = serde_json::json!({
+) -> Value {
+    json!({
         "vm": vm,
         "data_centre": data_centre,
         "region": data_centre,
@@ -60,6 +76,5 @@
             "grace_s": 2, "retry_ratio": 0.2, "retry_slack": 62, "exposure_share": 0.1,
             "exposure_slack": 50, "lookup_ttl_s": 5,
         },
-    });
-    settings.to_string()
+    })
 }
--- a/tests/soak/src/caller.rs
+++ b/tests/soak/src/caller.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 
 /// Default time that a caller waits for an answer, and deadline that it sends.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 base::value! {
     /// Outcome of one request as its caller observed it.
@@ -29,6 +29,9 @@
         pub sent_at: Instant,
         /// When the answer was complete, or the request failed without one.
         pub ended_at: Instant,
+        /// Whether it was pipelined behind an answer that closed the connection, so that it counts as
+        /// not read.
+        pub unread: bool,
         /// Status, signature and body; none without a complete answer.
         pub answer: Option<(u16, Option<Box<str>>, Bytes)>,
     }
@@ -74,6 +77,7 @@
             old_key,
             sent_at,
             ended_at: Instant::now(),
+            unread: false,
             answer,
         }
     }
--- a/tests/soak/src/invariants.rs
+++ b/tests/soak/src/invariants.rs
@@ -2,6 +2,7 @@
 
 use crate::caller::RequestRecord;
 use indexmap::IndexMap;
+use standin_site::cloud::Report;
 use standin_site::server::Arrival;
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,8 @@
 const REJECTION: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(1)];
 /// Most requests that may arrive in between.
 const MAX_REJECTED: usize = 2;
+/// Time after a paused VM continues in which its usage reports do not count.
+pub const THAW_SLACK: Duration = Duration::from_millis(300);
 /// Smallest share of requests that must be served after recovery.
 const MIN_SERVED_SHARE: f64 = 0.95;
 
@@ -72,6 +75,10 @@
         pub arrivals: Vec<Vec<Arrival>>,
         /// When each server began a new run, under the same id.
         pub rejoined: Vec<Vec<Instant>>,
+        /// Usage reports as the platform received them; none in runs without them.
+        pub reports: Option<Vec<Report>>,
+        /// Time within which the holder of the usage reports must not change and change back.
+        pub lease: Duration,
         /// Periods of stops and of faults that may end requests.
         pub periods: Vec<Period>,
         /// Timeout of the route.
@@ -97,6 +104,12 @@
         if !request.repeatable && times > 1 {
             violations.push(format!("{} ran {times} times", request.id));
         }
+        if request.unread && times > 0 {
+            violations.push(format!(
+                "{} ran behind an answer that closed the connection",
+                request.id
+            ));
+        }
         if let Some((status, signature, body)) = &request.answer {
             if NOT_RUN.contains(status) && !request.repeatable && times > 0 {
                 violations.push(format!("{} was answered {status} and ran", request.id));
@@ -124,6 +137,7 @@
     }
     violations.extend(interrupted_requests(history));
     violations.extend(ignored_notices(history));
+    violations.extend(wrong_reports(history));
     let recovered_at = history.faults_ended_at + history.recovery_time;
     let after_recovery = history
         .requests
@@ -268,3 +282,74 @@
     }
     lines
 }
+
+/// Returns a line for each usage report that breaks a rule of the platform, and one if none arrived
+/// after recovery.
+///
+/// Reports that a VM sends shortly after it was paused count neither as of a lower token nor as a
+/// change of the holder.
+pub fn wrong_reports(history: &History) -> Vec<String> {
+    let Some(reports) = &history.reports else {
+        return Vec::new();
+    };
+    let mut lines = Vec::new();
+    // Reports that count, in the order of their arrival.
+    let mut counted: Vec<&Report> = Vec::new();
+    for (index, report) in reports.iter().enumerate() {
+        let (holder, token) = (&report.holder, report.token);
+        let earlier = &reports[..index];
+        let window = window(report);
+        if window.is_none() {
+            lines.push(format!("{holder} sent a usage report without a window"));
+        }
+        let differs = |other: &&Report| other.body != report.body;
+        let mut of_window = earlier.iter().filter(|other| self::window(other) == window);
+        if of_window.any(|other| differs(&other)) {
+            lines.push(format!(
+                "{holder} reported window {window:?} with other counts"
+            ));
+        }
+        let has_token = |other: &Report| other.token == token && other.holder != *holder;
+        if earlier.iter().any(has_token) {
+            lines.push(format!("{holder} used token {token} of another holder"));
+        }
+        if is_after_pause(history, report) {
+            continue;
+        }
+        if counted.iter().any(|other| other.token > token) {
+            lines.push(format!("{holder} used token {token} after a higher one"));
+        }
+        let foreign = counted.iter().rposition(|other| other.holder != *holder);
+        let before = &counted[..foreign.unwrap_or_default()];
+        let own = before.iter().rfind(|other| other.holder == *holder);
+        if own.is_some_and(|own| report.at - own.at < history.lease) {
+            lines.push(format!(
+                "{holder} reported again within the lease after another holder"
+            ));
+        }
+        counted.push(report);
+    }
+    let recovered_at = history.faults_ended_at + history.recovery_time;
+    if !reports.iter().any(|report| report.at > recovered_at) {
+        lines.push("no usage was reported at the end".into());
+    }
+    lines
+}
+
+/// Returns the window of a usage report.
+fn window(report: &Report) -> Option<u64> {
+    let body: serde_json::Value = serde_json::from_slice(&report.body).ok()?;
+    body["windowId"].as_u64()
+}
+
+/// Returns whether a report arrived shortly after its VM had been paused.
+fn is_after_pause(history: &History, report: &Report) -> bool {
+    let is_thawing = |period: &Period| match period.disturbance {
+        Disturbance::Pause(gateway) => {
+            *report.holder == *format!("vm-{gateway}")
+                && (period.end..period.end + THAW_SLACK).contains(&report.at)
+        }
+        _ => false,
+    };
+    history.periods.iter().any(is_thawing)
+}
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -2,12 +2,13 @@
 //! callers and backend servers observe.
 //!
 //! [`run::run`] runs one seed. [`plan`] generates its faults, [`process`] signals gateway
-//! processes, [`proxy`] disturbs connections, [`addresses`] assigns listen addresses and
-//! [`invariants`] checks the result.
+//! processes, [`proxy`] disturbs connections, [`pipeline`] sends requests ahead, [`addresses`]
+//! assigns listen addresses and [`invariants`] checks the result.
 
 pub mod addresses;
 pub mod caller;
 pub mod invariants;
+pub mod pipeline;
 pub mod plan;
 pub mod process;
 pub mod proxy;
--- a/tests/soak/src/plan.rs
+++ b/tests/soak/src/plan.rs
@@ -38,10 +38,28 @@
         Publish,
         /// The operator withdraws a key for good.
         Withdraw,
+        /// The VM that sent the last usage report becomes faulty.
+        Holder(HolderFault),
+        /// The VM that a fault of the holder affected is sound again.
+        HolderBack,
+        /// Usage reports are recorded and get no answer, or get one again.
+        Cloud(bool),
     }
 }
 
 base::label! {
+    /// Fault of the VM that sends the usage reports.
+    pub enum HolderFault {
+        /// It gets SIGKILL.
+        Kill,
+        /// It is paused for longer than the lease.
+        Pause,
+        /// Its requests to the store are lost.
+        CutForward,
+        /// The store's answers to it are lost.
+        CutBack,
+    }
+
     /// Fault of the store at one address.
     pub enum StoreFault {
         /// None.
@@ -121,6 +139,17 @@
 
 /// First seed with servers that say that they leave or want nothing.
 pub const FIRST_NOTICE: u64 = 6_000;
+/// First seed with callers that pipeline.
+pub const FIRST_PIPELINED: u64 = 7_000;
+/// First seed with usage reports and faults of their holder.
+pub const FIRST_USAGE: u64 = 8_000;
+/// Faults of the holder of the usage reports.
+const HOLDER_FAULTS: [HolderFault; 4] = [
+    HolderFault::Kill,
+    HolderFault::Pause,
+    HolderFault::CutForward,
+    HolderFault::CutBack,
+];
 
 /// Returns a random element.
 fn pick<T: Copy, const N: usize>(rng: &mut StdRng, values: [T; N]) -> T {
@@ -179,6 +208,9 @@
     if seed >= FIRST_NOTICE {
         plan.extend(noticing_servers(&mut rng));
     }
+    if seed >= FIRST_USAGE {
+        plan.extend(faulty_holders(&mut rng));
+    }
     // At the end of the fault phase, paused gateways continue and servers that left rejoin.
     plan.extend((0..GATEWAYS).map(|gateway| (FAULT_PHASE, Fault::Continue(gateway))));
     plan.extend((0..SERVERS).map(|server| (FAULT_PHASE, Fault::Rejoin(server))));
@@ -256,3 +288,25 @@
     });
     plan
 }
+
+/// Generates two faults of the holder of the usage reports, each longer than the lease of 1 s, and
+/// a period in which reports get no answer. The first fault is mostly long enough for a successor,
+/// which notices an overdue window 1.35 s after its end and then waits for the lease.
+fn faulty_holders(rng: &mut StdRng) -> [(Duration, Fault); 6] {
+    let mut between = |from: u64, to: u64| Duration::from_millis(rng.random_range(from..to));
+    let first = between(0, 800);
+    let first_end = first + between(1_500, 3_000);
+    let second = between(3_800, 4_200);
+    let second_end = second + between(1_200, 1_800);
+    let silence = between(0, 4_000);
+    let silence_end = silence + between(300, 2_000);
+    let mut fault = || Fault::Holder(pick(rng, HOLDER_FAULTS));
+    [
+        (first, fault()),
+        (first_end, Fault::HolderBack),
+        (second, fault()),
+        (second_end, Fault::HolderBack),
+        (silence, Fault::Cloud(true)),
+        (silence_end, Fault::Cloud(false)),
+    ]
+}
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -1,16 +1,21 @@
 //! Runs one seed of the soak test.
 
-use crate::addresses::{Addresses, DATA_CENTRE_NAMES, settings};
+use crate::addresses::{Addresses, DATA_CENTRE_NAMES, USAGE_LEASE, settings, with_usage};
 use crate::caller::{Caller, RequestRecord};
 use crate::invariants::{self, Disturbance, Execution, History, Period};
+use crate::pipeline::Pipeline;
 use crate::plan::{
-    self, DATA_CENTRES, FAULT_PHASE, Fault, GATEWAYS, SERVERS, ServerFault, StoreFault,
+    self, DATA_CENTRES, FAULT_PHASE, FIRST_PIPELINED, FIRST_USAGE, Fault, GATEWAYS, HolderFault,
+    SERVERS, ServerFault, StoreFault,
 };
 use crate::process::Gateway;
 use crate::proxy::{Mode, Proxy};
 use base::sync::lock;
 use indexmap::IndexMap;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
+use standin_site::cloud::Cloud;
 use standin_site::operator::{Desired, Route};
 use standin_site::server::{Behaviour, Entry, Server};
 use standin_site::store::{Endpoint, Faults, Store};
@@ -73,6 +78,10 @@
 }
 
 struct Site {
+    /// The platform that takes usage reports; none in runs without them.
+    cloud: Option<Cloud>,
+    /// Gateway that the last fault of the holder affected.
+    faulty_holder: usize,
     store: Store,
     store_endpoints: Vec<Endpoint>,
     store_proxies: Vec<Proxy>,
@@ -99,7 +108,7 @@
     let folder = folder.join(format!("seed-{seed}"));
     std::fs::create_dir_all(&folder)?;
     let stop = CancellationToken::new();
-    let mut site = Site::start(program, &folder, &stop).await?;
+    let mut site = Site::start(program, &folder, seed >= FIRST_USAGE, &stop).await?;
     site.publish();
     for gateway in &mut site.gateways {
         gateway.start()?;
@@ -117,6 +126,17 @@
             ));
         }
     }
+    let pipelining = site.gateways.iter().enumerate();
+    for (number, gateway) in pipelining.filter(|_| seed >= FIRST_PIPELINED) {
+        tokio::spawn(pipeline_requests(
+            Pipeline::new(number, gateway.callers),
+            StdRng::seed_from_u64(seed + number as u64),
+            requests.clone(),
+            next.clone(),
+            stop.clone(),
+        ));
+    }
+    site.wait_reported().await?;
     let begin = Instant::now();
     let mut log = Vec::new();
     for (at, fault) in plan::generate(seed) {
@@ -141,6 +161,8 @@
         executions: site.executions(),
         arrivals: site.servers.iter().map(Server::arrivals).collect(),
         rejoined: site.rejoined,
+        reports: site.cloud.as_ref().map(Cloud::reports),
+        lease: USAGE_LEASE,
         periods: site.periods,
         timeout: Duration::from_millis(SAFE.timeout_ms.into()),
         faults_ended_at,
@@ -148,6 +170,14 @@
         recovery_time: RECOVERY_TIME,
     };
     std::fs::write(folder.join("faults.txt"), log.join("\n"))?;
+    let requests = history
+        .requests
+        .iter()
+        .map(|request| format!("{request:?}"));
+    let reports = history.reports.iter().flatten();
+    let observed = requests.chain(reports.map(|report| format!("{report:?}")));
+    let observed: Vec<String> = observed.collect();
+    std::fs::write(folder.join("observed.txt"), observed.join("\n"))?;
     let served = history
         .requests
         .iter()
@@ -179,6 +209,35 @@
     }
 }
 
+/// Sends two to eight reads at a time until the run ends, and those that were not read again, under
+/// new ids.
+async fn pipeline_requests(
+    mut pipeline: Pipeline,
+    mut rng: StdRng,
+    requests: Arc<Mutex<Vec<RequestRecord>>>,
+    next: Arc<AtomicU64>,
+    stop: CancellationToken,
+) {
+    let mut resent = 0;
+    while !stop.is_cancelled() {
+        let count = if resent > 0 {
+            resent
+        } else {
+            rng.random_range(2..=8)
+        };
+        let ids: Vec<Box<str>> = (0..count)
+            .map(|_| format!("p{}", next.fetch_add(1, Ordering::Relaxed)).into())
+            .collect();
+        let results = tokio::select! {
+            results = pipeline.request(&ids, SAFE.name) => results,
+            () = stop.cancelled() => return,
+        };
+        resent = results.iter().filter(|result| result.unread).count();
+        lock(&requests).extend(results);
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+}
+
 /// Returns the route of a request, chosen by its number.
 fn route(number: u64) -> &'static Route {
     match number % 6 {
@@ -189,7 +248,12 @@
 }
 
 impl Site {
-    async fn start(program: &Path, folder: &Path, stop: &CancellationToken) -> io::Result<Self> {
+    async fn start(
+        program: &Path,
+        folder: &Path,
+        has_usage: bool,
+        stop: &CancellationToken,
+    ) -> io::Result<Self> {
         let addresses = Addresses::next();
         let address = |number, port| addresses.at(number, port);
         let store = Store::default();
@@ -207,22 +271,32 @@
             server_proxies.push(proxy.await?);
             servers.push(server);
         }
+        let cloud = match has_usage {
+            true => Some(Cloud::start(address(3, 8529), stop.clone()).await?),
+            false => None,
+        };
         let mut gateways = Vec::new();
         for number in 0..GATEWAYS {
             let at = |port| address(41 + number as u8, port);
             let vm = format!("vm-{number}");
             let gateway = Gateway::new(&vm, at(8389), at(8385), program, folder);
             let data_centre = number % DATA_CENTRES;
-            let text = settings(
+            let settings = settings(
                 &vm,
                 DATA_CENTRE_NAMES[data_centre],
                 at,
                 store_proxies[data_centre].address,
             );
-            std::fs::write(gateway.settings(), text)?;
+            let settings = match &cloud {
+                Some(cloud) => with_usage(settings, cloud.address),
+                None => settings,
+            };
+            std::fs::write(gateway.settings(), settings.to_string())?;
             gateways.push(gateway);
         }
         let mut site = Self {
+            cloud,
+            faulty_holder: 0,
             store,
             store_endpoints,
             store_proxies,
@@ -254,6 +328,30 @@
         Ok(())
     }
 
+    /// Waits until usage was reported, in runs with usage reports.
+    async fn wait_reported(&self) -> io::Result<()> {
+        let end = Instant::now() + STARTUP_TIMEOUT;
+        while self
+            .cloud
+            .as_ref()
+            .is_some_and(|cloud| cloud.reports().is_empty())
+        {
+            if Instant::now() > end {
+                return Err(io::Error::other("no usage is reported"));
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    }
+
+    /// Returns the gateway that sent the last usage report.
+    fn holder(&self) -> usize {
+        let reports = self.cloud.as_ref().map(Cloud::reports);
+        let last = reports.as_ref().and_then(|reports| reports.last());
+        let is_holder = |gateway: &Gateway| last.is_some_and(|last| last.holder == gateway.vm);
+        self.gateways.iter().position(is_holder).unwrap_or_default()
+    }
+
     fn register(&mut self, server: usize, leaving: bool) {
         self.sequence += 1;
         let entry = Entry {
@@ -341,6 +439,28 @@
                 self.withdrawn_at.get_or_insert(Instant::now());
                 self.publish();
             }
+            Fault::Holder(fault) => {
+                let holder = self.holder();
+                self.faulty_holder = holder;
+                let centre = holder % DATA_CENTRES;
+                self.apply_fault(&match fault {
+                    HolderFault::Kill => Fault::Kill(holder),
+                    HolderFault::Pause => Fault::Pause(holder),
+                    HolderFault::CutForward => Fault::StoreWay(centre, Mode::CutForward),
+                    HolderFault::CutBack => Fault::StoreWay(centre, Mode::CutBack),
+                })?;
+            }
+            Fault::HolderBack => {
+                let holder = self.faulty_holder;
+                self.resume(holder)?;
+                self.restart(holder)?;
+                self.store_proxies[holder % DATA_CENTRES].set(Mode::Pass);
+            }
+            Fault::Cloud(is_silent) => {
+                if let Some(cloud) = &self.cloud {
+                    cloud.set_silent(is_silent);
+                }
+            }
         }
         Ok(())
     }
@@ -350,6 +470,9 @@
         self.store_endpoints
             .iter()
             .for_each(|endpoint| endpoint.set(Faults::default()));
+        if let Some(cloud) = &self.cloud {
+            cloud.set_silent(false);
+        }
         let proxies = self.store_proxies.iter().chain(&self.server_proxies);
         proxies.for_each(|proxy| proxy.set(Mode::Pass));
         self.servers
--- a/tests/soak/tests/invariants.rs
+++ b/tests/soak/tests/invariants.rs
@@ -1,9 +1,10 @@
-//! Tests the check that a planned stop interrupts no request.
+//! Tests the checks on made-up histories.
 
 use bytes::Bytes;
 use rstest::rstest;
 use soak::caller::RequestRecord;
 use soak::invariants::{self, Disturbance, Execution, History, Period};
+use standin_site::cloud::Report;
 use standin_site::server::Arrival;
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,8 @@
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time from sending the request to its end.
 const ANSWER_TIME: Duration = Duration::from_millis(900);
+/// Lease of the holder of the usage reports.
+const LEASE: Duration = Duration::from_secs(1);
 
 /// Returns the history of a request to gateway 1 that servers 2 and 3 run while the gateway stops.
 fn history(status: Option<u16>) -> History {
@@ -27,11 +30,14 @@
             old_key: false,
             sent_at: sent,
             ended_at: sent + ANSWER_TIME,
+            unread: false,
             answer: status.map(|status| (status, None, Bytes::new())),
         }],
         executions: vec![execution(2), execution(3)],
         arrivals: Vec::new(),
         rejoined: vec![Vec::new(); 4],
+        reports: None,
+        lease: LEASE,
         periods: vec![Period {
             disturbance: Disturbance::Stop(1),
             begin: sent + ANSWER_TIME / 2,
@@ -199,3 +205,99 @@
     });
     assert_eq!(invariants::ignored_notices(&history).len(), 0);
 }
+
+/// Guards against a pipelined request that runs although its caller was told that it was not read.
+#[rstest]
+#[case::ran(true, true, 1)]
+#[case::did_not_run(true, false, 0)]
+#[case::read(false, true, 0)]
+fn unread_request_that_runs_is_reported(
+    #[case] unread: bool,
+    #[case] ran: bool,
+    #[case] lines: usize,
+) {
+    let mut history = history(None);
+    history.periods.clear();
+    history.requests[0].unread = unread;
+    if !ran {
+        history.executions.clear();
+    }
+    let violations = invariants::violations(&history);
+    let is_named = |line: &&String| line.contains("closed the connection");
+    assert_eq!(violations.iter().filter(is_named).count(), lines);
+}
+
+/// Returns a history with usage reports: time in milliseconds, VM, token, window and count.
+fn reported(reports: &[(u64, &str, u64, u64, u64)]) -> History {
+    let mut history = history(Some(200));
+    let begin = history.faults_ended_at;
+    let report = |(at, holder, token, window, count): &(u64, &str, u64, u64, u64)| Report {
+        at: begin + Duration::from_millis(*at),
+        holder: (*holder).into(),
+        token: *token,
+        body: format!(r#"{{"windowId":{window},"counts":{{"a":{count}}}}}"#).into(),
+        status: 200,
+    };
+    history.reports = Some(reports.iter().map(report).collect());
+    history
+}
+
+/// Guards against a check of the usage reports that misses a broken rule, or reports what is allowed.
+#[rstest]
+#[case::sound(&[(1, "vm-1", 4, 7, 5), (900, "vm-1", 4, 8, 6)], None)]
+#[case::repeated(&[(1, "vm-1", 4, 7, 5), (900, "vm-2", 5, 7, 5)], None)]
+#[case::other_counts(&[(1, "vm-1", 4, 7, 5), (900, "vm-1", 4, 7, 6)], Some("other counts"))]
+#[case::no_counts(&[(1, "vm-1", 4, 7, 5), (900, "vm-1", 4, 7, 0)], Some("other counts"))]
+#[case::shared_token(&[(1, "vm-1", 4, 7, 5), (900, "vm-2", 4, 8, 6)], Some("of another holder"))]
+#[case::lower_token(&[(1, "vm-1", 4, 7, 5), (900, "vm-2", 3, 8, 6)], Some("a higher one"))]
+#[case::to_and_fro(
+    &[(1, "vm-1", 4, 7, 5), (500, "vm-2", 5, 8, 6), (1_000, "vm-1", 6, 9, 6)],
+    Some("within the lease")
+)]
+#[case::back_later(
+    &[(1, "vm-1", 4, 7, 5), (500, "vm-2", 5, 8, 6), (1_001, "vm-1", 6, 9, 6)],
+    None
+)]
+#[case::none(&[], Some("no usage"))]
+fn wrong_reports_are_reported(
+    #[case] reports: &[(u64, &str, u64, u64, u64)],
+    #[case] expected: Option<&str>,
+) {
+    let history = reported(reports);
+    let lines = invariants::wrong_reports(&history);
+    assert_eq!(lines.len(), usize::from(expected.is_some()), "{lines:?}");
+    assert!(
+        lines
+            .iter()
+            .all(|line| expected.is_some_and(|text| line.contains(text)))
+    );
+    let violations = invariants::violations(&history);
+    assert!(lines.iter().all(|line| violations.contains(line)));
+}
+
+/// Guards against reports held against a VM that has just continued, and against a pause that
+/// excuses other VMs, later reports, or other counts.
+#[rstest]
+#[case::just_continued(1, 0, 6, 0)]
+#[case::other_vm(2, 0, 6, 1)]
+#[case::later(1, 300, 6, 1)]
+#[case::other_counts(1, 0, 5, 1)]
+fn pause_excuses_late_reports(
+    #[case] paused: usize,
+    #[case] after_ms: u64,
+    #[case] window: u64,
+    #[case] lines: usize,
+) {
+    let resumed_ms = 5_000;
+    let mut history = reported(&[
+        (1, "vm-1", 4, 5, 5),
+        (4_900, "vm-2", 5, 7, 5),
+        (resumed_ms + after_ms, "vm-1", 4, window, 6),
+    ]);
+    history.periods = vec![Period {
+        disturbance: Disturbance::Pause(paused),
+        begin: history.faults_ended_at,
+        end: history.faults_ended_at + Duration::from_millis(resumed_ms),
+    }];
+    assert_eq!(invariants::wrong_reports(&history).len(), lines);
+}
--- a/tests/soak/tests/stop.rs
+++ b/tests/soak/tests/stop.rs
@@ -107,7 +107,7 @@
         let at = |port| addresses.at(41, port);
         let mut gateway = Gateway::new("vm-0", at(8389), at(8385), program(), &folder);
         let text = settings("vm-0", DATA_CENTRE_NAMES[0], at, endpoint.address);
-        std::fs::write(gateway.settings(), text).expect("a settings file");
+        std::fs::write(gateway.settings(), text.to_string()).expect("a settings file");
         gateway.start().expect("the gateway starts");
         let site = Self {
             gateway,
