--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -2,8 +2,8 @@
 //! callers and backend servers observe.
 //!
 //! [`run::run`] runs one seed. [`plan`] generates its faults, [`process`] signals gateway
-//! processes, [`proxy`] disturbs connections, [`pipeline`] sends requests ahead, [`addresses`]
-//! assigns listen addresses and [`invariants`] checks the result.
+//! processes, [`proxy`] disturbs connections, [`traffic`] starts callers, [`pipeline`] sends
+//! requests ahead, [`addresses`] assigns listen addresses and [`invariants`] checks the result.
 
 pub mod addresses;
 pub mod caller;
@@ -13,3 +13,4 @@
 pub mod process;
 pub mod proxy;
 pub mod run;
+pub mod traffic;
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -1,29 +1,24 @@
 //! Runs one seed of the soak test.
 
 use crate::addresses::{Addresses, DATA_CENTRE_NAMES, USAGE_LEASE, settings, with_usage};
-use crate::caller::{Caller, Place, RequestRecord};
+use crate::caller::Caller;
 use crate::invariants::{self, Disturbance, Execution, History, Period};
-use crate::pipeline::Pipeline;
 use crate::plan::{
-    self, DATA_CENTRES, FAULT_PHASE, FIRST_PIPELINED, FIRST_USAGE, Fault, GATEWAYS, HolderFault,
-    SERVERS, ServerFault, StoreFault,
+    self, DATA_CENTRES, FAULT_PHASE, FIRST_USAGE, Fault, GATEWAYS, HolderFault, SERVERS,
+    ServerFault, StoreFault,
 };
 use crate::process::Gateway;
 use crate::proxy::{Mode, Proxy};
-use base::sync::lock;
+use crate::traffic::{ROUTES, SAFE, Traffic};
 use indexmap::IndexMap;
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
 use standin_site::cloud::Cloud;
-use standin_site::operator::{Desired, Route};
+use standin_site::operator::Desired;
 use standin_site::server::{Behaviour, Entry, Server};
 use standin_site::store::{Endpoint, Faults, Store};
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
@@ -32,8 +27,6 @@
 /// Time from the end of the faults after which callers must be served. It covers gateway starts,
 /// the timeout of silent connections, and the time until servers that were down are used again.
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
-/// Pause between two requests of a caller.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 /// Interval at which gateways that ended are restarted.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for the gateways to become ready.
@@ -42,28 +35,6 @@
 /// answer of a cold server (four times its service time of 1.6 objectives), and below the route
 /// timeout.
 const LATE_SERVICE_TIME: Duration = Duration::from_millis(1_300);
-/// Latency objective of the routes in milliseconds.
-const OBJECTIVE_MS: u32 = 100;
-/// Routes: repeatable, not repeatable, and repeatable with a single attempt. With a single attempt,
-/// no second server hides that a gateway gave up a request while its server was working on it.
-const ROUTES: [Route; 3] = [SAFE, ONCE, SINGLE];
-const SAFE: Route = Route {
-    name: "safe",
-    service: "service",
-    objective_ms: OBJECTIVE_MS,
-    ..Route::PLAIN
-};
-const ONCE: Route = Route {
-    name: "once",
-    repeatable: false,
-    ..SAFE
-};
-const SINGLE: Route = Route {
-    name: "single",
-    attempts: 1,
-    ..SAFE
-};
-
 /// Result of one run.
 #[derive(Debug)]
 pub struct Outcome {
@@ -114,27 +85,9 @@
         gateway.start()?;
     }
     site.wait_ready().await?;
-    let requests: Arc<Mutex<Vec<RequestRecord>>> = Arc::default();
-    let next = Arc::new(AtomicU64::new(0));
+    let traffic = Traffic::new(stop.clone());
     for (number, gateway) in site.gateways.iter().enumerate() {
-        for _ in 0..3 {
-            tokio::spawn(send_requests(
-                Caller::new(number, gateway.callers),
-                requests.clone(),
-                next.clone(),
-                stop.clone(),
-            ));
-        }
-    }
-    let pipelining = site.gateways.iter().enumerate();
-    for (number, gateway) in pipelining.filter(|_| seed >= FIRST_PIPELINED) {
-        tokio::spawn(pipeline_requests(
-            Pipeline::new(number, gateway.callers),
-            StdRng::seed_from_u64(seed + number as u64),
-            requests.clone(),
-            next.clone(),
-            stop.clone(),
-        ));
+        traffic.start(seed, number, gateway.callers);
     }
     site.wait_reported().await?;
     let begin = Instant::now();
@@ -157,7 +110,7 @@
         .into_iter()
         .for_each(|disturbance| site.end_disturbance(disturbance));
     let history = History {
-        requests: lock(&requests).clone(),
+        requests: traffic.requests(),
         executions: site.executions(),
         arrivals: site.servers.iter().map(Server::arrivals).collect(),
         rejoined: site.rejoined,
@@ -190,66 +143,6 @@
     })
 }
 
-/// Sends requests to all routes until the run ends.
-async fn send_requests(
-    mut caller: Caller,
-    requests: Arc<Mutex<Vec<RequestRecord>>>,
-    next: Arc<AtomicU64>,
-    stop: CancellationToken,
-) {
-    while !stop.is_cancelled() {
-        let number = next.fetch_add(1, Ordering::Relaxed);
-        let id = format!("r{number}");
-        let result = tokio::select! {
-            result = caller.request(&id, route(number), number.is_multiple_of(5)) => result,
-            () = stop.cancelled() => return,
-        };
-        lock(&requests).push(result);
-        tokio::time::sleep(REQUEST_INTERVAL).await;
-    }
-}
-
-/// Sends two to eight reads at a time until the run ends, and those that were not read again, under
-/// new ids.
-async fn pipeline_requests(
-    mut pipeline: Pipeline,
-    mut rng: StdRng,
-    requests: Arc<Mutex<Vec<RequestRecord>>>,
-    next: Arc<AtomicU64>,
-    stop: CancellationToken,
-) {
-    let mut resent = 0;
-    while !stop.is_cancelled() {
-        let count = if resent > 0 {
-            resent
-        } else {
-            rng.random_range(2..=8)
-        };
-        let ids: Vec<Box<str>> = (0..count)
-            .map(|_| format!("p{}", next.fetch_add(1, Ordering::Relaxed)).into())
-            .collect();
-        let results = tokio::select! {
-            results = pipeline.request(&ids, SAFE.name) => results,
-            () = stop.cancelled() => return,
-        };
-        resent = results
-            .iter()
-            .filter(|result| result.place == Place::Unread)
-            .count();
-        lock(&requests).extend(results);
-        tokio::time::sleep(REQUEST_INTERVAL).await;
-    }
-}
-
-/// Returns the route of a request, chosen by its number.
-fn route(number: u64) -> &'static Route {
-    match number % 6 {
-        1 | 3 | 5 => &ONCE,
-        4 => &SINGLE,
-        _ => &SAFE,
-    }
-}
-
 impl Site {
     async fn start(
         program: &Path,
