--- a/tests/soak/src/caller.rs
+++ b/tests/soak/src/caller.rs
@@ -12,7 +12,19 @@
 use tokio::net::TcpStream;
 
 /// Default time that a caller waits for an answer, and deadline that it sends.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+base::label! {
+    /// Place of a request among those that its caller sent on the connection at once.
+    pub enum Place {
+        /// It was sent alone.
+        Single,
+        /// It was sent with others.
+        Pipelined,
+        /// An answer in front of it closed the connection, so that it counts as not read.
+        Unread,
+    }
+}
 
 base::value! {
     /// Outcome of one request as its caller observed it.
@@ -29,6 +41,8 @@
         pub sent_at: Instant,
         /// When the answer was complete, or the request failed without one.
         pub ended_at: Instant,
+        /// Its place on its connection.
+        pub place: Place,
         /// Status, signature and body; none without a complete answer.
         pub answer: Option<(u16, Option<Box<str>>, Bytes)>,
     }
@@ -74,6 +88,7 @@
             old_key,
             sent_at,
             ended_at: Instant::now(),
+            place: Place::Single,
             answer,
         }
     }
