feature: explain where a gateway would send a request

Operators could see a decision only after a request, in its log line. ServerSet::place is split into a survey of the servers, which changes no state and is shared with the explanation, and the recording of a send.

--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod bundle;
 pub mod check;
+pub mod explain;
 pub mod fleet;
 pub mod gateway;
 pub mod service;
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -164,7 +164,7 @@
 
 impl Candidate {
     /// Returns the time that a request which arrives now waits for a slot.
-    fn queue_wait(&self, service_time: &ServiceTime, estimate: Estimate) -> Duration {
+    pub fn queue_wait(&self, service_time: &ServiceTime, estimate: Estimate) -> Duration {
         if let Estimate::Learned { .. } = estimate {
             return self.wait;
         }
@@ -312,6 +312,44 @@
     best.map(|ranked| ranked.map(|(_, index)| index))
 }
 
+/// Ranks of candidates in the order of a request's object.
+struct Order([Option<usize>; 2], bool);
+
+impl Order {
+    fn new(request: &PlacementRequest, candidates: &[Candidate]) -> Self {
+        let first = |object| first_two(object, candidates, 0..candidates.len());
+        let first = request.object.map(first);
+        Self(first.unwrap_or_default(), first.is_some())
+    }
+
+    fn rank(&self, index: usize) -> Rank {
+        let Self([first, second], has_object) = self;
+        match Some(index) {
+            _ if !has_object => Rank::NoObject,
+            index if index == *first => Rank::First,
+            index if index == *second => Rank::Second,
+            _ => Rank::Later,
+        }
+    }
+}
+
+/// Returns the expected times until the answer that [`choose`] compares, by candidate: with the
+/// credit for a server's rank in the object's order and the penalty for failures.
+pub fn scores(
+    settings: &Settings,
+    request: &PlacementRequest,
+    service_time: &ServiceTime,
+    candidates: &[Candidate],
+) -> Vec<Duration> {
+    let order = Order::new(request, candidates);
+    let candidates = candidates.iter().enumerate();
+    candidates
+        .map(|(index, candidate)| {
+            candidate.score(settings, service_time, order.rank(index), request)
+        })
+        .collect()
+}
+
 /// Selects the server with the earliest expected completion time among the `usable` candidates.
 pub fn choose(
     settings: &Settings,
@@ -320,15 +358,7 @@
     candidates: &[Candidate],
     usable: impl Fn(usize) -> bool,
 ) -> Choice {
-    let order = request
-        .object
-        .map(|object| first_two(object, candidates, 0..candidates.len()));
-    let rank = |index: usize| match order {
-        None => Rank::NoObject,
-        Some([first, _]) if first == Some(index) => Rank::First,
-        Some([_, second]) if second == Some(index) => Rank::Second,
-        Some(_) => Rank::Later,
-    };
+    let order = Order::new(request, candidates);
     let is_warm_anywhere = (request.terms.cold == ColdPolicy::IfNoneIsWarm)
         && (0..candidates.len()).any(|index| candidates[index].warm && usable(index));
     let fits = |c: &Candidate| match request.terms.cold {
@@ -337,7 +367,7 @@
     };
     let score = |index: usize| {
         let candidate: &Candidate = &candidates[index];
-        candidate.score(settings, service_time, rank(index), request)
+        candidate.score(settings, service_time, order.rank(index), request)
     };
     let best = (0..candidates.len())
         .filter(|index| fits(&candidates[*index]) && usable(*index))
@@ -450,7 +480,7 @@
 }
 
 /// Returns the maximum expected completion time of a request.
-fn time_limit(
+pub fn time_limit(
     settings: &Settings,
     request: &PlacementRequest,
     candidates: &[Candidate],
--- a/crates/steering/src/spending.rs
+++ b/crates/steering/src/spending.rs
@@ -70,6 +70,19 @@
         /// VMs with a recent report.
         pub reporting: usize,
     }
+
+    /// What a workspace could spend on a request.
+    #[derive(Copy)]
+    pub struct Preview {
+        /// Tokens that would remain over all VMs after the request.
+        pub fleet_tokens: f64,
+        /// Tokens that would remain of this VM's part.
+        pub local_tokens: f64,
+        /// Fraction of the limit that is this VM's part.
+        pub share: f64,
+        /// Time until a token is expected, if the request would not be admitted.
+        pub wait: Option<Duration>,
+    }
 }
 
 base::message! {
@@ -240,6 +253,37 @@
             self.local_tokens = self.local_tokens.max(self.fleet_tokens * share).min(burst);
         }
     }
+
+    /// Spends one token, if one remains.
+    fn admit(&mut self, limit: &Limit, coverage: &Coverage, now: Instant) -> Result<(), Shortage> {
+        self.total.asked += 1;
+        self.data_centre_total.asked += 1;
+        self.demand
+            .update(self.total.asked, DEMAND_TIME_CONSTANT, now);
+        self.recent_demand
+            .update(self.total.asked, RISE_TIME_CONSTANT, now);
+        self.refill(limit, coverage, now);
+        let may_exceed_part = self.local_tokens < 1.0
+            && self.fleet_tokens - 1.0 >= self.reserved_for_others(coverage, now);
+        if self.fleet_tokens >= 1.0 && (self.local_tokens >= 1.0 || may_exceed_part) {
+            self.fleet_tokens -= 1.0;
+            self.local_tokens = (self.local_tokens - 1.0).max(0.0);
+            self.total.spent += 1;
+            self.data_centre_total.spent += 1;
+            return Ok(());
+        }
+        let rate = limit.rate.max(0.01);
+        let fleet_wait = (1.0 - self.fleet_tokens) / rate;
+        let share = self.share(coverage, now);
+        let local_wait = (1.0 - self.local_tokens) / (rate * share).max(0.01);
+        let wait = Duration::from_secs_f64(fleet_wait.max(local_wait).clamp(0.0, 60.0));
+        Err(Shortage {
+            wait: wait.max(MIN_WAIT),
+            fleet_tokens: self.fleet_tokens,
+            local_tokens: self.local_tokens,
+            share,
+        })
+    }
 }
 
 /// Spending of all workspaces, as known to one VM.
@@ -296,35 +340,26 @@
         now: Instant,
     ) -> Result<(), Shortage> {
         let account = self.account(workspace_digest(workspace), now);
-        account.total.asked += 1;
-        account.data_centre_total.asked += 1;
-        account
-            .demand
-            .update(account.total.asked, DEMAND_TIME_CONSTANT, now);
-        account
-            .recent_demand
-            .update(account.total.asked, RISE_TIME_CONSTANT, now);
-        account.refill(limit, coverage, now);
-        let may_exceed_part = account.local_tokens < 1.0
-            && account.fleet_tokens - 1.0 >= account.reserved_for_others(coverage, now);
-        if account.fleet_tokens >= 1.0 && (account.local_tokens >= 1.0 || may_exceed_part) {
-            account.fleet_tokens -= 1.0;
-            account.local_tokens = (account.local_tokens - 1.0).max(0.0);
-            account.total.spent += 1;
-            account.data_centre_total.spent += 1;
-            return Ok(());
-        }
-        let rate = limit.rate.max(0.01);
-        let fleet_wait = (1.0 - account.fleet_tokens) / rate;
-        let share = account.share(coverage, now);
-        let local_wait = (1.0 - account.local_tokens) / (rate * share).max(0.01);
-        let wait = Duration::from_secs_f64(fleet_wait.max(local_wait).clamp(0.0, 60.0));
-        Err(Shortage {
-            wait: wait.max(MIN_WAIT),
+        account.admit(limit, coverage, now)
+    }
+
+    /// Returns what [`Self::admit`] would do with a request, without spending a token.
+    pub fn preview(
+        &self,
+        workspace: &str,
+        limit: &Limit,
+        coverage: &Coverage,
+        now: Instant,
+    ) -> Preview {
+        let known = self.accounts.get(&workspace_digest(workspace)).cloned();
+        let mut account = known.unwrap_or_else(|| Account::new(now));
+        let admitted = account.admit(limit, coverage, now);
+        Preview {
             fleet_tokens: account.fleet_tokens,
             local_tokens: account.local_tokens,
-            share,
-        })
+            share: account.share(coverage, now),
+            wait: admitted.err().map(|shortage| shortage.wait),
+        }
     }
 
     /// Refunds the token of an admitted request that certainly did not run.
--- a/programs/ctl/src/args.rs
+++ b/programs/ctl/src/args.rs
@@ -2,6 +2,7 @@
 
 use base::unit::Span;
 use bpaf::{OptionParser, Parser, construct, long, positional};
+use operators::explain::Question;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -52,6 +53,13 @@
     },
     /// Shows the state of the fleet.
     Status,
+    /// Shows where a gateway would send a request.
+    Explain {
+        /// Address of the gateway, if it is given after the command.
+        gateway: Option<SocketAddr>,
+        /// Request.
+        question: Question,
+    },
     /// Issues a key.
     Issue {
         /// Workspace of the key.
@@ -107,11 +115,7 @@
         .argument::<String>("TOKEN")
         .map(Into::into)
         .fallback("".into());
-    let gateway = long("gateway")
-        .help("Address at which a gateway answers other VMs; `status` asks it")
-        .env("CARDAMOM_GATEWAY")
-        .argument("ADDRESS")
-        .optional();
+    let gateway = gateway();
     let json = long("json").help("Print JSON").switch();
     let command = command();
     construct!(Args {
@@ -125,6 +129,14 @@
     .descr("Edits, reviews and publishes steering files, and reports what is in force")
 }
 
+fn gateway() -> impl Parser<Option<SocketAddr>> {
+    long("gateway")
+        .help("Address at which a gateway answers other VMs; `status` and `explain` ask it")
+        .env("CARDAMOM_GATEWAY")
+        .argument("ADDRESS")
+        .optional()
+}
+
 fn command() -> impl Parser<Command> {
     let files = directory().map(|directory| Command::Check { directory });
     let store = long("store")
@@ -149,6 +161,10 @@
         .to_options()
         .descr("Show the state of the fleet")
         .command("status");
+    let explain = explain()
+        .to_options()
+        .descr("Show where a gateway would send a request, without sending it")
+        .command("explain");
     let issue = text("WORKSPACE").map(|workspace| Command::Issue { workspace });
     let issue = issue.to_options().descr("Issue a key").command("issue");
     let rotate = rotate()
@@ -173,7 +189,7 @@
         .descr("Halt a release for good")
         .command("halt");
     construct!([
-        check, diff, publish, status, issue, rotate, withdraw, drain, undrain, halt
+        check, diff, publish, status, explain, issue, rotate, withdraw, drain, undrain, halt
     ])
 }
 
@@ -202,6 +218,29 @@
     })
 }
 
+fn explain() -> impl Parser<Command> {
+    let option = |name: &'static str, help: &'static str, value: &'static str| {
+        long(name)
+            .help(help)
+            .argument::<String>(value)
+            .map(Box::<str>::from)
+    };
+    let host = option("host", "Host of the request", "HOST");
+    let path = option("path", "Path of the request", "PATH");
+    let method = option("method", "Method of the request", "METHOD").fallback("GET".into());
+    let workspace = option("workspace", "Workspace whose key it has", "NAME").optional();
+    let object = option("object", "Object that it concerns", "OBJECT").optional();
+    let question = construct!(Question {
+        host,
+        path,
+        method,
+        workspace,
+        object
+    });
+    let gateway = gateway();
+    construct!(Command::Explain { gateway, question })
+}
+
 fn rotate() -> impl Parser<Command> {
     let overlap = long("overlap")
         .help("Time for which both keys are accepted, such as 1h")
--- a/programs/ctl/src/lib.rs
+++ b/programs/ctl/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod args;
 pub mod diff;
 pub mod exit;
+pub mod explanation;
 pub mod files;
 pub mod orders;
 pub mod output;
--- a/programs/ctl/src/run.rs
+++ b/programs/ctl/src/run.rs
@@ -3,14 +3,14 @@
 use crate::args::{Args, Command};
 use crate::exit::Exit;
 use crate::orders::Orders;
-use crate::{diff, files, output};
+use crate::{diff, explanation, files, output};
 use adapter::store;
 use base::http::client::Target;
 use operators::admin::{
     Client, Drain, Error, Halt, Issue, Proposal, Rotate, Stage, Status, Undrain, Verdict, Withdraw,
 };
 use operators::bundle::{Bundle, Files};
-use operators::gateway;
+use operators::{explain, gateway};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -58,12 +58,7 @@
                 wait,
             } => self.publish(&directory, base, author, wait).await,
             Command::Status if let Some(address) = self.gateway => {
-                let target = Target {
-                    address,
-                    timeout: CALL_TIMEOUT,
-                    authorization: None,
-                };
-                let state = gateway::state(&target).await?;
+                let state = gateway::state(&target(address)).await?;
                 output::print(self.json, &state, output::state);
                 Ok(Exit::Done)
             }
@@ -72,6 +67,15 @@
                 output::print(self.json, &status, output::status);
                 Ok(Exit::Done)
             }
+            Command::Explain { gateway, question } => {
+                let Some(address) = gateway.or(self.gateway) else {
+                    eprintln!("cardamomctl: name a gateway with --gateway");
+                    return Ok(Exit::Failed);
+                };
+                let explanation = explain::explain(&target(address), &question).await?;
+                output::print(self.json, &explanation, explanation::text);
+                Ok(Exit::Done)
+            }
             Command::Issue { workspace } => {
                 let issued = self.client.issue(&Issue { workspace }).await?;
                 output::print(self.json, &issued, output::issued);
@@ -222,6 +226,15 @@
     }
 }
 
+/// Returns the target of calls to a gateway.
+fn target(address: SocketAddr) -> Target {
+    Target {
+        address,
+        timeout: CALL_TIMEOUT,
+        authorization: None,
+    }
+}
+
 fn in_force(status: &Status, version: u64) -> bool {
     status.version >= version && status.stage == Stage::Done
 }
--- a/programs/gateway/src/admit.rs
+++ b/programs/gateway/src/admit.rs
@@ -4,6 +4,7 @@
 use crate::shared::Shared;
 use base::id::Service;
 use base::sync::lock;
+use hyper::Uri;
 use std::time::{Duration, Instant};
 use steering::affinity::{self, Digest};
 use steering::attempt::Refusal;
@@ -12,7 +13,7 @@
 use steering::split::Split;
 
 /// Retry-After for callers of a VM that stops; another VM can serve them now.
-const STOPPING_RETRY_AFTER: Duration = Duration::ZERO;
+pub const STOPPING_RETRY_AFTER: Duration = Duration::ZERO;
 
 /// What an admitted request needs to be forwarded.
 #[derive(Debug)]
@@ -98,10 +99,7 @@
     if let Some(account) = account
         && let Some(rate) = account.rate
     {
-        let limit = Limit {
-            rate,
-            burst: account.burst,
-        };
+        let limit = limit(account, rate);
         let reach = shared.coverage(now);
         let mut ledger = lock(&shared.ledger);
         let admitted = ledger.admit(&account.name, &limit, &reach, now);
@@ -133,6 +131,14 @@
     })
 }
 
+/// Returns the limit of a workspace with a rate.
+pub fn limit(account: &Account, rate: f64) -> Limit {
+    Limit {
+        rate,
+        burst: account.burst,
+    }
+}
+
 /// Refunds what the workspace was charged for an admitted request that certainly did not run.
 pub fn refund(admitted: &AdmittedRequest<'_>, shared: &Shared) {
     if let Some(account) = admitted.account.filter(|account| account.rate.is_some()) {
@@ -157,18 +163,24 @@
 
 /// Returns the digest of what a repeated request has in common with the first one.
 fn request_digest(request: &CallerRequest, account: Option<&Account>) -> Digest {
-    let workspace = account.map_or("", |account| &account.name);
-    let path = request
-        .uri
-        .path_and_query()
-        .map_or("", |path| path.as_str());
-    let object = request.object.unwrap_or_default();
-    let head = affinity::digest(&format!(
-        "{workspace} {} {} {path} {object}",
-        request.method, request.host
-    ));
+    let (method, host) = (request.method.as_str(), &request.host);
+    let head = head_digest(account, method, host, &request.uri, request.object);
     match request.body.is_empty() {
         true => head,
         false => head ^ affinity::digest_bytes(&request.body),
     }
 }
+
+/// Returns the digest of a request without a body.
+pub fn head_digest(
+    account: Option<&Account>,
+    method: &str,
+    host: &str,
+    uri: &Uri,
+    object: Option<Digest>,
+) -> Digest {
+    let workspace = account.map_or("", |account| &account.name);
+    let path = uri.path_and_query().map_or("", |path| path.as_str());
+    let object = object.unwrap_or_default();
+    affinity::digest(&format!("{workspace} {method} {host} {path} {object}"))
+}
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -21,9 +21,9 @@
 use steering::affinity::Digest;
 use steering::attempt::{self, Attempt, Refusal, RetryReason, Uncertainty};
 use steering::notice;
-use steering::priority::{self, Ending};
+use steering::priority::{self, Ending, Priority};
 use steering::retry::RetryCause;
-use steering::routing;
+use steering::routing::{self, Account, Route};
 
 /// Time between two checks whether an unanswered request needs a hedge.
 const HEDGE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -391,42 +391,104 @@
     if time_left < MIN_TIME_LEFT {
         return Err((Refusal::DeadlinePassed, None));
     }
+    let demand = Demand {
+        route: admitted.route,
+        account: admitted.account,
+        service: admitted.service,
+        object: request.object,
+        time_left,
+    };
+    let place = |criteria: &ServerCriteria<'_>| {
+        let is_allowed_in = |region: &str| demand.is_allowed_in(region);
+        let is_warmup_owner = |server: Digest| shared.is_warmup_owner(server, now);
+        servers.place(criteria, is_allowed_in, is_warmup_owner, now)
+    };
+    let is_placed = |placed: &Placement| matches!(placed, Placement::Server(_));
+    let placed = place_by_version(&demand, shared, servers, tried, place, is_placed);
+    if let (Placement::Server(in_flight), true) = (&placed, tried.is_empty()) {
+        let takeovers = &shared.takeovers;
+        takeovers.record_send(admitted.service, &in_flight.label);
+    }
+    placed_or_refused(placed, now).map(Arc::from)
+}
+
+/// What the choice of a server needs of a request.
+#[derive(Debug)]
+pub struct Demand<'a> {
+    /// Its route.
+    pub route: &'a Route,
+    /// Workspace that holds its key.
+    pub account: Option<&'a Account>,
+    /// Service to which it is sent.
+    pub service: &'a str,
+    /// Digest of its object.
+    pub object: Option<Digest>,
+    /// Time until its deadline.
+    pub time_left: Duration,
+}
+
+impl Demand<'_> {
+    /// Returns whether it may run in a region.
+    pub fn is_allowed_in(&self, region: &str) -> bool {
+        routing::is_allowed_in(self.route, self.account, region)
+    }
+
+    /// Returns its priority; 0 is the most urgent.
+    pub fn priority(&self) -> Priority {
+        priority::of_request(self.route, self.account)
+    }
+}
+
+/// Places a request on the version that it is to use, and on the others if that is a new version
+/// without a server for it.
+pub fn place_by_version<T>(
+    demand: &Demand<'_>,
+    shared: &Shared,
+    servers: &ServerSet,
+    tried: &[id::Server],
+    place: impl Fn(&ServerCriteria<'_>) -> T,
+    is_placed: impl Fn(&T) -> bool,
+) -> T {
     let evacuated = lock(&shared.orders).evacuated.clone();
     let place = |version: &VersionFilter, sample: Option<Digest>| {
-        let criteria = ServerCriteria {
-            route: admitted.route,
-            object: request.object.filter(|_| admitted.route.sticky),
-            objective: admitted.route.objective,
-            time_left,
-            priority: priority::of_request(admitted.route, admitted.account),
+        place(&ServerCriteria {
+            route: demand.route,
+            object: demand.object.filter(|_| demand.route.sticky),
+            objective: demand.route.objective,
+            time_left: demand.time_left,
+            priority: demand.priority(),
             version,
             sample,
             tried,
             evacuated: &evacuated,
-        };
-        let is_allowed_in =
-            |region: &str| routing::is_allowed_in(admitted.route, admitted.account, region);
-        let is_warmup_owner = |server: Digest| shared.is_warmup_owner(server, now);
-        servers.place(&criteria, is_allowed_in, is_warmup_owner, now)
-    };
-    let takeovers = &shared.takeovers;
-    let is_first = tried.is_empty();
-    let (version, sample) = match is_first {
-        true => takeovers.select_version(admitted.service, |label| servers.count_of_version(label)),
-        false => (takeovers.fallback_version(admitted.service), None),
+        })
     };
-    let placed = match (place(&version, sample), &version) {
-        (
-            Placement::NoServer | Placement::Rejected(_) | Placement::Late(_),
-            VersionFilter::Only(_),
-        ) => place(&takeovers.fallback_version(admitted.service), None),
-        (placed, _) => placed,
+    let (takeovers, service) = (&shared.takeovers, demand.service);
+    let (version, sample) = match tried.is_empty() {
+        true => takeovers.select_version(service, |label| servers.count_of_version(label)),
+        false => (takeovers.fallback_version(service), None),
     };
-    if let (Placement::Server(in_flight), true) = (&placed, is_first) {
-        takeovers.record_send(admitted.service, &in_flight.label);
+    let placed = place(&version, sample);
+    match version {
+        VersionFilter::Only(_) if !is_placed(&placed) => {
+            place(&takeovers.fallback_version(service), None)
+        }
+        _ => placed,
     }
+}
+
+/// Returns the server, or the reason why there is none and the time after which the caller may
+/// retry.
+///
+/// # Errors
+///
+/// Fails if no server was chosen.
+pub fn placed_or_refused<T>(
+    placed: Placement<T>,
+    now: Instant,
+) -> Result<T, (Refusal, Option<Duration>)> {
     match placed {
-        Placement::Server(in_flight) => Ok(Arc::from(in_flight)),
+        Placement::Server(server) => Ok(server),
         Placement::Late(excess) => Err((Refusal::Overloaded, Some(excess))),
         Placement::Rejected(first) => {
             let wait = notice::retry_after(first, now, &mut rand::rng());
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod body_memory;
 pub mod crashes;
 pub mod directory;
+pub mod explain;
 pub mod fleet;
 pub mod forward;
 pub mod listing;
--- a/programs/gateway/src/pipeline.rs
+++ b/programs/gateway/src/pipeline.rs
@@ -95,29 +95,56 @@
     (request, result)
 }
 
+/// Answer to a request that no server answered.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Denial {
+    /// Status.
+    pub status: StatusCode,
+    /// Reason, in the body.
+    pub reason: &'static str,
+    /// `Retry-After`.
+    pub retry_after: Option<Duration>,
+}
+
+impl Denial {
+    /// Creates the answer to a request with this time until its deadline.
+    pub fn new(error: &ForwardError, time_left: Duration) -> Self {
+        let reason = outcome::reason(&error.outcome).unwrap_or(outcome::SERVED);
+        let status = match &error.outcome {
+            Outcome::Unknown(Uncertainty::DeadlinePassed | Uncertainty::Stopping) => {
+                StatusCode::GATEWAY_TIMEOUT
+            }
+            // Callers of the platform take any 4xx of the gateway for an error in their request.
+            Outcome::NotRun(proof) if proof.reason() == Refusal::Quarantined => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            other => outcome::status(other),
+        };
+        let retry_after = error.retry_after.map(|wait| {
+            wait.max(MIN_RETRY_AFTER)
+                .min(time_left / RETRY_AFTER_DIVISOR)
+        });
+        Self {
+            status,
+            reason,
+            retry_after,
+        }
+    }
+}
+
 /// Builds the answer to a request that no server answered.
 fn error_answer(request: &CallerRequest, error: &ForwardError, shared: &Shared) -> Response<Body> {
     let now = Instant::now();
-    let reason = outcome::reason(&error.outcome).unwrap_or(outcome::SERVED);
-    let status = match &error.outcome {
-        Outcome::Unknown(Uncertainty::DeadlinePassed | Uncertainty::Stopping) => {
-            StatusCode::GATEWAY_TIMEOUT
-        }
-        // Callers of the platform take any 4xx of the gateway for an error in their request.
-        Outcome::NotRun(proof) if proof.reason() == Refusal::Quarantined => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
-        other => outcome::status(other),
-    };
+    let time_left = request.deadline.saturating_duration_since(now);
+    let Denial {
+        status,
+        reason,
+        retry_after,
+    } = Denial::new(error, time_left);
     shared.metrics.record_refusal(reason);
     let configuration = shared
         .table()
         .map_or(0, |table| table.configuration().version);
-    let time_left = request.deadline.saturating_duration_since(now);
-    let retry_after = error.retry_after.map(|wait| {
-        wait.max(MIN_RETRY_AFTER)
-            .min(time_left / RETRY_AFTER_DIVISOR)
-    });
     log::info!(
         "event=refused id={} host={} path={} status={} reason={reason} retry_ms={} configuration={configuration} took_ms={} left_ms={}",
         request.id,
--- a/programs/gateway/src/run.rs
+++ b/programs/gateway/src/run.rs
@@ -4,7 +4,7 @@
 use crate::reader::StoreReader;
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{crashes, directory, relay, reports, status, takeovers, usage};
+use crate::{crashes, directory, explain, relay, reports, status, takeovers, usage};
 use adapter::store::Client;
 use base::http::Body;
 use base::http::server::{self, Limits, Rest, Session};
@@ -178,10 +178,11 @@
     ));
 }
 
-/// Answers an operator's status request, or a request of another VM.
+/// Answers an operator's request, or a request of another VM.
 async fn handle_peer(request: Request<Incoming>, shared: &Shared) -> Response<Body> {
     match request.uri().path() {
         operators::gateway::PATH => status::handle(shared),
+        operators::explain::PATH => explain::handle(request, shared).await,
         usage::PATH => usage::answer(&request, shared),
         _ => relay::handle(request, shared).await,
     }
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -1,10 +1,12 @@
 //! Backend servers of each service: their state and the choice among them.
 
 mod admission;
+mod explanation;
 mod in_flight;
 mod notices;
 mod server;
 mod server_set;
+mod survey;
 
 pub use admission::{AdmissionGuard, Thinned};
 pub use in_flight::InFlightRequest;
--- a/programs/gateway/src/servers/admission.rs
+++ b/programs/gateway/src/servers/admission.rs
@@ -9,7 +9,6 @@
 use steering::placement::Terms;
 use steering::priority::{Admission, Competition, Ending, Priority, Settings};
 use steering::routing::Configuration;
-use steering::work::ServiceTimeEstimate;
 
 /// A competing request that was admitted; counts as late if it is dropped without an ending, since
 /// its deadline passed or its caller left.
@@ -127,19 +126,16 @@
 
 impl State {
     /// Returns the terms of a placement and the shortage of the service, from 0 to 1.
-    pub(super) fn terms(&self, criteria: &ServerCriteria<'_>) -> (Terms, f64) {
-        let service_time = |objective| {
-            let known = self.service_times.get(&objective);
-            let estimate = known.cloned();
-            let estimate = estimate.unwrap_or_else(|| ServiceTimeEstimate::new(objective));
-            estimate.service_time()
-        };
-        self.admission
-            .as_ref()
-            .map_or((Terms::default(), 0.0), |admission| {
-                let terms = admission.terms(criteria.priority, service_time);
-                (terms, admission.shortage())
-            })
+    pub(super) fn terms(
+        &self,
+        admission: Option<&Admission>,
+        criteria: &ServerCriteria<'_>,
+    ) -> (Terms, f64) {
+        admission.map_or((Terms::default(), 0.0), |admission| {
+            let service_time = |objective| self.fixed_service_time(objective);
+            let terms = admission.terms(criteria.priority, service_time);
+            (terms, admission.shortage())
+        })
     }
 
     /// Records that a request was sent to a server; `is_warm` if that has cached its object.
--- a/programs/gateway/src/servers/in_flight.rs
+++ b/programs/gateway/src/servers/in_flight.rs
@@ -12,6 +12,7 @@
 use steering::notice::Rejection;
 use steering::placement::Estimate;
 use steering::warmth::{self, ObjectUse};
+use steering::work::ServiceTimeEstimate;
 
 /// Slowdown up to which the answers of a server count in the estimated service times.
 const MAX_SAMPLED_SLOWDOWN: f64 = 1.5;
@@ -120,9 +121,11 @@
             }
         }
         if is_ordinary_speed && self.had_free_slot {
-            if let Some(estimate) = state.service_times.get_mut(&self.objective) {
-                estimate.sample(self.warm, took);
-            }
+            state
+                .service_times
+                .entry(self.objective)
+                .or_insert_with(|| ServiceTimeEstimate::new(self.objective))
+                .sample(self.warm, took);
             let took = took.saturating_sub(self.round_trip);
             let took = took.div_f64(pace.max(0.1));
             let costs = &mut state.costs;
