--- a/programs/ctl/src/args.rs
+++ b/programs/ctl/src/args.rs
@@ -55,8 +55,6 @@
     Status,
     /// Shows where a gateway would send a request.
     Explain {
-        /// Address of the gateway, if it is given after the command.
-        gateway: Option<SocketAddr>,
         /// Request.
         question: Question,
     },
@@ -115,7 +113,11 @@
         .argument::<String>("TOKEN")
         .map(Into::into)
         .fallback("".into());
-    let gateway = gateway();
+    let gateway = long("gateway")
+        .help("Address at which a gateway answers other VMs; `status` and `explain` ask it")
+        .env("CARDAMOM_GATEWAY")
+        .argument("ADDRESS")
+        .optional();
     let json = long("json").help("Print JSON").switch();
     let command = command();
     construct!(Args {
@@ -129,14 +131,6 @@
     .descr("Edits, reviews and publishes steering files, and reports what is in force")
 }
 
-fn gateway() -> impl Parser<Option<SocketAddr>> {
-    long("gateway")
-        .help("Address at which a gateway answers other VMs; `status` and `explain` ask it")
-        .env("CARDAMOM_GATEWAY")
-        .argument("ADDRESS")
-        .optional()
-}
-
 fn command() -> impl Parser<Command> {
     let files = directory().map(|directory| Command::Check { directory });
     let store = long("store")
@@ -237,8 +231,7 @@
         workspace,
         object
     });
-    let gateway = gateway();
-    construct!(Command::Explain { gateway, question })
+    construct!(Command::Explain { question })
 }
 
 fn rotate() -> impl Parser<Command> {
--- a/programs/ctl/src/run.rs
+++ b/programs/ctl/src/run.rs
@@ -67,8 +67,8 @@
                 output::print(self.json, &status, output::status);
                 Ok(Exit::Done)
             }
-            Command::Explain { gateway, question } => {
-                let Some(address) = gateway.or(self.gateway) else {
+            Command::Explain { question } => {
+                let Some(address) = self.gateway else {
                     eprintln!("cardamomctl: name a gateway with --gateway");
                     return Ok(Exit::Failed);
                 };
--- a/programs/ctl/tests/orders.rs
+++ b/programs/ctl/tests/orders.rs
@@ -1,8 +1,11 @@
-//! Text output of orders and of the state of the fleet.
+//! Text output of orders, of the state of the fleet and of explanations.
 
 use adapter::store::Row;
 use cardamomctl::orders::Orders;
-use cardamomctl::output;
+use cardamomctl::{explanation, output};
+use operators::explain::{
+    Candidate, Decision, Explanation, Figures, Limit, Obstacle, Refusal, Route, Thinning,
+};
 use operators::gateway::{Departure, Notice, Release, State, Usage};
 use standin_site::operator::{self, Desired};
 use standin_site::store::Store;
@@ -87,3 +90,88 @@
                     vm-1 read the store 120 ms ago";
     assert_eq!(output::state(&state), expected);
 }
+
+/// Guards against an explanation that does not show why a server gets no requests, or what callers
+/// are told.
+#[test]
+fn explanation_names_servers_and_reasons() {
+    let candidate = |server: &str, obstacle, figures| Candidate {
+        server: server.into(),
+        data_centre: "nord-a".into(),
+        region: "nord".into(),
+        label: "v1".into(),
+        obstacle,
+        figures,
+    };
+    let figures = Figures {
+        slots: 6,
+        load: 4,
+        warm: true,
+        wait_ms: 30,
+        pace: Some(250),
+        slowdown: 2.5,
+        failure_rate: 0.02,
+        round_trip_ms: 25,
+        score_ms: 640,
+    };
+    let explanation = Explanation {
+        vm: "vm-1".into(),
+        route: Some(Route {
+            name: "search".into(),
+            host: "a.example".into(),
+            prefix: "/search/".into(),
+            idempotent: true,
+            objective_ms: 600,
+            timeout_ms: 5_000,
+        }),
+        limit: Some(Limit {
+            workspace: "yefi830".into(),
+            rate: 40.0,
+            burst: 80.0,
+            is_admitted: true,
+            fleet_tokens: 61.25,
+            local_tokens: 4.0,
+            share: 0.1,
+        }),
+        refusal: None,
+        decisions: vec![Decision {
+            service: "search".into(),
+            weight: 1,
+            priority: 1,
+            thinning: Some(Thinning {
+                share: 0.75,
+                is_admitted: false,
+            }),
+            estimate: Some("learned".into()),
+            warm_ms: 230,
+            cold_ms: 780,
+            limit_ms: 840,
+            candidates: vec![
+                candidate("i-1", None, Some(figures)),
+                candidate("i-2", Some(Obstacle::Leaving), None),
+            ],
+            unusable: [(Obstacle::Leaving, 1)].into_iter().collect(),
+            refusal: Some(Refusal {
+                status: 503,
+                reason: "overloaded".into(),
+                retry_ms: Some(400),
+            }),
+            ..Decision::default()
+        }],
+    };
+    let expected = [
+        "route search of a.example/search/: objective 600 ms, timeout 5000 ms, idempotent",
+        "workspace yefi830: admitted, 61.2 requests left of 40/s and burst 80, 4.0 of them on this VM",
+        "service search: priority 1",
+        "  75% of this priority is admitted; this request is not admitted",
+        "  learned estimate: 230 ms warm, 780 ms cold, at most 840 ms until the answer",
+        "  server           data centre  region   load  warm  wait  pace  slowdown  failed  trip  score",
+        "  i-1              nord-a       nord      4/6   yes    30  250%      2.50    0.02    25    640",
+        "  i-2              nord-a       nord     leaving",
+        "  not usable: 1 leaving",
+        "  refused with 503: overloaded, retry in 400 ms",
+        "explained by vm-1",
+    ];
+    let text = explanation::text(&explanation);
+    assert_eq!(text.lines().collect::<Vec<_>>(), expected);
+}
