--- a/programs/gateway/tests/explain.rs
+++ b/programs/gateway/tests/explain.rs
@@ -23,6 +23,8 @@
     let rule = |name: &str, priority: u32| {
         json!({
             "name": name, "routeType": "safe", "targetLatencyMs": 400,
+            // Without an object, learned estimates choose among equal servers at random.
+            "sessionAffinity": true,
             "priority": priority, "match": {"prefix": format!("/{name}/")},
             "action": {"service": "lookup", "timeoutMs": 2000, "maxAttempts": 2},
         })
@@ -65,7 +67,7 @@
     candidates.iter().find(|c| *c.server == *server)?.obstacle
 }
 
-/// Returns the metrics that requests change; those of reports between VMs change at any time.
+/// Returns the metrics of a gateway, without their descriptions.
 async fn request_metrics(gateway: &Gateway) -> Vec<String> {
     let text = metrics(gateway).await;
     let lines = text.lines().filter(|line| !line.starts_with('#'));
