bug: learned costs only where servers state their pace; a free slot with room stays open

In the first 4 s, 901 of 1,284 refusals were of competing requests while all caches were cold and empty.

Change: learned estimates are used for services whose servers state their pace. During a shortage, a request may go to a free slot of a server that can cache its object without evicting another, also if another server is warm.

--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -363,7 +363,9 @@
         && (0..candidates.len()).any(|index| candidates[index].warm && usable(index));
     let fits = |c: &Candidate| match request.terms.cold {
         ColdPolicy::Any => true,
-        ColdPolicy::IfNoneIsWarm => c.warm || (!is_warm_anywhere && c.load < c.slots),
+        ColdPolicy::IfNoneIsWarm => {
+            c.warm || (c.load < c.slots && (!is_warm_anywhere || c.has_cache_room))
+        }
     };
     let score = |index: usize| {
         let candidate: &Candidate = &candidates[index];
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -102,7 +102,6 @@
                     servers: IndexMap::new(),
                     service_times: IndexMap::new(),
                     costs: cost::Model::default(),
-                    route_count: 0,
                     pace_stated_at: None,
                     retry_budget: Budget::new(retry::Settings {
                         ratio: self.settings.bounds.retry_ratio * RETRY_BOUND_SHARE,
@@ -141,7 +140,6 @@
                 .routes_to(name)
                 .map(|route| &*route.name)
                 .collect();
-            state.route_count = routes.len();
             state.costs.retain(|route| routes.contains(&route));
         }
         let now = Instant::now();
--- a/programs/gateway/src/servers/server_set.rs
+++ b/programs/gateway/src/servers/server_set.rs
@@ -86,8 +86,6 @@
     pub(super) service_times: IndexMap<Duration, ServiceTimeEstimate>,
     /// Costs by route; used by [`Estimate::Learned`].
     pub(super) costs: cost::Model,
-    /// Number of routes that lead to the service.
-    pub(super) route_count: usize,
     /// Last time when a server stated its pace.
     pub(super) pace_stated_at: Option<Instant>,
     pub(super) retry_budget: Budget,
--- a/programs/gateway/src/servers/survey.rs
+++ b/programs/gateway/src/servers/survey.rs
@@ -296,13 +296,13 @@
 }
 
 impl State {
-    /// Returns how expected times are estimated: from learned costs where several routes lead to the
-    /// service or its servers state their pace, and by fixed assumptions elsewhere.
+    /// Returns how expected times are estimated: from learned costs where the service's servers
+    /// state their pace, and by fixed assumptions elsewhere.
     fn estimate(&self, now: Instant) -> Estimate {
         let states_pace = self
             .pace_stated_at
             .is_some_and(|at| now.saturating_duration_since(at) < PACE_MEMORY);
-        match self.route_count > 1 || states_pace {
+        match states_pace {
             true => Estimate::Learned {
                 draw: rand::rng().random(),
             },
