refactor: tests of competing routes use the stand-in's operator

Cause: two tests wrote configurations in the platform's own words, which belong into `platform/`.

Change: routes of the stand-in's operator have a priority and may be without affinity, and its workspace may have a limit; the tests use these. The checks are unchanged.

--- a/programs/gateway/tests/explain.rs
+++ b/programs/gateway/tests/explain.rs
@@ -6,7 +6,6 @@
 use hyper::StatusCode;
 use operators::explain::{Explanation, Obstacle, Question, explain};
 use rstest::rstest;
-use serde_json::json;
 use site::{Gateway, Site, metrics, wait_until};
 use standin_site::operator::{self, Desired, Route};
 use standin_site::server::{Behaviour, Entry, Server};
@@ -18,31 +17,29 @@
 /// Explanations that must not change any state.
 const EXPLANATIONS: usize = 100;
 
-/// Writes a configuration with routes below `/a/` and, if they compete, below `/b/`, and a limit.
-fn publish(site: &Site, is_competing: bool) {
-    let rule = |name: &str, priority: u32| {
-        json!({
-            "name": name, "routeType": "safe", "targetLatencyMs": 400,
-            // Without an object, learned estimates choose among equal servers at random.
-            "sessionAffinity": true,
-            "priority": priority, "match": {"prefix": format!("/{name}/")},
-            "action": {"service": "lookup", "timeoutMs": 2000, "maxAttempts": 2},
-        })
-    };
-    let mut rules = vec![rule("a", 2)];
-    rules.extend(is_competing.then(|| rule("b", 1)));
-    let config = json!({
-        "version": "00000001",
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536},
-        "tenants": [{
-            "name": "cooperative", "apiKeys": ["key-1"], "ratePerS": 10, "burst": BURST,
-        }],
-        "listeners": [{"hostname": "a.example", "rules": rules}],
-        "clusters": [
-            {"name": "lookup", "maxConnections": 100, "warmupS": 1.0, "warmupPerS": 2.6},
-        ],
-    });
-    site.store.put("op", "config", config.to_string());
+/// The route of the requests, and one of another priority that competes with it.
+const ROUTES: [Route; 2] = [
+    Route {
+        priority: 2,
+        ..Route::PLAIN
+    },
+    Route {
+        name: "b",
+        priority: 1,
+        ..Route::PLAIN
+    },
+];
+
+/// Returns a configuration with a limit, and with both routes if they compete.
+fn desired(is_competing: bool) -> Desired {
+    const ONE: &[Route] = &[ROUTES[0]];
+    const BOTH: &[Route] = &ROUTES;
+    Desired {
+        routes: if is_competing { BOTH } else { ONE },
+        rate: 10,
+        burst: BURST as u32,
+        ..Desired::default()
+    }
 }
 
 fn question(path: &str) -> Question {
@@ -83,7 +80,7 @@
 async fn explained_server_is_the_one_that_the_request_goes_to(#[case] is_competing: bool) {
     let site = Site::new();
     let door = site.store_endpoint().await;
-    publish(&site, is_competing);
+    site.publish(&desired(is_competing));
     let mut servers: Vec<Server> = Vec::new();
     for id in ["i-1", "i-2", "i-3"] {
         let server = site.server(id, &Entry::default()).await;
--- a/programs/gateway/tests/priority.rs
+++ b/programs/gateway/tests/priority.rs
@@ -10,8 +10,8 @@
 use hyper::header::RETRY_AFTER;
 use hyper::{Request, StatusCode};
 use rstest::rstest;
-use serde_json::json;
 use site::{Site, metrics};
+use standin_site::operator::{Desired, Route};
 use standin_site::server::{Behaviour, Entry, Server};
 use std::time::Duration;
 
@@ -23,42 +23,48 @@
 /// others; beside the three orders that are sent by the floor, that leaves room for three.
 const LATER_READS: usize = 3;
 
-/// Writes a configuration with reads below `/a/` and orders below `/b/` for one service.
-fn publish(site: &Site, priorities: [u32; 2]) {
-    let rule = |name: &str, priority: u32, objective_ms: u32| {
-        json!({
-            "name": name, "routeType": "safe", "targetLatencyMs": objective_ms,
-            "priority": priority, "match": {"prefix": format!("/{name}/")},
-            "action": {"service": "lookup", "timeoutMs": 4000, "maxAttempts": 1},
-        })
+/// Reads below `/a/` and orders below `/b/`, for one service.
+const fn routes(priorities: [u32; 2]) -> [Route; 2] {
+    const ANY: Route = Route {
+        timeout_ms: 4_000,
+        attempts: 1,
+        sticky: false,
+        ..Route::PLAIN
     };
-    let config = json!({
-        "version": "00000001",
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536},
-        "tenants": [{"name": "cooperative", "apiKeys": ["key-1"], "ratePerS": 0, "burst": 0}],
-        "listeners": [{
-            "hostname": "a.example",
-            "rules": [rule("a", priorities[0], 400), rule("b", priorities[1], 1200)],
-        }],
-        "clusters": [
-            {"name": "lookup", "maxConnections": 100, "warmupS": 1.0, "warmupPerS": 2.6},
-        ],
-    });
-    site.store.put("op", "config", config.to_string());
+    let reads = Route {
+        priority: priorities[0],
+        ..ANY
+    };
+    let orders = Route {
+        name: "b",
+        objective_ms: 1_200,
+        priority: priorities[1],
+        ..ANY
+    };
+    [reads, orders]
 }
 
+const COMPETING: &[Route] = &routes([1, 2]);
+const EQUAL: &[Route] = &routes([1, 1]);
+
 /// Guards against orders with a long objective that queue at busy servers before the reads, against
 /// a refused request that ran, and against a change where all routes have the same priority.
 ///
 /// Of the orders, a tenth is sent (the floor), although all slots are in use by reads.
 #[rstest]
-#[case::competing([1, 2])]
-#[case::equal([1, 1])]
+#[case::competing(COMPETING)]
+#[case::equal(EQUAL)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn orders_leave_the_queues_to_reads_where_priorities_differ(#[case] priorities: [u32; 2]) {
+async fn orders_leave_the_queues_to_reads_where_priorities_differ(
+    #[case] routes: &'static [Route],
+) {
+    let priorities = [routes[0].priority, routes[1].priority];
     let site = Site::new();
     let door = site.store_endpoint().await;
-    publish(&site, priorities);
+    site.publish(&Desired {
+        routes,
+        ..Desired::default()
+    });
     let mut servers: Vec<Server> = Vec::new();
     for id in ["i-1", "i-2"] {
         let server = site.server(id, &Entry::default()).await;
--- a/programs/gateway/tests/split.rs
+++ b/programs/gateway/tests/split.rs
@@ -37,6 +37,8 @@
         keys: &["key-1"],
         routes,
         max_body_bytes: 65_536,
+        rate: 0,
+        burst: 0,
     }
 }
 
