--- a/crates/steering/src/usage/tally.rs
+++ b/crates/steering/src/usage/tally.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 /// Precision with which sends before the first estimate of true time are kept.
-const BUCKET: Duration = Duration::from_millis(100);
+const BUCKET: Duration = Duration::from_millis(10);
 /// Most buckets of such sends: 10 s, far above the time to the first estimate.
-const MAX_BUCKETS: usize = 100;
+const MAX_BUCKETS: usize = 1_000;
 
 /// Where a send is counted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/steering/tests/usage.rs
+++ b/crates/steering/tests/usage.rs
@@ -176,6 +176,27 @@
     assert_eq!(count(&tally), Some(2));
 }
 
+/// Guards against early sends that are counted in the window before theirs: those up to 0.1 s after
+/// its beginning were, which is more than the platform tolerates in a short window.
+#[test]
+fn early_sends_near_a_boundary_are_counted_in_their_window() {
+    let settings = Settings::default();
+    let first_ms = settings.window_at(0) * 1_000;
+    let length =
+        (1..).find(|s| settings.window_at(first_ms + s * 1_000) != settings.window_at(first_ms));
+    let boundary = length.expect("a boundary") * 1_000;
+    // True time is 5 ms behind the time since boot.
+    let window_at = |at: Boot| Some(settings.window_at(at.as_millis() as u64 + boundary - 1_005));
+    let mut tally = Tally::default();
+    for ms in 955..1_055 {
+        tally.count("a", None, ms * MS);
+    }
+    let window = window_at(2 * SECOND).expect("a window");
+    tally.update(window, window_at);
+    let counted = tally.window(window).map_or(0, |counts| counts["a"]);
+    assert!(counted.abs_diff(50) <= 10, "{counted}");
+}
+
 /// Guards against counts that are added twice: a VM's totals replace its earlier ones, a restarted VM
 /// counts besides its earlier run, and what another VM passes on replaces nothing.
 #[test]
