bug: only an answer of a server that ran a request clears its crashes

Seen: a request with two crashes that a busy server refused with a 500 of its own started anew and crashed three more servers.

Cause: every answer without the header that says "not run" cleared the crashes of its request. A server that refuses a request before it begins, without that header, shows nothing about it.

Change: only an answer with a server's signature clears the crashes; after another one the trial is taken back. answer_of_a_server_that_ran_nothing_clears_no_request failed before (the request was sent on in place of refused) and passes.

--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -269,10 +269,13 @@
     )
 }
 
-/// Returns what the end of a send says about the request.
+/// Returns what the end of a send says about the request. An answer without a signature may be given
+/// before the server begins to run the request.
 fn ending(outcome: &SendOutcome, is_paused: bool) -> Ending {
     match outcome {
-        SendOutcome::Answered(_) => Ending::Ran,
+        SendOutcome::Answered(answer) if answer.headers().contains_key(header::SIGNATURE) => {
+            Ending::Ran
+        }
         SendOutcome::Failed(Failure::After(After::Interrupted)) if !is_paused => Ending::Crashed,
         _ => Ending::Open,
     }
--- a/programs/gateway/tests/crashes.rs
+++ b/programs/gateway/tests/crashes.rs
@@ -15,11 +15,11 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 use steering::crashes::MAX_CRASHES;
 use steering::crashes::record;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
@@ -39,6 +39,8 @@
     site: Site,
     door: Endpoint,
     crashes: Arc<AtomicUsize>,
+    /// Whether servers answer that they are busy, without a signature, instead of crashing.
+    refuses: Arc<AtomicBool>,
 }
 
 /// A gateway process, which is killed when it is dropped.
@@ -98,16 +100,18 @@
             ..Desired::default()
         });
         let crashes = Arc::new(AtomicUsize::new(0));
+        let refuses = Arc::new(AtomicBool::new(false));
         for number in 1..=6 {
             let address = SocketAddr::new(unused_address(), 8080);
             let listener = TcpListener::bind(address).await.expect("an address");
-            tokio::spawn(crash_always(listener, crashes.clone()));
+            tokio::spawn(crash_always(listener, crashes.clone(), refuses.clone()));
             Entry::default().publish(&site.store, &format!("i-{number}"), address);
         }
         Self {
             site,
             door,
             crashes,
+            refuses,
         }
     }
 
@@ -166,19 +170,26 @@
     }
 }
 
-async fn crash_always(listener: TcpListener, crashes: Arc<AtomicUsize>) {
+async fn crash_always(listener: TcpListener, crashes: Arc<AtomicUsize>, refuses: Arc<AtomicBool>) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(crash(stream, crashes.clone()));
+        tokio::spawn(crash(stream, crashes.clone(), refuses.clone()));
     }
 }
 
 /// Reads one request and ends its connection.
-async fn crash(mut stream: TcpStream, crashes: Arc<AtomicUsize>) -> Option<()> {
+async fn crash(
+    mut stream: TcpStream,
+    crashes: Arc<AtomicUsize>,
+    refuses: Arc<AtomicBool>,
+) -> Option<()> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
     }
-    if String::from_utf8_lossy(&head).contains(CRASHING) {
+    if refuses.load(Ordering::Relaxed) {
+        let busy = b"HTTP/1.1 500 Busy\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+        stream.write_all(busy).await.ok()?;
+    } else if String::from_utf8_lossy(&head).contains(CRASHING) {
         crashes.fetch_add(1, Ordering::Relaxed);
     }
     Some(())
@@ -342,3 +353,18 @@
     }
     assert_eq!(scene.crashes(), MAX_CRASHES as usize);
 }
+
+/// Guards against a crashing request that is forgotten because a server refused it, in an answer of
+/// its own, before it began to run it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_of_a_server_that_ran_nothing_clears_no_request() {
+    let scene = Scene::new().await;
+    let process = scene.process(0, &scene.door);
+    process.gateway.wait_ready().await;
+    for refuses in [false, false, true, false] {
+        scene.refuses.store(refuses, Ordering::Relaxed);
+        process.send("1").await;
+    }
+    assert_eq!(process.send("1").await, "quarantined");
+    assert_eq!(scene.crashes(), MAX_CRASHES as usize);
+}
