bug: the Authorization of callers reaches the server

Seen: a request with an Authorization field arrived without it.

Cause: the pool of connections removes the field in which callers of the project's own interface send their key. On the users' platform the key has a header of its own and Authorization is a field like others: "Other headers are also forwarded, except those that concern only one connection" (PROTOCOL.md, Requests).

Change: the name of the key's header is a setting of the pool, as the other names are. authorization_of_callers_is_passed_on failed before (None) and passes; the generated heads of head.rs still never pass the key on.

--- a/crates/backends/src/client.rs
+++ b/crates/backends/src/client.rs
@@ -43,6 +43,8 @@
     /// Present on answers of servers that did not run the request. None if such answers are
     /// returned unchanged, for a caller that needs more of them than the reason.
     pub not_run: Option<HeaderName>,
+    /// Key of callers, which is not sent to the server.
+    pub key: HeaderName,
 }
 
 impl Default for Names {
@@ -51,6 +53,7 @@
             request_id: HeaderName::from_static(REQUEST_ID),
             deadline: HeaderName::from_static(DEADLINE),
             not_run: Some(HeaderName::from_static(NOT_RUN)),
+            key: AUTHORIZATION,
         }
     }
 }
@@ -281,7 +284,7 @@
             HeaderValue::from(millis),
         ));
         let mut headers = received.with(added);
-        headers.remove(AUTHORIZATION);
+        headers.remove(&self.0.settings.names.key);
         if !headers.contains_key(HOST)
             && let Ok(host) = HeaderValue::from_str(&self.0.address.to_string())
         {
--- a/programs/gateway/src/servers/server.rs
+++ b/programs/gateway/src/servers/server.rs
@@ -61,6 +61,7 @@
                 // The gateway reads the header itself, since the load beside it says whether the
                 // server is full.
                 not_run: None,
+                key: HeaderName::from_static(adapter::header::KEY),
             },
             echoes: true,
             accept_unmarked: true,
--- a/programs/gateway/tests/head.rs
+++ b/programs/gateway/tests/head.rs
@@ -7,7 +7,7 @@
 use backends::client::Pool;
 use gateway::receive::read_head;
 use http_body_util::Full;
-use hyper::header::{CONNECTION, HeaderName, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONNECTION, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -72,6 +72,15 @@
     check(&forwarded(&fields).await.expect("the request runs"));
 }
 
+/// Guards against a field of the caller that is taken for the gateway's own key and removed.
+#[tokio::test]
+async fn authorization_of_callers_is_passed_on() {
+    let fields = [(AUTHORIZATION, HeaderValue::from_static("Basic YTpi"))];
+    let headers = forwarded(&fields).await.expect("the request runs");
+    check(&headers);
+    assert_eq!(headers.get(AUTHORIZATION), Some(&fields[0].1));
+}
+
 /// Guards against heads with many short fields that are refused although they are within the limit
 /// of bytes.
 #[tokio::test]
