bug: a server's Connection removes nothing that the gateway reads

Seen: a signed answer whose Connection named the signature became a 502, and a refusal whose Connection named the "not run" header was passed on as the server's answer, as if the request could have run.

What a server says of leaving, of its load and of when to come back was lost in the same way.

Change: the pool knows the fields of answers that no Connection removes. answer_keeps_what_the_gateway_reads failed before in both cases (502 in place of 200; the server's body in place of the gateway's refusal).

--- a/crates/backends/src/client.rs
+++ b/crates/backends/src/client.rs
@@ -45,6 +45,8 @@
     pub not_run: Option<HeaderName>,
     /// Key of callers, which is not sent to the server.
     pub key: HeaderName,
+    /// Fields of answers that their `Connection` does not remove.
+    pub kept: Vec<HeaderName>,
 }
 
 impl Default for Names {
@@ -54,6 +56,10 @@
             deadline: HeaderName::from_static(DEADLINE),
             not_run: Some(HeaderName::from_static(NOT_RUN)),
             key: AUTHORIZATION,
+            kept: vec![
+                HeaderName::from_static(REQUEST_ID),
+                HeaderName::from_static(NOT_RUN),
+            ],
         }
     }
 }
--- a/crates/backends/src/client/answer.rs
+++ b/crates/backends/src/client/answer.rs
@@ -111,7 +111,7 @@
     let marked = chunked || response.body().size_hint().exact().is_some();
     lease.apply_keep_alive(response.headers());
     let received = std::mem::take(response.headers_mut());
-    *response.headers_mut() = EndToEnd::reduce(received).with([]);
+    *response.headers_mut() = EndToEnd::reduce_keeping(received, &names.kept).with([]);
     let response = response.map(|body| Answer::new(body, lease, deadline, marked).boxed_unsync());
     match not_run {
         None => Ok(response),
--- a/crates/base/src/http/fields.rs
+++ b/crates/base/src/http/fields.rs
@@ -27,14 +27,20 @@
 
 impl EndToEnd {
     /// Removes the fields that concern one connection only.
-    pub fn reduce(mut received: HeaderMap) -> Self {
+    pub fn reduce(received: HeaderMap) -> Self {
+        Self::reduce_keeping(received, &[])
+    }
+
+    /// Removes the fields that concern one connection only, but none of `kept`: fields that this
+    /// system reads, whatever the sender's `Connection` names.
+    pub fn reduce_keeping(mut received: HeaderMap, kept: &[HeaderName]) -> Self {
         let listed: Vec<HeaderName> = received
             .get_all(CONNECTION)
             .iter()
             .filter_map(|value| value.to_str().ok())
             .flat_map(|value| value.split(','))
             .filter_map(|name| name.trim().parse().ok())
-            .filter(|name| !KEPT.contains(name))
+            .filter(|name| !KEPT.contains(name) && !kept.contains(name))
             .collect();
         for name in listed.into_iter().chain([CONNECTION, TE, UPGRADE]) {
             received.remove(name);
--- a/programs/gateway/src/servers/server.rs
+++ b/programs/gateway/src/servers/server.rs
@@ -62,6 +62,9 @@
                 // server is full.
                 not_run: None,
                 key: HeaderName::from_static(adapter::header::KEY),
+                kept: adapter::header::ANSWER_FIELDS
+                    .map(HeaderName::from_static)
+                    .into(),
             },
             echoes: true,
             accept_unmarked: true,
--- a/programs/gateway/tests/path.rs
+++ b/programs/gateway/tests/path.rs
@@ -283,6 +283,33 @@
     assert!(!headers.contains_key(header::SIGNATURE));
 }
 
+/// Guards against an answer whose `Connection` removes what the gateway reads: a request that did not
+/// run was reported as one that may have, and a signed answer as none of the server's.
+#[rstest]
+#[case::not_run(
+    "HTTP/1.1 503 Busy\r\n{id}: 1\r\n{not-run}: full\r\nconnection: keep-alive, {not-run}\r\ncontent-length: 0\r\n\r\n",
+    StatusCode::SERVICE_UNAVAILABLE,
+    false
+)]
+#[case::signature(
+    "HTTP/1.1 200 OK\r\n{id}: 1\r\n{signature}: 1\r\nconnection: {signature}, {id}\r\ncontent-length: 0\r\n\r\n",
+    StatusCode::OK,
+    true
+)]
+#[tokio::test]
+async fn answer_keeps_what_the_gateway_reads(
+    #[case] answer: &'static str,
+    #[case] expected: StatusCode,
+    #[case] is_servers: bool,
+) {
+    let (_site, gateway) = raw::site(answer, "").await;
+    let (status, headers, body) = gateway.request("1", "/a/").await.expect("an answer");
+    assert_eq!(status, expected);
+    // The gateway's own answers have a reason in their body.
+    assert_eq!(body.is_empty(), is_servers);
+    assert_eq!(headers.contains_key(header::SIGNATURE), is_servers);
+}
+
 /// Guards against an endless head or body that keeps a request until its deadline or fills the
 /// memory of the gateway.
 #[rstest]
