bug: servers see one host, and no announcement of trailers

Seen: a request with two Host fields reached the server with both, though its route was chosen by the first, and a request with trailers reached it with a Trailer field that names the workspace and the key.

Cause: the fields of a caller were passed on as they came. Trailers themselves are dropped, in requests and in answers, so the announcement was untrue.

Change: the host by which the route was chosen replaces all Host fields; Trailer is removed on both ways. Heads of pipelined requests go through the same code, which a new case shows (it passed before as well). other_parts_of_a_request_do_not_change_what_the_gateway_sets failed before in its cases trailers and two_hosts.

--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -12,7 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
-use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRAILER, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -388,6 +388,7 @@
         return SendOutcome::Failed(Failure::After(After::WrongAnswer));
     }
     let headers = answer.headers_mut();
+    headers.remove(TRAILER);
     headers.remove(TRANSFER_ENCODING);
     headers.remove(CONTENT_LENGTH);
     SendOutcome::Answered(answer)
--- a/programs/gateway/src/receive.rs
+++ b/programs/gateway/src/receive.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{HOST, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{HOST, HeaderName, HeaderValue, TRAILER, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Uri};
 use std::time::{Duration, Instant};
 use steering::affinity::{self, Digest};
@@ -75,17 +75,22 @@
     let time_left = text(&headers, header::DEADLINE).and_then(|text| text.parse().ok());
     let object = header::object(&headers).map(affinity::digest);
     let id = text(&headers, header::REQUEST_ID).unwrap_or_default();
-    // The key is not passed on, the others are set by this system.
+    // The key and trailers are not passed on, the others are set by this system.
     let own = [
         header::KEY,
         header::WORKSPACE,
         header::EXPECTED_SERVER,
         header::REQUEST_ID,
+        TRAILER.as_str(),
         TRANSFER_ENCODING.as_str(),
     ];
     for name in own {
         headers.remove(name);
     }
+    // The server sees the host by which the route was chosen, and no other.
+    if let Ok(value) = HeaderValue::from_str(&host) {
+        headers.insert(HOST, value);
+    }
     let request = CallerRequest {
         id,
         method: parts.method,
--- a/programs/gateway/tests/head.rs
+++ b/programs/gateway/tests/head.rs
@@ -7,7 +7,7 @@
 use backends::client::Pool;
 use gateway::receive::read_head;
 use http_body_util::Full;
-use hyper::header::{AUTHORIZATION, CONNECTION, HeaderName, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONNECTION, HeaderName, HeaderValue, TRAILER};
 use hyper::{HeaderMap, Request};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -15,6 +15,8 @@
 use standin_site::operator::Desired;
 use std::path::Path;
 use std::time::Instant;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Key of the workspace `cooperative`.
 const CALLER_KEY: &str = "key-1";
@@ -72,6 +74,46 @@
     check(&forwarded(&fields).await.expect("the request runs"));
 }
 
+/// Sends bytes to a gateway of a site with one server, closes the caller's side behind them, and
+/// returns what the server got of each request.
+async fn forwarded_bytes(bytes: &str) -> Vec<HeaderMap> {
+    let (_site, _, server, gateway) = Site::with_gateway(&Desired::default()).await;
+    let mut stream = TcpStream::connect(gateway.settings.listen.callers)
+        .await
+        .expect("a connection");
+    stream.write_all(bytes.as_bytes()).await.expect("a write");
+    let count = bytes.matches(" HTTP/1.1").count();
+    site::wait_until("all requests run", || async {
+        server.runs().len() == count
+    })
+    .await;
+    server.runs().into_iter().map(|run| run.headers).collect()
+}
+
+/// Guards against a caller that adds or takes away fields by its trailers, by a second host, or on a
+/// pipelined request, whose head is read by other code.
+#[rstest]
+#[case::trailers(
+    "POST /a/ HTTP/1.1\r\nhost: a.example\r\n{own}trailer: {workspace}, {key}\r\ntransfer-encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n{workspace}: other\r\n{key}: key-1\r\n\r\n"
+)]
+#[case::two_hosts("GET /a/ HTTP/1.1\r\nhost: a.example\r\nhost: other.example\r\n{own}\r\n")]
+#[case::pipelined(
+    "GET /a/ HTTP/1.1\r\nhost: a.example\r\n{own}\r\nGET /a/ HTTP/1.1\r\nhost: a.example\r\nconnection: {workspace}, {expected}\r\n{workspace}: other\r\n{own}\r\n"
+)]
+#[tokio::test]
+async fn other_parts_of_a_request_do_not_change_what_the_gateway_sets(#[case] bytes: &str) {
+    let own = format!("{REQUEST_ID}: r-1\r\n{KEY}: {CALLER_KEY}\r\n");
+    let bytes = bytes
+        .replace("{own}", &own)
+        .replace("{workspace}", WORKSPACE)
+        .replace("{expected}", EXPECTED_SERVER)
+        .replace("{key}", KEY);
+    for headers in forwarded_bytes(&bytes).await {
+        check(&headers);
+        assert!(!headers.contains_key(TRAILER));
+    }
+}
+
 /// Guards against a field of the caller that is taken for the gateway's own key and removed.
 #[tokio::test]
 async fn authorization_of_callers_is_passed_on() {
