bug: a crash counts although its caller has left

Seen: a request whose caller leaves before the server crashes was never counted: each send crashed one more server.

Cause: the exchange with the server ended with its caller, and so did the only watch on the server.

Tests: crash_is_counted_after_its_caller_left failed with the watch taken out (no crash was recorded within 10 s) and passes; operator_allows_a_refused_request_on_all_vms is of the new command.

--- a/crates/operators/src/gateway.rs
+++ b/crates/operators/src/gateway.rs
@@ -9,6 +9,8 @@
 
 /// Path of the status request, at the address for other gateways.
 pub const PATH: &str = "/status";
+/// Path of the command that allows a refused request again; the digest follows.
+pub const ALLOW_PATH: &str = "/allow/";
 
 base::message! {
     /// A release that the operator has ordered.
@@ -41,6 +43,16 @@
         pub rejects_ms: Option<u64>,
     }
 
+    /// A request that is refused because it crashes servers.
+    pub struct RefusedRequest {
+        /// Digest of the request, in hexadecimal.
+        pub digest: Box<str>,
+        /// Servers that it has crashed.
+        pub crashes: u32,
+        /// Milliseconds for which it is refused.
+        pub left_ms: u64,
+    }
+
     /// State of the usage reports.
     pub struct Usage {
         /// VM that reports; empty before the first.
@@ -72,6 +84,9 @@
         /// Servers that have said that they leave or want nothing for a time.
         #[serde(default)]
         pub notices: Vec<Notice>,
+        /// Requests that are refused because they crash servers.
+        #[serde(default)]
+        pub refused: Vec<RefusedRequest>,
         /// Usage reports; none if the deployment has none.
         #[serde(default)]
         pub usage: Option<Usage>,
@@ -88,3 +103,17 @@
 pub async fn state(target: &Target) -> Result<State, Error> {
     target.call(Method::GET, PATH, Bytes::new()).await?.decode()
 }
+
+/// Allows a request again that is refused because it crashed servers, on all gateways; returns whether
+/// the gateway knew it.
+///
+/// # Errors
+///
+/// Fails if the gateway gives no complete answer in time.
+pub async fn allow(target: &Target, digest: &str) -> Result<bool, Error> {
+    let path = format!("{ALLOW_PATH}{digest}");
+    target
+        .call(Method::POST, &path, Bytes::new())
+        .await?
+        .decode()
+}
--- a/crates/steering/src/crashes.rs
+++ b/crates/steering/src/crashes.rs
@@ -182,12 +182,13 @@
         matches!(self.verdict(request, now), Verdict::Refused(_))
     }
 
-    /// Returns the number of refused requests.
-    pub fn refused(&self, now: Instant) -> usize {
+    /// Returns the refused requests with their crashes and the end of the refusal.
+    pub fn refused(&self, now: Instant) -> impl Iterator<Item = (Digest, u32, Instant)> {
         let requests = self.requests.keys();
-        requests
-            .filter(|request| self.is_refused(**request, now))
-            .count()
+        requests.filter_map(move |request| match self.verdict(*request, now) {
+            Verdict::Refused(until) => Some((*request, self.left(*request), until)),
+            Verdict::Clear | Verdict::Suspect => None,
+        })
     }
 
     /// Begins a send of a request; the send of a suspect is a trial.
--- a/programs/ctl/src/args.rs
+++ b/programs/ctl/src/args.rs
@@ -58,6 +58,11 @@
         /// Request.
         question: Question,
     },
+    /// Allows a request again that is refused because it crashed servers.
+    Allow {
+        /// Digest of the request.
+        digest: Box<str>,
+    },
     /// Issues a key.
     Issue {
         /// Workspace of the key.
@@ -114,7 +119,9 @@
         .map(Into::into)
         .fallback("".into());
     let gateway = long("gateway")
-        .help("Address at which a gateway answers other VMs; `status` and `explain` ask it")
+        .help(
+            "Address at which a gateway answers other VMs; `status`, `explain` and `allow` ask it",
+        )
         .env("CARDAMOM_GATEWAY")
         .argument("ADDRESS")
         .optional();
@@ -159,6 +166,11 @@
         .to_options()
         .descr("Show where a gateway would send a request, without sending it")
         .command("explain");
+    let allow = text("DIGEST").map(|digest| Command::Allow { digest });
+    let allow = allow
+        .to_options()
+        .descr("Allow a request again that is refused because it crashed servers")
+        .command("allow");
     let issue = text("WORKSPACE").map(|workspace| Command::Issue { workspace });
     let issue = issue.to_options().descr("Issue a key").command("issue");
     let rotate = rotate()
@@ -183,7 +195,7 @@
         .descr("Halt a release for good")
         .command("halt");
     construct!([
-        check, diff, publish, status, explain, issue, rotate, withdraw, drain, undrain, halt
+        check, diff, publish, status, explain, allow, issue, rotate, withdraw, drain, undrain, halt
     ])
 }
 
--- a/programs/ctl/src/output.rs
+++ b/programs/ctl/src/output.rs
@@ -142,6 +142,14 @@
     }));
     lines.extend(names("evacuated", &state.evacuated));
     lines.extend(state.notices.iter().flat_map(notice));
+    lines.extend(state.refused.iter().map(|request| {
+        format!(
+            "request {} crashed {} servers: refused for {} s",
+            request.digest,
+            request.crashes,
+            request.left_ms / 1_000
+        )
+    }));
     lines.extend(state.usage.as_ref().map(|usage| match usage.token {
         0 => "no VM reports usage yet".into(),
         token => format!(
--- a/programs/ctl/src/run.rs
+++ b/programs/ctl/src/run.rs
@@ -46,6 +46,15 @@
 }
 
 impl Session {
+    /// Returns the gateway that was named; complains if none was.
+    fn named_gateway(&self) -> Option<Target> {
+        let gateway = self.gateway.map(target);
+        if gateway.is_none() {
+            eprintln!("cardamomctl: name a gateway with --gateway");
+        }
+        gateway
+    }
+
     async fn run(&self, command: Command) -> Result<Exit, Error> {
         match command {
             Command::Check { directory } => Ok(self.check(&directory)),
@@ -68,14 +77,24 @@
                 Ok(Exit::Done)
             }
             Command::Explain { question } => {
-                let Some(address) = self.gateway else {
-                    eprintln!("cardamomctl: name a gateway with --gateway");
+                let Some(target) = self.named_gateway() else {
                     return Ok(Exit::Failed);
                 };
-                let explanation = explain::explain(&target(address), &question).await?;
+                let explanation = explain::explain(&target, &question).await?;
                 output::print(self.json, &explanation, explanation::text);
                 Ok(Exit::Done)
             }
+            Command::Allow { digest } => {
+                let Some(target) = self.named_gateway() else {
+                    return Ok(Exit::Failed);
+                };
+                let was_suspect = gateway::allow(&target, &digest).await?;
+                output::print(self.json, &was_suspect, |was_suspect| match was_suspect {
+                    true => format!("request {digest} is allowed again"),
+                    false => format!("request {digest} has crashed no servers"),
+                });
+                Ok(Exit::Done)
+            }
             Command::Issue { workspace } => {
                 let issued = self.client.issue(&Issue { workspace }).await?;
                 output::print(self.json, &issued, output::issued);
--- a/programs/ctl/tests/orders.rs
+++ b/programs/ctl/tests/orders.rs
@@ -6,7 +6,7 @@
 use operators::explain::{
     Candidate, Decision, Explanation, Figures, Limit, Obstacle, Refusal, Route, Thinning,
 };
-use operators::gateway::{Departure, Notice, Release, State, Usage};
+use operators::gateway::{Departure, Notice, RefusedRequest, Release, State, Usage};
 use standin_site::operator::{self, Desired};
 use standin_site::store::Store;
 use steering::notice::Origin;
@@ -72,6 +72,11 @@
             }),
             rejects_ms: Some(700),
         }],
+        refused: vec![RefusedRequest {
+            digest: "1f".into(),
+            crashes: 3,
+            left_ms: 41_000,
+        }],
         usage: Some(Usage {
             holder: "vm-2".into(),
             token: 41,
@@ -86,6 +91,7 @@
                     evacuated: sud-a\n\
                     server i-1 leaves, from its answer 40 ms ago\n\
                     server i-1 wants no requests for 700 ms\n\
+                    request 1f crashed 3 servers: refused for 41 s\n\
                     vm-2 reports usage with token 41: window 353445121 fixed, 353445120 sent\n\
                     vm-1 read the store 120 ms ago";
     assert_eq!(output::state(&state), expected);
--- a/programs/gateway/src/crashes.rs
+++ b/programs/gateway/src/crashes.rs
@@ -8,8 +8,10 @@
 use crate::reader::MEMBER_TABLE;
 use crate::shared::Shared;
 use adapter::store::{self, Client, Put, Row as StoreRow, Rows, TransactionResult};
+use base::http::{Body, json, text};
 use base::id::Vm;
 use base::sync::lock;
+use hyper::{Response, StatusCode};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use steering::affinity::Digest;
@@ -46,7 +48,10 @@
                 let _ = tokio::time::timeout(CHECK_INTERVAL, changed).await;
             }
         }
-        is_quiet = lock(&shared.crashes).refused(Instant::now()) == 0;
+        is_quiet = lock(&shared.crashes)
+            .refused(Instant::now())
+            .next()
+            .is_none();
         match write(&shared, &client).await {
             Ok(true) => {
                 let suspected = shared.suspect_changed.notified();
@@ -184,14 +189,14 @@
         record.clone()
     };
     let mut crashes = lock(&shared.crashes);
-    let before = crashes.refused(now);
+    let before = crashes.refused(now).count();
     for row in rows.rows.iter().filter(|row| is_record(row)) {
         let entries = decode(row);
         for (count, at) in record.counts(&entries, now) {
             crashes.merge(count, at, now);
         }
     }
-    let refused = crashes.refused(now);
+    let refused = crashes.refused(now).count();
     if refused > before {
         log::info!("event=crashes-restored requests={refused}");
     }
@@ -223,6 +228,16 @@
         .collect()
 }
 
+/// Answers an operator who allows a request again.
+pub fn allow(digest: &str, shared: &Shared) -> Response<Body> {
+    let Ok(request) = Digest::from_str_radix(digest, 16) else {
+        return text(StatusCode::BAD_REQUEST, "the digest is not hexadecimal\n");
+    };
+    let was_suspect = shared.clear(request, Instant::now());
+    log::info!("event=crashes-cleared request={request:x} known={was_suspect}");
+    json(StatusCode::OK, &was_suspect)
+}
+
 /// What the end of a send says about the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
@@ -235,30 +250,43 @@
 }
 
 impl Shared {
+    /// Clears a request; returns whether it was a suspect. The other VMs learn of it.
+    pub fn clear(&self, request: Digest, now: Instant) -> bool {
+        let was_suspect = lock(&self.crashes).record_answer(request, now);
+        if was_suspect {
+            self.report_requested.notify_one();
+            self.crashes_changed.notify_one();
+        }
+        was_suspect
+    }
+
     /// Records the end of a send. A trial is counted as a crash already.
     pub fn record_end(&self, request: Digest, trial: Option<Trial>, ending: Ending, now: Instant) {
-        let mut crashes = lock(&self.crashes);
-        let is_suspect = match (ending, trial) {
-            (Ending::Ran, _) => crashes.record_answer(request, now),
-            (Ending::Crashed, None) => {
-                crashes.record_crash(request, now);
-                crashes.left(request) >= SUSPECT_CRASHES
-            }
-            (Ending::Crashed, Some(_)) => true,
-            (Ending::Open, Some(_)) => {
-                crashes.revert_trial(request, now);
-                true
+        if trial.is_some() {
+            self.metrics.record_trial(ending);
+        }
+        let is_suspect = {
+            let mut crashes = lock(&self.crashes);
+            match (ending, trial) {
+                (Ending::Ran, _) => {
+                    drop(crashes);
+                    self.clear(request, now);
+                    return;
+                }
+                (Ending::Open, None) => return,
+                (Ending::Open, Some(_)) => crashes.revert_trial(request, now),
+                (Ending::Crashed, Some(_)) => {}
+                (Ending::Crashed, None) => {
+                    crashes.record_crash(request, now);
+                }
             }
-            (Ending::Open, None) => return,
+            trial.is_some() || crashes.left(request) >= SUSPECT_CRASHES
         };
-        drop(crashes);
         // The other VMs learn of a suspect at once.
         if is_suspect {
             self.report_requested.notify_one();
             self.suspect_changed.notify_one();
         }
-        if is_suspect || ending == Ending::Crashed {
-            self.crashes_changed.notify_one();
-        }
+        self.crashes_changed.notify_one();
     }
 }
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -66,7 +66,7 @@
 struct Dispatcher<'a> {
     request: &'a CallerRequest,
     admitted: &'a AdmittedRequest<'a>,
-    shared: &'a Shared,
+    shared: &'a Arc<Shared>,
     servers: Arc<ServerSet>,
     /// Sends that are not answered yet.
     pending: Vec<PendingSend>,
@@ -90,7 +90,7 @@
 pub async fn forward(
     request: &CallerRequest,
     admitted: &AdmittedRequest<'_>,
-    shared: &Shared,
+    shared: &Arc<Shared>,
 ) -> Result<Answer, ForwardError> {
     let Some(servers) = shared.services.server_set(admitted.service) else {
         return Err(Rejection::from(Refusal::NoServer).into());
@@ -145,7 +145,7 @@
 async fn dispatch(
     request: &CallerRequest,
     admitted: &AdmittedRequest<'_>,
-    shared: &Shared,
+    shared: &Arc<Shared>,
     servers: Arc<ServerSet>,
 ) -> Result<Answer, ForwardError> {
     let mut dispatcher = Dispatcher {
--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -7,18 +7,22 @@
 use crate::servers::InFlightRequest;
 use crate::shared::Shared;
 use adapter::header::{self, Load};
-use backends::client::{self, After, Before, Failure};
+use backends::client::{self, After, Before, Failure, Outgoing};
 use base::http::Body;
 use bytes::{Bytes, BytesMut};
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRAILER, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use steering::crashes::Trial;
 use steering::takeover::Outcome;
+use tokio::runtime::Handle;
+use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 
 /// Whole answer of a server.
@@ -37,12 +41,20 @@
     Withheld,
 }
 
+/// Time from a send for which its end is awaited although the caller has left. A request that crashes
+/// servers does so when they begin it, and a caller that leaves earlier must not hide that; it is well
+/// below the half second for which servers may work for callers that have left.
+const OBSERVATION_TIME: Duration = Duration::from_millis(100);
+
 /// A send that is not finished.
 struct ActiveSend<'a> {
     request: &'a CallerRequest,
     admitted: &'a AdmittedRequest<'a>,
     in_flight: &'a InFlightRequest,
-    shared: &'a Shared,
+    shared: &'a Arc<Shared>,
+    trial: Option<Trial>,
+    /// Exchange with the server; none before the request is sent.
+    exchange: Option<BoxFuture<'static, SendOutcome>>,
     /// Number of this send among those of the request, from 1.
     number: u32,
     started_at: Instant,
@@ -54,7 +66,7 @@
     is_recorded: bool,
     /// When reading of the answer first paused because this VM had no memory for it; how long the
     /// rest takes says nothing about the server.
-    paused_at: &'a OnceLock<Instant>,
+    paused_at: Arc<OnceLock<Instant>>,
 }
 
 impl ActiveSend<'_> {
@@ -112,27 +124,43 @@
     /// Sends the request and waits for the answer. An answer counts as late for the takeover as
     /// soon as its time is over, not when it comes.
     async fn exchange(&mut self) -> SendOutcome {
-        let paused_at = self.paused_at;
-        let exchange = exchange(
-            self.request,
-            self.admitted,
-            self.in_flight,
-            self.shared,
-            paused_at,
-        );
-        tokio::pin!(exchange);
         let late_threshold = self
             .shared
             .takeovers
             .late_threshold(self.admitted.service, self.in_flight);
         if let Some(late_threshold) = late_threshold {
-            match tokio::time::timeout(late_threshold, &mut exchange).await {
+            match tokio::time::timeout(late_threshold, self.answer()).await {
                 Ok(outcome) => return outcome,
                 Err(_) if self.is_paused() => {}
                 Err(_) => self.record_outcome(Outcome::Late),
             }
         }
-        exchange.await
+        self.answer().await
+    }
+
+    /// Waits for the end of the exchange.
+    async fn answer(&mut self) -> SendOutcome {
+        match &mut self.exchange {
+            Some(exchange) => exchange.await,
+            None => SendOutcome::Withheld,
+        }
+    }
+
+    /// Goes on to observe the server for [`OBSERVATION_TIME`] after the caller has left.
+    fn observe(&mut self) {
+        let until = self.started_at + OBSERVATION_TIME;
+        let runtime = Handle::try_current();
+        let (Some(exchange), Ok(runtime), true) =
+            (self.exchange.take(), runtime, Instant::now() < until)
+        else {
+            return;
+        };
+        let (shared, digest, trial) = (self.shared.clone(), self.admitted.digest, self.trial);
+        runtime.spawn(async move {
+            if let Ok(outcome) = timeout_at(until.into(), exchange).await {
+                shared.record_end(digest, trial, ending(&outcome, false), Instant::now());
+            }
+        });
     }
 }
 
@@ -162,6 +190,7 @@
             self.log("stopped", 0, "");
         } else {
             self.log("left", 0, "");
+            self.observe();
         }
     }
 }
@@ -172,23 +201,24 @@
     admitted: &AdmittedRequest<'_>,
     in_flight: Arc<InFlightRequest>,
     trial: Option<Trial>,
-    shared: &Shared,
+    shared: &Arc<Shared>,
     number: u32,
     is_answered: &AtomicBool,
 ) -> (u32, SendOutcome) {
-    let in_flight = &*in_flight;
-    let paused_at = OnceLock::new();
+    let paused_at = Arc::new(OnceLock::new());
     let mut active = ActiveSend {
         request,
         admitted,
-        in_flight,
+        in_flight: &in_flight,
         shared,
+        trial,
+        exchange: None,
         number,
         started_at: Instant::now(),
         is_logged: false,
         is_answered,
         is_recorded: false,
-        paused_at: &paused_at,
+        paused_at: paused_at.clone(),
     };
     let counted = shared.usage.as_ref().zip(admitted.account);
     let counted =
@@ -198,10 +228,19 @@
         Some(trial) => crashes::wait_recorded(shared, digest, trial).await,
         None => true,
     };
-    let result = match is_sent {
-        true => active.exchange().await,
-        false => SendOutcome::Withheld,
-    };
+    if is_sent {
+        let workspace = admitted.account.map(|account| &*account.name);
+        let exchange = Exchange {
+            outgoing: request.outgoing(workspace, &in_flight.server),
+            in_flight: in_flight.clone(),
+            deadline: admitted.deadline,
+            turn: request.turn.clone(),
+            paused_at,
+            shared: shared.clone(),
+        };
+        active.exchange = Some(exchange.run().boxed());
+    }
+    let result = active.exchange().await;
     let now = Instant::now();
     let (text, status) = match &result {
         SendOutcome::Answered(answer) => ("answered", answer.status().as_u16()),
@@ -293,39 +332,51 @@
     }
 }
 
-/// Sends a request to one server and reads the whole answer; `paused_at` is set if reading has to
-/// wait for memory.
-async fn exchange(
-    request: &CallerRequest,
-    admitted: &AdmittedRequest<'_>,
-    in_flight: &InFlightRequest,
-    shared: &Shared,
-    paused_at: &OnceLock<Instant>,
-) -> SendOutcome {
-    let workspace = admitted.account.map(|account| &*account.name);
-    let outgoing = request.outgoing(workspace, &in_flight.server);
-    let response = match in_flight.pool.send(outgoing, admitted.deadline).await {
-        Ok(response) => response,
-        Err(failure) => return SendOutcome::Failed(failure),
-    };
-    let (parts, body) = response.into_parts();
-    let notice = header::notice(parts.status, &parts.headers);
-    if in_flight.record_notice(notice, Instant::now()) {
-        shared.report_requested.notify_one();
-    }
-    if parts.headers.contains_key(header::NOT_RUN) {
-        client::drain(body).await;
-        let load = header::load(&parts.headers);
-        in_flight.record_shedding(load, Instant::now());
-        return SendOutcome::NotRun(load);
-    }
-    match read_body(body, &shared.answers, request.turn.as_ref(), paused_at).await {
-        Ok(body) => check_answer(Response::from_parts(parts, body)),
-        Err(ReadError::TooLarge) => SendOutcome::Oversized,
-        Err(ReadError::Interrupted) if Instant::now() >= admitted.deadline => {
-            SendOutcome::Failed(Failure::After(After::Deadline))
+/// Exchange of a request and its answer with one server.
+struct Exchange {
+    outgoing: Outgoing,
+    in_flight: Arc<InFlightRequest>,
+    deadline: Instant,
+    turn: Option<CancellationToken>,
+    /// Set if reading has to wait for memory.
+    paused_at: Arc<OnceLock<Instant>>,
+    shared: Arc<Shared>,
+}
+
+impl Exchange {
+    /// Sends the request and reads the whole answer.
+    async fn run(self) -> SendOutcome {
+        let Self {
+            outgoing,
+            in_flight,
+            deadline,
+            turn,
+            paused_at,
+            shared,
+        } = self;
+        let response = match in_flight.pool.send(outgoing, deadline).await {
+            Ok(response) => response,
+            Err(failure) => return SendOutcome::Failed(failure),
+        };
+        let (parts, body) = response.into_parts();
+        let notice = header::notice(parts.status, &parts.headers);
+        if in_flight.record_notice(notice, Instant::now()) {
+            shared.report_requested.notify_one();
+        }
+        if parts.headers.contains_key(header::NOT_RUN) {
+            client::drain(body).await;
+            let load = header::load(&parts.headers);
+            in_flight.record_shedding(load, Instant::now());
+            return SendOutcome::NotRun(load);
+        }
+        match read_body(body, &shared.answers, turn.as_ref(), &paused_at).await {
+            Ok(body) => check_answer(Response::from_parts(parts, body)),
+            Err(ReadError::TooLarge) => SendOutcome::Oversized,
+            Err(ReadError::Interrupted) if Instant::now() >= deadline => {
+                SendOutcome::Failed(Failure::After(After::Deadline))
+            }
+            Err(ReadError::Interrupted) => SendOutcome::Failed(Failure::After(After::Interrupted)),
         }
-        Err(ReadError::Interrupted) => SendOutcome::Failed(Failure::After(After::Interrupted)),
     }
 }
 
--- a/programs/gateway/src/metrics.rs
+++ b/programs/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of the gateway.
 
+use crate::crashes::Ending;
 use base::sync::lock;
 use hyper::StatusCode;
 use indexmap::IndexMap;
@@ -35,6 +36,7 @@
     refusals: Family<Labels, Counter>,
     retries: Family<Labels, Counter>,
     retries_denied: Counter,
+    trials: Family<Labels, Counter>,
     store_requests: Counter,
     packed: Counter,
     copies: Family<Labels, Counter>,
@@ -60,6 +62,7 @@
             refusals: Family::default(),
             retries: Family::default(),
             retries_denied: Counter::default(),
+            trials: Family::default(),
             store_requests: Counter::default(),
             packed: Counter::default(),
             copies: Family::default(),
@@ -92,6 +95,11 @@
             self.refusals.clone(),
         );
         registry.register("retries", "Sends beyond the first", self.retries.clone());
+        registry.register(
+            "trials",
+            "Sends of requests that have crashed servers, by how they ended",
+            self.trials.clone(),
+        );
         registry.register(
             "retries_denied",
             "Sends beyond the first that the budget denied",
@@ -213,6 +221,17 @@
         self.retries_denied.inc();
     }
 
+    /// Counts the end of a send of a request that has crashed servers.
+    pub fn record_trial(&self, ending: Ending) {
+        let ending = match ending {
+            Ending::Ran => "ran",
+            Ending::Crashed => "crashed",
+            Ending::Open => "open",
+        };
+        let label = vec![("ending", ending.to_owned())];
+        self.trials.get_or_create(&label).inc();
+    }
+
     /// Counts the end of a send on one side of a takeover.
     pub fn record_takeover_send(&self, side: Side, outcome: Outcome) {
         let version = match side {
--- a/programs/gateway/src/pipeline.rs
+++ b/programs/gateway/src/pipeline.rs
@@ -42,7 +42,7 @@
 /// Reads, admits and forwards a request.
 async fn process<B>(
     head: RequestHead<B>,
-    shared: &Shared,
+    shared: &Arc<Shared>,
 ) -> (CallerRequest, Result<Answer, ForwardError>)
 where
     B: hyper::body::Body<Data = Bytes> + Unpin,
--- a/programs/gateway/src/run.rs
+++ b/programs/gateway/src/run.rs
@@ -10,7 +10,7 @@
 use base::http::server::{self, Limits, Rest, Session};
 use base::{metrics, program, settings};
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
 use std::error::Error;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -180,7 +180,13 @@
 
 /// Answers an operator's request, or a request of another VM.
 async fn handle_peer(request: Request<Incoming>, shared: &Shared) -> Response<Body> {
-    match request.uri().path() {
+    let path = request.uri().path();
+    if let Some(digest) = path.strip_prefix(operators::gateway::ALLOW_PATH)
+        && request.method() == Method::POST
+    {
+        return crashes::allow(digest, shared);
+    }
+    match path {
         operators::gateway::PATH => status::handle(shared),
         operators::explain::PATH => explain::handle(request, shared).await,
         usage::PATH => usage::answer(&request, shared),
--- a/programs/gateway/src/status.rs
+++ b/programs/gateway/src/status.rs
@@ -6,7 +6,7 @@
 use base::sync::lock;
 use hyper::{Response, StatusCode};
 use indexmap::IndexMap;
-use operators::gateway::{State, Usage};
+use operators::gateway::{RefusedRequest, State, Usage};
 use std::time::Instant;
 
 /// Answers a status request of an operator.
@@ -43,6 +43,14 @@
         releases: shared.takeovers.releases(),
         evacuated,
         notices: shared.services.notices(now),
+        refused: lock(&shared.crashes)
+            .refused(now)
+            .map(|(digest, crashes, until)| RefusedRequest {
+                digest: format!("{digest:x}").into(),
+                crashes,
+                left_ms: until.saturating_duration_since(now).as_millis() as u64,
+            })
+            .collect(),
         usage: shared.usage.as_ref().map(|usage| {
             let progress = usage.progress();
             Usage {
--- a/programs/gateway/tests/crashes.rs
+++ b/programs/gateway/tests/crashes.rs
@@ -31,6 +31,8 @@
 ];
 /// Keys of the rows in which these VMs record crashes.
 const RECORDS: [&str; 3] = ["crashes/vm-1", "crashes/vm-2", "crashes/vm-3"];
+/// Time from the beginning of a request to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
 /// Path of the request that crashes servers.
 const CRASHING: &str = "/a/crash";
 
@@ -38,9 +40,16 @@
 struct Scene {
     site: Site,
     door: Endpoint,
-    crashes: Arc<AtomicUsize>,
-    /// Whether servers answer that they are busy, without a signature, instead of crashing.
-    refuses: Arc<AtomicBool>,
+    servers: Arc<Servers>,
+}
+
+/// What the servers have done, and are to do.
+#[derive(Default)]
+struct Servers {
+    begun: AtomicUsize,
+    crashes: AtomicUsize,
+    /// Whether they answer that they are busy, without a signature, instead of crashing.
+    refuse: AtomicBool,
 }
 
 /// A gateway process, which is killed when it is dropped.
@@ -99,19 +108,17 @@
             }],
             ..Desired::default()
         });
-        let crashes = Arc::new(AtomicUsize::new(0));
-        let refuses = Arc::new(AtomicBool::new(false));
+        let servers = Arc::<Servers>::default();
         for number in 1..=6 {
             let address = SocketAddr::new(unused_address(), 8080);
             let listener = TcpListener::bind(address).await.expect("an address");
-            tokio::spawn(crash_always(listener, crashes.clone(), refuses.clone()));
+            tokio::spawn(crash_always(listener, servers.clone()));
             Entry::default().publish(&site.store, &format!("i-{number}"), address);
         }
         Self {
             site,
             door,
-            crashes,
-            refuses,
+            servers,
         }
     }
 
@@ -166,31 +173,29 @@
     }
 
     fn crashes(&self) -> usize {
-        self.crashes.load(Ordering::Relaxed)
+        self.servers.crashes.load(Ordering::Relaxed)
     }
 }
 
-async fn crash_always(listener: TcpListener, crashes: Arc<AtomicUsize>, refuses: Arc<AtomicBool>) {
+async fn crash_always(listener: TcpListener, servers: Arc<Servers>) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(crash(stream, crashes.clone(), refuses.clone()));
+        tokio::spawn(crash(stream, servers.clone()));
     }
 }
 
 /// Reads one request and ends its connection.
-async fn crash(
-    mut stream: TcpStream,
-    crashes: Arc<AtomicUsize>,
-    refuses: Arc<AtomicBool>,
-) -> Option<()> {
+async fn crash(mut stream: TcpStream, servers: Arc<Servers>) -> Option<()> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
     }
-    if refuses.load(Ordering::Relaxed) {
+    if servers.refuse.load(Ordering::Relaxed) {
         let busy = b"HTTP/1.1 500 Busy\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
         stream.write_all(busy).await.ok()?;
     } else if String::from_utf8_lossy(&head).contains(CRASHING) {
-        crashes.fetch_add(1, Ordering::Relaxed);
+        servers.begun.fetch_add(1, Ordering::Relaxed);
+        tokio::time::sleep(CRASH_DELAY).await;
+        servers.crashes.fetch_add(1, Ordering::Relaxed);
     }
     Some(())
 }
@@ -362,9 +367,49 @@
     let process = scene.process(0, &scene.door);
     process.gateway.wait_ready().await;
     for refuses in [false, false, true, false] {
-        scene.refuses.store(refuses, Ordering::Relaxed);
+        scene.servers.refuse.store(refuses, Ordering::Relaxed);
         process.send("1").await;
     }
     assert_eq!(process.send("1").await, "quarantined");
     assert_eq!(scene.crashes(), MAX_CRASHES as usize);
 }
+
+/// Guards against a caller that leaves before its request crashes a server, and hides the crash.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crash_is_counted_after_its_caller_left() {
+    let scene = Scene::new().await;
+    let process = scene.process(0, &scene.door);
+    process.gateway.wait_ready().await;
+    for number in 1..=MAX_CRASHES {
+        let begins = wait_until("a server begins it", || async {
+            scene.servers.begun.load(Ordering::Relaxed) == number as usize
+        });
+        tokio::select! {
+            () = begins => {}
+            _ = process.send("1") => panic!("the caller waits for the answer"),
+        }
+        scene.wait_recorded(number).await;
+    }
+    assert_eq!(process.send("1").await, "quarantined");
+}
+
+/// Guards against a refusal of a day that no operator sees or ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operator_allows_a_refused_request_on_all_vms() {
+    let scene = Scene::new().await;
+    let [first, _, third] = scene.start().await;
+    scene.send_until_refused(&first).await;
+    let target = site::target(first.gateway.settings.listen.peers);
+    let state = operators::gateway::state(&target).await.expect("the state");
+    let [refused] = state.refused.as_slice() else {
+        panic!("one request is refused");
+    };
+    assert_eq!(refused.crashes, MAX_CRASHES);
+    let allowed = operators::gateway::allow(&target, &refused.digest).await;
+    assert!(allowed.expect("an answer"));
+    wait_until("another VM sends the request", || async {
+        third.send("2").await != "quarantined"
+    })
+    .await;
+    assert!(scene.crashes() > MAX_CRASHES as usize);
+}
