--- a/tools/bench/src/experiment.rs
+++ b/tools/bench/src/experiment.rs
@@ -3,6 +3,7 @@
 pub mod answers;
 pub mod balance;
 pub mod config;
+pub mod crashes;
 pub mod fairness;
 pub mod lease;
 pub mod limits;
@@ -15,10 +16,11 @@
 /// Name of an experiment and the function that runs it.
 type Experiment = (&'static str, fn() -> Box<str>);
 
-const EXPERIMENTS: [Experiment; 11] = [
+const EXPERIMENTS: [Experiment; 12] = [
     ("answers", answers::report),
     ("balance", balance::report),
     ("config", config::report),
+    ("crashes", crashes::report),
     ("fairness", fairness::report),
     ("lease", lease::report),
     ("limits", limits::report),
