--- a/programs/gateway/tests/crashes.rs
+++ b/programs/gateway/tests/crashes.rs
@@ -413,3 +413,32 @@
     .await;
     assert!(scene.crashes() > MAX_CRASHES as usize);
 }
+
+/// Guards against a first crash that no VM sees, since all are killed while the server has the
+/// request. From the second crash on it is on record before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn kills_while_a_first_crash_is_under_way_forget_none() {
+    let scene = Scene::new().await;
+    for round in 1..=4 {
+        let process = scene.process(0, &scene.door);
+        process.gateway.wait_ready().await;
+        let begins = wait_until("a server begins it", || async {
+            scene.servers.begun.load(Ordering::Relaxed) == round
+        });
+        tokio::select! {
+            () = begins => {}
+            _ = process.send("1") => panic!("the gateway is killed before the answer"),
+        }
+        drop(process);
+        wait_until("the server crashes", || async { scene.crashes() == round }).await;
+    }
+    let last = scene.process(0, &scene.door);
+    last.gateway.wait_ready().await;
+    wait_until("the request is refused", || async {
+        last.send("1").await == "quarantined"
+    })
+    .await;
+    // Three crashes and three more retries.
+    let crashes = scene.crashes();
+    assert!(crashes <= 2 * MAX_CRASHES as usize, "{crashes} servers");
+}
