bug: a crash counts once for all copies of a request on a server

The soak's callers poll one path.

Cause: one server was killed with seven copies of the request; each copy counted as a crash, so the request was refused on all VMs at once.

Change: crashes are counted by server in place of by observing process. A send that began before the last counted crash of its server ended by the same crash; a trial whose send is dropped without a crash is taken back.

--- a/crates/steering/src/crashes.rs
+++ b/crates/steering/src/crashes.rs
@@ -2,14 +2,14 @@
 //!
 //! A caller may repeat a request that crashes one server after the other. Each process counts the
 //! crashes at which a request was in flight and reports them to the others, so that the request is
-//! refused after a bounded number of crashes; an answer clears it. Counts only grow and are kept by
-//! the process that observed them, so that they can be merged in any order and any number of times.
+//! refused after a bounded number of crashes; an answer clears it. Counts only grow and are kept for
+//! each server, where a crash counts once however many copies of the request it ended: so they can be
+//! merged in any order and any number of times.
 //! A [`record`] in the store outlives the processes.
 
 pub mod record;
 
 use crate::affinity::Digest;
-use base::id::Incarnation;
 use indexmap::IndexMap;
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
@@ -38,12 +38,12 @@
 const NEWS_TIME: Duration = Duration::from_secs(2);
 
 base::message! {
-    /// Crashes of one request that one process observed.
+    /// Crashes of one server by one request.
     #[derive(Copy)]
     pub struct Count {
-        /// Process that observed them; 0 if it is not known.
+        /// Digest of the server; 0 if it is not known.
         #[serde(default)]
-        pub origin: Incarnation,
+        pub origin: Digest,
         /// Digest of the request.
         pub request: Digest,
         /// Number of crashes.
@@ -76,11 +76,13 @@
     count: Count,
     crashed_at: Instant,
     changed_at: Instant,
+    /// Whether this process observed it.
+    is_own: bool,
 }
 
 /// Counts of one request, by their origin.
 #[derive(Debug, Clone, Default)]
-struct Suspect(IndexMap<Incarnation, Tally>);
+struct Suspect(IndexMap<Digest, Tally>);
 
 impl Suspect {
     /// Returns the number of crashes that no answer has cleared.
@@ -136,28 +138,21 @@
 /// A send of a suspect, which counts as a crash until it ends otherwise.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Trial {
-    /// Crashes of the request that this process has counted, with this one.
-    pub own_crashes: u32,
+    /// Digest of the server to which it is sent.
+    pub origin: Digest,
+    /// Crashes that are counted for it, with this one.
+    pub crashes: u32,
     /// Whether the request was refused before.
     pub was_refused: bool,
 }
 
 /// Counts of the own process and of others, by request.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct CrashCounter {
-    own: Incarnation,
     requests: IndexMap<Digest, Suspect>,
 }
 
 impl CrashCounter {
-    /// Creates the counter of a process.
-    pub fn new(own: Incarnation) -> Self {
-        Self {
-            own,
-            requests: IndexMap::new(),
-        }
-    }
-
     /// Returns what the crashes of a request mean for its next send.
     pub fn verdict(&self, request: Digest, now: Instant) -> Verdict {
         let known = self.requests.get(&request);
@@ -191,59 +186,72 @@
         })
     }
 
-    /// Begins a send of a request; the send of a suspect is a trial.
+    /// Begins a send of a request to a server; the send of a suspect is a trial.
     ///
     /// # Errors
     ///
     /// Fails with the end of the refusal if the request is refused.
-    pub fn begin_send(&mut self, request: Digest, now: Instant) -> Result<Option<Trial>, Instant> {
+    pub fn begin_send(
+        &mut self,
+        request: Digest,
+        origin: Digest,
+        now: Instant,
+    ) -> Result<Option<Trial>, Instant> {
         match self.verdict(request, now) {
             Verdict::Clear => Ok(None),
             Verdict::Suspect => {
-                let left = self.left(request);
-                let own_crashes = self.record_crash(request, now);
+                let was_refused = self.left(request) >= MAX_CRASHES;
+                let crashes = self.record_crash(request, origin, now, now);
                 Ok(Some(Trial {
-                    own_crashes,
-                    was_refused: left >= MAX_CRASHES,
+                    origin,
+                    crashes,
+                    was_refused,
                 }))
             }
             Verdict::Refused(until) => Err(until),
         }
     }
 
-    /// Counts a crash with the request in flight; returns the crashes that this process has counted.
-    pub fn record_crash(&mut self, request: Digest, now: Instant) -> u32 {
-        if self
-            .requests
-            .get(&request)
-            .is_some_and(|s| s.is_expired(now))
-        {
+    /// Counts a crash of a server with the request in flight, sent at `sent_at`; returns the crashes
+    /// that are counted for the server. A send before the last of them ended by the same crash.
+    pub fn record_crash(
+        &mut self,
+        request: Digest,
+        origin: Digest,
+        sent_at: Instant,
+        now: Instant,
+    ) -> u32 {
+        let known = self.requests.get(&request);
+        if known.is_some_and(|suspect| suspect.is_expired(now)) {
             self.requests.shift_remove(&request);
         }
-        let own = self.own;
         let tallies = &mut self.requests.entry(request).or_default().0;
-        let tally = tallies.entry(own).or_insert(Tally {
+        let tally = tallies.entry(origin).or_insert(Tally {
             count: Count {
-                origin: own,
+                origin,
                 request,
                 crashes: 0,
                 cleared: 0,
             },
             crashed_at: now,
             changed_at: now,
+            is_own: true,
         });
-        tally.count.crashes += 1;
-        tally.crashed_at = now;
-        tally.changed_at = now;
+        tally.is_own = true;
+        if tally.count.crashes == 0 || sent_at >= tally.crashed_at {
+            tally.count.crashes += 1;
+            tally.crashed_at = now;
+            tally.changed_at = now;
+        }
         let crashes = tally.count.crashes;
         self.evict(request);
         crashes
     }
 
     /// Takes back the crash that a trial was counted as: it ended without one.
-    pub fn revert_trial(&mut self, request: Digest, now: Instant) {
+    pub fn revert_trial(&mut self, request: Digest, trial: Trial, now: Instant) {
         let tallies = self.requests.get_mut(&request);
-        if let Some(tally) = tallies.and_then(|tallies| tallies.0.get_mut(&self.own)) {
+        if let Some(tally) = tallies.and_then(|tallies| tallies.0.get_mut(&trial.origin)) {
             tally.count.cleared = tally.count.crashes.min(tally.count.cleared + 1);
             tally.changed_at = now;
         }
@@ -268,10 +276,9 @@
     pub fn report(&self, most: usize, turn: u64, now: Instant) -> Vec<ReportedCount> {
         let age = |at| now.saturating_duration_since(at);
         let is_reported = |suspect: &Suspect, tally: &Tally| {
-            let is_own = tally.count.origin == self.own;
             let is_recent = age(tally.changed_at) < REPORT_TIME;
             let is_news = age(tally.changed_at) < NEWS_TIME;
-            suspect.left() >= SUSPECT_CRASHES || (is_own && is_recent) || is_news
+            suspect.left() >= SUSPECT_CRASHES || (tally.is_own && is_recent) || is_news
         };
         let live = self.requests.values().filter(|s| !s.is_expired(now));
         let (news, others): (Vec<&Tally>, Vec<&Tally>) = live
@@ -313,6 +320,7 @@
             count,
             crashed_at,
             changed_at: now,
+            is_own: false,
         });
         let has_more = count.crashes > known.count.crashes;
         if has_more {
--- a/crates/steering/src/crashes/record.rs
+++ b/crates/steering/src/crashes/record.rs
@@ -7,7 +7,6 @@
 
 use super::{Count, CrashCounter, SUSPECT_CRASHES, Suspect, Tally};
 use crate::affinity::Digest;
-use base::id::Incarnation;
 use indexmap::IndexMap;
 use std::time::{Duration, Instant};
 
@@ -74,8 +73,8 @@
         *self = Self::default();
     }
 
-    /// Returns whether the row has so many crashes of a request that a process counted.
-    pub fn holds(&self, origin: Incarnation, request: Digest, crashes: u32) -> bool {
+    /// Returns whether the row has so many crashes of a request on a run of a server.
+    pub fn holds(&self, origin: Digest, request: Digest, crashes: u32) -> bool {
         self.row.entries.iter().any(|entry| {
             let count = entry.count;
             count.origin == origin && count.request == request && count.crashes >= crashes
@@ -103,7 +102,7 @@
         is_second: bool,
         now: Instant,
     ) -> Option<Vec<Entry>> {
-        type Key = (Incarnation, Digest);
+        type Key = (Digest, Digest);
         let key = |count: &Count| (count.origin, count.request);
         let stored = self.row.entries.iter();
         let stored: IndexMap<Key, Count> = stored
@@ -111,9 +110,9 @@
             .collect();
         let is_refused = |suspect: &Suspect| suspect.left() >= super::MAX_CRASHES;
         let is_written = |suspect: &Suspect, tally: &Tally| {
-            let is_own = tally.count.origin == counter.own;
             let is_stored = stored.contains_key(&key(&tally.count));
-            tally.count.left() > 0 && (is_own || is_stored || (is_second && is_refused(suspect)))
+            tally.count.left() > 0
+                && (tally.is_own || is_stored || (is_second && is_refused(suspect)))
         };
         let written = counter
             .remembered(now)
--- a/programs/gateway/src/crashes.rs
+++ b/programs/gateway/src/crashes.rs
@@ -142,14 +142,13 @@
         let recorded = shared.crashes_recorded.notified();
         tokio::pin!(recorded);
         recorded.as_mut().enable();
-        let origin = shared.incarnation;
-        if lock(&shared.crash_record).holds(origin, request, trial.own_crashes) {
+        if lock(&shared.crash_record).holds(trial.origin, request, trial.crashes) {
             return true;
         }
         if timeout_at(until.into(), recorded).await.is_err() {
             log::warn!(
                 "event=trial-unrecorded request={request:x} crashes={} sent={}",
-                trial.own_crashes,
+                trial.crashes,
                 !trial.was_refused
             );
             return !trial.was_refused;
@@ -261,7 +260,13 @@
     }
 
     /// Records the end of a send. A trial is counted as a crash already.
-    pub fn record_end(&self, request: Digest, trial: Option<Trial>, ending: Ending, now: Instant) {
+    pub fn record_end(
+        &self,
+        request: Digest,
+        (server, sent_at, trial): (Digest, Instant, Option<Trial>),
+        ending: Ending,
+        now: Instant,
+    ) {
         if trial.is_some() {
             self.metrics.record_trial(ending);
         }
@@ -274,10 +279,10 @@
                     return;
                 }
                 (Ending::Open, None) => return,
-                (Ending::Open, Some(_)) => crashes.revert_trial(request, now),
+                (Ending::Open, Some(trial)) => crashes.revert_trial(request, trial, now),
                 (Ending::Crashed, Some(_)) => {}
                 (Ending::Crashed, None) => {
-                    crashes.record_crash(request, now);
+                    crashes.record_crash(request, server, sent_at, now);
                 }
             }
             trial.is_some() || crashes.left(request) >= SUSPECT_CRASHES
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -254,7 +254,8 @@
             return Err(self.deny_retry(attempt));
         }
         let now = Instant::now();
-        let trial = lock(&self.shared.crashes).begin_send(self.admitted.digest, now);
+        let server = in_flight.digest();
+        let trial = lock(&self.shared.crashes).begin_send(self.admitted.digest, server, now);
         let trial = match trial {
             Ok(trial) => trial,
             Err(until) => {
--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -146,21 +146,22 @@
         }
     }
 
-    /// Goes on to observe the server for [`OBSERVATION_TIME`] after the caller has left.
-    fn observe(&mut self) {
+    /// Records for the crashes of the request that the send is dropped. If its caller left early, the
+    /// server is observed until [`OBSERVATION_TIME`] from the send.
+    fn record_drop(&mut self, has_left: bool) {
         let until = self.started_at + OBSERVATION_TIME;
-        let runtime = Handle::try_current();
-        let (Some(exchange), Ok(runtime), true) =
-            (self.exchange.take(), runtime, Instant::now() < until)
-        else {
-            return;
-        };
-        let (shared, digest, trial) = (self.shared.clone(), self.admitted.digest, self.trial);
-        runtime.spawn(async move {
-            if let Ok(outcome) = timeout_at(until.into(), exchange).await {
-                shared.record_end(digest, trial, ending(&outcome, false), Instant::now());
+        let (shared, digest) = (self.shared.clone(), self.admitted.digest);
+        let send = (self.in_flight.digest(), self.started_at, self.trial);
+        match (self.exchange.take(), Handle::try_current()) {
+            (Some(exchange), Ok(runtime)) if has_left && Instant::now() < until => {
+                runtime.spawn(async move {
+                    let outcome = timeout_at(until.into(), exchange).await;
+                    let ending = outcome.map_or(Ending::Open, |outcome| ending(&outcome, false));
+                    shared.record_end(digest, send, ending, Instant::now());
+                });
             }
-        });
+            _ => shared.record_end(digest, send, Ending::Open, Instant::now()),
+        }
     }
 }
 
@@ -190,8 +191,10 @@
             self.log("stopped", 0, "");
         } else {
             self.log("left", 0, "");
-            self.observe();
+            self.record_drop(true);
+            return;
         }
+        self.record_drop(false);
     }
 }
 
@@ -290,7 +293,9 @@
             in_flight.record_failure(now);
         }
     }
-    shared.record_end(digest, trial, ending(&result, active.is_paused()), now);
+    let ending = ending(&result, active.is_paused());
+    let send = (in_flight.digest(), active.started_at, trial);
+    shared.record_end(digest, send, ending, now);
     let outcome = takeover_outcome(&result, active.is_paused());
     if let Some(outcome) = outcome {
         active.record_outcome(outcome);
--- a/programs/gateway/src/servers/in_flight.rs
+++ b/programs/gateway/src/servers/in_flight.rs
@@ -60,6 +60,11 @@
 }
 
 impl InFlightRequest {
+    /// Returns the digest of the server.
+    pub fn digest(&self) -> Digest {
+        affinity::digest(&self.server)
+    }
+
     fn with_server(&self, change: impl FnOnce(&mut Server)) {
         let mut state = lock(&self.servers.state);
         if let Some(server) = self.find_server(&mut state) {
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -155,7 +155,7 @@
             bulk: Mutex::new(bulk),
             fleet: Mutex::default(),
             ledger: Mutex::default(),
-            crashes: Mutex::new(CrashCounter::new(incarnation)),
+            crashes: Mutex::default(),
             crash_record: Mutex::default(),
             crashes_changed: Notify::new(),
             suspect_changed: Notify::new(),
