--- a/review/harness-2/src/gateway.rs
+++ b/review/harness-2/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use crate::http;
 use std::net::{IpAddr, SocketAddr, TcpListener};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -12,15 +12,48 @@
 #[derive(Debug)]
 pub struct Gateway {
     process: Child,
+    file: PathBuf,
+    log: PathBuf,
     pub callers: SocketAddr,
     readiness: SocketAddr,
 }
 
 impl Drop for Gateway {
     fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Gateway {
+    /// Ends the process with SIGKILL.
+    pub fn kill(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
     }
+
+    /// Starts the process again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program can't be started.
+    pub fn restart(&mut self) -> std::io::Result<()> {
+        self.process = run(&self.file, &self.log)?;
+        Ok(())
+    }
+}
+
+/// Starts the program as the deploy file says.
+fn run(file: &Path, log: &Path) -> std::io::Result<Child> {
+    let log = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(log)?;
+    Command::new("target/release/gateway")
+        .arg("--settings")
+        .arg(file)
+        .stdout(log.try_clone()?)
+        .stderr(Stdio::from(log))
+        .spawn()
 }
 
 /// Returns a port that is free at all of these addresses.
@@ -77,15 +110,12 @@
         );
         let file = folder.join(format!("{zone}.yaml"));
         std::fs::write(&file, settings)?;
-        let log = std::fs::File::create(folder.join(format!("{zone}.log")))?;
-        let process = Command::new("target/release/gateway")
-            .arg("--settings")
-            .arg(&file)
-            .stdout(log.try_clone()?)
-            .stderr(Stdio::from(log))
-            .spawn()?;
+        let log = folder.join(format!("{zone}.log"));
+        let process = run(&file, &log)?;
         gateways.push(Gateway {
             process,
+            file,
+            log,
             callers: SocketAddr::new(*ip, callers),
             readiness: SocketAddr::new(*ip, readiness),
         });
