--- a/crates/operators/src/gateway.rs
+++ b/crates/operators/src/gateway.rs
@@ -41,6 +41,9 @@
         pub leaves: Option<Departure>,
         /// Milliseconds for which it wants nothing from the gateway; 0 while requests return to it.
         pub rejects_ms: Option<u64>,
+        /// Requests a second that it takes from all VMs together; none without a limit.
+        #[serde(default)]
+        pub limit: Option<f64>,
     }
 
     /// A request that is refused because it crashes servers.
--- a/programs/ctl/src/output.rs
+++ b/programs/ctl/src/output.rs
@@ -180,7 +180,10 @@
         0 => format!("server {server} wants few requests yet"),
         left => format!("server {server} wants no requests for {left} ms"),
     });
-    leaves.into_iter().chain(rejects).collect()
+    let limit = notice.limit.map(|rate| {
+        format!("server {server} takes {rate} requests a second from all VMs together")
+    });
+    leaves.into_iter().chain(rejects).chain(limit).collect()
 }
 
 fn stage_name(stage: takeover::Stage) -> &'static str {
--- a/programs/ctl/tests/orders.rs
+++ b/programs/ctl/tests/orders.rs
@@ -71,6 +71,7 @@
                 age_ms: 40,
             }),
             rejects_ms: Some(700),
+            limit: Some(1.4),
         }],
         refused: vec![RefusedRequest {
             digest: "1f".into(),
@@ -91,6 +92,7 @@
                     evacuated: sud-a\n\
                     server i-1 leaves, from its answer 40 ms ago\n\
                     server i-1 wants no requests for 700 ms\n\
+                    server i-1 takes 1.4 requests a second from all VMs together\n\
                     request 1f crashed 3 servers: refused for 41 s\n\
                     vm-2 reports usage with token 41: window 353445121 fixed, 353445120 sent\n\
                     vm-1 read the store 120 ms ago";
--- a/programs/gateway/src/servers/in_flight.rs
+++ b/programs/gateway/src/servers/in_flight.rs
@@ -153,9 +153,6 @@
     /// Records what the server said of itself in the head of an answer; returns whether other VMs
     /// are to be told.
     pub fn record_notice(&self, notice: Notice, now: Instant) -> bool {
-        if notice == Notice::default() {
-            return false;
-        }
         let mut state = lock(&self.servers.state);
         let State { servers, words, .. } = &mut *state;
         let server = servers.get_mut(&self.server);
--- a/programs/gateway/src/servers/notices.rs
+++ b/programs/gateway/src/servers/notices.rs
@@ -74,6 +74,13 @@
                 None => self.rejection = Some(Box::new(rejection)),
             }
         }
+        if self.limit != notice.limit {
+            self.limit = notice.limit;
+            log::info!(
+                "event=server-limit server={server} born={born} limit={:?}",
+                notice.limit
+            );
+        }
         let is_new = notice.is_leaving && self.record_leaving(now, Origin::Answer, now);
         if notice.is_leaving {
             words.leaving.insert(self.run(), now);
@@ -143,7 +150,7 @@
                 let known = server.departure.known();
                 let until = server.rejection.as_ref().map(|rejection| rejection.until());
                 let left = until.map(|until| until.saturating_duration_since(now));
-                if known.is_none() && left.is_none() {
+                if known.is_none() && left.is_none() && server.limit.is_none() {
                     continue;
                 }
                 notices.push(gateway::Notice {
@@ -153,6 +160,7 @@
                         age_ms: millis(now.saturating_duration_since(said_at)),
                     }),
                     rejects_ms: left.map(millis),
+                    limit: server.limit,
                 });
             }
         }
--- a/programs/gateway/src/servers/server.rs
+++ b/programs/gateway/src/servers/server.rs
@@ -47,6 +47,8 @@
     pub(super) departure: Departure,
     /// Time for which it wants nothing from this VM, and the ramp afterwards.
     pub(super) rejection: Option<Box<Rejection>>,
+    /// Requests a second that it takes from all VMs together, by its last answer.
+    pub(super) limit: Option<f64>,
     /// Whether a notice of it that could not be read was logged.
     pub(super) is_unreadable_logged: bool,
 }
@@ -87,6 +89,7 @@
             down_since: None,
             departure: Departure::default(),
             rejection: None,
+            limit: None,
             is_unreadable_logged: false,
         }
     }
