bug: servers get no more requests than they named, from all VMs together

Cause: no part of the gateway acted on Server-Limit; each VM went on choosing by load, object and distance. The class is a bound on a sum over VMs, as with cold servers and workspaces' limits.

Change: steering::intake decides who sends. As many VMs hold a part as the limit allows requests a second, those of the server's region first, each at an even pace with at most half a request saved; so a window of 4 s gets at most 4 limits and 1.5 requests a holder, of 6 limits + 5, at any number of VMs. A new holder waits 2.5 s, until all others have noticed; a VM without a majority holds nothing. A VM that holds nothing and hears nothing for long sends one request, all together less than a third of the limit, so that a lifted limit is noticed. Words on limits go through the reports; the later counts, and that there is none any more counts from an answer of a run whose request was sent after the last limit. What a server can't take goes to others; if there is none, it is refused at once with the time of the next turn.

--- a/crates/operators/src/explain.rs
+++ b/crates/operators/src/explain.rs
@@ -27,6 +27,8 @@
         Silent,
         /// It wants no further requests for a time.
         WantsNothing,
+        /// It takes few requests from all VMs together, and none of this VM now.
+        Limited,
         /// It is cold, and another VM warms it up or its next request is not due.
         Cold,
     }
--- a/crates/operators/src/gateway.rs
+++ b/crates/operators/src/gateway.rs
@@ -33,6 +33,16 @@
         pub age_ms: u64,
     }
 
+    /// Limit of requests that a server names.
+    pub struct Intake {
+        /// Requests a second from all VMs together.
+        pub rate: f64,
+        /// How the gateway learnt it.
+        pub origin: Origin,
+        /// Milliseconds since the server said so last.
+        pub age_ms: u64,
+    }
+
     /// What a server has said of itself in its answers.
     pub struct Notice {
         /// Id of the server.
@@ -41,9 +51,9 @@
         pub leaves: Option<Departure>,
         /// Milliseconds for which it wants nothing from the gateway; 0 while requests return to it.
         pub rejects_ms: Option<u64>,
-        /// Requests a second that it takes from all VMs together; none without a limit.
+        /// That it limits the requests of all VMs together.
         #[serde(default)]
-        pub limit: Option<f64>,
+        pub limit: Option<Intake>,
     }
 
     /// A request that is refused because it crashes servers.
--- a/crates/peers/src/report.rs
+++ b/crates/peers/src/report.rs
@@ -11,6 +11,7 @@
 use steering::backlog::StatedPace;
 use steering::crashes::ReportedCount;
 use steering::entrance::Candidate;
+use steering::intake;
 use steering::notice::Word;
 use steering::spending::Change;
 use steering::takeover::{Evidence, OrderVersion, Stage};
@@ -154,6 +155,8 @@
         pub leaving: Vec<Word>,
         /// Servers that had said that they leave and stay after all.
         pub staying: Vec<Word>,
+        /// Limits of requests that servers named or no longer name.
+        pub limits: Vec<intake::Word>,
         /// Totals of workspaces that changed lately.
         pub spending: Vec<Change>,
         /// Counts of the requests in flight at crashes.
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod entrance;
 pub mod fairness;
 pub mod hedge;
+pub mod intake;
 pub mod keys;
 pub mod lease;
 pub mod limits;
--- a/programs/ctl/src/explanation.rs
+++ b/programs/ctl/src/explanation.rs
@@ -150,6 +150,7 @@
         Obstacle::Tried => "tried before",
         Obstacle::Silent => "silent",
         Obstacle::WantsNothing => "wants nothing",
+        Obstacle::Limited => "limited and not this VM's turn",
         Obstacle::Cold => "cold and not this VM's to warm now",
     }
 }
--- a/programs/ctl/src/output.rs
+++ b/programs/ctl/src/output.rs
@@ -168,24 +168,30 @@
 fn notice(notice: &Notice) -> Vec<String> {
     let server = &notice.server;
     let leaves = notice.leaves.as_ref().map(|departure| {
-        let origin = match departure.origin {
-            Origin::Answer => "its answer",
-            Origin::Store => "the store",
-            Origin::Peer => "another VM",
-        };
-        let age = departure.age_ms;
+        let (origin, age) = (origin(departure.origin), departure.age_ms);
         format!("server {server} leaves, from {origin} {age} ms ago")
     });
     let rejects = notice.rejects_ms.map(|left| match left {
         0 => format!("server {server} wants few requests yet"),
         left => format!("server {server} wants no requests for {left} ms"),
     });
-    let limit = notice.limit.map(|rate| {
-        format!("server {server} takes {rate} requests a second from all VMs together")
+    let limit = notice.limit.as_ref().map(|limit| {
+        let (origin, rate, age) = (origin(limit.origin), limit.rate, limit.age_ms);
+        format!(
+            "server {server} takes {rate} requests a second from all VMs together, from {origin} {age} ms ago"
+        )
     });
     leaves.into_iter().chain(rejects).chain(limit).collect()
 }
 
+fn origin(origin: Origin) -> &'static str {
+    match origin {
+        Origin::Answer => "its answer",
+        Origin::Store => "the store",
+        Origin::Peer => "another VM",
+    }
+}
+
 fn stage_name(stage: takeover::Stage) -> &'static str {
     match stage {
         takeover::Stage::Sampling => "sampling",
--- a/programs/ctl/tests/orders.rs
+++ b/programs/ctl/tests/orders.rs
@@ -6,7 +6,7 @@
 use operators::explain::{
     Candidate, Decision, Explanation, Figures, Limit, Obstacle, Refusal, Route, Thinning,
 };
-use operators::gateway::{Departure, Notice, RefusedRequest, Release, State, Usage};
+use operators::gateway::{Departure, Intake, Notice, RefusedRequest, Release, State, Usage};
 use standin_site::operator::{self, Desired};
 use standin_site::store::Store;
 use steering::notice::Origin;
@@ -71,7 +71,11 @@
                 age_ms: 40,
             }),
             rejects_ms: Some(700),
-            limit: Some(1.4),
+            limit: Some(Intake {
+                rate: 1.4,
+                origin: Origin::Peer,
+                age_ms: 90,
+            }),
         }],
         refused: vec![RefusedRequest {
             digest: "1f".into(),
@@ -92,7 +96,7 @@
                     evacuated: sud-a\n\
                     server i-1 leaves, from its answer 40 ms ago\n\
                     server i-1 wants no requests for 700 ms\n\
-                    server i-1 takes 1.4 requests a second from all VMs together\n\
+                    server i-1 takes 1.4 requests a second from all VMs together, from another VM 90 ms ago\n\
                     request 1f crashed 3 servers: refused for 41 s\n\
                     vm-2 reports usage with token 41: window 353445121 fixed, 353445120 sent\n\
                     vm-1 read the store 120 ms ago";
--- a/programs/gateway/src/explain.rs
+++ b/programs/gateway/src/explain.rs
@@ -144,8 +144,7 @@
     let workspace = demand.account.map_or("", |account| &account.name);
     let explain = |criteria: &ServerCriteria<'_>| {
         let is_allowed_in = |region: &str| demand.is_allowed_in(region);
-        let is_warmup_owner = |server| shared.is_warmup_owner(server, now);
-        servers.explain(criteria, workspace, is_allowed_in, is_warmup_owner, now)
+        servers.explain(criteria, workspace, is_allowed_in, &shared.parts(now), now)
     };
     let is_placed =
         |(_, placement): &(_, Placement<()>)| matches!(placement, Placement::Server(()));
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -419,8 +419,7 @@
     };
     let place = |criteria: &ServerCriteria<'_>| {
         let is_allowed_in = |region: &str| demand.is_allowed_in(region);
-        let is_warmup_owner = |server: Digest| shared.is_warmup_owner(server, now);
-        servers.place(criteria, is_allowed_in, is_warmup_owner, now)
+        servers.place(criteria, is_allowed_in, &shared.parts(now), now)
     };
     let is_placed = |placed: &Placement| matches!(placed, Placement::Server(_));
     let placed = place_by_version(&demand, shared, servers, tried, place, is_placed);
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -149,6 +149,7 @@
         down,
         leaving: words.leaving,
         staying: words.staying,
+        limits: words.limits,
         spending: lock(&shared.ledger).changes(now),
         crashes,
         takeovers: shared.takeovers.report(false),
@@ -179,6 +180,7 @@
     let mut words = PassedWords {
         leaving: own.leaving.clone(),
         staying: own.staying.clone(),
+        limits: own.limits.clone(),
     };
     {
         let fleet = lock(&shared.fleet);
@@ -190,7 +192,7 @@
             }
             down.extend(&report.down);
             let passed = now.saturating_duration_since(peer.received_at);
-            words.merge(&report.leaving, &report.staying, passed);
+            words.merge(report, passed);
             members.push(Member::of(report));
         }
     }
@@ -199,6 +201,7 @@
         members,
         leaving: words.leaving,
         staying: words.staying,
+        limits: words.limits,
         in_flight: loads.into_iter().collect(),
         handled: shared.services.recent_handled(true, now),
         down: down.into_iter().collect(),
@@ -342,6 +345,7 @@
     shared
         .services
         .apply_words(&report.leaving, &report.staying, now);
+    shared.services.apply_limits(&report.limits, now);
     let is_near = !report.is_summary();
     shared.services.apply_paces(&report.paces, now);
     shared.services.merge_handled(&report.handled, is_near, now);
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -22,8 +22,10 @@
 use server_set::{HandledRecord, State};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
+use steering::affinity::Digest;
 use steering::backlog::StatedPace;
 use steering::cost;
+use steering::intake::Place;
 use steering::locality::PinnedShares;
 use steering::priority::Competition;
 use steering::registry::Registry;
@@ -46,6 +48,16 @@
 const USUAL_PACE: u16 = 100;
 const MIN_DEVIATION: u16 = 15;
 
+/// Parts of this VM in what all VMs together may send to a server.
+pub trait Parts {
+    /// Returns whether this VM is the one that sends requests to a cold server.
+    fn is_warmup_owner(&self, server: Digest) -> bool;
+
+    /// Returns the place of this VM among those that may hold a part of the limit that a server in
+    /// `region` names.
+    fn intake_place(&self, server: Digest, region: &str) -> Place;
+}
+
 /// Backend servers of all services.
 #[derive(Debug)]
 pub struct Services {
--- a/programs/gateway/src/servers/explanation.rs
+++ b/programs/gateway/src/servers/explanation.rs
@@ -1,5 +1,6 @@
 //! Explanation of the choice of a server; changes no state.
 
+use super::Parts;
 use super::server::Server;
 use super::server_set::{Placement, ServerCriteria, ServerSet, State};
 use super::survey::{Selected, Survey};
@@ -8,7 +9,6 @@
 use indexmap::IndexMap;
 use operators::explain::{Candidate, Choice, Decision, Figures, Obstacle, Thinning};
 use std::time::{Duration, Instant};
-use steering::affinity::Digest;
 use steering::placement::ColdPolicy;
 
 /// Maximum number of servers in an explanation.
@@ -22,7 +22,7 @@
         criteria: &ServerCriteria<'_>,
         workspace: &str,
         is_allowed_in: impl Fn(&str) -> bool,
-        is_warmup_owner: impl Fn(Digest) -> bool,
+        parts: &impl Parts,
         now: Instant,
     ) -> (Decision, Placement<()>) {
         let state = lock(&self.state);
@@ -44,10 +44,10 @@
             admission.as_ref(),
             criteria,
             is_allowed_in,
-            is_warmup_owner,
+            parts,
             now,
         );
-        let (choice, placement) = match survey.choose(&state, criteria.sample, now) {
+        let (choice, placement) = match survey.choose(criteria.sample) {
             Placement::Server(Selected { index, time, .. }) => {
                 let server = &state.servers[survey.servers[index]].registration.server;
                 let choice = Choice {
--- a/programs/gateway/src/servers/in_flight.rs
+++ b/programs/gateway/src/servers/in_flight.rs
@@ -157,7 +157,7 @@
         let State { servers, words, .. } = &mut *state;
         let server = servers.get_mut(&self.server);
         let server = server.filter(|server| server.registration.born == self.born);
-        server.is_some_and(|server| server.record_notice(notice, words, now))
+        server.is_some_and(|server| server.record_notice(notice, self.sent_at, words, now))
     }
 
     /// Records that the server failed the request or refused it.
--- a/programs/gateway/src/servers/notices.rs
+++ b/programs/gateway/src/servers/notices.rs
@@ -7,7 +7,9 @@
 use base::sync::lock;
 use indexmap::IndexMap;
 use operators::gateway;
+use peers::report::Report;
 use std::time::{Duration, Instant};
+use steering::intake;
 use steering::notice::{self, Origin, PASSING_TIME, Rejection, Word};
 use steering::warmth::{self, ShortDigest};
 
@@ -40,6 +42,8 @@
     pub leaving: Vec<Word>,
     /// Servers that stay after all.
     pub staying: Vec<Word>,
+    /// Limits of requests that servers named or no longer name.
+    pub limits: Vec<intake::Word>,
 }
 
 impl Server {
@@ -47,10 +51,12 @@
         (warmth::short_digest(self.digest), self.registration.born)
     }
 
-    /// Records what the server said in an answer; returns whether other VMs are to be told.
+    /// Records what the server said in an answer to a request that was sent at `sent_at`; returns
+    /// whether other VMs are to be told.
     pub(super) fn record_notice(
         &mut self,
         notice: Notice,
+        sent_at: Instant,
         words: &mut Words,
         now: Instant,
     ) -> bool {
@@ -74,21 +80,58 @@
                 None => self.rejection = Some(Box::new(rejection)),
             }
         }
-        if self.limit != notice.limit {
-            self.limit = notice.limit;
-            log::info!(
-                "event=server-limit server={server} born={born} limit={:?}",
-                notice.limit
-            );
-        }
         let is_new = notice.is_leaving && self.record_leaving(now, Origin::Answer, now);
         if notice.is_leaving {
             words.leaving.insert(self.run(), now);
         }
         self.update_pool(now);
+        let is_limit_new = match notice.limit {
+            Some(_) => self.record_limit(notice.limit, now, Origin::Answer, now),
+            None if notice.is_unlimited => self.record_limit(None, sent_at, Origin::Answer, now),
+            None => false,
+        };
+        is_new || is_limit_new
+    }
+
+    /// Records how many requests the server takes, if that was said later than what is known; returns
+    /// whether it changed.
+    fn record_limit(
+        &mut self,
+        rate: Option<f64>,
+        said_at: Instant,
+        by: Origin,
+        now: Instant,
+    ) -> bool {
+        let is_new = self.intake.record(rate, said_at, by, &mut rand::rng());
+        if is_new {
+            let rate = self
+                .intake
+                .rate()
+                .map_or("none".into(), |rate| rate.to_string());
+            log::info!(
+                "event=server-limit server={} born={} limit={rate} by={by:?} age_ms={}",
+                self.registration.server,
+                self.registration.born,
+                now.saturating_duration_since(said_at).as_millis()
+            );
+        }
         is_new
     }
 
+    /// Returns the word on its limit that this VM has from the server itself.
+    fn limit_word(&self, now: Instant) -> Option<intake::Word> {
+        let (rate, said_at, origin) = self.intake.word()?;
+        let age = now.saturating_duration_since(said_at);
+        let is_passed = origin == Origin::Answer && (rate.is_some() || age < PASSING_TIME);
+        let (server, born) = self.run();
+        is_passed.then(|| intake::Word {
+            server,
+            born,
+            rate: rate.map(|rate| rate as f32),
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
     /// Records that the server leaves; returns whether it counts as leaving only since now.
     fn record_leaving(&mut self, said_at: Instant, by: Origin, now: Instant) -> bool {
         let is_new = self.departure.record_leaving(said_at, by);
@@ -150,7 +193,8 @@
                 let known = server.departure.known();
                 let until = server.rejection.as_ref().map(|rejection| rejection.until());
                 let left = until.map(|until| until.saturating_duration_since(now));
-                if known.is_none() && left.is_none() && server.limit.is_none() {
+                let limit = server.intake.rate().zip(server.intake.word());
+                if known.is_none() && left.is_none() && limit.is_none() {
                     continue;
                 }
                 notices.push(gateway::Notice {
@@ -160,7 +204,11 @@
                         age_ms: millis(now.saturating_duration_since(said_at)),
                     }),
                     rejects_ms: left.map(millis),
-                    limit: server.limit,
+                    limit: limit.map(|(rate, (_, said_at, origin))| gateway::Intake {
+                        rate,
+                        origin,
+                        age_ms: millis(now.saturating_duration_since(said_at)),
+                    }),
                 });
             }
         }
@@ -172,7 +220,12 @@
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < PASSING_TIME;
         let mut passed = PassedWords::default();
         for set in self.read().values() {
-            let words = &mut lock(&set.state).words;
+            let mut state = lock(&set.state);
+            let limits = state.servers.values();
+            passed
+                .limits
+                .extend(limits.filter_map(|server| server.limit_word(now)));
+            let words = &mut state.words;
             words.leaving.retain(|_, at| is_recent(at));
             words.staying.retain(|_, at| is_recent(at));
             passed.leaving.extend(to_words(&words.leaving, now));
@@ -203,6 +256,22 @@
         });
     }
 
+    /// Applies the limits of servers that another VM passes on.
+    pub fn apply_limits(&self, words: &[intake::Word], now: Instant) {
+        for word in words {
+            let age = Duration::from_millis(word.age_ms.into());
+            let Some(said_at) = now.checked_sub(age) else {
+                continue;
+            };
+            let rate = word.rate.map(f64::from).filter(|rate| rate.is_finite());
+            self.with_server(word.server, |server| {
+                if server.registration.born == word.born {
+                    server.record_limit(rate, said_at, Origin::Peer, now);
+                }
+            });
+        }
+    }
+
     fn apply_new(
         &self,
         words: &[Word],
@@ -234,14 +303,19 @@
 
 impl PassedWords {
     /// Adds the words of another VM of the data centre, heard `passed` ago.
-    pub fn merge(&mut self, leaving: &[Word], staying: &[Word], passed: Duration) {
+    pub fn merge(&mut self, report: &Report, passed: Duration) {
         let passed_ms = u32::try_from(passed.as_millis()).unwrap_or(u32::MAX);
         let aged = |word: &Word| Word {
             age_ms: word.age_ms.saturating_add(passed_ms),
             ..*word
         };
-        self.leaving.extend(leaving.iter().map(aged));
-        self.staying.extend(staying.iter().map(aged));
+        self.leaving.extend(report.leaving.iter().map(aged));
+        self.staying.extend(report.staying.iter().map(aged));
+        self.limits
+            .extend(report.limits.iter().map(|word| intake::Word {
+                age_ms: word.age_ms.saturating_add(passed_ms),
+                ..*word
+            }));
     }
 
     /// Keeps the newest words on each run, and at most [`MAX_WORDS`] of a kind.
@@ -252,6 +326,11 @@
             words.sort_by_key(|word| word.age_ms);
             words.truncate(MAX_WORDS);
         }
+        let limits = &mut self.limits;
+        limits.sort_by_key(|word| (word.server, word.born, word.age_ms));
+        limits.dedup_by_key(|word| (word.server, word.born));
+        limits.sort_by_key(|word| word.age_ms);
+        limits.truncate(MAX_WORDS);
     }
 }
 
--- a/programs/gateway/src/servers/server.rs
+++ b/programs/gateway/src/servers/server.rs
@@ -1,5 +1,6 @@
 //! State that this VM keeps about one backend server.
 
+use super::Parts;
 use crate::settings::Settings;
 use adapter::header::Load;
 use backends::client::{self, Names, Pool};
@@ -8,6 +9,7 @@
 use std::time::{Duration, Instant};
 use steering::affinity::{self, Digest};
 use steering::backlog;
+use steering::intake::Intake;
 use steering::notice::{Departure, Rejection};
 use steering::routing::Registration;
 use steering::warmup::Warmup;
@@ -47,8 +49,8 @@
     pub(super) departure: Departure,
     /// Time for which it wants nothing from this VM, and the ramp afterwards.
     pub(super) rejection: Option<Box<Rejection>>,
-    /// Requests a second that it takes from all VMs together, by its last answer.
-    pub(super) limit: Option<f64>,
+    /// How many requests it takes from all VMs together.
+    pub(super) intake: Intake,
     /// Whether a notice of it that could not be read was logged.
     pub(super) is_unreadable_logged: bool,
 }
@@ -89,7 +91,7 @@
             down_since: None,
             departure: Departure::default(),
             rejection: None,
-            limit: None,
+            intake: Intake::default(),
             is_unreadable_logged: false,
         }
     }
@@ -146,6 +148,21 @@
         rejection.is_none_or(|rejection| rejection.allows(self.backlog.own(), now))
     }
 
+    /// Returns whether its limit leaves no request for this VM now.
+    pub(super) fn is_limited(&self, parts: &impl Parts, now: Instant) -> bool {
+        self.intake.rate().is_some() && {
+            let place = parts.intake_place(self.digest, &self.region);
+            !self.intake.allows(&place, now)
+        }
+    }
+
+    /// Returns when this VM may send the next request within its part of the limit; none if it has no
+    /// part.
+    pub(super) fn turn_at(&self, parts: &impl Parts) -> Option<Instant> {
+        let place = parts.intake_place(self.digest, &self.region);
+        self.intake.turn_at(&place)
+    }
+
     /// Lets requests that wait for a connection through, or not.
     pub(super) fn update_pool(&self, now: Instant) {
         let rejection = self.rejection.as_ref();
--- a/programs/gateway/src/servers/server_set.rs
+++ b/programs/gateway/src/servers/server_set.rs
@@ -1,9 +1,9 @@
 //! Backend servers of one service, and the choice among them.
 
-use super::InFlightRequest;
 use super::notices::Words;
 use super::server::Server;
 use super::survey::{Selected, Survey};
+use super::{InFlightRequest, Parts};
 use crate::settings::Settings;
 use base::id::{DataCentre, Label, Region, Server as ServerId};
 use base::sync::lock;
@@ -121,26 +121,18 @@
 impl ServerSet {
     /// Chooses a server and adds the request to its load.
     ///
-    /// `is_allowed_in` returns whether the request may run in a region, `is_warmup_owner` whether
-    /// this VM is the one that sends requests to a cold server.
+    /// `is_allowed_in` returns whether the request may run in a region.
     pub fn place(
         self: &Arc<Self>,
         criteria: &ServerCriteria<'_>,
         is_allowed_in: impl Fn(&str) -> bool,
-        is_warmup_owner: impl Fn(Digest) -> bool,
+        parts: &impl Parts,
         now: Instant,
     ) -> Placement {
         let mut state = lock(&self.state);
         let state = &mut *state;
         let admission = state.admission.as_ref();
-        let survey = self.survey(
-            state,
-            admission,
-            criteria,
-            is_allowed_in,
-            is_warmup_owner,
-            now,
-        );
+        let survey = self.survey(state, admission, criteria, is_allowed_in, parts, now);
         if !matches!(criteria.version, VersionFilter::Except(_)) {
             state.labels.extend(survey.labels.iter().cloned());
         }
@@ -152,7 +144,7 @@
         if let Some(admission) = &mut state.admission {
             admission.record_occupancy(placement::occupancy(&survey.candidates));
         }
-        let placement = survey.choose(state, criteria.sample, now);
+        let placement = survey.choose(criteria.sample);
         let overload = state
             .overload
             .entry(survey.overload_key())
@@ -196,6 +188,10 @@
         if let Some(warmup) = &mut server.warmup {
             warmup.record_send(warmup_rate, now);
         }
+        if server.intake.rate().is_some() {
+            let place = parts.intake_place(server.digest, &server.region);
+            server.intake.record_send(&place, now, &mut rand::rng());
+        }
         let send = hedge::Dispatch {
             at: now,
             deadline: now + criteria.time_left,
--- a/programs/gateway/src/servers/survey.rs
+++ b/programs/gateway/src/servers/survey.rs
@@ -1,5 +1,6 @@
 //! Servers of a service as a request finds them, and the choice among them; changes no state.
 
+use super::Parts;
 use super::server::Server;
 use super::server_set::{Placement, ServerCriteria, ServerSet, State, VersionFilter};
 use base::id::{Label, Region};
@@ -41,6 +42,9 @@
     pub(super) candidates: Vec<Candidate>,
     /// Why a candidate can't be used now, in the order of `servers`.
     pub(super) obstacles: Vec<Option<Obstacle>>,
+    /// When the first server that wants no request of this VM now takes one again; none if no such
+    /// time is known.
+    reopens_at: Option<Instant>,
     /// Servers that are no candidates.
     pub(super) excluded: Vec<(usize, Obstacle)>,
     pub(super) demand: PlacementRequest,
@@ -69,12 +73,7 @@
     }
 
     /// Selects a server; `sample` selects it for a request that samples a new version.
-    pub(super) fn choose(
-        &self,
-        state: &State,
-        sample: Option<Digest>,
-        now: Instant,
-    ) -> Placement<Selected> {
+    pub(super) fn choose(&self, sample: Option<Digest>) -> Placement<Selected> {
         let Self {
             settings,
             demand,
@@ -99,12 +98,9 @@
                 Placement::Server(Selected { index, time, warm })
             }
             Choice::Late(excess) => Placement::Late(excess),
-            Choice::NoCandidate => {
-                let servers = self.servers.iter().map(|index| &state.servers[*index]);
-                let ends = servers.filter(|server| !server.takes_requests(now));
-                let ends = ends.filter_map(|server| Some(server.rejection.as_ref()?.until()));
-                ends.min().map_or(Placement::NoServer, Placement::Rejected)
-            }
+            Choice::NoCandidate => self
+                .reopens_at
+                .map_or(Placement::NoServer, Placement::Rejected),
         }
     }
 
@@ -133,7 +129,7 @@
         admission: Option<&Admission>,
         criteria: &ServerCriteria<'_>,
         is_allowed_in: impl Fn(&str) -> bool,
-        is_warmup_owner: impl Fn(Digest) -> bool,
+        parts: &impl Parts,
         now: Instant,
     ) -> Survey {
         let (terms, shortage) = state.terms(admission, criteria);
@@ -188,24 +184,34 @@
         let obstacle = |server: &Server| {
             let warmup = server.warmup.as_ref().filter(|warmup| warmup.is_cold(now));
             let is_held_back =
-                |warmup: &Warmup| !(warmup.allows(now) && is_warmup_owner(server.digest));
+                |warmup: &Warmup| !(warmup.allows(now) && parts.is_warmup_owner(server.digest));
             match () {
                 () if criteria.tried.contains(&server.registration.server) => Some(Obstacle::Tried),
                 () if server.is_silent(now, service_time.cold, silence_unit) => {
                     Some(Obstacle::Silent)
                 }
                 () if !server.takes_requests(now) => Some(Obstacle::WantsNothing),
+                () if server.is_limited(parts, now) => Some(Obstacle::Limited),
                 () if warmup.is_some_and(is_held_back) => Some(Obstacle::Cold),
                 () => None,
             }
         };
-        let obstacles = servers.iter().map(|(_, server)| obstacle(server)).collect();
+        let obstacles: Vec<Option<Obstacle>> =
+            servers.iter().map(|(_, server)| obstacle(server)).collect();
+        let reopens_at = servers.iter().zip(&obstacles);
+        let reopens_at = reopens_at.filter_map(|((_, server), obstacle)| match obstacle {
+            Some(Obstacle::WantsNothing) => Some(server.rejection.as_ref()?.until()),
+            Some(Obstacle::Limited) => server.turn_at(parts),
+            _ => None,
+        });
+        let reopens_at = reopens_at.min();
         let mut survey = Survey {
             labels,
             pinned_regions,
             servers: servers.into_iter().map(|(index, _)| index).collect(),
             candidates,
             obstacles,
+            reopens_at,
             excluded,
             demand: PlacementRequest {
                 object: criteria.object,
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -6,7 +6,7 @@
 use crate::listing::Listing;
 use crate::metrics::Metrics;
 use crate::relay::PackedCache;
-use crate::servers::Services;
+use crate::servers::{Parts, Services};
 use crate::settings::Settings;
 use crate::takeovers::Takeovers;
 use crate::usage::Usage;
@@ -22,8 +22,9 @@
 use steering::crashes::record::Record;
 use steering::drain::StopDeadlines;
 use steering::entrance::{Candidate, TimerLag};
+use steering::intake::{self, Holders, Place};
 use steering::membership::rendezvous;
-use steering::reading::{self, Place};
+use steering::reading;
 use steering::routing::{DesiredState, Table};
 use steering::spending::{Coverage, Ledger};
 use steering::split::Split;
@@ -79,6 +80,8 @@
     pub services: Services,
     /// Cold servers to which this VM sends requests.
     ownership: Mutex<Ownership>,
+    /// Parts that this VM holds of the limits that servers name.
+    holders: Mutex<Holders>,
     /// Spending of workspaces.
     pub ledger: Mutex<Ledger>,
     /// Crash counts of requests.
@@ -143,6 +146,7 @@
         Self {
             services: Services::new(&settings),
             ownership: Mutex::new(Ownership::new(&settings.vm)),
+            holders: Mutex::new(Holders::new(&settings.vm)),
             usage: Usage::new(settings.usage.as_ref(), incarnation),
             settings,
             incarnation,
@@ -238,17 +242,9 @@
         lock(&self.fleet).coverage(&self.settings.vm, now)
     }
 
-    /// Returns whether this VM is the one that warms up a cold server.
-    pub fn is_warmup_owner(&self, server: Digest, now: Instant) -> bool {
-        let mut ownership = lock(&self.ownership);
-        if ownership.is_expired(now) {
-            let fleet = lock(&self.fleet);
-            let own = &self.settings.vm;
-            let others = fleet.alive(now).map(|alive| affinity::digest(alive.vm));
-            let alive: Vec<Digest> = others.chain([affinity::digest(own)]).collect();
-            ownership.set_view(&alive, fleet.coverage(own, now).members, now);
-        }
-        ownership.owns(server)
+    /// Returns this VM's parts of what all VMs together may send to a server.
+    pub fn parts(&self, now: Instant) -> OwnParts<'_> {
+        OwnParts { shared: self, now }
     }
 
     /// Returns the VM that is the delegate of this data centre; none if it is this VM.
@@ -307,13 +303,13 @@
     pub fn reads_from(&self, lost_at: Instant, now: Instant) -> Instant {
         let settings = &self.settings;
         let place = match self.has_members.load(Ordering::Relaxed) {
-            false => Place::Unlisted,
+            false => reading::Place::Unlisted,
             true => {
                 let own = Rank::new(false, settings.link_mbps(), &settings.vm);
                 let is_starting = now.saturating_duration_since(self.started_at) < START_TIME;
                 let fleet = lock(&self.fleet);
                 let centre = &settings.data_centre;
-                Place::After(fleet.readers_before(&own, centre, is_starting, now))
+                reading::Place::After(fleet.readers_before(&own, centre, is_starting, now))
             }
         };
         reading::begins_at(
@@ -336,6 +332,48 @@
     }
 }
 
+/// This VM's parts of what all VMs together may send to a server, at a time.
+#[derive(Debug)]
+pub struct OwnParts<'a> {
+    shared: &'a Shared,
+    now: Instant,
+}
+
+impl Parts for OwnParts<'_> {
+    fn is_warmup_owner(&self, server: Digest) -> bool {
+        let Self { shared, now } = *self;
+        let mut ownership = lock(&shared.ownership);
+        if ownership.is_expired(now) {
+            let fleet = lock(&shared.fleet);
+            let own = &shared.settings.vm;
+            let others = fleet.alive(now).map(|alive| affinity::digest(alive.vm));
+            let alive: Vec<Digest> = others.chain([affinity::digest(own)]).collect();
+            ownership.set_view(&alive, fleet.coverage(own, now).members, now);
+        }
+        ownership.owns(server)
+    }
+
+    fn intake_place(&self, server: Digest, region: &str) -> Place {
+        let Self { shared, now } = *self;
+        let mut holders = lock(&shared.holders);
+        if holders.is_expired(now) {
+            let settings = &shared.settings;
+            let candidate = |vm: &str, region: &str, phase| intake::Candidate {
+                vm: affinity::digest(vm),
+                region: affinity::digest(region),
+                is_ready: phase == Phase::Ready,
+            };
+            let own = candidate(&settings.vm, &settings.region, shared.phase());
+            let fleet = lock(&shared.fleet);
+            let others = fleet.alive(now);
+            let others = others.map(|vm| candidate(vm.vm, vm.region, vm.phase));
+            let members = fleet.coverage(&settings.vm, now).members;
+            holders.set_view(others.chain([own]), members, now);
+        }
+        holders.place(server, affinity::digest(region), now)
+    }
+}
+
 impl Drop for RequestGuard<'_> {
     fn drop(&mut self) {
         self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
--- a/programs/gateway/tests/relay.rs
+++ b/programs/gateway/tests/relay.rs
@@ -182,6 +182,7 @@
         down: Vec::new(),
         leaving: Vec::new(),
         staying: Vec::new(),
+        limits: Vec::new(),
         spending: Vec::new(),
         crashes: Vec::new(),
         takeovers: Vec::new(),
