bug: what a server said outlives a moment out of the list

A server whose entry expires and is written again got requests against its word: 28 in 4 s at a limit of 1.4 a second (13 allowed) from four VMs, and requests although it leaves or wants nothing for 4 s.

Cause: ServerSet::replace drops the state of a server with its entry, and makes a new one when the same run returns; answers that arrive meanwhile find no server, and words of other VMs are dropped.

Change: a server that leaves the list is remembered for 60 s with all that is known of its run, answers and words reach it there, and the same run returns with it. A new run starts without, as before.

Evidence: gateway/server_limit::limit_outlives_a_moment_out_of_the_list and two cases of gateway/notice::word_of_a_server_outlives_a_moment_out_of_the_list failed before (28 requests; the two cases 3 of 3 runs) and pass.

--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -100,7 +100,7 @@
             return false;
         };
         let mut state = lock(&set.state);
-        state.servers.get_mut(id).map(change).is_some()
+        state.find(id).map(change).is_some()
     }
 
     fn get_or_create(&self, service: &Service) -> Arc<ServerSet> {
@@ -112,6 +112,7 @@
             Arc::new(ServerSet {
                 state: Mutex::new(State {
                     servers: IndexMap::new(),
+                    absent: IndexMap::new(),
                     service_times: IndexMap::new(),
                     costs: cost::Model::default(),
                     pace_stated_at: None,
@@ -178,13 +179,15 @@
             self.get_or_create(service)
                 .replace(&[], &self.settings, now);
         }
-        let mut by_server = IndexMap::new();
         for (service, entries) in by_service {
             let set = self.get_or_create(service);
             set.replace(&entries, &self.settings, now);
+        }
+        let mut by_server = IndexMap::new();
+        for set in self.read().values() {
             let state = lock(&set.state);
-            let servers = state.servers.iter();
-            by_server.extend(servers.map(|(id, server)| {
+            let absent = state.absent.iter().map(|(id, (_, server))| (id, server));
+            by_server.extend(absent.chain(&state.servers).map(|(id, server)| {
                 let digest = warmth::short_digest(server.digest);
                 (digest, (set.clone(), id.clone()))
             }));
--- a/programs/gateway/src/servers/in_flight.rs
+++ b/programs/gateway/src/servers/in_flight.rs
@@ -73,8 +73,7 @@
     }
 
     fn find_server<'a>(&self, state: &'a mut State) -> Option<&'a mut Server> {
-        let server = state.servers.get_mut(&self.server);
-        server.filter(|server| server.registration.born == self.born)
+        state.find_run(&self.server, self.born)
     }
 
     /// Records the answer of the server, which arrived at `arrived`.
@@ -154,10 +153,17 @@
     /// are to be told.
     pub fn record_notice(&self, notice: Notice, now: Instant) -> bool {
         let mut state = lock(&self.servers.state);
-        let State { servers, words, .. } = &mut *state;
-        let server = servers.get_mut(&self.server);
-        let server = server.filter(|server| server.registration.born == self.born);
-        server.is_some_and(|server| server.record_notice(notice, self.sent_at, words, now))
+        let Some(server) = state.find_run(&self.server, self.born) else {
+            return false;
+        };
+        let (is_new, run) = (
+            server.record_notice(notice, self.sent_at, now),
+            server.run(),
+        );
+        if notice.is_leaving {
+            state.words.leaving.insert(run, now);
+        }
+        is_new
     }
 
     /// Records that the server failed the request or refused it.
--- a/programs/gateway/src/servers/notices.rs
+++ b/programs/gateway/src/servers/notices.rs
@@ -19,7 +19,7 @@
 const REPEATED: Duration = Duration::from_millis(300);
 
 /// Run of a server: its short digest, and its start in Unix milliseconds.
-type Run = (ShortDigest, u64);
+pub(super) type Run = (ShortDigest, u64);
 
 /// Words that a VM knows first-hand, with their times.
 #[derive(Debug, Clone, Default)]
@@ -47,19 +47,14 @@
 }
 
 impl Server {
-    fn run(&self) -> Run {
+    /// Returns the run by which words name it.
+    pub(super) fn run(&self) -> Run {
         (warmth::short_digest(self.digest), self.registration.born)
     }
 
     /// Records what the server said in an answer to a request that was sent at `sent_at`; returns
     /// whether other VMs are to be told.
-    pub(super) fn record_notice(
-        &mut self,
-        notice: Notice,
-        sent_at: Instant,
-        words: &mut Words,
-        now: Instant,
-    ) -> bool {
+    pub(super) fn record_notice(&mut self, notice: Notice, sent_at: Instant, now: Instant) -> bool {
         let registration = &self.registration;
         let (server, born) = (&registration.server, registration.born);
         if notice.is_unreadable && !self.is_unreadable_logged {
@@ -81,9 +76,6 @@
             }
         }
         let is_new = notice.is_leaving && self.record_leaving(now, Origin::Answer, now);
-        if notice.is_leaving {
-            words.leaving.insert(self.run(), now);
-        }
         self.update_pool(now);
         let is_limit_new = match notice.limit {
             Some(_) => self.record_limit(notice.limit, now, Origin::Answer, now),
--- a/programs/gateway/src/servers/server_set.rs
+++ b/programs/gateway/src/servers/server_set.rs
@@ -23,6 +23,9 @@
 use steering::warmth::{self, ObjectUse, WarmObjects};
 use steering::work::ServiceTimeEstimate;
 
+/// Time for which a server that is no longer in the list is remembered.
+const ABSENT_RETENTION: Duration = Duration::from_secs(60);
+
 /// Versions that a request may use.
 #[derive(Debug, Clone, PartialEq)]
 pub enum VersionFilter {
@@ -83,6 +86,9 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) servers: IndexMap<ServerId, Server>,
+    /// Servers that were in the list lately, with the time at which they left it. What they said
+    /// holds on if they return in the same run.
+    pub(super) absent: IndexMap<ServerId, (Instant, Server)>,
     pub(super) service_times: IndexMap<Duration, ServiceTimeEstimate>,
     /// Costs by route; used by [`Estimate::Learned`].
     pub(super) costs: cost::Model,
@@ -250,6 +256,18 @@
 }
 
 impl State {
+    /// Returns a run of a server that is in the list, or was lately.
+    pub(super) fn find_run(&mut self, id: &ServerId, born: u64) -> Option<&mut Server> {
+        self.find(id)
+            .filter(|server| server.registration.born == born)
+    }
+
+    /// Returns a server that is in the list, or was lately.
+    pub(super) fn find(&mut self, id: &ServerId) -> Option<&mut Server> {
+        let absent = self.absent.get_mut(id).map(|(_, server)| server);
+        self.servers.get_mut(id).or(absent)
+    }
+
     /// Adds the version of a server. Versions of the first registrations are in service at once.
     fn add_label(&mut self, label: &Label, is_first: bool, now: Instant) {
         if is_first {
@@ -267,28 +285,38 @@
         let is_first = state.servers.is_empty() && state.labels.is_empty();
         let State {
             servers,
+            absent,
             warm_objects,
             ..
         } = &mut *state;
+        absent.retain(|_, (since, _)| now.saturating_duration_since(*since) < ABSENT_RETENTION);
         let runs: IndexMap<&ServerId, u64> = entries
             .iter()
             .map(|entry| (&entry.registration.server, entry.registration.born))
             .collect();
-        servers.retain(|id, server| {
-            let is_registered = runs.get(id) == Some(&server.registration.born);
-            if !is_registered {
-                server.pool.close_idle();
-                warm_objects.remove(warmth::short_digest(server.digest));
-            }
-            is_registered
+        let gone = servers.extract_if(.., |id, server| {
+            runs.get(id) != Some(&server.registration.born)
         });
+        for (id, server) in gone {
+            server.pool.close_idle();
+            warm_objects.remove(warmth::short_digest(server.digest));
+            absent.insert(id, (now, server));
+        }
         for entry in entries {
             let registration = &entry.registration;
             state.add_label(&registration.label, is_first, now);
-            let server = state
-                .servers
-                .entry(registration.server.clone())
-                .or_insert_with(|| Server::new(registration, settings, now));
+            let State {
+                servers, absent, ..
+            } = &mut *state;
+            let server = servers.entry(registration.server.clone());
+            let server = server.or_insert_with(|| {
+                let known = absent.swap_remove(&registration.server);
+                let known = known.filter(|(_, known)| known.registration.born == registration.born);
+                known.map_or_else(
+                    || Server::new(registration, settings, now),
+                    |(_, server)| server,
+                )
+            });
             server.registration = registration.clone();
             server.update_pool(now);
             match entry.cold_until {
--- a/programs/gateway/tests/notice.rs
+++ b/programs/gateway/tests/notice.rs
@@ -3,6 +3,7 @@
 #[allow(dead_code, reason = "other tests use the rest of the site")]
 mod site;
 
+use adapter::store::REGISTRATIONS;
 use hyper::header::RETRY_AFTER;
 use hyper::{HeaderMap, StatusCode};
 use rstest::rstest;
@@ -246,3 +247,29 @@
     })
     .await;
 }
+
+/// Takes a server out of the list for a moment, as when its entry expires and is written again.
+async fn drop_out(site: &Site, server: &Server) {
+    site.store.remove(REGISTRATIONS, &server.id);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    server.register(&site.store, &Entry::default());
+    // Until the list was read again.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+}
+
+/// Guards against a VM that forgets what a server said while that drops out of the list for a moment.
+#[rstest]
+#[case::leaves(Behaviour { leaving: &["1"], ..Behaviour::default() })]
+#[case::wants_nothing(Behaviour { turns_away: &["4"], ..Behaviour::default() })]
+#[tokio::test]
+async fn word_of_a_server_outlives_a_moment_out_of_the_list(#[case] behaviour: Behaviour) {
+    let (site, _, server, gateway) = Site::with_gateway(&Desired::default()).await;
+    server.set(behaviour);
+    gateway.request("1", "/a/").await;
+    server.set(Behaviour::default());
+    drop_out(&site, &server).await;
+    let returned_at = Instant::now();
+    let end = returned_at + Duration::from_secs(1);
+    send_until(&gateway, end).await;
+    assert_eq!(arrivals_between(&server, returned_at, end), 0);
+}
--- a/programs/gateway/tests/server_limit.rs
+++ b/programs/gateway/tests/server_limit.rs
@@ -3,11 +3,12 @@
 #[allow(dead_code, reason = "other tests use the rest of the site")]
 mod site;
 
+use adapter::store::REGISTRATIONS;
 use hyper::StatusCode;
 use rstest::rstest;
 use site::{Gateway, Site};
 use standin_site::operator::Desired;
-use standin_site::server::{Behaviour, Server};
+use standin_site::server::{Behaviour, Entry, Server};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
@@ -134,3 +135,24 @@
     let most = most_in_window(&limited, bound_from);
     assert!(most <= allowed(1.4), "{most}, {} allowed", allowed(1.4));
 }
+
+/// Guards against VMs that forget a limit while the server drops out of the list for a moment.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn limit_outlives_a_moment_out_of_the_list() {
+    let (site, [limited, _first, _second], gateways) = site_of_four().await;
+    limited.set(Behaviour {
+        limit: "1.4",
+        work: Duration::from_millis(300),
+        ..Behaviour::default()
+    });
+    let bound_from = Instant::now() + CONTACT + TOLD;
+    send_until(&gateways, bound_from).await;
+    for _ in 0..2 {
+        site.store.remove(REGISTRATIONS, &limited.id);
+        send_until(&gateways, Instant::now() + Duration::from_secs(1)).await;
+        limited.register(&site.store, &Entry::default());
+        send_until(&gateways, Instant::now() + Duration::from_secs(1)).await;
+    }
+    let most = most_in_window(&limited, bound_from);
+    assert!(most <= allowed(1.4), "{most}, {} allowed", allowed(1.4));
+}
