--- a/crates/steering/tests/intake.rs
+++ b/crates/steering/tests/intake.rs
@@ -150,7 +150,8 @@
             if !self.vms[number].is_up {
                 continue;
             }
-            if (self.now + number as u64 * 7) / STEP % (REPORT_INTERVAL / STEP) == 0 {
+            let phase = (self.now + number as u64 * 7) / STEP;
+            if phase.is_multiple_of(REPORT_INTERVAL / STEP) {
                 self.report(number);
             }
             if !self.random.random_bool(demand) {
