bug: a server that was out of the list for a moment is used by all VMs again

Cause: a VM that reads the list passes "leaves" on for 4 s when an entry is gone, as if the server had said so. Only two later reports end that, and only at a reader that has the word itself; it has it not, since it learnt the removal from the list. A word that arrives after the entry is back marks the server for good. Two readers mark each other's.

Change: words say whether they are from the list. A list that has the entry again ends such a word, at the reader at once and at others by its word; that a server says of itself that it leaves is ended by neither. Reports have changed.

--- a/crates/steering/src/notice.rs
+++ b/crates/steering/src/notice.rs
@@ -29,6 +29,8 @@
         pub born: u64,
         /// Age of the word in milliseconds.
         pub age_ms: u32,
+        /// Whether it says that the list lacks the run, or has it again.
+        pub is_from_list: bool,
     }
 }
 
@@ -44,7 +46,8 @@
     }
 }
 
-/// Whether one run of a server has said that it leaves, and not taken it back.
+/// Whether one run of a server has said that it leaves and not taken it back, or is missing from the
+/// list as others know it.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Departure {
     said_at: Option<Instant>,
@@ -52,11 +55,14 @@
     origin: Option<Origin>,
     /// Sequence number of its report at this VM's first read of the store after the word.
     reported: Option<u64>,
+    /// Since when, at the latest, the list lacks it, and from whom this VM learnt it.
+    missing: Option<(Instant, Origin)>,
 }
 
 impl Departure {
     /// Records that the server leaves; returns whether it counts as leaving only since now.
     pub fn record_leaving(&mut self, said_at: Instant, origin: Origin) -> bool {
+        let is_new = !self.is_leaving();
         self.origin.get_or_insert(origin);
         let last = self
             .said_at
@@ -64,7 +70,7 @@
         if last.is_none_or(|last| said_at > last + SAME_WORD) {
             self.reported = None;
         }
-        last.is_none()
+        is_new
     }
 
     /// Records a report of the server, read from the store by this VM, that it does not leave;
@@ -76,9 +82,16 @@
         let first = *self.reported.get_or_insert(sequence);
         let is_newer = sequence >= first.saturating_add(NEWER_REPORTS);
         if is_newer {
-            *self = Self::default();
+            self.take_back();
         }
-        is_newer
+        is_newer && !self.is_leaving()
+    }
+
+    fn take_back(&mut self) {
+        *self = Self {
+            missing: self.missing,
+            ..Self::default()
+        };
     }
 
     /// Records the word of another VM that the server stays; returns whether it counts as staying
@@ -86,19 +99,34 @@
     pub fn record_staying(&mut self, said_at: Instant) -> bool {
         let is_over = self.said_at.is_some_and(|last| said_at > last);
         if is_over {
-            *self = Self::default();
+            self.take_back();
         }
-        is_over
+        is_over && !self.is_leaving()
+    }
+
+    /// Records that the list lacked it at a time; returns whether it counts as leaving only since now.
+    pub fn record_missing(&mut self, at: Instant, origin: Origin) -> bool {
+        let is_new = !self.is_leaving();
+        let last = self.missing.map_or(at, |(last, _)| last.max(at));
+        let origin = self.missing.map_or(origin, |(_, origin)| origin);
+        self.missing = Some((last, origin));
+        is_new
+    }
+
+    /// Records that the list had it at a time; returns whether it counts as staying only since now.
+    pub fn record_listed(&mut self, at: Instant) -> bool {
+        let is_back = self.missing.take_if(|(last, _)| at > *last).is_some();
+        is_back && !self.is_leaving()
     }
 
     /// Returns since when, at the latest, the server leaves, and from whom this VM learnt it.
     pub fn known(&self) -> Option<(Instant, Origin)> {
-        self.said_at.zip(self.origin)
+        self.said_at.zip(self.origin).or(self.missing)
     }
 
     /// Returns whether the server leaves.
     pub fn is_leaving(&self) -> bool {
-        self.said_at.is_some()
+        self.said_at.is_some() || self.missing.is_some()
     }
 }
 
--- a/crates/steering/src/registry.rs
+++ b/crates/steering/src/registry.rs
@@ -31,16 +31,6 @@
     }
 }
 
-impl Change {
-    /// Returns the server that takes no more requests.
-    pub fn left(&self) -> Option<&Server> {
-        match self {
-            Self::Joined(_) => None,
-            Self::Leaving(server) | Self::Gone(server) => Some(server),
-        }
-    }
-}
-
 /// Registered servers by id.
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
--- a/crates/steering/tests/notice.rs
+++ b/crates/steering/tests/notice.rs
@@ -12,6 +12,8 @@
     Leaving(u64),
     Staying(u64),
     Report(u64),
+    Missing(u64),
+    Listed(u64),
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -19,6 +21,8 @@
         (0..20_000u64).prop_map(Event::Leaving),
         (0..20_000u64).prop_map(Event::Staying),
         (0..2u64).prop_map(Event::Report),
+        (0..20_000u64).prop_map(Event::Missing),
+        (0..20_000u64).prop_map(Event::Listed),
     ]
 }
 
@@ -28,6 +32,8 @@
         Event::Leaving(millis) => departure.record_leaving(at(millis), Origin::Peer),
         Event::Staying(millis) => departure.record_staying(at(millis)),
         Event::Report(sequence) => departure.record_report(sequence),
+        Event::Missing(millis) => departure.record_missing(at(millis), Origin::Peer),
+        Event::Listed(millis) => departure.record_listed(at(millis)),
     };
 }
 
@@ -48,6 +54,22 @@
         }
     }
 
+    /// Guards against a server that stays out of use although the list has it again, and against one
+    /// that returns by an older list, or by any list although it said that it leaves.
+    #[test]
+    fn missing_server_returns_by_a_later_list(
+        missing in 0..20_000u64, listed in 0..20_000u64, says_leaving in any::<bool>(),
+    ) {
+        let start = Instant::now();
+        let mut departure = Departure::default();
+        apply(&mut departure, start, Event::Missing(missing));
+        if says_leaving {
+            apply(&mut departure, start, Event::Leaving(0));
+        }
+        apply(&mut departure, start, Event::Listed(listed));
+        prop_assert_eq!(departure.is_leaving(), says_leaving || listed <= missing);
+    }
+
     /// Guards against a server that stays out of use although its later reports say that it stays,
     /// and against a report that was under way when it said that it leaves.
     #[test]
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use steering::registry::{Change, Registry};
+use steering::registry::Registry;
 use steering::routing::{DesiredState, Registration, Table};
 
 /// Longest wait of the orders feed for a change. A dead connection is detected after this plus the
@@ -303,8 +303,9 @@
         };
         log_changes(&changes, read_at.is_some());
         if read_at.is_some() {
-            let left = changes.iter().filter_map(Change::left);
-            left.for_each(|server| shared.services.record_left(server, now));
+            for change in &changes {
+                shared.services.record_left(change, now);
+            }
         }
         listing.replace(registry.entries().map(|entry| &entry.registration));
         listing.read_at = read_at.or(last);
--- a/programs/gateway/src/servers/in_flight.rs
+++ b/programs/gateway/src/servers/in_flight.rs
@@ -1,5 +1,6 @@
 //! A request that was sent to a backend server and is not answered yet.
 
+use super::notices::Topic;
 use super::server::Server;
 use super::server_set::{HandledRecord, ServerSet, State};
 use adapter::header::{Load, Notice};
@@ -161,7 +162,7 @@
             server.run(),
         );
         if notice.is_leaving {
-            state.words.leaving.insert(run, now);
+            state.words.leaving.insert(Topic::Departure(run), now);
         }
         is_new
     }
--- a/programs/gateway/src/servers/notices.rs
+++ b/programs/gateway/src/servers/notices.rs
@@ -2,6 +2,7 @@
 
 use super::Services;
 use super::server::Server;
+use super::server_set::State;
 use adapter::header::Notice;
 use base::id::Server as ServerId;
 use base::sync::lock;
@@ -11,6 +12,7 @@
 use std::time::{Duration, Instant};
 use steering::intake;
 use steering::notice::{self, Origin, PASSING_TIME, Rejection, Word};
+use steering::registry::Change;
 use steering::warmth::{self, ShortDigest};
 
 /// Most words of one kind in a report.
@@ -21,18 +23,27 @@
 /// Run of a server: its short digest, and its start in Unix milliseconds.
 pub(super) type Run = (ShortDigest, u64);
 
+/// What a word is on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) enum Topic {
+    /// Whether a run says that it leaves.
+    Departure(Run),
+    /// Whether the list has a run.
+    Listing(Run),
+}
+
 /// Words that a VM knows first-hand, with their times.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Words {
-    pub(super) leaving: IndexMap<Run, Instant>,
-    pub(super) staying: IndexMap<Run, Instant>,
+    pub(super) leaving: IndexMap<Topic, Instant>,
+    pub(super) staying: IndexMap<Topic, Instant>,
 }
 
 /// Words of other VMs that were applied already, since each report repeats them.
 #[derive(Debug, Clone, Default)]
 pub(super) struct HeardWords {
-    leaving: IndexMap<Run, Instant>,
-    staying: IndexMap<Run, Instant>,
+    leaving: IndexMap<Topic, Instant>,
+    staying: IndexMap<Topic, Instant>,
 }
 
 /// Words on runs of servers, as reports pass them on.
@@ -134,6 +145,16 @@
         is_new
     }
 
+    /// Records that the list lacks the server, as another VM says.
+    fn record_missing(&mut self, at: Instant, now: Instant) -> bool {
+        let is_new = self.departure.record_missing(at, Origin::Peer);
+        if is_new {
+            self.log("server-unlisted", Origin::Peer, at, now);
+        }
+        self.update_pool(now);
+        is_new
+    }
+
     fn log(&self, event: &str, by: Origin, said_at: Instant, now: Instant) {
         log::info!(
             "event={event} server={} born={} by={by:?} age_ms={} sequence={}",
@@ -147,33 +168,46 @@
 
 impl Services {
     /// Records that the store says that a server leaves or is gone, for other VMs.
-    pub fn record_left(&self, server: &ServerId, now: Instant) {
+    pub fn record_left(&self, change: &Change, now: Instant) {
+        let (server, topic): (&ServerId, fn(Run) -> Topic) = match change {
+            Change::Joined(_) => return,
+            Change::Leaving(server) => (server, Topic::Departure),
+            Change::Gone(server) => (server, Topic::Listing),
+        };
         for set in self.read().values() {
             let mut state = lock(&set.state);
             if let Some(run) = state.servers.get(server).map(Server::run) {
-                state.words.leaving.insert(run, now);
+                state.words.leaving.insert(topic(run), now);
             }
         }
     }
 
-    /// Records that this VM read the list from the store: servers whose later reports say that they
-    /// stay are used again.
+    /// Records that this VM read the list from the store: servers that are back in it, and those whose
+    /// later reports say that they stay, are used again.
     pub fn record_list_read(&self, now: Instant) {
         for set in self.read().values() {
             let mut state = lock(&set.state);
-            let mut stays = Vec::new();
-            for server in state.servers.values_mut() {
+            let State { servers, words, .. } = &mut *state;
+            for server in servers.values_mut() {
+                if server.registration.leaving {
+                    continue;
+                }
+                let listing = Topic::Listing(server.run());
+                let was_missing = words.leaving.swap_remove(&listing).is_some();
+                if server.departure.record_listed(now) || was_missing {
+                    words.staying.insert(listing, now);
+                    server.log("server-listed", Origin::Store, now, now);
+                    server.update_pool(now);
+                }
                 let sequence = server.registration.sequence;
-                if !server.registration.leaving && server.departure.record_report(sequence) {
+                if server.departure.record_report(sequence) {
+                    let departure = Topic::Departure(server.run());
+                    words.leaving.swap_remove(&departure);
+                    words.staying.insert(departure, now);
                     server.log("server-stays", Origin::Store, now, now);
                     server.update_pool(now);
-                    stays.push(server.run());
                 }
             }
-            for run in stays {
-                state.words.leaving.swap_remove(&run);
-                state.words.staying.insert(run, now);
-            }
         }
     }
 
@@ -237,12 +271,19 @@
             leaving: heard_leaving,
             staying: heard_staying,
         } = &mut *heard;
-        self.apply_new(leaving, heard_leaving, now, |server, said_at| {
-            server.record_leaving(said_at, Origin::Peer, now);
+        self.apply_new(leaving, heard_leaving, now, |server, topic, said_at| {
+            match topic {
+                Topic::Departure(_) => server.record_leaving(said_at, Origin::Peer, now),
+                Topic::Listing(_) => server.record_missing(said_at, now),
+            };
         });
-        self.apply_new(staying, heard_staying, now, |server, said_at| {
-            if server.departure.record_staying(said_at) {
-                server.log("server-stays", Origin::Peer, said_at, now);
+        self.apply_new(staying, heard_staying, now, |server, topic, said_at| {
+            let (event, stays) = match topic {
+                Topic::Departure(_) => ("server-stays", server.departure.record_staying(said_at)),
+                Topic::Listing(_) => ("server-listed", server.departure.record_listed(said_at)),
+            };
+            if stays {
+                server.log(event, Origin::Peer, said_at, now);
                 server.update_pool(now);
             }
         });
@@ -267,9 +308,9 @@
     fn apply_new(
         &self,
         words: &[Word],
-        heard: &mut IndexMap<Run, Instant>,
+        heard: &mut IndexMap<Topic, Instant>,
         now: Instant,
-        apply: impl Fn(&mut Server, Instant),
+        apply: impl Fn(&mut Server, Topic, Instant),
     ) {
         heard.retain(|_, at| now.saturating_duration_since(*at) < PASSING_TIME * 2);
         for word in words {
@@ -278,16 +319,23 @@
                 continue;
             };
             let run = (word.server, word.born);
-            if heard.get(&run).is_some_and(|at| said_at <= *at + REPEATED) {
+            let topic = match word.is_from_list {
+                true => Topic::Listing(run),
+                false => Topic::Departure(run),
+            };
+            if heard
+                .get(&topic)
+                .is_some_and(|at| said_at <= *at + REPEATED)
+            {
                 continue;
             }
             let found = self.with_server(word.server, |server| {
                 if server.registration.born == word.born {
-                    apply(server, said_at);
+                    apply(server, topic, said_at);
                 }
             });
             if found {
-                heard.insert(run, said_at);
+                heard.insert(topic, said_at);
             }
         }
     }
@@ -313,8 +361,8 @@
     /// Keeps the newest words on each run, and at most [`MAX_WORDS`] of a kind.
     pub fn limit(&mut self) {
         for words in [&mut self.leaving, &mut self.staying] {
-            words.sort_by_key(|word| (word.server, word.born, word.age_ms));
-            words.dedup_by_key(|word| (word.server, word.born));
+            words.sort_by_key(|word| (word.server, word.born, word.is_from_list, word.age_ms));
+            words.dedup_by_key(|word| (word.server, word.born, word.is_from_list));
             words.sort_by_key(|word| word.age_ms);
             words.truncate(MAX_WORDS);
         }
@@ -330,13 +378,18 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn to_words(words: &IndexMap<Run, Instant>, now: Instant) -> impl Iterator<Item = Word> {
-    words.iter().map(move |((server, born), at)| {
+fn to_words(words: &IndexMap<Topic, Instant>, now: Instant) -> impl Iterator<Item = Word> {
+    words.iter().map(move |(topic, at)| {
         let age = now.saturating_duration_since(*at).as_millis();
+        let ((server, born), is_from_list) = match *topic {
+            Topic::Departure(run) => (run, false),
+            Topic::Listing(run) => (run, true),
+        };
         Word {
-            server: *server,
-            born: *born,
+            server,
+            born,
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            is_from_list,
         }
     })
 }
--- a/programs/gateway/tests/notice.rs
+++ b/programs/gateway/tests/notice.rs
@@ -273,3 +273,23 @@
     send_until(&gateway, end).await;
     assert_eq!(arrivals_between(&server, returned_at, end), 0);
 }
+
+/// Guards against VMs that leave a server out of use for good since another VM told them that the
+/// list had lost it for a moment.
+#[tokio::test]
+async fn server_that_was_out_of_the_list_for_a_moment_is_used_by_all_vms() {
+    let (site, door, [server]) = Site::with_servers(&Desired::default()).await;
+    let vms = [("vm-1", "nord-a"), ("vm-2", "nord-a"), ("vm-3", "sud-a")];
+    let gateways = site.gateways(vms, &door).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    drop_out(&site, &server).await;
+    // Until words on the server have reached all VMs.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for gateway in &gateways {
+        wait_until("the server is used", || async {
+            let answer = gateway.request("1", "/a/").await;
+            answer.is_some_and(|(status, ..)| status == StatusCode::OK)
+        })
+        .await;
+    }
+}
