feature: soak with servers that limit their requests

Seeds from 9000 on have a server that names 2 requests a second until the end of the faults and drops out of the list for a moment, beside two faults of gateways or other servers; what it gets from VMs that passed its word on is counted as by the rule.

--- a/tests/soak/src/invariants.rs
+++ b/tests/soak/src/invariants.rs
@@ -25,6 +25,15 @@
 const REJECTION: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(1)];
 /// Most requests that may arrive in between.
 const MAX_REJECTED: usize = 2;
+/// Requests a second that a limited server takes.
+pub const LIMIT: &str = "2";
+/// Time after its first word from which a server's limit binds all VMs together, length of the windows
+/// in which requests count, and time after an answer from which its VM is bound.
+const LIMIT_TIMES: [Duration; 3] = [
+    Duration::from_secs(3),
+    Duration::from_secs(4),
+    Duration::from_millis(500),
+];
 /// Time after a paused VM continues in which its usage reports do not count.
 pub const THAW_SLACK: Duration = Duration::from_millis(300);
 /// Smallest share of requests that must be served after recovery.
@@ -137,6 +146,7 @@
     }
     violations.extend(interrupted_requests(history));
     violations.extend(ignored_notices(history));
+    violations.extend(exceeded_limits(history));
     violations.extend(wrong_reports(history));
     violations.extend(unserved_callers(history));
     violations
@@ -243,17 +253,7 @@
         let known: Vec<(&Arrival, &RequestRecord)> = known.collect();
         for (arrival, request) in &known {
             let gateway = request.gateway;
-            let has_forgotten = |until: Instant| {
-                let restarts = [
-                    Disturbance::Kill(gateway),
-                    Disturbance::Stop(gateway),
-                    Disturbance::Pause(gateway),
-                ];
-                let is_between =
-                    |period: &Period| period.begin <= until && period.end >= arrival.at;
-                let mut periods = history.periods.iter().filter(|period| is_between(period));
-                periods.any(|period| restarts.contains(&period.disturbance))
-            };
+            let has_forgotten = |until: Instant| has_restarted(history, gateway, arrival.at, until);
             let is_same_run = |later: Instant| {
                 let mut rejoined = history.rejoined[server].iter();
                 !rejoined.any(|at| (arrival.at..=later).contains(at))
@@ -289,6 +289,76 @@
     lines
 }
 
+/// Returns a line for each server that got more requests than its limit allows from the VMs that had
+/// passed it on. A VM that was killed, stopped or paused since then does not count.
+pub fn exceeded_limits(history: &History) -> Vec<String> {
+    let [contact, length, told] = LIMIT_TIMES;
+    let requests = history
+        .requests
+        .iter()
+        .map(|request| (&*request.id, request));
+    let requests: IndexMap<&str, &RequestRecord> = requests.collect();
+    let mut lines = Vec::new();
+    for (server, arrivals) in history.arrivals.iter().enumerate() {
+        let limited = arrivals
+            .iter()
+            .filter(|arrival| arrival.said_limit.is_some());
+        let mut limited: Vec<&Arrival> = limited.collect();
+        limited.sort_by_key(|arrival| arrival.at);
+        let (Some(first), Some(rate)) = (
+            limited
+                .iter()
+                .filter_map(|arrival| arrival.answered_at)
+                .min(),
+            limited.first().and_then(|arrival| arrival.said_limit),
+        ) else {
+            continue;
+        };
+        let mut told_at: IndexMap<usize, Instant> = IndexMap::new();
+        for request in limited
+            .iter()
+            .filter_map(|arrival| requests.get(&*arrival.id))
+        {
+            if request.answer.is_some() {
+                let at = told_at.entry(request.gateway).or_insert(request.ended_at);
+                *at = request.ended_at.min(*at);
+            }
+        }
+        let is_counted = |arrival: &&&Arrival| {
+            let gateway = requests.get(&*arrival.id).map(|request| request.gateway);
+            let since = gateway.and_then(|gateway| told_at.get(&gateway));
+            gateway.zip(since).is_some_and(|(gateway, since)| {
+                arrival.at >= (first + contact).max(*since + told)
+                    && !has_restarted(history, gateway, *since, arrival.at)
+            })
+        };
+        let times: Vec<Instant> = limited.iter().filter(is_counted).map(|a| a.at).collect();
+        let in_window = |begin: &Instant| {
+            let window = *begin..*begin + length;
+            times.iter().filter(|at| window.contains(at)).count()
+        };
+        let most = times.iter().map(in_window).max().unwrap_or_default();
+        if most as f64 > 1.5 * rate * length.as_secs_f64() + 5.0 {
+            lines.push(format!(
+                "server {server} got {most} requests in 4 s although it had named a limit of {rate} a second"
+            ));
+        }
+    }
+    lines
+}
+
+/// Returns whether a gateway was killed, stopped or paused within a time.
+fn has_restarted(history: &History, gateway: usize, from: Instant, to: Instant) -> bool {
+    let restarts = [
+        Disturbance::Kill(gateway),
+        Disturbance::Stop(gateway),
+        Disturbance::Pause(gateway),
+    ];
+    let is_between = |period: &&Period| period.begin <= to && period.end >= from;
+    let mut periods = history.periods.iter().filter(is_between);
+    periods.any(|period| restarts.contains(&period.disturbance))
+}
+
 /// Returns a line for each usage report that breaks a rule of the platform, and one if none arrived
 /// after recovery.
 ///
--- a/tests/soak/src/plan.rs
+++ b/tests/soak/src/plan.rs
@@ -34,6 +34,10 @@
         Leave(usize),
         /// A server is registered again under the same id.
         Rejoin(usize),
+        /// The registration of a server is lost.
+        Unlist(usize),
+        /// It is written again, of the same run.
+        List(usize),
         /// The operator publishes a new version of the configuration.
         Publish,
         /// The operator withdraws a key for good.
@@ -96,6 +100,8 @@
         Rejects,
         /// It says both in ways that make no sense.
         Babbles,
+        /// It names a limit of requests a second.
+        Limits,
     }
 }
 
@@ -143,6 +149,8 @@
 pub const FIRST_PIPELINED: u64 = 7_000;
 /// First seed with usage reports and faults of their holder.
 pub const FIRST_USAGE: u64 = 8_000;
+/// First seed with servers that name a limit of requests.
+pub const FIRST_LIMITED: u64 = 9_000;
 /// Faults of the holder of the usage reports.
 const HOLDER_FAULTS: [HolderFault; 4] = [
     HolderFault::Kill,
@@ -211,6 +219,9 @@
     if seed >= FIRST_USAGE {
         plan.extend(faulty_holders(&mut rng));
     }
+    if seed >= FIRST_LIMITED {
+        plan = limited_server(&mut rng);
+    }
     // At the end of the fault phase, paused gateways continue and servers that left rejoin.
     plan.extend((0..GATEWAYS).map(|gateway| (FAULT_PHASE, Fault::Continue(gateway))));
     plan.extend((0..SERVERS).map(|server| (FAULT_PHASE, Fault::Rejoin(server))));
@@ -289,6 +300,42 @@
     plan
 }
 
+/// Generates a server that names a limit until the end, drops out of the list for a moment, and two
+/// faults of gateways, of which each may come twice.
+fn limited_server(rng: &mut StdRng) -> Vec<(Duration, Fault)> {
+    let ms = |ms: u64| Duration::from_millis(ms);
+    let server = rng.random_range(0..SERVERS);
+    let at = ms(rng.random_range(0..600));
+    let mut plan = vec![(at, Fault::Server(server, ServerFault::Limits))];
+    let unlisted = ms(rng.random_range(1_500..4_500));
+    let listed = unlisted + ms(rng.random_range(300..1_400));
+    plan.push((unlisted, Fault::Unlist(server)));
+    plan.push((listed, Fault::List(server)));
+    for _ in 0..2 {
+        let gateway = rng.random_range(0..GATEWAYS);
+        let centre = gateway % DATA_CENTRES;
+        let at = ms(rng.random_range(500..4_000));
+        let end = at + ms(rng.random_range(300..2_000));
+        plan.extend(match rng.random_range(0..5) {
+            0 => [(at, Fault::Pause(gateway)), (end, Fault::Continue(gateway))],
+            1 => [(at, Fault::Kill(gateway)), (end, Fault::Start(gateway))],
+            2 => [(at, Fault::Stop(gateway)), (end, Fault::Start(gateway))],
+            3 => [
+                (at, Fault::Store(centre, StoreFault::Silent)),
+                (end, Fault::Store(centre, StoreFault::Sound)),
+            ],
+            _ => {
+                let other = (server + 1) % SERVERS;
+                [
+                    (at, Fault::Server(other, ServerFault::Fails)),
+                    (end, Fault::Server(other, ServerFault::Sound)),
+                ]
+            }
+        });
+    }
+    plan
+}
+
 /// Generates two faults of the holder of the usage reports, each longer than the lease of 1 s, and
 /// a period in which reports get no answer. The first fault is mostly long enough for a successor,
 /// which notices an overdue window 1.35 s after its end and then waits for the lease.
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -10,6 +10,7 @@
 use crate::process::Gateway;
 use crate::proxy::{Mode, Proxy};
 use crate::traffic::{ROUTES, SAFE, Traffic};
+use adapter::store::REGISTRATIONS;
 use indexmap::IndexMap;
 use rustix::process::Signal;
 use standin_site::cloud::Cloud;
@@ -62,6 +63,8 @@
     version: u32,
     withdrawn_at: Option<Instant>,
     sequence: u64,
+    /// Start of the current run of each server.
+    born: [u64; SERVERS],
     /// When each server began a new run.
     rejoined: Vec<Vec<Instant>>,
     /// Current disturbances with their begin.
@@ -202,6 +205,7 @@
             version: 0,
             withdrawn_at: None,
             sequence: 0,
+            born: [0; SERVERS],
             rejoined: vec![Vec::new(); SERVERS],
             disturbances: IndexMap::new(),
             periods: Vec::new(),
@@ -248,14 +252,21 @@
         self.gateways.iter().position(is_holder).unwrap_or_default()
     }
 
+    /// Registers a new run of a server.
     fn register(&mut self, server: usize, leaving: bool) {
+        self.born[server] = self.sequence + 1;
+        self.write_entry(server, leaving);
+    }
+
+    /// Writes the registration of the current run of a server.
+    fn write_entry(&mut self, server: usize, leaving: bool) {
         self.sequence += 1;
         let entry = Entry {
             service: "service",
             data_centre: DATA_CENTRE_NAMES[server % DATA_CENTRES],
             leaving,
             sequence: self.sequence,
-            born: self.sequence,
+            born: self.born[server],
             ..Entry::default()
         };
         let proxy = self.server_proxies[server].address;
@@ -316,6 +327,7 @@
                         | ServerFault::Leaves
                         | ServerFault::Rejects
                         | ServerFault::Babbles
+                        | ServerFault::Limits
                 );
                 if !is_sound {
                     self.begin_disturbance(Disturbance::Server(server));
@@ -330,6 +342,8 @@
                 self.rejoined[server].push(Instant::now());
                 self.register(server, false);
             }
+            Fault::Unlist(server) => self.store.remove(REGISTRATIONS, &self.servers[server].id),
+            Fault::List(server) => self.write_entry(server, false),
             Fault::Publish => self.publish(),
             Fault::Withdraw => {
                 self.withdrawn_at.get_or_insert(Instant::now());
@@ -488,6 +502,10 @@
             turns_away: &["1"],
             ..sound
         },
+        ServerFault::Limits => Behaviour {
+            limit: invariants::LIMIT,
+            ..sound
+        },
         ServerFault::Babbles => Behaviour {
             leaving: &["0", "soon"],
             turns_away: &["-1", "tomorrow"],
--- a/tests/soak/tests/seeds.rs
+++ b/tests/soak/tests/seeds.rs
@@ -30,6 +30,7 @@
 #[case::servers_that_leave_by_their_own_word(6_001)]
 #[case::callers_that_pipeline(7_003)]
 #[case::holders_of_the_usage_reports_fail(8_002)]
+#[case::server_that_names_a_limit(9_000)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn invariants_hold(#[case] seed: u64) {
     run_seed(seed).await;
