--- a/tests/soak/tests/invariants.rs
+++ b/tests/soak/tests/invariants.rs
@@ -163,6 +163,7 @@
         at,
         answered_at: Some(at),
         said_leaving,
+        said_limit: None,
         was_turned_away: !said_leaving,
     };
     let mut arrivals = vec![arrival("r1", first.ended_at)];
@@ -206,6 +207,31 @@
     assert_eq!(invariants::ignored_notices(&history).len(), 0);
 }
 
+/// Guards against a check that misses a server that gets more than its limit allows, or reports one
+/// that VMs exceed which can't know it.
+#[rstest]
+#[case::exceeded(Duration::from_secs(4), 18, 1)]
+#[case::kept(Duration::from_secs(4), 17, 0)]
+#[case::just_told(Duration::from_millis(400), 18, 0)]
+fn exceeded_limit_is_reported(
+    #[case] gap: Duration,
+    #[case] requests: usize,
+    #[case] lines: usize,
+) {
+    let mut history = noticed(gap, true, requests);
+    for arrival in &mut history.arrivals[0] {
+        arrival.said_limit = Some(2.0);
+    }
+    assert_eq!(invariants::exceeded_limits(&history).len(), lines);
+    let first = &history.requests[0];
+    history.periods.push(Period {
+        disturbance: Disturbance::Pause(first.gateway),
+        begin: first.ended_at,
+        end: first.ended_at + gap,
+    });
+    assert_eq!(invariants::exceeded_limits(&history).len(), 0);
+}
+
 /// Guards against a pipelined request that runs although its caller was told that it was not read.
 #[rstest]
 #[case::ran(Place::Unread, true, 1)]
