--- /dev/null
+++ b/programs/gateway/tests/restored.rs
@@ -0,0 +1,86 @@
+//! A store that comes back from an older copy.
+
+#[allow(dead_code, reason = "other tests use the rest of the site")]
+mod site;
+
+use hyper::StatusCode;
+use rstest::rstest;
+use site::{Gateway, Site, wait_until};
+use standin_site::operator::Desired;
+use standin_site::server::Server;
+use standin_site::store::{Endpoint, Faults};
+use std::time::{Duration, Instant};
+
+/// Operator's limit for applying a configuration.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// Time for which the store is away.
+const AWAY: Duration = Duration::from_millis(600);
+/// VMs and their data centres.
+const VMS: [(&str, &str); 3] = [("vm-1", "nord-a"), ("vm-2", "nord-a"), ("vm-3", "sud-a")];
+
+/// Starts a site of one server and three VMs, one of which follows another.
+async fn site_of_three() -> (Site, Endpoint, Server, [Gateway; 3]) {
+    let (site, door, [server]) = Site::with_servers(&Desired::default()).await;
+    let gateways = site.gateways(VMS, &door).await;
+    // Until the second gateway leaves reading the store to the first.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    (site, door, server, gateways)
+}
+
+async fn status(gateway: &Gateway, key: &str) -> Option<StatusCode> {
+    let answer = gateway.request_with_key("1", "/a/", Some(key)).await;
+    answer.map(|(status, _, _)| status)
+}
+
+/// Waits until all gateways answer a key with a status; returns how long that took.
+async fn time_to(gateways: &[Gateway], key: &str, expected: StatusCode) -> Duration {
+    let start = Instant::now();
+    for gateway in gateways {
+        wait_until("all answer alike", || async {
+            status(gateway, key).await == Some(expected)
+        })
+        .await;
+    }
+    start.elapsed()
+}
+
+/// Configuration whose workspace has these keys.
+fn with_keys(version: u32, keys: &'static [&'static str]) -> Desired {
+    Desired {
+        version,
+        keys,
+        ..Desired::default()
+    }
+}
+
+/// Lets the store be away for a moment.
+async fn go_away(door: &Endpoint) {
+    door.set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    tokio::time::sleep(AWAY).await;
+}
+
+/// Guards against a change that is not applied since the store gives its version out again: VMs
+/// compare it with what they saw before (CONFIG, permis-parcs, restored).
+#[rstest]
+#[case::version_as_before(2)]
+#[case::lower_version_than_before(6)]
+#[tokio::test]
+async fn change_after_the_store_came_back_is_in_force_in_time(#[case] lost: u32) {
+    let (site, door, _server, gateways) = site_of_three().await;
+    let backup = site.store.backup();
+    for version in 2..2 + lost {
+        site.publish(&with_keys(version, &["key-1", "key-2", "key-3"]));
+    }
+    time_to(&gateways, "key-3", StatusCode::OK).await;
+    go_away(&door).await;
+    let written = site.store.restore(backup);
+    site.store.write_again(written);
+    door.set(Faults::default());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    site.publish(&with_keys(20, &["key-1"]));
+    let time = time_to(&gateways, "key-2", StatusCode::UNAUTHORIZED).await;
+    assert!(time < IN_FORCE, "{time:?}");
+}
