--- a/crates/base/src/http/client.rs
+++ b/crates/base/src/http/client.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
-use hyper::{Method, Request, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -49,11 +49,13 @@
     pub authorization: Option<Box<str>>,
 }
 
-/// Status and body of an answer.
+/// Status, headers and body of an answer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
     /// Status code.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
@@ -156,12 +158,16 @@
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(lost)?;
     let driver = tokio::spawn(connection);
     let response = sender.send_request(request).await.map_err(lost)?;
-    let status = response.status();
+    let (status, headers) = (response.status(), response.headers().clone());
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
         .collect()
         .await
         .map_err(|e| Error::Lost(e.to_string().into()))?
         .to_bytes();
     driver.abort();
-    Ok(Answer { status, body })
+    Ok(Answer {
+        status,
+        headers,
+        body,
+    })
 }
--- a/programs/gateway/tests/restored.rs
+++ b/programs/gateway/tests/restored.rs
@@ -3,6 +3,7 @@
 #[allow(dead_code, reason = "other tests use the rest of the site")]
 mod site;
 
+use adapter::store::{self, Client, Put, TransactionResult};
 use hyper::StatusCode;
 use rstest::rstest;
 use site::{Gateway, Site, wait_until};
@@ -84,3 +85,34 @@
     let time = time_to(&gateways, "key-2", StatusCode::UNAUTHORIZED).await;
     assert!(time < IN_FORCE, "{time:?}");
 }
+
+/// Guards against a feed or a condition with a version of the time before the store's return, which
+/// the store has given out again.
+#[tokio::test]
+async fn version_of_an_earlier_era_is_another_one() {
+    let site = Site::new();
+    let door = site.store_endpoint().await;
+    let client = Client::new(door.address);
+    let backup = site.store.backup();
+    let put = |expected| Put {
+        table: "status",
+        key: "row".into(),
+        expected: Some(expected),
+        value: Some(b"content".to_vec()),
+    };
+    let written = client.transact(&[put(0)]).await.expect("an answer");
+    let TransactionResult::Applied(before) = written else {
+        panic!("{written:?}");
+    };
+    site.store.restore(backup);
+    site.store.put("status", "row", "other");
+    let rows = client.rows("status").await.expect("rows");
+    assert!(rows.version > before, "{} {before}", rows.version);
+    assert!(store::is_same(rows.version, before));
+    let changes = client.changes("status", before, Duration::ZERO).await;
+    assert!(matches!(changes, Err(store::Error::HistoryGone)));
+    let result = client.transact(&[put(before)]).await.expect("an answer");
+    assert_eq!(result, TransactionResult::Conflict);
+    let result = client.transact(&[put(rows.version)]).await;
+    assert!(matches!(result, Ok(TransactionResult::Applied(version)) if version > rows.version));
+}
