bug: the configuration of an older copy doesn't replace a newer one

A VM that starts while the store has the older configuration accepted a key that had been withdrawn 2 s before on all others (200 in place of 401 in the test).

Cause: a VM compares the version of a configuration before it puts it in force, but keeps and passes on the orders as read, so the older configuration of the copy replaces the newer one in what it gives to others until the operator has written that again.

Change: orders are kept with the newer of the two configurations.

Evidence: configuration_of_the_copy_does_not_replace_a_newer_one failed before and passes.

--- a/crates/steering/src/routing.rs
+++ b/crates/steering/src/routing.rs
@@ -153,6 +153,22 @@
     }
 }
 
+impl DesiredState {
+    /// Returns the state with the configuration of `known`, if that is newer. A store that came back
+    /// from an older copy has an older one until the operator has written it again.
+    #[must_use]
+    pub fn with_newer_configuration(self, known: &Self) -> Self {
+        let version = |state: &Self| state.configuration.as_ref().map(|c| c.version);
+        match version(known) > version(&self) {
+            true => Self {
+                configuration: known.configuration.clone(),
+                ..self
+            },
+            false => self,
+        }
+    }
+}
+
 impl Configuration {
     /// Returns the routes of which some requests go to a service.
     pub fn routes_to(&self, service: &str) -> impl Iterator<Item = &Route> {
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -205,6 +205,7 @@
         }
         orders.snapshot = snapshot;
         orders.version = orders.version.max(version);
+        let operations = operations.with_newer_configuration(&orders.operations);
         if *orders.operations != operations {
             orders.changed_at = snapshot;
         }
--- a/programs/gateway/tests/restored.rs
+++ b/programs/gateway/tests/restored.rs
@@ -9,7 +9,7 @@
 use site::{Gateway, Site, wait_until};
 use standin_site::operator::Desired;
 use standin_site::server::Server;
-use standin_site::store::{Endpoint, Faults};
+use standin_site::store::{Backup, Endpoint, Faults, Lost};
 use std::time::{Duration, Instant};
 
 /// Operator's limit for applying a configuration.
@@ -116,3 +116,36 @@
     let result = client.transact(&[put(rows.version)]).await;
     assert!(matches!(result, Ok(TransactionResult::Applied(version)) if version > rows.version));
 }
+
+/// Time after the store's return until the operator's rows are written again.
+const REWRITTEN: Duration = Duration::from_millis(1_200);
+
+/// Lets the store come back from a copy; returns what is still to be written again.
+async fn come_back(site: &Site, door: &Endpoint, backup: Backup) -> Lost {
+    go_away(door).await;
+    let lost = site.store.restore(backup);
+    door.set(Faults::default());
+    lost
+}
+
+/// Guards against the configuration of the copy, older than the one in force, that is passed on to a
+/// VM that starts before the operator has written the newer one again.
+#[tokio::test]
+async fn configuration_of_the_copy_does_not_replace_a_newer_one() {
+    let (site, door, _server, gateways) = site_of_three().await;
+    let backup = site.store.backup();
+    site.publish(&with_keys(2, &["key-1"]));
+    time_to(&gateways, "key-2", StatusCode::UNAUTHORIZED).await;
+    let lost = come_back(&site, &door, backup).await;
+    tokio::time::sleep(REWRITTEN).await;
+    let started = site.gateway("vm-4", "nord-a", &door).await;
+    started.wait_ready().await;
+    for gateway in gateways.iter().chain([&started]) {
+        let status = status(gateway, "key-2").await;
+        assert_eq!(status, Some(StatusCode::UNAUTHORIZED));
+    }
+    site.store.write_again(lost);
+    site.publish(&with_keys(3, &["key-1", "key-3"]));
+    time_to(&gateways, "key-3", StatusCode::OK).await;
+    time_to(&[started], "key-3", StatusCode::OK).await;
+}
