bug: evacuations and releases hold while the operator writes them again

Servers of an evacuated data centre got requests again in the moment in which the store had come back without the evacuation (4 requests in 1.2 s in the test), and callers were refused since one that was over came back with the copy (62 refusals).

Cause: the orders of the copy are put in force as read, although the operator writes again what it had written since.

Change: for 2 s from the first sight of a new era (the time that the platform states for entries of servers) takeovers and evacuations stay as they are; then the VMs that read the store read the orders again, and those that follow request them whole, 0.7 s later. A new configuration is in force at once.

Evidence: evacuation_outlives_the_return_of_the_store and evacuation_that_ended_does_not_return_with_the_copy failed before and pass.

--- a/crates/steering/src/routing.rs
+++ b/crates/steering/src/routing.rs
@@ -167,6 +167,17 @@
             false => self,
         }
     }
+
+    /// Returns the state with the takeovers and evacuations of `known`, for the time in which a store
+    /// that came back from an older copy may lack them, or have those that are over.
+    #[must_use]
+    pub fn with_orders_of(self, known: &Self) -> Self {
+        Self {
+            takeovers: known.takeovers.clone(),
+            evacuated: known.evacuated.clone(),
+            ..self
+        }
+    }
 }
 
 impl Configuration {
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -125,7 +125,12 @@
             };
             log_store_access(&mut is_lost, "orders", None);
             loop {
-                let feed = self.client.changes(OPERATIONS, version, MAX_FEED_WAIT);
+                let wait = self.feed_wait();
+                if wait.is_zero() {
+                    tokio::time::sleep(CHECK_INTERVAL).await;
+                    break;
+                }
+                let feed = self.client.changes(OPERATIONS, version, wait);
                 let changed = tokio::select! {
                     changed = feed => changed,
                     // Another VM reported a newer order.
@@ -164,6 +169,13 @@
         }
     }
 
+    /// Returns how long the feed may wait for a change; zero if the orders are to be read anyway.
+    fn feed_wait(&self) -> Duration {
+        let rewritten_at = lock(&self.shared.orders).rewritten_at;
+        let left = rewritten_at.map(|at| at.saturating_duration_since(Instant::now()));
+        left.map_or(MAX_FEED_WAIT, |left| left.min(MAX_FEED_WAIT))
+    }
+
     async fn read_orders(&self, changed_at: RowVersion) -> Result<RowVersion, store::Error> {
         let Rows { rows, version, .. } = self.client.rows(OPERATIONS).await?;
         let newest = rows
@@ -178,15 +190,16 @@
 
     fn confirm_snapshot(&self, snapshot: RowVersion) {
         let mut orders = lock(&self.shared.orders);
-        orders.read_at = Some(Instant::now());
-        orders.snapshot = orders.snapshot.max(snapshot);
+        let now = Instant::now();
+        orders.read_at = Some(now);
+        orders.advance(snapshot, now);
     }
 
     /// Records that the orders did not change up to `snapshot`; the newest has `version`.
     pub fn confirm_unchanged(&self, version: RowVersion, snapshot: RowVersion) {
         let mut orders = lock(&self.shared.orders);
         orders.version = orders.version.max(version);
-        orders.snapshot = orders.snapshot.max(snapshot);
+        orders.advance(snapshot, Instant::now());
     }
 
     /// Applies orders read at `snapshot`, of which the newest has `version`.
@@ -201,11 +214,16 @@
         let shared = &self.shared;
         let mut orders = lock(&shared.orders);
         if snapshot < orders.snapshot {
+            orders.rewritten_at = orders.rewritten_at.map(|at| at.max(now));
             return;
         }
-        orders.snapshot = snapshot;
+        orders.advance(snapshot, now);
         orders.version = orders.version.max(version);
-        let operations = operations.with_newer_configuration(&orders.operations);
+        let mut operations = operations.with_newer_configuration(&orders.operations);
+        match orders.rewritten_at {
+            Some(at) if now < at => operations = operations.with_orders_of(&orders.operations),
+            _ => orders.rewritten_at = None,
+        }
         if *orders.operations != operations {
             orders.changed_at = snapshot;
         }
--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 
 use crate::fleet::StoreSource;
 use crate::reader::StoreReader;
-use crate::shared::Shared;
+use crate::shared::{Orders, Shared};
 use base::http::client::{Error, Target};
 use base::sync::lock;
 use hyper::Method;
@@ -37,6 +37,9 @@
 const MIN_AGE_DIFFERENCE: Duration = Duration::from_millis(500);
 /// Greatest age of the data of a VM that is asked because the newest one told this VM to wait.
 const MAX_HOLDER_AGE: Duration = Duration::from_millis(2_000);
+/// Time after which a VM that follows another one requests the orders that the operator has written
+/// again: until the other one has read them.
+const REWRITTEN_MARGIN: Duration = Duration::from_millis(700);
 /// Time-out of a request.
 const TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -131,7 +134,8 @@
         return Some(Fetch {
             source: *source,
             wants_list,
-            wants_orders: is_source_free && source.known.orders > snapshot,
+            wants_orders: is_source_free
+                && (source.known.orders > snapshot || are_orders_due(shared, now)),
         });
     }
     let fleet = lock(&shared.fleet);
@@ -139,7 +143,7 @@
     let (local, remote) = (|| fleet.local(now), || fleet.remote(now));
     let reports = || local().chain(remote()).map(|peer| &peer.report);
     let newest = reports().map(|report| report.known.orders).max()?;
-    let wants_orders = newest > snapshot;
+    let wants_orders = newest > snapshot || are_orders_due(shared, now);
     let is_holder = |report: &&Report| match wants_list {
         true => {
             let max_age = MAX_HOLDER_AGE.as_millis();
@@ -231,6 +235,16 @@
     has_list(shared, source) && snapshot >= source.known.orders
 }
 
+/// Returns whether the orders are to be requested again since the store came back from an older copy.
+fn are_orders_due(shared: &Shared, now: Instant) -> bool {
+    are_due(&lock(&shared.orders), now)
+}
+
+fn are_due(orders: &Orders, now: Instant) -> bool {
+    let rewritten_at = orders.rewritten_at;
+    rewritten_at.is_some_and(|at| now >= at + REWRITTEN_MARGIN)
+}
+
 /// Returns whether this VM holds the list of servers that the source reported.
 fn has_list(shared: &Shared, source: &StoreSource) -> bool {
     let position = lock(&shared.listing).source_position;
@@ -296,7 +310,8 @@
     };
     drop(listing);
     let orders = lock(&shared.orders);
-    let snapshot = orders.table.as_ref().map_or(0, |_| orders.snapshot);
+    let is_whole = orders.table.is_none() || are_due(&orders, Instant::now());
+    let snapshot = if is_whole { 0 } else { orders.snapshot };
     Question {
         orders_after: planned.wants_orders.then_some(snapshot),
         list: planned.wants_list.then_some(held),
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use crate::settings::Settings;
 use crate::takeovers::Takeovers;
 use crate::usage::Usage;
+use adapter::store;
 use base::id::{Incarnation, Vm};
 use base::sync::lock;
 use indexmap::IndexMap;
@@ -25,6 +26,7 @@
 use steering::intake::{self, Holders, Place};
 use steering::membership::rendezvous;
 use steering::reading;
+use steering::registry::RECOVERY_GRACE;
 use steering::routing::{DesiredState, Table};
 use steering::spending::{Coverage, Ledger};
 use steering::split::Split;
@@ -51,6 +53,19 @@
     pub evacuated: Vec<base::id::DataCentre>,
     /// When the orders were last known to be current.
     pub read_at: Option<Instant>,
+    /// When the operator has written its orders again, after the store came back from an older copy;
+    /// none if they were read since.
+    pub rewritten_at: Option<Instant>,
+}
+
+impl Orders {
+    /// Records the version of the store up to which the orders are known.
+    pub fn advance(&mut self, snapshot: u64, now: Instant) {
+        if self.table.is_some() && store::era(snapshot) > store::era(self.snapshot) {
+            self.rewritten_at = Some(now + RECOVERY_GRACE);
+        }
+        self.snapshot = self.snapshot.max(snapshot);
+    }
 }
 
 /// State of one gateway process.
--- a/programs/gateway/tests/restored.rs
+++ b/programs/gateway/tests/restored.rs
@@ -7,7 +7,7 @@
 use hyper::StatusCode;
 use rstest::rstest;
 use site::{Gateway, Site, wait_until};
-use standin_site::operator::Desired;
+use standin_site::operator::{self, Desired};
 use standin_site::server::Server;
 use standin_site::store::{Backup, Endpoint, Faults, Lost};
 use std::time::{Duration, Instant};
@@ -149,3 +149,55 @@
     time_to(&gateways, "key-3", StatusCode::OK).await;
     time_to(&[started], "key-3", StatusCode::OK).await;
 }
+
+/// Guards against an evacuation that ends since the copy lacks it.
+#[tokio::test]
+async fn evacuation_outlives_the_return_of_the_store() {
+    let (site, door, server, gateways) = site_of_three().await;
+    let backup = site.store.backup();
+    operator::order_evacuation(&site.store, "nord-a");
+    time_to(&gateways, "key-1", StatusCode::SERVICE_UNAVAILABLE).await;
+    let before = server.runs().len();
+    let lost = come_back(&site, &door, backup).await;
+    let end = Instant::now() + REWRITTEN;
+    while Instant::now() < end {
+        for gateway in &gateways {
+            status(gateway, "key-1").await;
+        }
+    }
+    site.store.write_again(lost);
+    tokio::time::sleep(IN_FORCE).await;
+    time_to(&gateways, "key-1", StatusCode::SERVICE_UNAVAILABLE).await;
+    assert_eq!(server.runs().len(), before);
+    operator::end_evacuation(&site.store, "nord-a");
+    let time = time_to(&gateways, "key-1", StatusCode::OK).await;
+    assert!(time < Duration::from_secs(5), "{time:?}");
+}
+
+/// Guards against an evacuation that begins again since the copy still has it.
+#[tokio::test]
+async fn evacuation_that_ended_does_not_return_with_the_copy() {
+    let (site, door, _server, gateways) = site_of_three().await;
+    operator::order_evacuation(&site.store, "nord-a");
+    time_to(&gateways, "key-1", StatusCode::SERVICE_UNAVAILABLE).await;
+    let backup = site.store.backup();
+    operator::end_evacuation(&site.store, "nord-a");
+    time_to(&gateways, "key-1", StatusCode::OK).await;
+    // Until the server counts as warm again.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let lost = come_back(&site, &door, backup).await;
+    let mut refused = 0;
+    let end = Instant::now() + REWRITTEN;
+    while Instant::now() < end {
+        for gateway in &gateways {
+            refused += usize::from(status(gateway, "key-1").await != Some(StatusCode::OK));
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    site.store.write_again(lost);
+    tokio::time::sleep(IN_FORCE + IN_FORCE / 2).await;
+    for gateway in &gateways {
+        refused += usize::from(status(gateway, "key-1").await != Some(StatusCode::OK));
+    }
+    assert_eq!(refused, 0);
+}
