bug: the list of an older copy brings no server back and drops none

A server that joined after the copy would be dropped where the store was away for less than 2.5 s.

Cause: the list is put in force as read. Missing entries are kept only after an outage of 2.5 s, and a registry knows nothing of servers that are gone.

Change: at the first list of a new era missing entries are kept for 2 s, and a report that is no newer than the last one of a server that had gone by then doesn't count. Last reports are kept for 60 s. A VM that starts, or takes over reading within an era, does neither.

Evidence: gateway/restored::list_of_the_copy_changes_no_server failed before and passes; steering/registry::list_of_an_older_copy_changes_no_server.

--- a/crates/steering/src/registry.rs
+++ b/crates/steering/src/registry.rs
@@ -8,6 +8,9 @@
 /// Time after the recovery of the store in which entries that expired meanwhile may return. The
 /// platform specifies about two seconds.
 pub const RECOVERY_GRACE: Duration = Duration::from_millis(2_000);
+/// Time for which the last report of a server that is gone is remembered; a store comes back from a
+/// copy that is some seconds old.
+const GONE_RETENTION: Duration = Duration::from_secs(60);
 
 base::value! {
     /// A registered server.
@@ -37,6 +40,17 @@
     entries: IndexMap<Server, Entry>,
     /// Time until which missing entries are kept.
     grace: Option<Instant>,
+    /// Last reports of servers that are gone, with the time at which they went.
+    gone: IndexMap<Server, Gone>,
+    /// When the store last came back from an older copy.
+    restored_at: Option<Instant>,
+}
+
+#[derive(Debug, Clone)]
+struct Gone {
+    born: u64,
+    sequence: u64,
+    at: Instant,
 }
 
 impl Registry {
@@ -50,6 +64,13 @@
         self.grace = Some(now + RECOVERY_GRACE);
     }
 
+    /// Keeps missing entries like [`Registry::store_recovered`], since the store came back from an older
+    /// copy. A report from before a server was gone no longer counts.
+    pub fn store_restored(&mut self, now: Instant) {
+        self.store_recovered(now);
+        self.restored_at = Some(now);
+    }
+
     /// Applies the complete list of reports that was read from the store and returns the changes.
     pub fn update(&mut self, listed: Vec<Registration>, now: Instant) -> Vec<Change> {
         let is_kept = self.grace.is_some_and(|until| now < until);
@@ -65,6 +86,15 @@
     fn apply(&mut self, listed: Vec<Registration>, is_kept: bool, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
         let mut present = IndexSet::with_capacity(listed.len());
+        let restored_at = self.restored_at;
+        let is_outdated = |new: &Registration| {
+            let gone = self.gone.get(&new.server);
+            gone.is_some_and(|gone| {
+                restored_at.is_some_and(|at| gone.at <= at)
+                    && (gone.born, gone.sequence) >= (new.born, new.sequence)
+            })
+        };
+        let listed: Vec<_> = listed.into_iter().filter(|new| !is_outdated(new)).collect();
         for registration in listed {
             present.insert(registration.server.clone());
             self.apply_report(registration, now, &mut changes);
@@ -74,9 +104,18 @@
             let stays = kept || present.contains(server);
             if !stays {
                 changes.push(Change::Gone(server.clone()));
+                let Registration { born, sequence, .. } = entry.registration;
+                let gone = Gone {
+                    born,
+                    sequence,
+                    at: now,
+                };
+                self.gone.insert(server.clone(), gone);
             }
             stays
         });
+        self.gone
+            .retain(|_, gone| now.saturating_duration_since(gone.at) < GONE_RETENTION);
         changes
     }
 
--- a/crates/steering/tests/registry.rs
+++ b/crates/steering/tests/registry.rs
@@ -98,3 +98,35 @@
     let entry = registry.entries().next().expect("an entry");
     assert_eq!(entry.cold_until, Some(now + Duration::from_secs(3)));
 }
+
+/// Guards against a server that left and is used again, or one that joined and is dropped, since a
+/// store that came back from an older copy lists what was.
+#[test]
+fn list_of_an_older_copy_changes_no_server() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut registry = Registry::default();
+    let report = |name: &str, sequence| Registration {
+        server: name.into(),
+        ..server(sequence, 100)
+    };
+    registry.update(vec![report("left", 3), report("stays", 3)], at(0));
+    registry.update(vec![report("stays", 4), report("joined", 1)], at(1_000));
+    let names = |registry: &Registry| -> Vec<String> {
+        let entries = registry.entries();
+        entries
+            .map(|entry| entry.registration.server.to_string())
+            .collect()
+    };
+    registry.store_restored(at(2_000));
+    let changes = registry.update(vec![report("left", 3), report("stays", 3)], at(2_000));
+    assert_eq!(
+        (changes, names(&registry)),
+        (vec![], vec!["stays".into(), "joined".into()])
+    );
+    registry.update(vec![report("left", 3), report("stays", 5)], at(5_000));
+    assert_eq!(names(&registry), ["stays"]);
+    // A report that was written after it had been gone.
+    registry.update(vec![report("left", 4), report("stays", 5)], at(5_500));
+    assert_eq!(names(&registry), ["stays", "left"]);
+}
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -49,6 +49,8 @@
     shared: Arc<Shared>,
     client: Client,
     registry: Mutex<Registry>,
+    /// Newest era of the store of which this VM has a list of registrations; none before the first.
+    list_era: Mutex<Option<u64>>,
     /// Whether this VM's turn to read has come since it knew of another reader.
     has_turn: AtomicBool,
     /// Whether the first read of the record of crashing requests has ended, or took too long.
@@ -62,6 +64,7 @@
             shared,
             client,
             registry: Mutex::default(),
+            list_era: Mutex::default(),
             has_turn: AtomicBool::new(false),
             has_tried_record: AtomicBool::new(false),
         }
@@ -287,6 +290,9 @@
                     log_store_access(&mut is_lost, "registrations", None);
                     self.shared.set_store_read(Some(Instant::now()));
                     let registrations = read.registrations();
+                    if self.confirm_list_era(read.version()) {
+                        lock(&self.registry).store_restored(Instant::now());
+                    }
                     self.apply_registrations(registrations, Some(Instant::now()));
                     table = Some(read);
                 }
@@ -303,6 +309,15 @@
         }
     }
 
+    /// Records that this VM has a list as of a version of the store; returns whether the store came
+    /// back from an older copy since the last one.
+    pub fn confirm_list_era(&self, version: RowVersion) -> bool {
+        let mut known = lock(&self.list_era);
+        let last = *known;
+        *known = last.max(Some(store::era(version)));
+        last.is_some() && *known > last
+    }
+
     /// Applies the full list of registrations; `read_at` is when it was read from the store, none
     /// if it came from another VM.
     pub fn apply_registrations(&self, registrations: Vec<Registration>, read_at: Option<Instant>) {
--- a/programs/gateway/src/reader/registrations.rs
+++ b/programs/gateway/src/reader/registrations.rs
@@ -46,6 +46,11 @@
         self.registrations.values().cloned().collect()
     }
 
+    /// Returns the version of the store up to which its changes are known.
+    pub(super) fn version(&self) -> RowVersion {
+        self.version
+    }
+
     /// Reads what changed since the last read: about half of the rows in one period, while a whole
     /// read of a large table takes several calls.
     async fn update(&mut self, client: &Client) -> Result<(), store::Error> {
--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -224,6 +224,7 @@
         ),
         Some(Servers::Whole(_)) | None => return Ok(()),
     };
+    reader.confirm_list_era(copy.snapshot);
     reader.apply_registrations(registrations, None);
     lock(listing).source_position = Some(position);
     Ok(())
--- a/programs/gateway/tests/restored.rs
+++ b/programs/gateway/tests/restored.rs
@@ -3,19 +3,22 @@
 #[allow(dead_code, reason = "other tests use the rest of the site")]
 mod site;
 
-use adapter::store::{self, Client, Put, TransactionResult};
+use adapter::store::{self, Client, Put, REGISTRATIONS, TransactionResult};
 use hyper::StatusCode;
 use rstest::rstest;
 use site::{Gateway, Site, wait_until};
 use standin_site::operator::{self, Desired};
-use standin_site::server::Server;
+use standin_site::server::{Entry, Server};
 use standin_site::store::{Backup, Endpoint, Faults, Lost};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// Operator's limit for applying a configuration.
 const IN_FORCE: Duration = Duration::from_secs(2);
 /// Time for which the store is away.
 const AWAY: Duration = Duration::from_millis(600);
+/// Number of the next request with an object of its own, so that no server is preferred.
+static NEXT: AtomicUsize = AtomicUsize::new(0);
 /// VMs and their data centres.
 const VMS: [(&str, &str); 3] = [("vm-1", "nord-a"), ("vm-2", "nord-a"), ("vm-3", "sud-a")];
 
@@ -201,3 +204,45 @@
     }
     assert_eq!(refused, 0);
 }
+
+/// Guards against a server that joined after the copy and is dropped, and one that left and gets
+/// requests again, until the servers have written their entries again.
+#[tokio::test]
+async fn list_of_the_copy_changes_no_server() {
+    let (site, door, left, gateways) = site_of_three().await;
+    let backup = site.store.backup();
+    let joined = site.server("i-2", &Entry::default()).await;
+    site.store.remove(REGISTRATIONS, &left.id);
+    tokio::time::sleep(IN_FORCE).await;
+    let before = left.arrivals().len();
+    let lost = come_back(&site, &door, backup).await;
+    let mut refused = 0;
+    let end = Instant::now() + REWRITTEN;
+    while Instant::now() < end {
+        for gateway in &gateways {
+            refused += usize::from(status(gateway, "key-1").await != Some(StatusCode::OK));
+        }
+    }
+    assert_eq!((refused, left.arrivals().len()), (0, before));
+    site.store.write_again(lost);
+    tokio::time::sleep(IN_FORCE + IN_FORCE / 2).await;
+    for gateway in &gateways {
+        assert_eq!(status(gateway, "key-1").await, Some(StatusCode::OK));
+    }
+    assert_eq!(left.arrivals().len(), before);
+    assert!(!joined.runs().is_empty());
+    // A later report says that it is there after all.
+    let entry = Entry {
+        sequence: 2,
+        ..Entry::default()
+    };
+    left.register(&site.store, &entry);
+    wait_until("the server is used again", || async {
+        let id = NEXT.fetch_add(1, Ordering::Relaxed).to_string();
+        gateways[1]
+            .request_for_object(&id, "/a/", Some("key-1"), &id)
+            .await;
+        left.arrivals().len() > before
+    })
+    .await;
+}
