bug: a takeover goes on where it was after the store came back from an older copy

The operator read `running` again for 6.4 to 7.0 s after a release had ended (rolled back or completed), and requests were sampled on a version that had been rolled back.

Cause: a takeover is known by the version of its order's row. After the return the row has another one, kept or written again, so every VM drops the takeover with its stage, evidence and deadline and begins anew. A final status that was acknowledged and lost isn't written again, since the VMs hold it as settled.

Change: an order that is the same but for its version and is of a later era keeps its takeover; what the store holds of it counts as unknown, is read, and is written again from the stage and the time that the VMs hold. A begin row of the same own version is that of the order.

--- a/programs/gateway/src/takeovers.rs
+++ b/programs/gateway/src/takeovers.rs
@@ -6,7 +6,7 @@
 
 use crate::servers::{InFlightRequest, VersionFilter};
 use crate::settings::Bounds;
-use adapter::store::RowVersion;
+use adapter::store::{self, RowVersion};
 use base::id::{DataCentre, Incarnation, Service, Vm};
 use base::sync::lock;
 use indexmap::IndexMap;
@@ -74,6 +74,38 @@
 }
 
 impl ActiveTakeover {
+    /// Returns whether this is the takeover of an order. After the store came back from an older copy,
+    /// an order has another version.
+    fn is_of(&self, order: &TakeoverOrder) -> bool {
+        let known = TakeoverOrder {
+            order: order.order,
+            ..self.order.clone()
+        };
+        let is_of_later_era = store::era(order.order) > store::era(self.order.order);
+        self.order.order == order.order || (is_of_later_era && known == *order)
+    }
+
+    /// Goes on under another version of its order. What the store has of it may be lost, so the stage
+    /// and the evidence are to be written again.
+    fn keep_for(&mut self, order: &TakeoverOrder) {
+        if self.order.order == order.order {
+            return;
+        }
+        log::info!(
+            "event=takeover-reordered service={} target={} order={} former={} stage={:?}",
+            order.service,
+            order.label,
+            order.order,
+            self.order.order,
+            self.stage
+        );
+        self.order.order = order.order;
+        self.settled = false;
+        if let Some((begin, _)) = &mut self.begin {
+            begin.order = order.order;
+        }
+    }
+
     /// Returns the evidence of all VMs of this data centre.
     fn local_evidence(&self) -> Evidence {
         let mut sum = self.own.clone();
@@ -165,13 +197,12 @@
     ) {
         let mut active = lock(&self.active);
         active.retain(|service, known| {
-            let same = |order: &TakeoverOrder| {
-                order.service == *service && order.order == known.order.order
-            };
+            let same = |order: &TakeoverOrder| order.service == *service && known.is_of(order);
             orders.iter().any(same)
         });
         for order in orders {
-            if active.contains_key(&order.service) {
+            if let Some(known) = active.get_mut(&order.service) {
+                known.keep_for(order);
                 continue;
             }
             let Some(bounds) = bounds.exposure() else {
--- a/programs/gateway/src/takeovers/leader.rs
+++ b/programs/gateway/src/takeovers/leader.rs
@@ -163,14 +163,17 @@
         .and_then(|row| decode_stage(row, order));
     let began = begin
         .and_then(decode_begin)
-        .filter(|b| b.order == order.order);
+        .filter(|b| store::is_same(b.order, order.order));
     let began = match (&stored_stage, began, begin) {
         (Some(_), Some(began), Some(row)) => (began, row.version),
         _ => {
-            let since = {
+            // A takeover that the store has lost goes on where it was.
+            let (since, stage) = {
                 let active = lock(&shared.takeovers.active);
                 let takeover = active.get(&order.service);
-                takeover.map_or(Duration::ZERO, |takeover| takeover.received_at.elapsed())
+                let since = takeover.map(|takeover| takeover.received_at.elapsed());
+                let stage = takeover.and_then(|takeover| takeover.stage);
+                (since.unwrap_or_default(), stage.unwrap_or(Stage::Sampling))
             };
             let since_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
             let began = Begin {
@@ -179,19 +182,12 @@
                 evidence: Evidence::default(),
             };
             let puts = [
-                status_put(order, Stage::Sampling, status.map_or(0, |row| row.version)),
+                status_put(order, stage, status.map_or(0, |row| row.version)),
                 begin_put(order, &began, begin.map_or(0, |row| row.version)),
             ];
             if let TransactionResult::Applied(version) = client.transact(&puts).await? {
                 let left = order.term.saturating_sub(since);
-                apply_stored(
-                    shared,
-                    order,
-                    Stage::Sampling,
-                    version,
-                    (began, version),
-                    left,
-                );
+                apply_stored(shared, order, stage, version, (began, version), left);
             }
             return Ok(());
         }
--- a/programs/gateway/tests/restored.rs
+++ b/programs/gateway/tests/restored.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use site::{Gateway, Site, wait_until};
 use standin_site::operator::{self, Desired};
-use standin_site::server::{Entry, Server};
+use standin_site::server::{Behaviour, Entry, Server};
 use standin_site::store::{Backup, Endpoint, Faults, Lost};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -246,3 +246,71 @@
     })
     .await;
 }
+
+/// Sends a request with an object of its own to each gateway.
+async fn call_each(gateways: &[Gateway]) {
+    for gateway in gateways {
+        let id = NEXT.fetch_add(1, Ordering::Relaxed).to_string();
+        gateway
+            .request_for_object(&id, "/a/", Some("key-1"), &id)
+            .await;
+    }
+    tokio::time::sleep(Duration::from_millis(5)).await;
+}
+
+/// Guards against a version that was rolled back, or one that was replaced, which gets requests again,
+/// and against an operator who is no longer told, since the copy lacks the end of the takeover or all
+/// of it.
+#[rstest]
+#[case::rolled_back_order_lost(500, "rolled_back", false)]
+#[case::rolled_back_order_kept(500, "rolled_back", true)]
+#[case::completed_order_lost(200, "completed", false)]
+#[case::completed_order_kept(200, "completed", true)]
+#[tokio::test]
+async fn end_of_a_takeover_outlives_the_return_of_the_store(
+    #[case] answers: u16,
+    #[case] end: &str,
+    #[case] is_order_kept: bool,
+) {
+    let (site, door, old, gateways) = site_of_three().await;
+    let entry = Entry {
+        label: "v2",
+        ..Entry::default()
+    };
+    let new = site.server("n-1", &entry).await;
+    new.set(Behaviour {
+        status: answers,
+        ..Behaviour::default()
+    });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut backup = site.store.backup();
+    operator::order_takeover(&site.store, "lookup", "v2", 6);
+    let state = || operator::takeover_state(&site.store, "lookup");
+    wait_until("the takeover runs", || async { state() == "running" }).await;
+    if is_order_kept {
+        backup = site.store.backup();
+    }
+    wait_until("the takeover ends", || async {
+        call_each(&gateways).await;
+        state() == end
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let unused = if end == "completed" { old } else { new };
+    let before = unused.arrivals().len();
+    let lost = come_back(&site, &door, backup).await;
+    assert_ne!(state(), end);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.store.write_again(lost);
+    let returned_at = Instant::now();
+    wait_until("the operator is told again", || async {
+        call_each(&gateways).await;
+        state() == end
+    })
+    .await;
+    let took = returned_at.elapsed();
+    assert!(took < Duration::from_secs(6), "{took:?}");
+    tokio::time::sleep(IN_FORCE).await;
+    call_each(&gateways).await;
+    assert_eq!((&*state(), unused.arrivals().len()), (end, before));
+}
