bug: crashes are recorded again after the return of the store

Cause: each VM takes its row for written once that was acknowledged.

Change: at the first sight of a new era a VM forgets what it knows of its row, reads it and writes it again if crashes that it knows are missing. Without such crashes nothing is called.

--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -195,14 +195,22 @@
         let mut orders = lock(&self.shared.orders);
         let now = Instant::now();
         orders.read_at = Some(now);
-        orders.advance(snapshot, now);
+        let is_back = orders.advance(snapshot, now);
+        drop(orders);
+        if is_back {
+            self.shared.record_return();
+        }
     }
 
     /// Records that the orders did not change up to `snapshot`; the newest has `version`.
     pub fn confirm_unchanged(&self, version: RowVersion, snapshot: RowVersion) {
         let mut orders = lock(&self.shared.orders);
         orders.version = orders.version.max(version);
-        orders.advance(snapshot, Instant::now());
+        let is_back = orders.advance(snapshot, Instant::now());
+        drop(orders);
+        if is_back {
+            self.shared.record_return();
+        }
     }
 
     /// Applies orders read at `snapshot`, of which the newest has `version`.
@@ -220,7 +228,9 @@
             orders.rewritten_at = orders.rewritten_at.map(|at| at.max(now));
             return;
         }
-        orders.advance(snapshot, now);
+        if orders.advance(snapshot, now) {
+            shared.record_return();
+        }
         orders.version = orders.version.max(version);
         let mut operations = operations.with_newer_configuration(&orders.operations);
         match orders.rewritten_at {
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -59,12 +59,15 @@
 }
 
 impl Orders {
-    /// Records the version of the store up to which the orders are known.
-    pub fn advance(&mut self, snapshot: u64, now: Instant) {
-        if self.table.is_some() && store::era(snapshot) > store::era(self.snapshot) {
+    /// Records the version of the store up to which the orders are known; returns whether the store
+    /// came back from an older copy since the last one.
+    pub fn advance(&mut self, snapshot: u64, now: Instant) -> bool {
+        let is_back = self.table.is_some() && store::era(snapshot) > store::era(self.snapshot);
+        if is_back {
             self.rewritten_at = Some(now + RECOVERY_GRACE);
         }
         self.snapshot = self.snapshot.max(snapshot);
+        is_back
     }
 }
 
@@ -307,6 +310,13 @@
         *known = read_at;
     }
 
+    /// Records that the store came back from an older copy, which may lack what this VM has written.
+    pub fn record_return(&self) {
+        log::info!("event=store-returned");
+        lock(&self.crash_record).forget();
+        self.crashes_changed.notify_one();
+    }
+
     /// Replaces the members by those of the store's table.
     pub fn set_members(&self, members: IndexMap<Vm, MemberEntry>) {
         lock(&self.fleet).set_members(members);
--- a/programs/gateway/tests/crashes.rs
+++ b/programs/gateway/tests/crashes.rs
@@ -16,7 +16,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use steering::crashes::MAX_CRASHES;
 use steering::crashes::record;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -450,3 +450,28 @@
     let crashes = scene.crashes();
     assert!(crashes <= 2 * MAX_CRASHES as usize, "{crashes} servers");
 }
+
+/// Guards against crashes that are forgotten by a kill of all gateways since a store that came back from
+/// an older copy had lost their record.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashes_are_recorded_again_after_the_return_of_the_store() {
+    let scene = Scene::new().await;
+    let first = scene.start().await;
+    let backup = scene.site.store.backup();
+    scene.send_until_refused(&first[1]).await;
+    scene.wait_recorded(MAX_CRASHES).await;
+    // Until the VM that writes for all has done so, too.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    scene.site.store.restore(backup);
+    assert!(scene.records().is_empty());
+    let returned_at = Instant::now();
+    scene.wait_recorded(MAX_CRASHES).await;
+    assert!(returned_at.elapsed() < Duration::from_secs(5));
+    drop(first);
+    let second = [0, 1, 2].map(|number| scene.process(number, &scene.door));
+    for process in &second {
+        process.gateway.wait_ready().await;
+        assert_eq!(process.send("3").await, "quarantined");
+    }
+    assert_eq!(scene.crashes(), MAX_CRASHES as usize);
+}
