bug: VMs enter the member table again after the return of the store

A VM that joined after the copy was not found by VMs that started later: only VMs that read the store write a missing entry, at their next read of the table; one that follows another never did (the test's VM was missing after 10 s).

Change: at the first sight of a new era a VM whose entry is younger than 20 s checks it within 1.5 s, each after a part of that drawn at random; the VMs that read the store read the table at once.

Evidence: gateway/restored::member_that_the_copy_lacks_enters_again failed before and passes.

--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -10,6 +10,7 @@
 use base::id::DataCentre;
 use base::sync::lock;
 use peers::report::Phase;
+use rand::RngExt;
 use registrations::{RegistrationTable, log_changes};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -40,6 +41,11 @@
 const RECORD_WAIT: Duration = Duration::from_millis(600);
 /// Time between two reads of the member table; VMs that join in between send reports themselves.
 const MEMBER_READ_INTERVAL: Duration = Duration::from_secs(10);
+/// Greatest age of the copy from which the store may come back; older entries are in it.
+const MAX_COPY_AGE: Duration = Duration::from_secs(20);
+/// Longest time after the store's return until a VM checks whether its entry is lost; each waits for a
+/// part of it, so that they don't call together.
+const MAX_REENTRY_DELAY: Duration = Duration::from_millis(1_500);
 /// Time without a report after which a delegate removes a VM's member entry.
 const MEMBER_RETENTION: Duration = Duration::from_secs(20);
 
@@ -394,6 +400,8 @@
 
     async fn keep_membership(&self) {
         let mut is_entered = false;
+        // When this VM last wrote its entry, or may have.
+        let mut entered_at = Instant::now();
         if self.shared.settings.first_start {
             // The others start at the same time; after the wait, one read finds all their entries.
             match self.write_member_entry().await {
@@ -411,16 +419,33 @@
                 }
                 // Of two VMs that enter at once, at least one reads after both wrote their entries,
                 // and reports to the other.
-                Ok(false) => CHECK_INTERVAL,
+                Ok(false) => {
+                    entered_at = Instant::now();
+                    CHECK_INTERVAL
+                }
                 Err(error) => {
                     log::debug!("event=members-unread error=\"{error}\"");
                     RETRY_DELAY * 2
                 }
             };
-            tokio::time::sleep(period).await;
-            if is_entered {
-                // The delegate maintains the table; the others learn of VMs from reports.
-                self.wait_turn().await;
+            let next = async {
+                tokio::time::sleep(period).await;
+                if is_entered {
+                    // The delegate maintains the table; the others learn of VMs from reports.
+                    self.wait_turn().await;
+                }
+            };
+            tokio::select! {
+                () = next => {}
+                () = self.shared.store_returned.notified() => {
+                    match entered_at.elapsed() < MAX_COPY_AGE {
+                        true => {
+                            let spread = rand::rng().random_range(Duration::ZERO..MAX_REENTRY_DELAY);
+                            tokio::time::sleep(spread).await;
+                        }
+                        false => self.wait_turn().await,
+                    }
+                }
             }
         }
     }
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -128,6 +128,8 @@
     pub lateness: Mutex<TimerLag>,
     /// Set while a new connection of a caller waits because all others have requests.
     pub is_full: Arc<AtomicBool>,
+    /// Wakes the keeper of this VM's member entry when the store came back from an older copy.
+    pub store_returned: Notify,
     /// Wakes the reader of orders when another VM has newer ones.
     pub orders_outdated: Notify,
     /// Wakes the relay when another VM holds other store data than before.
@@ -189,6 +191,7 @@
             metrics: Metrics::default(),
             lateness: Mutex::default(),
             is_full: Arc::default(),
+            store_returned: Notify::new(),
             orders_outdated: Notify::new(),
             report_received: Notify::new(),
             report_requested: Notify::new(),
@@ -315,6 +318,7 @@
         log::info!("event=store-returned");
         lock(&self.crash_record).forget();
         self.crashes_changed.notify_one();
+        self.store_returned.notify_one();
     }
 
     /// Replaces the members by those of the store's table.
--- a/programs/gateway/tests/restored.rs
+++ b/programs/gateway/tests/restored.rs
@@ -4,6 +4,7 @@
 mod site;
 
 use adapter::store::{self, Client, Put, REGISTRATIONS, TransactionResult};
+use gateway::reader::MEMBER_TABLE;
 use hyper::StatusCode;
 use rstest::rstest;
 use site::{Gateway, Site, wait_until};
@@ -314,3 +315,21 @@
     call_each(&gateways).await;
     assert_eq!((&*state(), unused.arrivals().len()), (end, before));
 }
+
+/// Guards against VMs that later ones don't find, since the copy lacks their entries in the member table.
+#[tokio::test]
+async fn member_that_the_copy_lacks_enters_again() {
+    let (site, door, _server, _gateways) = site_of_three().await;
+    let backup = site.store.backup();
+    let joined = site.gateway("vm-4", "nord-a", &door).await;
+    joined.wait_ready().await;
+    let is_member = || site.store.get(MEMBER_TABLE, "vm-4").is_some();
+    wait_until("the VM is a member", || async { is_member() }).await;
+    // Until it follows another VM.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    come_back(&site, &door, backup).await;
+    assert!(!is_member());
+    let returned_at = Instant::now();
+    wait_until("the VM is a member again", || async { is_member() }).await;
+    assert!(returned_at.elapsed() < Duration::from_secs(5));
+}
