--- a/programs/gateway/tests/restored.rs
+++ b/programs/gateway/tests/restored.rs
@@ -109,6 +109,8 @@
         panic!("{written:?}");
     };
     site.store.restore(backup);
+    // The row that fences off earlier eras took the first version.
+    site.store.put("filler", "row", "");
     site.store.put("status", "row", "other");
     let rows = client.rows("status").await.expect("rows");
     assert!(rows.version > before, "{} {before}", rows.version);
@@ -333,3 +335,52 @@
     wait_until("the VM is a member again", || async { is_member() }).await;
     assert!(returned_at.elapsed() < Duration::from_secs(5));
 }
+
+/// Guards against a VM that doesn't know of the store's return and overwrites a row, since the store has
+/// given out the version that it saw again.
+#[tokio::test]
+async fn writer_that_missed_the_return_overwrites_nothing() {
+    let site = Site::new();
+    let door = site.store_endpoint().await;
+    let put = |key: &str, content: &[u8], expected| Put {
+        table: "status",
+        key: key.into(),
+        expected: Some(expected),
+        value: Some(content.into()),
+    };
+    let applied = |result| match result {
+        Ok(TransactionResult::Applied(version)) => version,
+        other => panic!("{other:?}"),
+    };
+    let (late, other) = (Client::new(door.address), Client::new(door.address));
+    let first = applied(late.transact(&[put("row", b"first", 0)]).await);
+    let backup = site.store.backup();
+    for _ in 0..10 {
+        site.store.put("filler", "row", "");
+    }
+    let seen = applied(late.transact(&[put("row", b"second", first)]).await);
+    site.store.restore(backup);
+    applied(other.transact(&[put("other", b"", 0)]).await);
+    let rows = other.rows("status").await.expect("rows");
+    for _ in rows.version..rows.version + 20 {
+        let version = other.rows("status").await.expect("rows").version;
+        if store::is_same(version + 1, seen) {
+            break;
+        }
+        site.store.put("filler", "row", "");
+    }
+    let row = rows
+        .rows
+        .iter()
+        .find(|row| &*row.key == "row")
+        .expect("the row");
+    let written = applied(other.transact(&[put("row", b"other", row.version)]).await);
+    assert!(store::is_same(written, seen));
+    let result = late.transact(&[put("row", b"late", seen)]).await;
+    assert!(
+        matches!(result, Ok(TransactionResult::Conflict)),
+        "{result:?}"
+    );
+    let content = site.store.get("status", "row");
+    assert_eq!(content.as_deref(), Some(&b"other"[..]));
+}
