bug: answers whose status is no final one don't reach callers

A server in trouble whose answer had the status 600 or 999 had it passed on to the caller, with its body and signature (MIXED). 000, 099, 101 and statuses of other lengths ended as 502 before.

Cause: the HTTP library takes 100 to 999 for a status, and only informational ones were left out.

Change: an answer with a status below 200 or from 600 on is a wrong answer for each client of the pool; its connection is closed.

--- a/crates/backends/src/client/answer.rs
+++ b/crates/backends/src/client/answer.rs
@@ -103,7 +103,9 @@
         Some(echo) => Some(echo) == id,
         None => !needs_echo || id.is_none(),
     };
-    if !is_own {
+    // RFC 9110, section 15: other values are no status of a final answer.
+    let is_final = (200..600).contains(&response.status().as_u16());
+    if !is_own || !is_final {
         lease.end().await;
         return Err(Failure::After(After::WrongAnswer));
     }
--- a/programs/gateway/src/forward/send.rs
+++ b/programs/gateway/src/forward/send.rs
@@ -440,9 +440,6 @@
     if answer.status().is_success() && (!is_signed || is_encoded) {
         return SendOutcome::Failed(Failure::After(After::WrongAnswer));
     }
-    if answer.status().is_informational() {
-        return SendOutcome::Failed(Failure::After(After::WrongAnswer));
-    }
     let headers = answer.headers_mut();
     headers.remove(TRAILER);
     headers.remove(TRANSFER_ENCODING);
--- a/programs/gateway/tests/path.rs
+++ b/programs/gateway/tests/path.rs
@@ -269,6 +269,40 @@
     }
 }
 
+/// Guards against an answer that reaches the caller although its status is none of an answer (MIXED).
+#[rstest]
+#[case::zero("000")]
+#[case::below("099")]
+#[case::switch("101")]
+#[case::above("600")]
+#[case::highest("999")]
+#[case::short("20")]
+#[case::sign("-20")]
+#[tokio::test]
+async fn answer_without_a_valid_status_is_not_passed_on(
+    #[case] status: &str,
+    #[values("content-length: 2", "transfer-encoding: chunked", "connection: close")] framing: &str,
+) {
+    let body = match framing {
+        "transfer-encoding: chunked" => "2\r\nok\r\n0\r\n\r\n",
+        _ => "ok",
+    };
+    let answer = format!(
+        "HTTP/1.1 {status} Trouble\r\n{{id}}: 1\r\n{{signature}}: 1\r\n{framing}\r\n\r\n{body}"
+    );
+    let (_site, gateway) = raw::site(answer.leak(), "").await;
+    let (status, headers, body) = gateway.request("1", "/a/").await.expect("an answer");
+    assert!(
+        matches!(
+            status,
+            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT
+        ),
+        "{status} {body:?}"
+    );
+    assert!(!headers.contains_key(header::SIGNATURE));
+    assert_ne!(&*body, b"ok");
+}
+
 /// Guards against a body in another transfer coding that is passed on as if it were decoded.
 #[rstest]
 #[case::one_field("transfer-encoding: gzip, chunked")]
