bug: a version that was rolled back gets nothing under the next order

Cause: the verdict lives with the takeover of its order, which the next order drops. Versions that were sampled count as in service, and what becomes of their requests counts as that of the old version.

Change: such a version is withdrawn until the operator names it as a target or its last server has gone. VMs pass that on with the next takeover; its begin row keeps it over a restart of all processes. Outcomes of a withdrawn version count for no side. If no other version has a server, it serves as before.

Reports have changed.

--- a/crates/peers/src/report.rs
+++ b/crates/peers/src/report.rs
@@ -5,7 +5,7 @@
 //! that a VM receives grow with the VMs of its data centre and the number of data centres, not with
 //! their product. Each report is complete: a lost one is replaced by the next.
 
-use base::id::{DataCentre, Incarnation, Region, Service, Version, Vm};
+use base::id::{DataCentre, Incarnation, Label, Region, Service, Version, Vm};
 use bincode::Options;
 use std::net::SocketAddr;
 use steering::backlog::StatedPace;
@@ -88,6 +88,8 @@
         pub settled: bool,
         /// Evidence from the VM's own requests.
         pub evidence: Evidence,
+        /// Versions of the service that were rolled back before.
+        pub withdrawn: Vec<Label>,
     }
 
     /// State of a VM, as reported by the delegate of its data centre.
--- a/crates/steering/src/takeover.rs
+++ b/crates/steering/src/takeover.rs
@@ -9,10 +9,12 @@
 mod evidence;
 mod exposure;
 mod verdict;
+mod withdrawn;
 
 pub use evidence::{Evidence, LatencyBaseline, Outcome, SlidingWindow, Tally};
 pub use exposure::{Exposure, ExposureLimits, VersionChoice};
 pub use verdict::{SequentialTest, Verdict};
+pub use withdrawn::Withdrawn;
 
 use crate::release::Cap;
 use std::time::{Duration, Instant};
--- a/programs/gateway/src/forward.rs
+++ b/programs/gateway/src/forward.rs
@@ -468,6 +468,7 @@
     is_placed: impl Fn(&T) -> bool,
 ) -> T {
     let evacuated = lock(&shared.orders).evacuated.clone();
+    let withdrawn = shared.takeovers.withdrawn(demand.service);
     let place = |version: &VersionFilter, sample: Option<Digest>| {
         place(&ServerCriteria {
             route: demand.route,
@@ -479,6 +480,7 @@
             sample,
             tried,
             evacuated: &evacuated,
+            withdrawn: &withdrawn,
         })
     };
     let (takeovers, service) = (&shared.takeovers, demand.service);
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -7,7 +7,7 @@
 use crate::shared::Shared;
 use adapter::desired;
 use adapter::store::{self, Client, OPERATIONS, Put, Row, RowVersion, Rows, TransactionResult};
-use base::id::DataCentre;
+use base::id::{DataCentre, Label, Service};
 use base::sync::lock;
 use peers::report::Phase;
 use rand::RngExt;
@@ -364,6 +364,8 @@
         }
         drop(listing);
         shared.services.update(&registry, now);
+        let has_servers = |service: &Service, label: &Label| shared.services.knows(service, label);
+        shared.takeovers.retain_withdrawn(has_servers);
         if read_at.is_some() {
             shared.services.record_list_read(now);
         }
--- a/programs/gateway/src/servers.rs
+++ b/programs/gateway/src/servers.rs
@@ -14,7 +14,7 @@
 pub use server_set::{Placement, ServerCriteria, ServerSet, VersionFilter};
 
 use crate::settings::Settings;
-use base::id::{DataCentre, Server as ServerId, Service};
+use base::id::{DataCentre, Label, Server as ServerId, Service};
 use base::sync::lock;
 use indexmap::{IndexMap, IndexSet};
 use notices::{HeardWords, Words};
@@ -198,6 +198,16 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner) = by_server;
     }
 
+    /// Returns whether a version of a service has servers, or had some lately.
+    pub fn knows(&self, service: &Service, label: &Label) -> bool {
+        self.server_set(service).is_some_and(|set| {
+            let state = lock(&set.state);
+            let absent = state.absent.values().map(|(_, server)| server);
+            let mut servers = state.servers.values().chain(absent);
+            servers.any(|server| server.registration.label == *label)
+        })
+    }
+
     /// Treats the servers of these data centres as cold, since their evacuation ended and they had
     /// no requests meanwhile.
     pub fn end_evacuation(&self, data_centres: &[DataCentre], now: Instant) {
--- a/programs/gateway/src/servers/server_set.rs
+++ b/programs/gateway/src/servers/server_set.rs
@@ -58,6 +58,8 @@
     pub tried: &'a [ServerId],
     /// Evacuated data centres, whose servers get no requests.
     pub evacuated: &'a [DataCentre],
+    /// Versions that were rolled back, whose servers get no requests while others have servers.
+    pub withdrawn: &'a [Label],
 }
 
 /// Result of choosing a server.
--- a/programs/gateway/src/servers/survey.rs
+++ b/programs/gateway/src/servers/survey.rs
@@ -137,7 +137,7 @@
         let service_time = state.service_time(criteria, estimate);
         let slowest = state.slowest(criteria, estimate);
         let silence_unit = work::silence_unit(service_time.cold, slowest);
-        let labels = state.usable_labels(criteria.version, now);
+        let labels = state.usable_labels(criteria, now);
         let mut excluded = Vec::new();
         let mut servers: Vec<(usize, &Server)> = Vec::new();
         for (index, server) in state.servers.values().enumerate() {
@@ -345,31 +345,30 @@
     }
 
     /// Returns the versions that a request may use now.
-    fn usable_labels(&self, version: &VersionFilter, now: Instant) -> IndexSet<Label> {
-        match version {
-            VersionFilter::Only(label) => IndexSet::from([label.clone()]),
-            VersionFilter::Except(label) => {
-                let others: IndexSet<Label> = self
-                    .labels
-                    .iter()
-                    .filter(|other| *other != label)
-                    .cloned()
-                    .collect();
-                let is_served =
-                    |s: &Server| !s.registration.leaving && others.contains(&s.registration.label);
-                // A version without servers can't be one that the operator wants to keep, so the
-                // new one gets the requests.
-                match self.servers.values().any(is_served) {
-                    true => others,
-                    false => IndexSet::from([label.clone()]),
-                }
-            }
-            VersionFilter::InService => {
-                let is_due = |at: &Instant| now.saturating_duration_since(*at) >= NEW_VERSION_DELAY;
-                let due = self.new_labels.iter().filter(|(_, at)| is_due(at));
-                let due = due.map(|(label, _)| label);
-                self.labels.iter().chain(due).cloned().collect()
-            }
+    fn usable_labels(&self, criteria: &ServerCriteria<'_>, now: Instant) -> IndexSet<Label> {
+        let target = match criteria.version {
+            VersionFilter::Only(label) => return IndexSet::from([label.clone()]),
+            VersionFilter::Except(label) => Some(label),
+            VersionFilter::InService => None,
+        };
+        let is_due = |at: &Instant| now.saturating_duration_since(*at) >= NEW_VERSION_DELAY;
+        let new = self.new_labels.iter().filter(|(_, at)| is_due(at));
+        let new = new.map(|(label, _)| label).filter(|_| target.is_none());
+        let labels = self.labels.iter().chain(new);
+        let labels = labels.filter(|label| Some(*label) != target);
+        let (withdrawn, others): (IndexSet<Label>, IndexSet<Label>) = labels
+            .cloned()
+            .partition(|label| criteria.withdrawn.contains(label));
+        let is_served = |labels: &IndexSet<Label>| {
+            let mut servers = self.servers.values().map(|server| &server.registration);
+            servers.any(|server| !server.leaving && labels.contains(&server.label))
+        };
+        match target {
+            _ if is_served(&others) => others,
+            // A version without servers can't be one that the operator wants to keep, so the new one
+            // gets the requests.
+            Some(label) => IndexSet::from([label.clone()]),
+            None => others.into_iter().chain(withdrawn).collect(),
         }
     }
 }
--- a/programs/gateway/src/takeovers.rs
+++ b/programs/gateway/src/takeovers.rs
@@ -7,7 +7,7 @@
 use crate::servers::{InFlightRequest, VersionFilter};
 use crate::settings::Bounds;
 use adapter::store::{self, RowVersion};
-use base::id::{DataCentre, Incarnation, Service, Vm};
+use base::id::{DataCentre, Incarnation, Label, Service, Vm};
 use base::sync::lock;
 use indexmap::IndexMap;
 use operators::gateway::Release;
@@ -19,7 +19,7 @@
 use steering::routing::TakeoverOrder;
 use steering::takeover::{
     Evidence, Exposure, ExposureLimits, LatencyBaseline, OrderVersion, Outcome, Settings,
-    SlidingWindow, Stage, Verdict, VersionChoice,
+    SlidingWindow, Stage, Verdict, VersionChoice, Withdrawn,
 };
 use steering::warmth;
 
@@ -41,6 +41,9 @@
         /// Evidence of all VMs at the last write, in case all of them stop.
         #[serde(default)]
         evidence: Evidence,
+        /// Versions of the service that were rolled back before the order.
+        #[serde(default)]
+        withdrawn: Vec<Label>,
     }
 }
 
@@ -184,6 +187,8 @@
 #[derive(Debug, Default)]
 pub struct Takeovers {
     active: Mutex<IndexMap<Service, ActiveTakeover>>,
+    /// Versions that were rolled back under earlier orders.
+    withdrawn: Mutex<Withdrawn>,
 }
 
 impl Takeovers {
@@ -196,15 +201,21 @@
         members: usize,
     ) {
         let mut active = lock(&self.active);
+        let mut withdrawn = lock(&self.withdrawn);
         active.retain(|service, known| {
             let same = |order: &TakeoverOrder| order.service == *service && known.is_of(order);
-            orders.iter().any(same)
+            let is_ordered = orders.iter().any(same);
+            if !is_ordered && known.stage == Some(Stage::RolledBack) {
+                withdrawn.withdraw(service, &known.order.label);
+            }
+            is_ordered
         });
         for order in orders {
             if let Some(known) = active.get_mut(&order.service) {
                 known.keep_for(order);
                 continue;
             }
+            withdrawn.order(&order.service, &order.label);
             let Some(bounds) = bounds.exposure() else {
                 // Without bounds, no number of requests to the new version is known to be safe.
                 log::warn!(
@@ -254,6 +265,26 @@
         }
     }
 
+    /// Returns the versions of a service that were rolled back under earlier orders.
+    pub fn withdrawn(&self, service: &str) -> Vec<Label> {
+        lock(&self.withdrawn).labels(service)
+    }
+
+    /// Records versions that were rolled back before the order for `target`.
+    fn withdraw(&self, service: &Service, target: &Label, labels: &[Label]) {
+        let mut withdrawn = lock(&self.withdrawn);
+        for label in labels.iter().filter(|label| *label != target) {
+            if withdrawn.withdraw(service, label) {
+                log::info!("event=version-withdrawn service={service} version={label}");
+            }
+        }
+    }
+
+    /// Keeps the withdrawn versions that have servers.
+    pub fn retain_withdrawn(&self, has_servers: impl Fn(&Service, &Label) -> bool) {
+        lock(&self.withdrawn).retain(has_servers);
+    }
+
     /// Returns the version for the next request of a service and, if the request samples the new
     /// version, the digest of its server. `servers` counts the servers of a version.
     pub fn select_version(
@@ -310,6 +341,12 @@
         outcome: Outcome,
         took: Duration,
     ) -> Option<Side> {
+        if lock(&self.withdrawn)
+            .labels(service)
+            .contains(&flight.label)
+        {
+            return None;
+        }
         let mut active = lock(&self.active);
         let takeover = active.get_mut(service)?;
         let (side, tally) = match takeover.order.label == flight.label {
@@ -352,6 +389,7 @@
                 true => takeover.local_evidence(),
                 false => takeover.own.clone(),
             },
+            withdrawn: self.withdrawn(&takeover.order.service),
         });
         report.collect()
     }
@@ -376,6 +414,7 @@
             let Some(takeover) = known.filter(|t| t.order.order == theirs.order) else {
                 continue;
             };
+            self.withdraw(&theirs.service, &takeover.order.label, &theirs.withdrawn);
             if report.is_summary() {
                 let centre = report.data_centre.clone();
                 takeover.remote.insert(centre, theirs.evidence.clone());
--- a/programs/gateway/src/takeovers/leader.rs
+++ b/programs/gateway/src/takeovers/leader.rs
@@ -175,11 +175,23 @@
                 let stage = takeover.and_then(|takeover| takeover.stage);
                 (since.unwrap_or_default(), stage.unwrap_or(Stage::Sampling))
             };
+            // Versions that were rolled back before, by what the store has of the last order.
+            let last = begin.and_then(decode_begin);
+            let mut withdrawn = last.map(|last| last.withdrawn).unwrap_or_default();
+            let last_status = status.and_then(|row| status::decode(row.value.as_deref()?).ok());
+            withdrawn.extend(
+                last_status
+                    .filter(|(_, stage)| *stage == Stage::RolledBack)
+                    .map(|(label, _)| label),
+            );
+            let takeovers = &shared.takeovers;
+            takeovers.withdraw(&order.service, &order.label, &withdrawn);
             let since_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
             let began = Begin {
                 order: order.order,
                 began_ms: begins.now_ms.saturating_sub(since_ms),
                 evidence: Evidence::default(),
+                withdrawn: takeovers.withdrawn(&order.service),
             };
             let puts = [
                 status_put(order, stage, status.map_or(0, |row| row.version)),
@@ -192,6 +204,8 @@
             return Ok(());
         }
     };
+    let takeovers = &shared.takeovers;
+    takeovers.withdraw(&order.service, &order.label, &began.0.withdrawn);
     if let (Some(stage), Some(row)) = (stored_stage, status) {
         let passed = begins.now_ms.saturating_sub(began.0.began_ms);
         let left = order.term.saturating_sub(Duration::from_millis(passed));
