--- a/programs/gateway/src/servers/notices.rs
+++ b/programs/gateway/src/servers/notices.rs
@@ -296,10 +296,9 @@
             let Some(said_at) = now.checked_sub(age) else {
                 continue;
             };
-            let rate = word.rate.filter(|rate| rate.is_finite());
             self.with_server(word.server, |server| {
                 if server.registration.born == word.born {
-                    server.record_limit(rate, said_at, Origin::Peer, now);
+                    server.record_limit(word.rate, said_at, Origin::Peer, now);
                 }
             });
         }
--- a/programs/gateway/tests/restored.rs
+++ b/programs/gateway/tests/restored.rs
@@ -7,19 +7,16 @@
 use gateway::reader::MEMBER_TABLE;
 use hyper::StatusCode;
 use rstest::rstest;
-use site::{Gateway, Site, wait_until};
+use site::{Gateway, Site, call_each, wait_until};
 use standin_site::operator::{self, Desired};
 use standin_site::server::{Behaviour, Entry, Server};
 use standin_site::store::{Backup, Endpoint, Faults, Lost};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// Operator's limit for applying a configuration.
 const IN_FORCE: Duration = Duration::from_secs(2);
 /// Time for which the store is away.
 const AWAY: Duration = Duration::from_millis(600);
-/// Number of the next request with an object of its own, so that no server is preferred.
-static NEXT: AtomicUsize = AtomicUsize::new(0);
 /// VMs and their data centres.
 const VMS: [(&str, &str); 3] = [("vm-1", "nord-a"), ("vm-2", "nord-a"), ("vm-3", "sud-a")];
 
@@ -241,26 +238,12 @@
     };
     left.register(&site.store, &entry);
     wait_until("the server is used again", || async {
-        let id = NEXT.fetch_add(1, Ordering::Relaxed).to_string();
-        gateways[1]
-            .request_for_object(&id, "/a/", Some("key-1"), &id)
-            .await;
+        call_each(&gateways[1..]).await;
         left.arrivals().len() > before
     })
     .await;
 }
 
-/// Sends a request with an object of its own to each gateway.
-async fn call_each(gateways: &[Gateway]) {
-    for gateway in gateways {
-        let id = NEXT.fetch_add(1, Ordering::Relaxed).to_string();
-        gateway
-            .request_for_object(&id, "/a/", Some("key-1"), &id)
-            .await;
-    }
-    tokio::time::sleep(Duration::from_millis(5)).await;
-}
-
 /// Guards against a version that was rolled back, or one that was replaced, which gets requests again,
 /// and against an operator who is no longer told, since the copy lacks the end of the takeover or all
 /// of it.
--- a/programs/gateway/tests/site/mod.rs
+++ b/programs/gateway/tests/site/mod.rs
@@ -253,6 +253,18 @@
     target.call(Method::GET, path, Bytes::new()).await.ok()
 }
 
+/// Sends a request to each gateway, each with an object of its own, so that no server is preferred.
+pub async fn call_each(gateways: &[Gateway]) {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    for gateway in gateways {
+        let id = format!("each-{}", NEXT.fetch_add(1, Ordering::Relaxed));
+        gateway
+            .request_for_object(&id, "/a/", Some("key-1"), &id)
+            .await;
+    }
+    tokio::time::sleep(Duration::from_millis(5)).await;
+}
+
 /// Returns the metrics of a gateway as text.
 pub async fn metrics(gateway: &Gateway) -> String {
     let answer = get(gateway.settings.listen.metrics, "/metrics").await;
--- a/programs/gateway/tests/withdrawn.rs
+++ b/programs/gateway/tests/withdrawn.rs
@@ -4,10 +4,9 @@
 mod site;
 
 use rstest::rstest;
-use site::{Gateway, Site, wait_until};
+use site::{Gateway, Site, call_each, wait_until};
 use standin_site::operator::{self, Desired};
 use standin_site::server::{Behaviour, Entry, Server};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// Term of the orders in seconds.
@@ -17,19 +16,6 @@
 /// VMs and their data centres.
 const VMS: [(&str, &str); 2] = [("vm-1", "nord-a"), ("vm-2", "sud-a")];
 
-/// Number of the next request; each concerns an object of its own, so that no server is preferred.
-static NEXT: AtomicUsize = AtomicUsize::new(0);
-
-async fn call_each(gateways: &[Gateway]) {
-    for gateway in gateways {
-        let id = NEXT.fetch_add(1, Ordering::Relaxed).to_string();
-        gateway
-            .request_for_object(&id, "/a/", Some("key-1"), &id)
-            .await;
-    }
-    tokio::time::sleep(Duration::from_millis(5)).await;
-}
-
 /// Starts a server of a version that answers with a status.
 async fn version(site: &Site, label: &'static str, status: u16) -> Server {
     let entry = Entry {
