--- a/tests/soak/src/plan.rs
+++ b/tests/soak/src/plan.rs
@@ -26,6 +26,12 @@
         Store(usize, StoreFault),
         /// The store drops its history of changes.
         Forget,
+        /// The store is copied.
+        Backup,
+        /// The store comes back from its copy.
+        Restore,
+        /// The operator and the servers write again what the store has lost.
+        WriteAgain,
         /// The proxy in front of a server changes its mode.
         ServerWay(usize, Mode),
         /// A server becomes faulty or recovers.
@@ -151,6 +157,8 @@
 pub const FIRST_USAGE: u64 = 8_000;
 /// First seed with servers that name a limit of requests.
 pub const FIRST_LIMITED: u64 = 9_000;
+/// First seed with a store that comes back from an older copy.
+pub const FIRST_RESTORED: u64 = 10_000;
 /// Faults of the holder of the usage reports.
 const HOLDER_FAULTS: [HolderFault; 4] = [
     HolderFault::Kill,
@@ -222,6 +230,9 @@
     if seed >= FIRST_LIMITED {
         plan = limited_server(&mut rng);
     }
+    if seed >= FIRST_RESTORED {
+        plan.extend(restored_store(&mut rng));
+    }
     // At the end of the fault phase, paused gateways continue and servers that left rejoin.
     plan.extend((0..GATEWAYS).map(|gateway| (FAULT_PHASE, Fault::Continue(gateway))));
     plan.extend((0..SERVERS).map(|server| (FAULT_PHASE, Fault::Rejoin(server))));
@@ -336,6 +347,24 @@
     plan
 }
 
+/// Generates a store that comes back from an older copy after changes of the configuration, the last of
+/// which withdraws a key, and one more change after the others were written again.
+fn restored_store(rng: &mut StdRng) -> Vec<(Duration, Fault)> {
+    let mut between = |from: u64, to: u64| Duration::from_millis(rng.random_range(from..to));
+    let copied = between(0, 1_000);
+    let restored = copied + between(800, 2_500);
+    let rewritten = restored + between(100, 1_300);
+    vec![
+        (copied, Fault::Backup),
+        (copied + between(50, 300), Fault::Publish),
+        (copied + between(300, 500), Fault::Publish),
+        (copied + between(500, 700), Fault::Withdraw),
+        (restored, Fault::Restore),
+        (rewritten, Fault::WriteAgain),
+        (rewritten + between(50, 500), Fault::Publish),
+    ]
+}
+
 /// Generates two faults of the holder of the usage reports, each longer than the lease of 1 s, and
 /// a period in which reports get no answer. The first fault is mostly long enough for a successor,
 /// which notices an overdue window 1.35 s after its end and then waits for the lease.
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -16,7 +16,7 @@
 use standin_site::cloud::Cloud;
 use standin_site::operator::Desired;
 use standin_site::server::{Behaviour, Entry, Server};
-use standin_site::store::{Endpoint, Faults, Store};
+use standin_site::store::{Backup, Endpoint, Faults, Lost, Store};
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -55,6 +55,9 @@
     /// Gateway that the last fault of the holder affected.
     faulty_holder: usize,
     store: Store,
+    /// Copy of the store, and what it lacked when the store came back from it.
+    backup: Option<Backup>,
+    lost: Option<Lost>,
     store_endpoints: Vec<Endpoint>,
     store_proxies: Vec<Proxy>,
     servers: Vec<Server>,
@@ -197,6 +200,8 @@
             cloud,
             faulty_holder: 0,
             store,
+            backup: None,
+            lost: None,
             store_endpoints,
             store_proxies,
             servers,
@@ -310,6 +315,15 @@
                 self.store_endpoints[data_centre].set(store_faults(fault));
             }
             Fault::Forget => self.store.forget_history(),
+            Fault::Backup => self.backup = Some(self.store.backup()),
+            Fault::Restore => {
+                self.lost = self.backup.take().map(|backup| self.store.restore(backup));
+            }
+            Fault::WriteAgain => {
+                if let Some(lost) = self.lost.take() {
+                    self.store.write_again(lost);
+                }
+            }
             Fault::ServerWay(server, mode) => {
                 if mode != Mode::Pass {
                     self.begin_disturbance(Disturbance::Link(server));
