bug: a fetch of store data takes the locks in the order of those who apply orders

Cause: since plan_fetch looks whether the orders are due while it holds the lock of the fleet, and apply_orders asks for the coverage of the fleet while it holds that of the orders. The gateway runs on one thread and awaits nothing in between, so it can't block; gateways in a test with two threads could.

--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -126,7 +126,11 @@
 ) -> Option<Fetch> {
     let wants_list = !has_list(shared, source);
     let is_listless = lock(&shared.listing).is_empty();
-    let snapshot = lock(&shared.orders).snapshot;
+    // Not below the lock of the fleet: whoever applies orders takes the two in this order.
+    let (snapshot, are_orders_due) = {
+        let orders = lock(&shared.orders);
+        (orders.snapshot, are_due(&orders, now))
+    };
     let is_free = |address: &SocketAddr| !postponed.contains_key(address);
     let is_source_free = is_free(&source.address);
     // Changes of a list that this VM holds are no bulk data, which alone is postponed.
@@ -134,8 +138,7 @@
         return Some(Fetch {
             source: *source,
             wants_list,
-            wants_orders: is_source_free
-                && (source.known.orders > snapshot || are_orders_due(shared, now)),
+            wants_orders: is_source_free && (source.known.orders > snapshot || are_orders_due),
         });
     }
     let fleet = lock(&shared.fleet);
@@ -143,7 +146,7 @@
     let (local, remote) = (|| fleet.local(now), || fleet.remote(now));
     let reports = || local().chain(remote()).map(|peer| &peer.report);
     let newest = reports().map(|report| report.known.orders).max()?;
-    let wants_orders = newest > snapshot || are_orders_due(shared, now);
+    let wants_orders = newest > snapshot || are_orders_due;
     let is_holder = |report: &&Report| match wants_list {
         true => {
             let max_age = MAX_HOLDER_AGE.as_millis();
@@ -237,10 +240,6 @@
 }
 
 /// Returns whether the orders are to be requested again since the store came back from an older copy.
-fn are_orders_due(shared: &Shared, now: Instant) -> bool {
-    are_due(&lock(&shared.orders), now)
-}
-
 fn are_due(orders: &Orders, now: Instant) -> bool {
     let rewritten_at = orders.rewritten_at;
     rewritten_at.is_some_and(|at| now >= at + REWRITTEN_MARGIN)
