--- a/crates/steering/src/registry.rs
+++ b/crates/steering/src/registry.rs
@@ -83,7 +83,7 @@
         self.apply(listed, false, now)
     }
 
-    fn apply(&mut self, listed: Vec<Registration>, is_kept: bool, now: Instant) -> Vec<Change> {
+    fn apply(&mut self, mut listed: Vec<Registration>, is_kept: bool, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
         let mut present = IndexSet::with_capacity(listed.len());
         let restored_at = self.restored_at;
@@ -94,7 +94,7 @@
                     && (gone.born, gone.sequence) >= (new.born, new.sequence)
             })
         };
-        let listed: Vec<_> = listed.into_iter().filter(|new| !is_outdated(new)).collect();
+        listed.retain(|new| !is_outdated(new));
         for registration in listed {
             present.insert(registration.server.clone());
             self.apply_report(registration, now, &mut changes);
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -4,7 +4,7 @@
 
 use crate::crashes;
 use crate::fleet::MemberEntry;
-use crate::shared::Shared;
+use crate::shared::{Orders, Shared};
 use adapter::desired;
 use adapter::store::{self, Client, OPERATIONS, Put, Row, RowVersion, Rows, TransactionResult};
 use base::id::{DataCentre, Label, Service};
@@ -201,9 +201,12 @@
         let mut orders = lock(&self.shared.orders);
         let now = Instant::now();
         orders.read_at = Some(now);
-        let is_back = orders.advance(snapshot, now);
-        drop(orders);
-        if is_back {
+        self.advance(&mut orders, snapshot, now);
+    }
+
+    /// Records the version of the store up to which the orders are known.
+    fn advance(&self, orders: &mut Orders, snapshot: RowVersion, now: Instant) {
+        if orders.advance(snapshot, now) {
             self.shared.record_return();
         }
     }
@@ -212,11 +215,7 @@
     pub fn confirm_unchanged(&self, version: RowVersion, snapshot: RowVersion) {
         let mut orders = lock(&self.shared.orders);
         orders.version = orders.version.max(version);
-        let is_back = orders.advance(snapshot, Instant::now());
-        drop(orders);
-        if is_back {
-            self.shared.record_return();
-        }
+        self.advance(&mut orders, snapshot, Instant::now());
     }
 
     /// Applies orders read at `snapshot`, of which the newest has `version`.
@@ -234,9 +233,7 @@
             orders.rewritten_at = orders.rewritten_at.map(|at| at.max(now));
             return;
         }
-        if orders.advance(snapshot, now) {
-            shared.record_return();
-        }
+        self.advance(&mut orders, snapshot, now);
         orders.version = orders.version.max(version);
         let mut operations = operations.with_newer_configuration(&orders.operations);
         match orders.rewritten_at {
--- a/programs/gateway/src/servers/notices.rs
+++ b/programs/gateway/src/servers/notices.rs
@@ -219,7 +219,8 @@
                 let known = server.departure.known();
                 let until = server.rejection.as_ref().map(|rejection| rejection.until());
                 let left = until.map(|until| until.saturating_duration_since(now));
-                let limit = server.intake.rate().zip(server.intake.word());
+                let limit = server.intake.word();
+                let limit = limit.and_then(|(rate, at, origin)| Some((rate?, at, origin)));
                 if known.is_none() && left.is_none() && limit.is_none() {
                     continue;
                 }
@@ -230,7 +231,7 @@
                         age_ms: millis(now.saturating_duration_since(said_at)),
                     }),
                     rejects_ms: left.map(millis),
-                    limit: limit.map(|(rate, (_, said_at, origin))| gateway::Intake {
+                    limit: limit.map(|(rate, said_at, origin)| gateway::Intake {
                         rate,
                         origin,
                         age_ms: millis(now.saturating_duration_since(said_at)),
@@ -360,19 +361,22 @@
     /// Keeps the newest words on each run, and at most [`MAX_WORDS`] of a kind.
     pub fn limit(&mut self) {
         for words in [&mut self.leaving, &mut self.staying] {
-            words.sort_by_key(|word| (word.server, word.born, word.is_from_list, word.age_ms));
-            words.dedup_by_key(|word| (word.server, word.born, word.is_from_list));
-            words.sort_by_key(|word| word.age_ms);
-            words.truncate(MAX_WORDS);
+            let topic = |word: &Word| (word.server, word.born, word.is_from_list);
+            keep_newest(words, topic, |word| word.age_ms);
         }
-        let limits = &mut self.limits;
-        limits.sort_by_key(|word| (word.server, word.born, word.age_ms));
-        limits.dedup_by_key(|word| (word.server, word.born));
-        limits.sort_by_key(|word| word.age_ms);
-        limits.truncate(MAX_WORDS);
+        let run = |word: &intake::Word| (word.server, word.born);
+        keep_newest(&mut self.limits, run, |word| word.age_ms);
     }
 }
 
+/// Keeps the newest of the words with the same key, and at most [`MAX_WORDS`].
+fn keep_newest<T, K: Ord>(words: &mut Vec<T>, key: impl Fn(&T) -> K, age_ms: impl Fn(&T) -> u32) {
+    words.sort_by_key(|word| (key(word), age_ms(word)));
+    words.dedup_by_key(|word| key(word));
+    words.sort_by_key(|word| age_ms(word));
+    words.truncate(MAX_WORDS);
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/programs/gateway/src/servers/survey.rs
+++ b/programs/gateway/src/servers/survey.rs
@@ -42,8 +42,8 @@
     pub(super) candidates: Vec<Candidate>,
     /// Why a candidate can't be used now, in the order of `servers`.
     pub(super) obstacles: Vec<Option<Obstacle>>,
-    /// When the first server that wants no request of this VM now takes one again; none if no such
-    /// time is known.
+    /// When the first server that wants no request of this VM now takes one again; none if a server
+    /// can be used, or if no such time is known.
     reopens_at: Option<Instant>,
     /// Servers that are no candidates.
     pub(super) excluded: Vec<(usize, Obstacle)>,
@@ -198,13 +198,10 @@
         };
         let obstacles: Vec<Option<Obstacle>> =
             servers.iter().map(|(_, server)| obstacle(server)).collect();
-        let reopens_at = servers.iter().zip(&obstacles);
-        let reopens_at = reopens_at.filter_map(|((_, server), obstacle)| match obstacle {
-            Some(Obstacle::WantsNothing) => Some(server.rejection.as_ref()?.until()),
-            Some(Obstacle::Limited) => server.turn_at(parts),
-            _ => None,
-        });
-        let reopens_at = reopens_at.min();
+        let reopens_at = match obstacles.iter().any(Option::is_none) {
+            true => None,
+            false => reopens_at(&servers, &obstacles, parts),
+        };
         let mut survey = Survey {
             labels,
             pinned_regions,
@@ -275,6 +272,22 @@
     }
 }
 
+/// Returns when the first of the servers that want no request of this VM now takes one again; none if
+/// no such time is known.
+fn reopens_at(
+    servers: &[(usize, &Server)],
+    obstacles: &[Option<Obstacle>],
+    parts: &impl Parts,
+) -> Option<Instant> {
+    let servers = servers.iter().zip(obstacles);
+    let times = servers.filter_map(|((_, server), obstacle)| match obstacle {
+        Some(Obstacle::WantsNothing) => Some(server.rejection.as_ref()?.until()),
+        Some(Obstacle::Limited) => server.turn_at(parts),
+        _ => None,
+    });
+    times.min()
+}
+
 /// Returns why a server is no candidate, apart from its region.
 fn exclusion(
     server: &Server,
--- a/programs/gateway/src/takeovers/leader.rs
+++ b/programs/gateway/src/takeovers/leader.rs
@@ -161,9 +161,10 @@
     let stored_stage = status
         .filter(|row| row.version > order.order)
         .and_then(|row| decode_stage(row, order));
-    let began = begin
-        .and_then(decode_begin)
-        .filter(|b| store::is_same(b.order, order.order));
+    let last = begin.and_then(decode_begin);
+    let began = last
+        .clone()
+        .filter(|begin| store::is_same(begin.order, order.order));
     let began = match (&stored_stage, began, begin) {
         (Some(_), Some(began), Some(row)) => (began, row.version),
         _ => {
@@ -176,7 +177,6 @@
                 (since.unwrap_or_default(), stage.unwrap_or(Stage::Sampling))
             };
             // Versions that were rolled back before, by what the store has of the last order.
-            let last = begin.and_then(decode_begin);
             let mut withdrawn = last.map(|last| last.withdrawn).unwrap_or_default();
             let last_status = status.and_then(|row| status::decode(row.value.as_deref()?).ok());
             withdrawn.extend(
--- a/programs/gateway/tests/restored.rs
+++ b/programs/gateway/tests/restored.rs
@@ -34,6 +34,15 @@
     answer.map(|(status, _, _)| status)
 }
 
+/// Sends a request to each gateway; returns how many were not served.
+async fn count_refusals(gateways: &[Gateway]) -> usize {
+    let mut refused = 0;
+    for gateway in gateways {
+        refused += usize::from(status(gateway, "key-1").await != Some(StatusCode::OK));
+    }
+    refused
+}
+
 /// Waits until all gateways answer a key with a status; returns how long that took.
 async fn time_to(gateways: &[Gateway], key: &str, expected: StatusCode) -> Duration {
     let start = Instant::now();
@@ -192,16 +201,12 @@
     let mut refused = 0;
     let end = Instant::now() + REWRITTEN;
     while Instant::now() < end {
-        for gateway in &gateways {
-            refused += usize::from(status(gateway, "key-1").await != Some(StatusCode::OK));
-        }
+        refused += count_refusals(&gateways).await;
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     site.store.write_again(lost);
     tokio::time::sleep(IN_FORCE + IN_FORCE / 2).await;
-    for gateway in &gateways {
-        refused += usize::from(status(gateway, "key-1").await != Some(StatusCode::OK));
-    }
+    refused += count_refusals(&gateways).await;
     assert_eq!(refused, 0);
 }
 
@@ -219,9 +224,7 @@
     let mut refused = 0;
     let end = Instant::now() + REWRITTEN;
     while Instant::now() < end {
-        for gateway in &gateways {
-            refused += usize::from(status(gateway, "key-1").await != Some(StatusCode::OK));
-        }
+        refused += count_refusals(&gateways).await;
     }
     assert_eq!((refused, left.arrivals().len()), (0, before));
     site.store.write_again(lost);
--- a/tests/soak/src/invariants.rs
+++ b/tests/soak/src/invariants.rs
@@ -235,15 +235,17 @@
     lines
 }
 
+/// Returns the requests of callers by id.
+fn requests_by_id(history: &History) -> IndexMap<&str, &RequestRecord> {
+    let requests = history.requests.iter();
+    requests.map(|request| (&*request.id, request)).collect()
+}
+
 /// Returns a line for each server that got requests of a VM although it had told this VM that it
 /// leaves, or that it wants none for a time. A VM that was killed, stopped or paused meanwhile may
 /// have forgotten.
 pub fn ignored_notices(history: &History) -> Vec<String> {
-    let requests = history
-        .requests
-        .iter()
-        .map(|request| (&*request.id, request));
-    let requests: IndexMap<&str, &RequestRecord> = requests.collect();
+    let requests = requests_by_id(history);
     let mut lines = Vec::new();
     for (server, arrivals) in history.arrivals.iter().enumerate() {
         let known = arrivals.iter().filter_map(|arrival| {
@@ -293,11 +295,7 @@
 /// passed it on. A VM that was killed, stopped or paused since then does not count.
 pub fn exceeded_limits(history: &History) -> Vec<String> {
     let [contact, length, told] = LIMIT_TIMES;
-    let requests = history
-        .requests
-        .iter()
-        .map(|request| (&*request.id, request));
-    let requests: IndexMap<&str, &RequestRecord> = requests.collect();
+    let requests = requests_by_id(history);
     let mut lines = Vec::new();
     for (server, arrivals) in history.arrivals.iter().enumerate() {
         let limited = arrivals
