feature: log line of the bytes that a VM exchanges for its own work

Change: bytes are counted by what they are for, and each second in which a direction of the link is used by more than a quarter of it has a line (event=link-use). relay-lost is logged for each VM in turn that can't be asked, not for the first one only. No decision is changed.

--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod shared;
 pub mod status;
 pub mod takeovers;
+pub mod traffic;
 pub mod usage;
--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::fleet::StoreSource;
 use crate::reader::StoreReader;
 use crate::shared::{Orders, Shared};
+use crate::traffic::Kind;
 use base::http::client::{Error, Target};
 use base::sync::lock;
 use hyper::Method;
@@ -57,8 +58,8 @@
 
 /// Requests from other VMs the store data that this one does not read, until the task is dropped.
 pub async fn sync_from_peers(shared: Arc<Shared>, reader: Arc<StoreReader>) {
-    // Since when requests have failed, and how many.
-    let mut failures: Option<(Instant, u32)> = None;
+    // Since when requests have failed, how many, and the VM that was asked last.
+    let mut failures: Option<(Instant, u32, SocketAddr)> = None;
     let mut postponed = Postponed::new();
     loop {
         // After a failure or a refusal, the next try waits for no report.
@@ -87,7 +88,7 @@
         });
         match applied {
             Ok(later) => {
-                if let Some((since, count)) = failures.take() {
+                if let Some((since, count, _)) = failures.take() {
                     log::info!(
                         "event=relay-regained peer={peer} failures={count} lasted_ms={}",
                         since.elapsed().as_millis()
@@ -104,11 +105,12 @@
             }
             Err(error) => {
                 shared.metrics.record_copy("none", 0);
-                let (_, count) = failures.get_or_insert((now, 0));
-                if *count == 0 {
+                let (_, count, last) = failures.get_or_insert((now, 0, peer));
+                if *count == 0 || *last != peer {
                     log::warn!("event=relay-lost peer={peer} error=\"{error}\"");
                 }
                 *count += 1;
+                *last = peer;
                 tokio::time::sleep(CHECK_INTERVAL).await;
             }
         }
@@ -293,7 +295,9 @@
     };
     let unreadable = |error: packed::Error| Error::Decode(error.to_string().into());
     let question = packed::encode(&question(shared, planned)).map_err(unreadable)?;
+    shared.traffic.record(Kind::QuestionsOut, question.len());
     let answer = target.call(Method::POST, PATH, question).await?;
+    shared.traffic.record(Kind::CopiesIn, answer.body.len());
     let copy = packed::decode(&answer.body).map_err(unreadable)?;
     Ok((copy, answer.body.len()))
 }
--- a/programs/gateway/src/relay/answer.rs
+++ b/programs/gateway/src/relay/answer.rs
@@ -5,6 +5,7 @@
 use crate::listing::{Listing, Position};
 use crate::metrics::Metrics;
 use crate::shared::Shared;
+use crate::traffic::Kind;
 use base::http::{Body, text};
 use base::id::Incarnation;
 use base::sync::lock;
@@ -73,7 +74,7 @@
     }
     shared.metrics.record_store_request();
     let question = match *request.method() {
-        Method::POST => read_question(request).await,
+        Method::POST => read_question(request, shared).await,
         _ => Some(Question {
             orders_after: Some(0),
             list: Some(HeldList::Nothing),
@@ -86,6 +87,7 @@
     match copy.and_then(|copy| packed::encode(&copy)) {
         Ok(bytes) => {
             shared.metrics.record_served(bytes.len());
+            shared.traffic.record(Kind::CopiesOut, bytes.len());
             text(StatusCode::OK, bytes)
         }
         Err(error) => {
@@ -98,9 +100,10 @@
     }
 }
 
-async fn read_question(request: Request<Incoming>) -> Option<Question> {
+async fn read_question(request: Request<Incoming>, shared: &Shared) -> Option<Question> {
     let body = Limited::new(request.into_body(), MAX_QUESTION_BYTES);
     let bytes = body.collect().await.ok()?.to_bytes();
+    shared.traffic.record(Kind::QuestionsIn, bytes.len());
     packed::decode(&bytes).ok()
 }
 
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -3,6 +3,7 @@
 use crate::fleet::Receipt;
 use crate::servers::PassedWords;
 use crate::shared::Shared;
+use crate::traffic::Kind;
 use crate::usage::Usage;
 use base::id::Vm;
 use base::sync::lock;
@@ -87,16 +88,17 @@
     if targets.is_empty() {
         return;
     }
-    let kind = if report.is_summary() {
-        "summary"
-    } else {
-        "own"
+    let (kind, flow) = match report.is_summary() {
+        true => ("summary", Kind::SummariesOut),
+        false => ("own", Kind::OwnOut),
     };
     match report::encode(report) {
         Ok(bytes) => {
             shared
                 .metrics
                 .record_reports(kind, targets.len(), bytes.len());
+            let sent = bytes.len().saturating_mul(targets.len());
+            shared.traffic.record(flow, sent);
             send_bytes(socket, &bytes, targets).await;
         }
         Err(error) => log::warn!("event=report-too-large error=\"{error}\""),
@@ -246,6 +248,7 @@
                 continue;
             }
         };
+        shared.traffic.record(Kind::ReportsIn, length);
         let bytes = &buffer[..length];
         match report::decode(bytes) {
             Ok(report) => {
@@ -255,6 +258,8 @@
                         .metrics
                         .record_reports("passed-on", targets.len(), length);
                 }
+                let sent = length.saturating_mul(targets.len());
+                shared.traffic.record(Kind::PassedOut, sent);
                 send_bytes(&socket, bytes, targets).await;
             }
             Err(error) => log::warn!("event=report-unreadable from={from} error=\"{error}\""),
--- a/programs/gateway/src/run.rs
+++ b/programs/gateway/src/run.rs
@@ -4,7 +4,7 @@
 use crate::reader::StoreReader;
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{crashes, directory, explain, relay, reports, status, takeovers, usage};
+use crate::{crashes, directory, explain, relay, reports, status, takeovers, traffic, usage};
 use adapter::store::Client;
 use base::http::Body;
 use base::http::server::{self, Limits, Rest, Session};
@@ -74,6 +74,7 @@
     tokio::spawn(reports::receive(shared.clone(), socket));
     tokio::spawn(crashes::run(shared.clone(), client.clone()));
     tokio::spawn(takeovers::run(shared.clone(), client.clone()));
+    tokio::spawn(traffic::watch(shared.clone(), client.clone()));
     tokio::spawn(usage::catch_up(shared.clone()));
     tokio::spawn(usage::run(shared.clone(), client));
     tokio::spawn(reload(file));
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -9,6 +9,7 @@
 use crate::servers::{Parts, Services};
 use crate::settings::Settings;
 use crate::takeovers::Takeovers;
+use crate::traffic::Traffic;
 use crate::usage::Usage;
 use adapter::store;
 use base::id::{Incarnation, Vm};
@@ -124,6 +125,8 @@
     pub bodies: BodyMemory,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Bytes exchanged with other VMs and the store.
+    pub traffic: Traffic,
     /// Recent lateness of this VM's timers.
     pub lateness: Mutex<TimerLag>,
     /// Set while a new connection of a caller waits because all others have requests.
@@ -189,6 +192,7 @@
             answers: Arc::new(AnswerMemory::new(answers)),
             bodies: BodyMemory::new(bodies),
             metrics: Metrics::default(),
+            traffic: Traffic::default(),
             lateness: Mutex::default(),
             is_full: Arc::default(),
             store_returned: Notify::new(),
