bug: summaries don't fill the link of a narrow VM that passes them on

Cause: the VM that reads the store for a data centre also passes the summaries of the eight others on to each of its VMs, and sends its own to all VMs of data centres whose delegate is silent, whatever its link carries. After an outage of the store it may be any VM. The former is three times what 12 Mbit/s carry (5 MB/s of 1.5), the latter up to 6.8 MB in a second. Orders wait in the queue of the link behind them, connections time out, lost reports make VMs count as down and cost further reports.

Change: steering::fanout decides whether a VM sends a datagram to all itself (if its link is busy for 50 ms at most), or has another VM with a wide link or up to three narrow ones pass it on, drawn anew each time. A datagram that is to be passed on begins with the part of the data centre that lacks it, so all VMs must run this version together.

--- a/crates/peers/src/report.rs
+++ b/crates/peers/src/report.rs
@@ -8,6 +8,7 @@
 use base::id::{DataCentre, Incarnation, Label, Region, Service, Version, Vm};
 use bincode::Options;
 use std::net::SocketAddr;
+use steering::affinity;
 use steering::backlog::StatedPace;
 use steering::crashes::ReportedCount;
 use steering::entrance::Candidate;
@@ -199,6 +200,55 @@
     }
 }
 
+base::value! {
+    /// Part of a data centre, by the addresses of its VMs.
+    #[derive(Copy)]
+    pub struct Part {
+        /// Number of the part, below `count`.
+        pub index: u8,
+        /// Number of parts.
+        pub count: u8,
+    }
+}
+
+impl Part {
+    /// Returns as many parts as a report has relays.
+    pub fn of<T>(relays: &[T]) -> impl Iterator<Item = (Self, &T)> {
+        let count = u8::try_from(relays.len()).unwrap_or(u8::MAX);
+        (0..count)
+            .map(move |index| Self { index, count })
+            .zip(relays)
+    }
+
+    /// Returns whether the VM that receives reports at an address belongs to the part.
+    pub fn holds(self, address: &SocketAddr) -> bool {
+        let digest = affinity::digest(&address.to_string());
+        digest % u64::from(self.count.max(1)) == u64::from(self.index)
+    }
+}
+
+/// First byte of a report that is to be passed on: a report begins with the length of a name.
+const PASS_ON: u8 = 0;
+
+/// Encodes an encoded report for a VM that passes it on to a part of its data centre.
+pub fn pass_on(part: Part, report: &[u8]) -> Vec<u8> {
+    [&[PASS_ON, part.index, part.count], report].concat()
+}
+
+/// Splits a datagram into a report and the part of the receiver's data centre that lacks it, if the
+/// report is to be passed on.
+pub fn split(datagram: &[u8]) -> (Option<Part>, &[u8]) {
+    match datagram {
+        [PASS_ON, index, count, report @ ..] => {
+            let (index, count) = (*index, *count);
+            (Some(Part { index, count }), report)
+        }
+        report => (None, report),
+    }
+}
+
+/// Largest datagram, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = MAX_REPORT_BYTES + 3;
 /// Largest report, in bytes: a datagram that networks carry in a few packets.
 pub const MAX_REPORT_BYTES: usize = 32 * 1024;
 
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod drain;
 pub mod entrance;
 pub mod fairness;
+pub mod fanout;
 pub mod hedge;
 pub mod intake;
 pub mod keys;
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -285,21 +285,40 @@
         peers.chain(members.map(|member| member.address)).collect()
     }
 
-    /// Returns the destinations of summaries: the delegates of other data centres, and all VMs of
-    /// those whose delegate is silent.
-    pub fn remote_targets(&self, own: &DataCentre, now: Instant) -> IndexSet<SocketAddr> {
+    /// Returns the other VMs of this data centre that are up and not leaving, with the bandwidth of
+    /// their links.
+    pub fn local_relays(&self, now: Instant) -> Vec<(SocketAddr, u32)> {
+        let reports = self.local(now).map(|peer| &peer.report);
+        reports
+            .filter(|report| report.phase != Phase::Leaving)
+            .map(|report| (report.address, report.entrance.link_mbps))
+            .collect()
+    }
+
+    /// Returns the delegates of the other data centres, as last heard.
+    pub fn remote_delegates(&self) -> IndexSet<SocketAddr> {
+        let delegates = self.remote.values();
+        delegates.map(|peer| peer.report.address).collect()
+    }
+
+    /// Returns the members of each other data centre whose delegate is silent.
+    pub fn silent_data_centres(&self, own: &DataCentre, now: Instant) -> Vec<Vec<SocketAddr>> {
         let has_delegate = |data_centre: &DataCentre| {
             let peer = self.remote.get(data_centre);
             peer.is_some_and(|p| now.saturating_duration_since(p.received_at) < DELEGATE_TIMEOUT)
         };
-        let without_delegate = self
+        let silent = self
             .members
             .values()
             .filter(|member| member.data_centre != *own && !has_delegate(&member.data_centre));
-        let delegates = self.remote.values().map(|peer| peer.report.address);
-        delegates
-            .chain(without_delegate.map(|member| member.address))
-            .collect()
+        let mut members: IndexMap<&DataCentre, Vec<SocketAddr>> = IndexMap::new();
+        for member in silent {
+            members
+                .entry(&member.data_centre)
+                .or_default()
+                .push(member.address);
+        }
+        members.into_values().collect()
     }
 
     /// Returns the data centres other than `own` that have VMs, with the address of the delegate of
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -1,5 +1,7 @@
 //! Sends and receives the reports that VMs exchange by datagrams.
 
+mod ways;
+
 use crate::fleet::Receipt;
 use crate::servers::PassedWords;
 use crate::shared::Shared;
@@ -8,13 +10,14 @@
 use base::id::Vm;
 use base::sync::lock;
 use indexmap::{IndexMap, IndexSet};
-use peers::report::{self, Known, Member, Phase, Report};
+use peers::report::{self, Known, Member, Part, Phase, Report};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use steering::spending::Source;
 use steering::warmth::ShortDigest;
 use tokio::net::UdpSocket;
+use ways::Dispatch;
 
 /// Longest time between two reports to the VMs of this data centre.
 const LOCAL_INTERVAL: Duration = Duration::from_millis(250);
@@ -25,6 +28,10 @@
 const REMOTE_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum time between two reports.
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
+/// Kinds of datagrams in metrics and in the log.
+const OWN: (&str, Kind) = ("own", Kind::OwnOut);
+const SUMMARY: (&str, Kind) = ("summary", Kind::SummariesOut);
+const PASSED_ON: (&str, Kind) = ("passed-on", Kind::PassedOut);
 /// Maximum number of crash counts in one report.
 const MAX_CRASHES: usize = 32;
 
@@ -46,16 +53,14 @@
             LOCAL_INTERVAL
         };
         let targets = local_targets(&shared, now);
-        send_report(&shared, &socket, &own, targets).await;
+        if let Some(bytes) = ways::encode(&own) {
+            let dispatch = Dispatch::new(&shared, &socket, &bytes, OWN);
+            dispatch.send(targets).await;
+        }
         if is_requested || now >= next_summary {
             next_summary = now + REMOTE_INTERVAL;
             if shared.delegate(now).is_none() {
-                let summary = data_centre_summary(&shared, own, now);
-                let targets = {
-                    let fleet = lock(&shared.fleet);
-                    fleet.remote_targets(&shared.settings.data_centre, now)
-                };
-                send_report(&shared, &socket, &summary, targets).await;
+                send_summary(&shared, &socket, own, now).await;
             }
         }
         apply_loads(&shared, now);
@@ -79,38 +84,20 @@
     }
 }
 
-async fn send_report(
-    shared: &Shared,
-    socket: &UdpSocket,
-    report: &Report,
-    targets: IndexSet<SocketAddr>,
-) {
-    if targets.is_empty() {
+/// Sends the summary of this data centre to the delegates of the others, and to members of those
+/// whose delegate is silent.
+async fn send_summary(shared: &Shared, socket: &UdpSocket, own: Report, now: Instant) {
+    let Some(bytes) = ways::encode(&data_centre_summary(shared, own, now)) else {
         return;
-    }
-    let (kind, flow) = match report.is_summary() {
-        true => ("summary", Kind::SummariesOut),
-        false => ("own", Kind::OwnOut),
     };
-    match report::encode(report) {
-        Ok(bytes) => {
-            shared
-                .metrics
-                .record_reports(kind, targets.len(), bytes.len());
-            let sent = bytes.len().saturating_mul(targets.len());
-            shared.traffic.record(flow, sent);
-            send_bytes(socket, &bytes, targets).await;
-        }
-        Err(error) => log::warn!("event=report-too-large error=\"{error}\""),
-    }
-}
-
-async fn send_bytes(socket: &UdpSocket, bytes: &[u8], targets: IndexSet<SocketAddr>) {
-    for address in targets {
-        if let Err(error) = socket.send_to(bytes, address).await {
-            log::debug!("event=report-unsent to={address} error=\"{error}\"");
-        }
-    }
+    let (delegates, silent) = {
+        let fleet = lock(&shared.fleet);
+        let silent = fleet.silent_data_centres(&shared.settings.data_centre, now);
+        (fleet.remote_delegates(), silent)
+    };
+    let dispatch = Dispatch::new(shared, socket, &bytes, SUMMARY);
+    dispatch.send(delegates).await;
+    dispatch.reach(silent).await;
 }
 
 /// Returns the other VMs of this data centre, and the seeds while no other VM is up.
@@ -238,7 +225,7 @@
 
 /// Receives reports until the task is dropped.
 pub async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
-    let mut buffer = vec![0; report::MAX_REPORT_BYTES];
+    let mut buffer = vec![0; report::MAX_DATAGRAM_BYTES];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -249,24 +236,32 @@
             }
         };
         shared.traffic.record(Kind::ReportsIn, length);
-        let bytes = &buffer[..length];
+        let (part, bytes) = report::split(&buffer[..length]);
         match report::decode(bytes) {
             Ok(report) => {
-                let targets = handle_report(&shared, from, &report, Instant::now());
-                if !targets.is_empty() {
-                    shared
-                        .metrics
-                        .record_reports("passed-on", targets.len(), length);
-                }
-                let sent = length.saturating_mul(targets.len());
-                shared.traffic.record(Kind::PassedOut, sent);
-                send_bytes(&socket, bytes, targets).await;
+                let now = Instant::now();
+                let targets = handle_report(&shared, from, &report, now);
+                let dispatch = Dispatch::new(&shared, &socket, bytes, PASSED_ON);
+                match part {
+                    Some(part) => dispatch.send(part_targets(&shared, part, &from)).await,
+                    None if targets.is_empty() => 0,
+                    None => dispatch.pass_on(targets).await,
+                };
             }
             Err(error) => log::warn!("event=report-unreadable from={from} error=\"{error}\""),
         }
     }
 }
 
+/// Returns the VMs of a part of this data centre, without the one that a report is from.
+fn part_targets(shared: &Shared, part: Part, from: &SocketAddr) -> IndexSet<SocketAddr> {
+    let settings = &shared.settings;
+    let mut targets = lock(&shared.fleet).local_targets(&settings.data_centre);
+    targets
+        .retain(|target| part.holds(target) && target != from && *target != settings.listen.peers);
+    targets
+}
+
 /// Processes a received report; returns the addresses to forward it to.
 fn handle_report(
     shared: &Shared,
