bug: a summary of a data centre is sent five times a second at most

Cause: each request for a report at once also sent a summary to the eight other data centres, up to 20 times a second, and each is passed on to all their VMs.

Change: a summary that is asked for within 0.2 s of the last one is sent when these are over. A datagram is sent to all by one VM if that takes 25 ms of its link, 50 ms before: on a narrow link sixteen summaries a second of 35 small ones each took up to 0.66 of it (edge-nord-a-10 after the final kill).

Evidence: restarts_of_other_vms_do_not_multiply_summaries counts 59 summaries in 3 s with the send loop of before (16 allowed) and passes.

--- a/crates/steering/src/fanout.rs
+++ b/crates/steering/src/fanout.rs
@@ -31,7 +31,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            max_time: Duration::from_millis(50),
+            max_time: Duration::from_millis(25),
             max_relays: 3,
             share: 0.25,
             max_pause: Duration::from_millis(500),
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -27,6 +27,8 @@
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two summaries to other data centres; traffic between regions is expensive.
 const REMOTE_INTERVAL: Duration = Duration::from_millis(500);
+/// Minimum time between two summaries; each is passed on to all VMs of all data centres.
+const MIN_SUMMARY_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum time between two reports.
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
 /// Kinds of datagrams in metrics and in the log.
@@ -40,6 +42,7 @@
 pub async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut sequence = 0;
     let mut next_summary = Instant::now();
+    let mut summary_sent_at = next_summary;
     let mut rest = LOCAL_INTERVAL;
     loop {
         let is_requested = tokio::time::timeout(rest, shared.report_requested.notified())
@@ -59,7 +62,12 @@
             let dispatch = Dispatch::new(&shared, &socket, &bytes, OWN);
             sent += dispatch.send(targets).await;
         }
-        if is_requested || now >= next_summary {
+        if is_requested {
+            next_summary = next_summary.min(summary_sent_at + MIN_SUMMARY_INTERVAL);
+        }
+        let is_postponed = is_requested && now < next_summary;
+        if now >= next_summary {
+            summary_sent_at = now;
             next_summary = now + REMOTE_INTERVAL;
             if shared.delegate(now).is_none() {
                 sent += send_summary(&shared, &socket, own, now).await;
@@ -69,6 +77,9 @@
         let pause = fanout::Settings::default().pause(sent, shared.settings.link_mbps());
         let pause = pause.max(MIN_INTERVAL);
         rest = (interval + MIN_INTERVAL).saturating_sub(pause);
+        if is_postponed {
+            rest = rest.min(next_summary.saturating_duration_since(now + pause));
+        }
         let due = Instant::now() + pause;
         tokio::time::sleep_until(due.into()).await;
         record_lateness(&shared, Instant::now().saturating_duration_since(due));
--- a/programs/gateway/tests/reports.rs
+++ b/programs/gateway/tests/reports.rs
@@ -31,6 +31,8 @@
 const SUMMARY_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two starts of VMs of a data centre while many are restarted.
 const RESTART_INTERVAL: Duration = Duration::from_millis(20);
+/// Most summaries in [`TIME`]: five a second, and one at its begin.
+const MAX_SUMMARIES: usize = 16;
 /// Time over which reports are counted.
 const TIME: Duration = Duration::from_secs(3);
 
@@ -244,3 +246,25 @@
     let share = largest_share(&gateways).await;
     assert!(share < MAX_OWN_SHARE, "{share:.2} of a link");
 }
+
+/// Guards against summaries at each start of another VM, which are passed on to all VMs of all other
+/// data centres (large/permis-parcs-large trouble-3, 10 MB in a second through a wide link).
+#[tokio::test]
+async fn restarts_of_other_vms_do_not_multiply_summaries() {
+    let (site, _door, [_server]) = Site::with_servers(&Desired::default()).await;
+    let remote = Remote::start(&site, 0).await;
+    let door = site.store_endpoint().await;
+    let gateway = site.gateway("vm-1", "nord-a", &door).await;
+    gateway.wait_ready().await;
+    tokio::spawn(restart_often(vec![gateway.settings.listen.peers]));
+    let mut count = 0;
+    let mut buffer = vec![0; report::MAX_DATAGRAM_BYTES];
+    let end = tokio::time::Instant::now() + TIME;
+    while let Ok(received) =
+        tokio::time::timeout_at(end, remote.sockets[0].recv_from(&mut buffer)).await
+    {
+        received.expect("a datagram");
+        count += 1;
+    }
+    assert!((1..=MAX_SUMMARIES).contains(&count), "{count} summaries");
+}
