bug: a VM gets orders from others while the VM that it follows gives no answer

Cause: a VM learnt of refusals only. While it lacked changes of the list, which only the VM that it follows was asked for, it asked no other VM for orders, however often that gave no answer. If it did choose another holder of the newest orders, one that gave no answer could be drawn again.

The first other one is asked without a pause.

--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -10,7 +10,7 @@
 
 pub use answer::{PackedCache, handle};
 
-use crate::fleet::StoreSource;
+use crate::fleet::{Fleet, StoreSource};
 use crate::reader::StoreReader;
 use crate::shared::{Orders, Shared};
 use crate::traffic::Kind;
@@ -41,6 +41,8 @@
 /// Time after which a VM that follows another one requests the orders that the operator has written
 /// again: until the other one has read them.
 const REWRITTEN_MARGIN: Duration = Duration::from_millis(700);
+/// Time in which a VM that gave no answer is asked only if no other VM holds the data.
+const AVOID_TIME: Duration = Duration::from_millis(1_500);
 /// Time-out of a request.
 const TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -53,26 +55,52 @@
     wants_orders: bool,
 }
 
-/// VMs that told this one to come back later, with the time.
-type Postponed = IndexMap<SocketAddr, Instant>;
+/// VMs that are not asked before a time.
+#[derive(Debug, Default)]
+struct Avoided {
+    /// Told this one to come back for bulk data.
+    postponed: IndexMap<SocketAddr, Instant>,
+    /// Gave no answer.
+    unreachable: IndexMap<SocketAddr, Instant>,
+}
+
+impl Avoided {
+    fn expire(&mut self, now: Instant) {
+        self.postponed.retain(|_, until| now < *until);
+        self.unreachable.retain(|_, until| now < *until);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.postponed.is_empty() && self.unreachable.is_empty()
+    }
+
+    fn is_reachable(&self, address: &SocketAddr) -> bool {
+        !self.unreachable.contains_key(address)
+    }
+
+    /// Returns whether a VM may be asked for bulk data.
+    fn is_free(&self, address: &SocketAddr) -> bool {
+        self.is_reachable(address) && !self.postponed.contains_key(address)
+    }
+}
 
 /// Requests from other VMs the store data that this one does not read, until the task is dropped.
 pub async fn sync_from_peers(shared: Arc<Shared>, reader: Arc<StoreReader>) {
     // Since when requests have failed, how many, and the VM that was asked last.
     let mut failures: Option<(Instant, u32, SocketAddr)> = None;
-    let mut postponed = Postponed::new();
+    let mut avoided = Avoided::default();
     loop {
         // After a failure or a refusal, the next try waits for no report.
-        if failures.is_none() && postponed.is_empty() {
+        if failures.is_none() && avoided.is_empty() {
             let _ = tokio::time::timeout(CHECK_INTERVAL, shared.report_received.notified()).await;
         }
         let now = Instant::now();
-        postponed.retain(|_, until| now < *until);
+        avoided.expire(now);
         let Some(source) = select_source(&shared, now) else {
             tokio::time::sleep(MIN_INTERVAL).await;
             continue;
         };
-        let Some(planned) = plan_fetch(&shared, &source, &postponed, now) else {
+        let Some(planned) = plan_fetch(&shared, &source, &avoided, now) else {
             if is_synced(&shared, &source) {
                 confirm_age(&shared, &source, now);
             }
@@ -97,7 +125,7 @@
                 if let Some(millis) = later {
                     let told = Duration::from_millis(millis.into());
                     let wait = transfer::return_delay(told, &mut rand::rng());
-                    postponed.insert(peer, Instant::now() + wait);
+                    avoided.postponed.insert(peer, Instant::now() + wait);
                 }
                 if is_synced(&shared, &source) {
                     confirm_age(&shared, &source, now);
@@ -111,7 +139,13 @@
                 }
                 *count += 1;
                 *last = peer;
-                tokio::time::sleep(CHECK_INTERVAL).await;
+                // Another VM may be asked at once.
+                let is_repeated = !avoided.is_reachable(&peer);
+                let until = Instant::now() + AVOID_TIME;
+                avoided.unreachable.insert(peer, until);
+                if is_repeated {
+                    tokio::time::sleep(CHECK_INTERVAL).await;
+                }
             }
         }
         tokio::time::sleep(MIN_INTERVAL).await;
@@ -123,7 +157,7 @@
 fn plan_fetch(
     shared: &Shared,
     source: &StoreSource,
-    postponed: &Postponed,
+    avoided: &Avoided,
     now: Instant,
 ) -> Option<Fetch> {
     let wants_list = !has_list(shared, source);
@@ -133,10 +167,10 @@
         let orders = lock(&shared.orders);
         (orders.snapshot, are_due(&orders, now))
     };
-    let is_free = |address: &SocketAddr| !postponed.contains_key(address);
-    let is_source_free = is_free(&source.address);
+    let is_reachable = avoided.is_reachable(&source.address);
+    let is_source_free = avoided.is_free(&source.address);
     // Changes of a list that this VM holds are no bulk data, which alone is postponed.
-    if wants_list && (is_source_free || !is_listless) {
+    if wants_list && is_reachable && (is_source_free || !is_listless) {
         return Some(Fetch {
             source: *source,
             wants_list,
@@ -144,40 +178,77 @@
         });
     }
     let fleet = lock(&shared.fleet);
-    // Those of this data centre first: traffic between regions is expensive.
-    let (local, remote) = (|| fleet.local(now), || fleet.remote(now));
-    let reports = || local().chain(remote()).map(|peer| &peer.report);
-    let newest = reports().map(|report| report.known.orders).max()?;
-    let wants_orders = newest > snapshot || are_orders_due;
-    let is_holder = |report: &&Report| match wants_list {
-        true => {
-            let max_age = MAX_HOLDER_AGE.as_millis();
-            report.known.listing > 0
-                && report
-                    .known
-                    .age
-                    .is_some_and(|age| u128::from(age) < max_age)
-        }
-        false => wants_orders && report.known.orders == newest,
+    let holds_list = |report: &Report| {
+        let age = report.known.age.map(u64::from).map(Duration::from_millis);
+        report.known.listing > 0 && age.is_some_and(|age| age < MAX_HOLDER_AGE)
+    };
+    let list_holder = match wants_list {
+        true => choose_free(&fleet, avoided, now, holds_list),
+        false => None,
     };
+    let wants_orders = are_orders_due || newest_orders(&fleet, now) > snapshot;
     // The VM that this one follows is asked first: it has the data for sure.
-    let own = source.known.orders == newest && !wants_list && is_source_free;
-    let holder = match own && wants_orders {
-        true => *source,
-        false => {
-            let is_usable = |report: &&Report| is_holder(report) && is_free(&report.address);
-            let near = local().map(|peer| &peer.report).filter(is_usable);
-            let far = remote().map(|peer| &peer.report).filter(is_usable);
-            let mut random = rand::rng();
-            let chosen = transfer::choose_holder(near, &mut random);
-            StoreSource::of(chosen.or_else(|| transfer::choose_holder(far, &mut random))?)
-        }
+    let is_source_current = source.known.orders >= newest_orders(&fleet, now);
+    let order_holder = match wants_orders && list_holder.is_none() {
+        true if is_source_free && is_source_current => Some(*source),
+        true => choose_order_holder(&fleet, avoided, snapshot, are_orders_due, now),
+        false => None,
     };
-    Some(Fetch {
+    let planned = list_holder.or(order_holder).map(|holder| Fetch {
         source: holder,
+        wants_list: list_holder.is_some(),
+        wants_orders,
+    });
+    // Nobody else can be asked: the VM that gave no answer is.
+    let is_last_resort = !is_reachable && (wants_list || wants_orders);
+    planned.or(is_last_resort.then_some(Fetch {
+        source: *source,
         wants_list,
         wants_orders,
-    })
+    }))
+}
+
+/// Returns the version of the newest order that another VM holds.
+fn newest_orders(fleet: &Fleet, now: Instant) -> u64 {
+    let peers = fleet.local(now).chain(fleet.remote(now));
+    let versions = peers.map(|peer| peer.report.known.orders);
+    versions.max().unwrap_or_default()
+}
+
+/// Returns a VM that may be asked and holds the newest orders of those, if they are newer than
+/// `snapshot` or `is_due`.
+fn choose_order_holder(
+    fleet: &Fleet,
+    avoided: &Avoided,
+    snapshot: u64,
+    is_due: bool,
+    now: Instant,
+) -> Option<StoreSource> {
+    let peers = fleet.local(now).chain(fleet.remote(now));
+    let reports = peers.map(|peer| &peer.report);
+    let free = reports.filter(|report| avoided.is_free(&report.address));
+    let newest = free.map(|report| report.known.orders).max()?;
+    let is_wanted = is_due || newest > snapshot;
+    is_wanted
+        .then(|| choose_free(fleet, avoided, now, |r| r.known.orders == newest))
+        .flatten()
+}
+
+/// Returns a VM that may be asked for bulk data, one of this data centre if there is any: traffic
+/// between regions is expensive.
+fn choose_free(
+    fleet: &Fleet,
+    avoided: &Avoided,
+    now: Instant,
+    is_holder: impl Fn(&Report) -> bool,
+) -> Option<StoreSource> {
+    let is_usable = |report: &&Report| is_holder(report) && avoided.is_free(&report.address);
+    let near = fleet.local(now).map(|peer| &peer.report).filter(is_usable);
+    let far = fleet.remote(now).map(|peer| &peer.report).filter(is_usable);
+    let mut random = rand::rng();
+    let chosen = transfer::choose_holder(near, &mut random);
+    let chosen = chosen.or_else(|| transfer::choose_holder(far, &mut random));
+    chosen.map(StoreSource::of)
 }
 
 /// Counts an answer of another VM, and logs it unless it holds changes of the list only.
--- a/programs/gateway/tests/relay.rs
+++ b/programs/gateway/tests/relay.rs
@@ -159,6 +159,62 @@
     assert!(!other.runs().is_empty());
 }
 
+/// Waits until a gateway refuses `key-2`; returns whether it does so in time.
+async fn refuses_old_key(gateway: &Gateway) -> bool {
+    let refused = async {
+        loop {
+            let answer = gateway.request_with_key("1", "/a/", Some("key-2")).await;
+            if answer.is_some_and(|(status, ..)| status == StatusCode::UNAUTHORIZED) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(IN_FORCE, refused).await.is_ok()
+}
+
+/// Guards against a VM that gets no orders since the VM that it follows gives no answer, though
+/// others hold them (large/permis-parcs-large trouble-3, CONFIG).
+#[tokio::test]
+async fn orders_reach_a_vm_whose_reader_gives_no_answers() {
+    let (site, door, [_server]) = Site::with_servers(&Desired::default()).await;
+    let refused = site.store_endpoint().await;
+    let vm = Site::gateway_settings("vm-1", "nord-a", &refused);
+    let targets = [vm.listen.peers];
+    let sources = [("vm-a", 120), ("vm-b", 13)].map(|(vm, mbps)| Settings {
+        link_mbps: mbps.into(),
+        ..Site::gateway_settings(vm, "nord-b", &door)
+    });
+    let mut readers = Vec::new();
+    for (source, name) in sources.iter().zip(["reader-1", "reader-2"]) {
+        let link = Link {
+            vm: name,
+            mbps: source.link_mbps(),
+            bytes_per_s: f64::INFINITY,
+        };
+        readers.push(Reader::start(&site, source.listen.peers, link, &targets).await);
+    }
+    for source in sources {
+        site.run_gateway(source).wait_ready().await;
+    }
+    let gateway = site.run_gateway(vm);
+    gateway.wait_ready().await;
+    refused.set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    site.store.remove("members", "vm-1");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    readers[0].mute();
+    register_other(&site, 1, false);
+    site.publish(&Desired {
+        version: 2,
+        keys: &["key-1"],
+        ..Desired::default()
+    });
+    assert!(refuses_old_key(&gateway).await, "the old key is accepted");
+}
+
 /// Returns the summary of a data centre that has one VM, at `address`.
 fn summary(address: SocketAddr) -> Report {
     let own = Report {
--- a/programs/gateway/tests/relay/reader.rs
+++ b/programs/gateway/tests/relay/reader.rs
@@ -26,6 +26,7 @@
 /// Presents a gateway of another data centre as a VM that reads the store.
 pub struct Reader {
     stop: CancellationToken,
+    copying: CancellationToken,
 }
 
 impl Reader {
@@ -45,9 +46,15 @@
         site.store.put("members", link.vm, hello);
         let reports = pass_reports(socket, link, source, address, targets.to_vec());
         tokio::spawn(stop.clone().run_until_cancelled_owned(reports));
-        let copies = pass_copies(listener, link, source);
+        let copying = stop.child_token();
+        let copies = pass_copies(listener, link, source, copying.clone());
         tokio::spawn(stop.clone().run_until_cancelled_owned(copies));
-        Self { stop }
+        Self { stop, copying }
+    }
+
+    /// Leaves requests for store data unanswered from now on; reports go on.
+    pub fn mute(&self) {
+        self.copying.cancel();
     }
 
     /// Ends the VM.
@@ -83,11 +90,19 @@
     }
 }
 
-async fn pass_copies(listener: TcpListener, link: Link, source: SocketAddr) {
+async fn pass_copies(
+    listener: TcpListener,
+    link: Link,
+    source: SocketAddr,
+    copying: CancellationToken,
+) {
     let free_at = Arc::new(Mutex::new(Instant::now()));
     while let Ok((stream, _)) = listener.accept().await {
-        let free_at = free_at.clone();
+        let (free_at, copying) = (free_at.clone(), copying.clone());
         tokio::spawn(async move {
+            if copying.is_cancelled() {
+                return std::future::pending().await;
+            }
             let _ = pass_copy(stream, link, source, &free_at).await;
         });
     }
