bug: a VM that reads the store gets orders from others while its own read hangs

Cause: a VM that reads the store asked no other VM, and so did one whose copy is about as old as those of others though they hold newer orders.

Change: orders that others have held for 0.6 s, longer than a read takes of a store that is 100 times slower than usual, are requested from one of them, whether this VM reads or not.

--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -43,6 +43,8 @@
 const REWRITTEN_MARGIN: Duration = Duration::from_millis(700);
 /// Time in which a VM that gave no answer is asked only if no other VM holds the data.
 const AVOID_TIME: Duration = Duration::from_millis(1_500);
+/// Time in which a VM that reads the store reads orders that others hold already.
+const READ_PATIENCE: Duration = Duration::from_millis(600);
 /// Time-out of a request.
 const TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -89,6 +91,8 @@
     // Since when requests have failed, how many, and the VM that was asked last.
     let mut failures: Option<(Instant, u32, SocketAddr)> = None;
     let mut avoided = Avoided::default();
+    // Since when this VM follows no other one and others hold newer orders.
+    let mut behind_since = None;
     loop {
         // After a failure or a refusal, the next try waits for no report.
         if failures.is_none() && avoided.is_empty() {
@@ -96,14 +100,16 @@
         }
         let now = Instant::now();
         avoided.expire(now);
-        let Some(source) = select_source(&shared, now) else {
-            tokio::time::sleep(MIN_INTERVAL).await;
-            continue;
-        };
-        let Some(planned) = plan_fetch(&shared, &source, &avoided, now) else {
-            if is_synced(&shared, &source) {
-                confirm_age(&shared, &source, now);
+        let source = select_source(&shared, now);
+        let planned = match &source {
+            Some(source) => {
+                behind_since = None;
+                plan_fetch(&shared, source, &avoided, now)
             }
+            None => plan_overdue(&shared, &mut behind_since, &avoided, now),
+        };
+        let Some(planned) = planned else {
+            confirm_synced(&shared, source.as_ref(), now);
             tokio::time::sleep(MIN_INTERVAL).await;
             continue;
         };
@@ -127,9 +133,7 @@
                     let wait = transfer::return_delay(told, &mut rand::rng());
                     avoided.postponed.insert(peer, Instant::now() + wait);
                 }
-                if is_synced(&shared, &source) {
-                    confirm_age(&shared, &source, now);
-                }
+                confirm_synced(&shared, source.as_ref(), now);
             }
             Err(error) => {
                 shared.metrics.record_copy("none", 0);
@@ -208,6 +212,31 @@
     }))
 }
 
+/// Returns the request for orders that this VM, which follows no other one, has not read for a time in
+/// which others have.
+fn plan_overdue(
+    shared: &Shared,
+    behind_since: &mut Option<Instant>,
+    avoided: &Avoided,
+    now: Instant,
+) -> Option<Fetch> {
+    let snapshot = lock(&shared.orders).snapshot;
+    let fleet = lock(&shared.fleet);
+    if newest_orders(&fleet, now) <= snapshot {
+        *behind_since = None;
+        return None;
+    }
+    let since = *behind_since.get_or_insert(now);
+    if now < since + READ_PATIENCE {
+        return None;
+    }
+    Some(Fetch {
+        source: choose_order_holder(&fleet, avoided, snapshot, false, now)?,
+        wants_list: false,
+        wants_orders: true,
+    })
+}
+
 /// Returns the version of the newest order that another VM holds.
 fn newest_orders(fleet: &Fleet, now: Instant) -> u64 {
     let peers = fleet.local(now).chain(fleet.remote(now));
@@ -326,8 +355,11 @@
     })
 }
 
-/// Records that the data of this VM is as new as the source's was.
-fn confirm_age(shared: &Shared, source: &StoreSource, now: Instant) {
+/// Records that the data of this VM is as new as the source's was, if it holds all of it.
+fn confirm_synced(shared: &Shared, source: Option<&StoreSource>, now: Instant) {
+    let Some(source) = source.filter(|source| is_synced(shared, source)) else {
+        return;
+    };
     let age = source.known.age.map(u64::from).map(Duration::from_millis);
     let read_at = age.and_then(|age| now.checked_sub(age));
     let mut orders = lock(&shared.orders);
--- a/programs/gateway/tests/relay.rs
+++ b/programs/gateway/tests/relay.rs
@@ -215,6 +215,28 @@
     assert!(refuses_old_key(&gateway).await, "the old key is accepted");
 }
 
+/// Guards against a VM that counts as reading and asks nobody while its read of the orders hangs
+/// (large/permis-parcs-large trouble-3, CONFIG).
+#[tokio::test]
+async fn orders_reach_a_vm_whose_read_of_them_hangs() {
+    let (site, door, _server, _other) = Site::with_gateway(&Desired::default()).await;
+    let slow = site.store_endpoint().await;
+    let gateway = site.gateway("vm-2", "nord-b", &slow).await;
+    gateway.wait_ready().await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    slow.set(Faults {
+        read_delay: Duration::from_secs(10),
+        ..Faults::default()
+    });
+    site.publish(&Desired {
+        version: 2,
+        keys: &["key-1"],
+        ..Desired::default()
+    });
+    assert!(refuses_old_key(&gateway).await, "the old key is accepted");
+    assert_ne!(door.address, slow.address);
+}
+
 /// Returns the summary of a data centre that has one VM, at `address`.
 fn summary(address: SocketAddr) -> Report {
     let own = Report {
