bug: a VM with a wide link takes the reading of the store over from a narrow one

Cause: after an outage of the store the VM whose call comes at the right moment reads first, and reads for its data centre as long as its reads succeed.

Change: a VM whose link is at least twice as wide as the reader's reads the store itself, 2 s after its own last failure at the earliest, and becomes the delegate; the narrow VM then stops. steering::reading::takes_over decides.

Evidence: vm_with_a_wide_link_takes_the_reading_over_after_an_outage fails when no VM takes over (narrow VM reads for good) and passes.

--- a/crates/steering/src/reading.rs
+++ b/crates/steering/src/reading.rs
@@ -16,6 +16,10 @@
         pub max_wait: Duration,
         /// Longest wait for the list of VMs, from which a VM learns its place.
         pub max_list_wait: Duration,
+        /// How many times wider the link of a VM is that takes the reading over.
+        pub min_ratio: u32,
+        /// Time after a failed read in which a VM leaves the reading to one with a narrower link.
+        pub takeover_delay: Duration,
     }
 }
 
@@ -25,6 +29,8 @@
             step: Duration::from_millis(150),
             max_wait: Duration::from_millis(900),
             max_list_wait: Duration::from_millis(1_000),
+            min_ratio: 2,
+            takeover_delay: Duration::from_millis(2_000),
         }
     }
 }
@@ -58,3 +64,19 @@
         }
     }
 }
+
+/// Returns whether a VM reads the store although another one of its data centre does, whose link is
+/// much narrower; bandwidths in Mbit/s, 0 if unknown.
+///
+/// After an outage the VM that tries at the right moment reads first. Its link also carries the data to
+/// all others.
+pub fn takes_over(
+    settings: &Settings,
+    own_mbps: u32,
+    reader_mbps: u32,
+    failed_at: Option<Instant>,
+    now: Instant,
+) -> bool {
+    let is_wider = reader_mbps > 0 && own_mbps / reader_mbps >= settings.min_ratio;
+    is_wider && failed_at.is_none_or(|at| now >= at + settings.takeover_delay)
+}
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -95,6 +95,8 @@
     pub known: Known,
     /// Run of its process.
     pub run: Incarnation,
+    /// Bandwidth of its link in Mbit/s; 0 if unknown.
+    pub link_mbps: u32,
 }
 
 impl StoreSource {
@@ -104,6 +106,7 @@
             address: report.address,
             known: report.known,
             run: report.incarnation,
+            link_mbps: report.entrance.link_mbps,
         }
     }
 }
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -15,6 +15,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use steering::reading;
 use steering::registry::Registry;
 use steering::routing::{DesiredState, Registration, Table};
 
@@ -57,6 +58,8 @@
     registry: Mutex<Registry>,
     /// Newest era of the store of which this VM has a list of registrations; none before the first.
     list_era: Mutex<Option<u64>>,
+    /// When a read of the store failed last.
+    failed_at: Mutex<Option<Instant>>,
     /// Whether this VM's turn to read has come since it knew of another reader.
     has_turn: AtomicBool,
     /// Whether the first read of the record of crashing requests has ended, or took too long.
@@ -71,6 +74,7 @@
             client,
             registry: Mutex::default(),
             list_era: Mutex::default(),
+            failed_at: Mutex::default(),
             has_turn: AtomicBool::new(false),
             has_tried_record: AtomicBool::new(false),
         }
@@ -81,10 +85,24 @@
         &self.shared
     }
 
-    /// Returns whether the delegate reads the store for this VM.
+    /// Returns whether the delegate reads the store for this VM, which doesn't take that over.
     fn delegate_reads(&self) -> bool {
-        let delegate = self.shared.delegate(Instant::now());
-        delegate.is_some_and(|delegate| delegate.known.reads)
+        let now = Instant::now();
+        let own = self.shared.settings.link_mbps();
+        let failed_at = *lock(&self.failed_at);
+        let settings = reading::Settings::default();
+        let delegate = self.shared.delegate(now).filter(|d| d.known.reads);
+        delegate.is_some_and(|delegate| {
+            !reading::takes_over(&settings, own, delegate.link_mbps, failed_at, now)
+        })
+    }
+
+    /// Records and logs whether a read of the store succeeded.
+    fn record_access(&self, is_lost: &mut bool, name: &str, error: Option<&store::Error>) {
+        if error.is_some() {
+            *lock(&self.failed_at) = Some(Instant::now());
+        }
+        log_store_access(is_lost, name, error);
     }
 
     /// Waits until no delegate reads the store for this VM and its turn has come.
@@ -127,12 +145,12 @@
             let mut version = match result {
                 Ok(version) => version,
                 Err(error) => {
-                    log_store_access(&mut is_lost, "orders", Some(&error));
+                    self.record_access(&mut is_lost, "orders", Some(&error));
                     tokio::time::sleep(RETRY_DELAY).await;
                     continue;
                 }
             };
-            log_store_access(&mut is_lost, "orders", None);
+            self.record_access(&mut is_lost, "orders", None);
             loop {
                 let wait = self.feed_wait();
                 if wait.is_zero() {
@@ -159,7 +177,7 @@
                     }
                     Err(store::Error::HistoryGone) => break,
                     Err(error) => {
-                        log_store_access(&mut is_lost, "orders", Some(&error));
+                        self.record_access(&mut is_lost, "orders", Some(&error));
                         // A store that moves ends all feeds but answers again at once, so the
                         // first failure has no delay: it would postpone an order given meanwhile.
                         let has_failed_before =
@@ -300,7 +318,7 @@
             let began = Instant::now();
             match RegistrationTable::read(&self.client, table.take()).await {
                 Ok(read) => {
-                    log_store_access(&mut is_lost, "registrations", None);
+                    self.record_access(&mut is_lost, "registrations", None);
                     self.shared.set_store_read(Some(Instant::now()));
                     let registrations = read.registrations();
                     if self.confirm_list_era(read.version()) {
@@ -311,7 +329,7 @@
                 }
                 Err(error) => {
                     self.shared.set_store_read(None);
-                    log_store_access(&mut is_lost, "registrations", Some(&error));
+                    self.record_access(&mut is_lost, "registrations", Some(&error));
                 }
             }
             let period = match is_lost {
--- a/programs/gateway/tests/fleet.rs
+++ b/programs/gateway/tests/fleet.rs
@@ -6,9 +6,12 @@
 mod takeover;
 
 use adapter::{call, header};
+use base::id::Vm;
 use gateway::settings::Settings;
 use hyper::StatusCode;
+use indexmap::IndexMap;
 use operators::gateway::State;
+use peers::report;
 use site::{Gateway, Site, wait_until};
 use standin_site::operator::{self, Desired, Route};
 use standin_site::server::{Behaviour, Entry};
@@ -16,10 +19,14 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 use steering::takeover::Stage;
+use tokio::net::UdpSocket;
 
 /// Operator's limit for applying a configuration and for ending sends to a leaving server.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
+/// Longest time until another VM reads the store: a call that fails, the wait after it, and a turn.
+const TAKEOVER: Duration = Duration::from_secs(6);
+
 /// Number of routes in the largest known configuration (permis-parcs-grown).
 const ROUTES: usize = 1_785;
 /// Number of servers of that deployment.
@@ -563,3 +570,43 @@
         .await;
     }
 }
+
+/// Guards against a VM with a narrow link that reads the store for its data centre for good, since it
+/// was the first to read after an outage (large/permis-parcs-large trouble-3, CONFIG).
+#[tokio::test]
+async fn vm_with_a_wide_link_takes_the_reading_over_after_an_outage() {
+    let (site, door, [_server]) = Site::with_servers(&Desired::default()).await;
+    let other_door = site.store_endpoint().await;
+    // Hears the reports of both, as a third VM.
+    let address = SocketAddr::new(site::unused_address(), 7460);
+    let socket = UdpSocket::bind(address).await.expect("a socket");
+    site.store
+        .put("members", "vm-3", format!("{address} nord-a 12"));
+    let [wide, narrow] =
+        [("vm-2", 120.0, &door), ("vm-1", 12.0, &other_door)].map(|(vm, link_mbps, door)| {
+            Settings {
+                link_mbps,
+                ..Site::gateway_settings(vm, "nord-a", door)
+            }
+        });
+    site.run_gateway(wide).wait_ready().await;
+    site.run_gateway(narrow).wait_ready().await;
+    let reader = async |vm: &str| {
+        let mut reads: IndexMap<Vm, bool> = IndexMap::new();
+        let mut buffer = vec![0; report::MAX_DATAGRAM_BYTES];
+        while reads.get(vm) != Some(&true) || reads.values().filter(|reads| **reads).count() > 1 {
+            let (length, _) = socket.recv_from(&mut buffer).await.expect("a datagram");
+            let report = report::decode(&buffer[..length]).expect("a report");
+            reads.insert(report.vm, report.known.reads);
+        }
+    };
+    let is_reader = async |vm: &str| tokio::time::timeout(TAKEOVER, reader(vm)).await.is_ok();
+    assert!(is_reader("vm-2").await, "vm-2 doesn't read");
+    door.set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    assert!(is_reader("vm-1").await, "vm-1 doesn't read");
+    door.set(Faults::default());
+    assert!(is_reader("vm-2").await, "vm-2 doesn't read again");
+}
