bug: the VMs of a data centre don't all call a silent store again and again

Cause: in an outage of the store each VM's turn to read comes within 0.9 s, and each tries again 0.25 s after a failed call.

Change: the first four VMs of the order try again as before; each further four wait 0.25 s longer (steering::reading::retry_delay), 2.25 s for the last of 36.

--- a/crates/steering/src/reading.rs
+++ b/crates/steering/src/reading.rs
@@ -16,6 +16,10 @@
         pub max_wait: Duration,
         /// Longest wait for the list of VMs, from which a VM learns its place.
         pub max_list_wait: Duration,
+        /// Delay after a failed read of the first VMs.
+        pub retry: Duration,
+        /// Number of these VMs; those after as many more wait for so much longer, and so on.
+        pub eager: usize,
         /// How many times wider the link of a VM is that takes the reading over.
         pub min_ratio: u32,
         /// Time after a failed read in which a VM leaves the reading to one with a narrower link.
@@ -29,6 +33,8 @@
             step: Duration::from_millis(150),
             max_wait: Duration::from_millis(900),
             max_list_wait: Duration::from_millis(1_000),
+            retry: Duration::from_millis(250),
+            eager: 4,
             min_ratio: 2,
             takeover_delay: Duration::from_millis(2_000),
         }
@@ -65,6 +71,19 @@
     }
 }
 
+/// Returns how long a VM waits after a failed read.
+///
+/// While nobody can read the store, all VMs of a data centre try to. It suffices that a few of them
+/// notice its return soon.
+pub fn retry_delay(settings: &Settings, place: Place) -> Duration {
+    let before = match place {
+        Place::Unlisted => 0,
+        Place::After(count) => count / settings.eager.max(1),
+    };
+    let times = u32::try_from(before).unwrap_or(u32::MAX).saturating_add(1);
+    settings.retry.saturating_mul(times)
+}
+
 /// Returns whether a VM reads the store although another one of its data centre does, whose link is
 /// much narrower; bandwidths in Mbit/s, 0 if unknown.
 ///
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -25,7 +25,7 @@
 /// Wait of a VM that starts together with all others between the write of its member entry and its
 /// first read of the table; all start within 300 ms.
 const FIRST_START_WAIT: Duration = Duration::from_millis(450);
-/// Delay after a failed call.
+/// Delay after a failed call for the member table.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Time between two checks whether this VM's turn to read has come, and between the write
 /// of this VM's member entry and the next read.
@@ -97,6 +97,12 @@
         })
     }
 
+    /// Returns how long this VM waits after a failed read of the store.
+    fn retry_delay(&self) -> Duration {
+        let place = self.shared.reading_place(Instant::now());
+        reading::retry_delay(&reading::Settings::default(), place)
+    }
+
     /// Records and logs whether a read of the store succeeded.
     fn record_access(&self, is_lost: &mut bool, name: &str, error: Option<&store::Error>) {
         if error.is_some() {
@@ -146,7 +152,7 @@
                 Ok(version) => version,
                 Err(error) => {
                     self.record_access(&mut is_lost, "orders", Some(&error));
-                    tokio::time::sleep(RETRY_DELAY).await;
+                    tokio::time::sleep(self.retry_delay()).await;
                     continue;
                 }
             };
@@ -184,7 +190,7 @@
                             feed_failed_at.is_some_and(|at| at.elapsed() < MAX_FEED_WAIT);
                         feed_failed_at = Some(Instant::now());
                         if has_failed_before {
-                            tokio::time::sleep(RETRY_DELAY).await;
+                            tokio::time::sleep(self.retry_delay()).await;
                         }
                         break;
                     }
@@ -333,7 +339,7 @@
                 }
             }
             let period = match is_lost {
-                true => RETRY_DELAY,
+                true => self.retry_delay(),
                 false => self.shared.settings.list_period(),
             };
             tokio::time::sleep_until((began + period).into()).await;
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -334,25 +334,27 @@
     /// Returns the time from which this VM reads the store, if no VM of its data centre is known to
     /// read since `lost_at`.
     pub fn reads_from(&self, lost_at: Instant, now: Instant) -> Instant {
-        let settings = &self.settings;
-        let place = match self.has_members.load(Ordering::Relaxed) {
-            false => reading::Place::Unlisted,
-            true => {
-                let own = Rank::new(false, settings.link_mbps(), &settings.vm);
-                let is_starting = now.saturating_duration_since(self.started_at) < START_TIME;
-                let fleet = lock(&self.fleet);
-                let centre = &settings.data_centre;
-                reading::Place::After(fleet.readers_before(&own, centre, is_starting, now))
-            }
-        };
         reading::begins_at(
             &reading::Settings::default(),
-            place,
+            self.reading_place(now),
             self.started_at,
             lost_at,
         )
     }
 
+    /// Returns this VM's place in the order in which VMs of its data centre read the store.
+    pub fn reading_place(&self, now: Instant) -> reading::Place {
+        if !self.has_members.load(Ordering::Relaxed) {
+            return reading::Place::Unlisted;
+        }
+        let settings = &self.settings;
+        let own = Rank::new(false, settings.link_mbps(), &settings.vm);
+        let is_starting = now.saturating_duration_since(self.started_at) < START_TIME;
+        let fleet = lock(&self.fleet);
+        let centre = &settings.data_centre;
+        reading::Place::After(fleet.readers_before(&own, centre, is_starting, now))
+    }
+
     /// Counts a caller's request until the guard is dropped.
     pub fn track_request(&self) -> RequestGuard<'_> {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
