feature: soak with narrow links of unequal bandwidth

Cause: all gateways of the soak had links of unknown bandwidth, so the pace of reports and the takeover of the reading never acted in it.

Change: from seed 11000 on the two gateways of a data centre have 12 and 1 Mbit/s by their settings; faults are those of seeds from 10000 on.

--- a/tests/soak/src/plan.rs
+++ b/tests/soak/src/plan.rs
@@ -159,6 +159,8 @@
 pub const FIRST_LIMITED: u64 = 9_000;
 /// First seed with a store that comes back from an older copy.
 pub const FIRST_RESTORED: u64 = 10_000;
+/// First seed with narrow links of unequal bandwidth.
+pub const FIRST_NARROW: u64 = 11_000;
 /// Faults of the holder of the usage reports.
 const HOLDER_FAULTS: [HolderFault; 4] = [
     HolderFault::Kill,
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -4,8 +4,8 @@
 use crate::caller::Caller;
 use crate::invariants::{self, Disturbance, Execution, History, Period};
 use crate::plan::{
-    self, DATA_CENTRES, FAULT_PHASE, FIRST_USAGE, Fault, GATEWAYS, HolderFault, SERVERS,
-    ServerFault, StoreFault,
+    self, DATA_CENTRES, FAULT_PHASE, FIRST_NARROW, FIRST_USAGE, Fault, GATEWAYS, HolderFault,
+    SERVERS, ServerFault, StoreFault,
 };
 use crate::process::Gateway;
 use crate::proxy::{Mode, Proxy};
@@ -30,6 +30,9 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
 /// Interval at which gateways that ended are restarted.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(200);
+/// Links of the first and the second gateway of a data centre in Mbit/s; the second one reads the store
+/// after an outage until the other one takes that over.
+const LINKS_MBPS: [f64; GATEWAYS / DATA_CENTRES] = [12.0, 1.0];
 /// Time for the gateways to become ready.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(15);
 /// Service time of a late server. It is twice the 640 ms after which gateways used to give up an
@@ -85,7 +88,7 @@
     let folder = folder.join(format!("seed-{seed}"));
     std::fs::create_dir_all(&folder)?;
     let stop = CancellationToken::new();
-    let mut site = Site::start(program, &folder, seed >= FIRST_USAGE, &stop).await?;
+    let mut site = Site::start(program, &folder, seed, &stop).await?;
     site.publish();
     for gateway in &mut site.gateways {
         gateway.start()?;
@@ -153,7 +156,7 @@
     async fn start(
         program: &Path,
         folder: &Path,
-        has_usage: bool,
+        seed: u64,
         stop: &CancellationToken,
     ) -> io::Result<Self> {
         let addresses = Addresses::next();
@@ -173,7 +176,7 @@
             server_proxies.push(proxy.await?);
             servers.push(server);
         }
-        let cloud = match has_usage {
+        let cloud = match seed >= FIRST_USAGE {
             true => Some(Cloud::start(address(3, 8529), stop.clone()).await?),
             false => None,
         };
@@ -183,12 +186,15 @@
             let vm = format!("vm-{number}");
             let gateway = Gateway::new(&vm, at(8389), at(8385), program, folder);
             let data_centre = number % DATA_CENTRES;
-            let settings = settings(
+            let mut settings = settings(
                 &vm,
                 DATA_CENTRE_NAMES[data_centre],
                 at,
                 store_proxies[data_centre].address,
             );
+            if seed >= FIRST_NARROW {
+                settings["link_mbps"] = LINKS_MBPS[number / DATA_CENTRES].into();
+            }
             let settings = match &cloud {
                 Some(cloud) => with_usage(settings, cloud.address),
                 None => settings,
--- a/tests/soak/tests/seeds.rs
+++ b/tests/soak/tests/seeds.rs
@@ -32,6 +32,7 @@
 #[case::holders_of_the_usage_reports_fail(8_002)]
 #[case::server_that_names_a_limit(9_000)]
 #[case::store_that_comes_back_from_a_copy(10_000)]
+#[case::links_of_unequal_bandwidth(11_000)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn invariants_hold(#[case] seed: u64) {
     run_seed(seed).await;
