bug: urgent news wait for no report that a start of another VM asked for

Cause: found by the gateway's tests.

Change: only reports for VMs that were heard for the first time are held back; urgent ones may come 0.25 s ahead of the link's share (steering::fanout::Pace). A leaving VM takes no reading over, a delegate that counts as silent gets one summary and not two, and the tests that present VMs share one first report.

--- a/crates/steering/src/fanout.rs
+++ b/crates/steering/src/fanout.rs
@@ -8,7 +8,7 @@
 
 use rand::Rng;
 use rand::seq::IteratorRandom;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 base::value! {
     /// Settings of the ways of a datagram.
@@ -23,6 +23,8 @@
         /// Longest time between two reports for that share; VMs that are silent for longer count as
         /// down.
         pub max_pause: Duration,
+        /// Time by which urgent reports come ahead of that share.
+        pub advance: Duration,
         /// Bandwidth of a link that is not known, in Mbit/s; the narrowest of the sites.
         pub default_mbps: u32,
     }
@@ -35,6 +37,7 @@
             max_relays: 3,
             share: 0.25,
             max_pause: Duration::from_millis(500),
+            advance: Duration::from_millis(250),
             default_mbps: 10,
         }
     }
@@ -55,8 +58,8 @@
         self.time(bytes, mbps) <= self.max_time
     }
 
-    /// Returns the time from the begin of a round of reports with so many bytes to the next one.
-    pub fn pause(&self, bytes: usize, mbps: u32) -> Duration {
+    /// Returns the time in which so many bytes are the share of a link of `mbps`.
+    fn pause(&self, bytes: usize, mbps: u32) -> Duration {
         let pause = self.time(bytes, mbps).div_f64(self.share);
         pause.min(self.max_pause)
     }
@@ -87,3 +90,51 @@
         vms.into_iter().sample(random, self.max_relays)
     }
 }
+
+/// Times of the reports of a VM, by what its link carries.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    settings: Settings,
+    mbps: u32,
+    /// When the reports so far have had their share of the link.
+    free_at: Instant,
+    /// When the last round began, and its part of the share.
+    last: (Instant, Duration),
+}
+
+impl Pace {
+    /// Creates the pace of a VM with a link of `mbps`, 0 if unknown, that has sent nothing.
+    pub fn new(settings: Settings, mbps: u32, now: Instant) -> Self {
+        Self {
+            settings,
+            mbps,
+            free_at: now,
+            last: (now, Duration::ZERO),
+        }
+    }
+
+    /// Records a round of reports.
+    pub fn record(&mut self, bytes: usize, now: Instant) {
+        let pause = self.settings.pause(bytes, self.mbps);
+        self.free_at = self.free_at.max(now) + pause;
+        self.last = (now, pause);
+    }
+
+    /// Returns the time of the next report that nothing asks for; the last one is `interval` ago then.
+    pub fn next_at(&self, interval: Duration) -> Instant {
+        let (at, pause) = self.last;
+        at + interval.max(pause)
+    }
+
+    /// Returns the time from which a VM that was heard for the first time gets a report.
+    pub fn greets_at(&self) -> Instant {
+        self.free_at
+    }
+
+    /// Returns the time from which urgent news are reported.
+    pub fn hurries_at(&self) -> Instant {
+        self.free_at
+            .checked_sub(self.settings.advance)
+            .unwrap_or(self.free_at)
+    }
+}
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -304,16 +304,23 @@
         delegates.map(|peer| peer.report.address).collect()
     }
 
-    /// Returns the members of each other data centre whose delegate is silent.
-    pub fn silent_data_centres(&self, own: &DataCentre, now: Instant) -> Vec<Vec<SocketAddr>> {
+    /// Returns the members of each other data centre whose delegate is silent, without those that get
+    /// summaries anyway.
+    pub fn silent_data_centres(
+        &self,
+        own: &DataCentre,
+        reached: &IndexSet<SocketAddr>,
+        now: Instant,
+    ) -> Vec<Vec<SocketAddr>> {
         let has_delegate = |data_centre: &DataCentre| {
             let peer = self.remote.get(data_centre);
             peer.is_some_and(|p| now.saturating_duration_since(p.received_at) < DELEGATE_TIMEOUT)
         };
-        let silent = self
-            .members
-            .values()
-            .filter(|member| member.data_centre != *own && !has_delegate(&member.data_centre));
+        let silent = self.members.values().filter(|member| {
+            member.data_centre != *own
+                && !has_delegate(&member.data_centre)
+                && !reached.contains(&member.address)
+        });
         let mut members: IndexMap<&DataCentre, Vec<SocketAddr>> = IndexMap::new();
         for member in silent {
             members
--- a/programs/gateway/src/reader.rs
+++ b/programs/gateway/src/reader.rs
@@ -92,8 +92,10 @@
         let failed_at = *lock(&self.failed_at);
         let settings = reading::Settings::default();
         let delegate = self.shared.delegate(now).filter(|d| d.known.reads);
+        let is_leaving = self.shared.phase() == Phase::Leaving;
         delegate.is_some_and(|delegate| {
-            !reading::takes_over(&settings, own, delegate.link_mbps, failed_at, now)
+            let reader_mbps = delegate.link_mbps;
+            is_leaving || !reading::takes_over(&settings, own, reader_mbps, failed_at, now)
         })
     }
 
--- a/programs/gateway/src/relay.rs
+++ b/programs/gateway/src/relay.rs
@@ -43,7 +43,7 @@
 const REWRITTEN_MARGIN: Duration = Duration::from_millis(700);
 /// Time in which a VM that gave no answer is asked only if no other VM holds the data.
 const AVOID_TIME: Duration = Duration::from_millis(1_500);
-/// Time in which a VM that reads the store reads orders that others hold already.
+/// Time in which a VM that follows no other one reads orders that others hold already.
 const READ_PATIENCE: Duration = Duration::from_millis(600);
 /// Time-out of a request.
 const TIMEOUT: Duration = Duration::from_millis(700);
--- a/programs/gateway/src/reports.rs
+++ b/programs/gateway/src/reports.rs
@@ -1,6 +1,6 @@
 //! Sends and receives the reports that VMs exchange by datagrams.
 
-mod ways;
+mod dispatch;
 
 use crate::fleet::Receipt;
 use crate::servers::PassedWords;
@@ -9,16 +9,17 @@
 use crate::usage::Usage;
 use base::id::Vm;
 use base::sync::lock;
+use dispatch::Dispatch;
 use indexmap::{IndexMap, IndexSet};
 use peers::report::{self, Known, Member, Part, Phase, Report};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use steering::fanout;
+use steering::fanout::{self, Pace};
 use steering::spending::Source;
 use steering::warmth::ShortDigest;
 use tokio::net::UdpSocket;
-use ways::Dispatch;
+use tokio::sync::Notify;
 
 /// Longest time between two reports to the VMs of this data centre.
 const LOCAL_INTERVAL: Duration = Duration::from_millis(250);
@@ -27,8 +28,9 @@
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two summaries to other data centres; traffic between regions is expensive.
 const REMOTE_INTERVAL: Duration = Duration::from_millis(500);
-/// Minimum time between two summaries; each is passed on to all VMs of all data centres.
-const MIN_SUMMARY_INTERVAL: Duration = Duration::from_millis(200);
+/// Minimum time from a summary to one for a VM that was heard for the first time; each is passed on to
+/// all VMs of all data centres.
+const MIN_GREETING_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum time between two reports.
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
 /// Kinds of datagrams in metrics and in the log.
@@ -43,30 +45,34 @@
     let mut sequence = 0;
     let mut next_summary = Instant::now();
     let mut summary_sent_at = next_summary;
-    let mut rest = LOCAL_INTERVAL;
+    let mbps = shared.settings.link_mbps();
+    let mut pace = Pace::new(fanout::Settings::default(), mbps, next_summary);
+    let mut next = next_summary + LOCAL_INTERVAL;
     loop {
-        let is_requested = tokio::time::timeout(rest, shared.report_requested.notified())
-            .await
-            .is_ok();
+        let (is_requested, is_greeting) = tokio::select! {
+            biased;
+            () = notified_from(&shared.report_requested, pace.hurries_at()) => (true, false),
+            () = notified_from(&shared.greeting_requested, pace.greets_at()) => (false, true),
+            () = tokio::time::sleep_until(next.into()) => (false, false),
+        };
         sequence += 1;
         let now = Instant::now();
         let own = vm_report(&shared, sequence, now);
-        let interval = if own.is_idle() {
-            IDLE_INTERVAL
-        } else {
-            LOCAL_INTERVAL
+        let interval = match own.is_idle() {
+            true => IDLE_INTERVAL,
+            false => LOCAL_INTERVAL,
         };
         let targets = local_targets(&shared, now);
         let mut sent = 0;
-        if let Some(bytes) = ways::encode(&own) {
+        if let Some(bytes) = dispatch::encode(&own) {
             let dispatch = Dispatch::new(&shared, &socket, &bytes, OWN);
             sent += dispatch.send(targets).await;
         }
-        if is_requested {
-            next_summary = next_summary.min(summary_sent_at + MIN_SUMMARY_INTERVAL);
+        if is_greeting {
+            next_summary = next_summary.min(summary_sent_at + MIN_GREETING_INTERVAL);
         }
-        let is_postponed = is_requested && now < next_summary;
-        if now >= next_summary {
+        let is_postponed = is_greeting && now < next_summary;
+        if is_requested || now >= next_summary {
             summary_sent_at = now;
             next_summary = now + REMOTE_INTERVAL;
             if shared.delegate(now).is_none() {
@@ -74,18 +80,23 @@
             }
         }
         apply_loads(&shared, now);
-        let pause = fanout::Settings::default().pause(sent, shared.settings.link_mbps());
-        let pause = pause.max(MIN_INTERVAL);
-        rest = (interval + MIN_INTERVAL).saturating_sub(pause);
+        let due = Instant::now() + MIN_INTERVAL;
+        pace.record(sent, now);
+        next = pace.next_at(interval + MIN_INTERVAL);
         if is_postponed {
-            rest = rest.min(next_summary.saturating_duration_since(now + pause));
+            next = next.min(next_summary);
         }
-        let due = Instant::now() + pause;
         tokio::time::sleep_until(due.into()).await;
         record_lateness(&shared, Instant::now().saturating_duration_since(due));
     }
 }
 
+/// Waits for a notice, which is taken from a time on.
+async fn notified_from(notice: &Notify, from: Instant) {
+    tokio::time::sleep_until(from.into()).await;
+    notice.notified().await;
+}
+
 /// Records how late a timer fired; logs when this VM becomes busy or stops being busy.
 fn record_lateness(shared: &Shared, late: Duration) {
     let mut lateness = lock(&shared.lateness);
@@ -103,13 +114,14 @@
 /// Sends the summary of this data centre to the delegates of the others, and to members of those
 /// whose delegate is silent; returns the bytes.
 async fn send_summary(shared: &Shared, socket: &UdpSocket, own: Report, now: Instant) -> usize {
-    let Some(bytes) = ways::encode(&data_centre_summary(shared, own, now)) else {
+    let Some(bytes) = dispatch::encode(&data_centre_summary(shared, own, now)) else {
         return 0;
     };
     let (delegates, silent) = {
         let fleet = lock(&shared.fleet);
-        let silent = fleet.silent_data_centres(&shared.settings.data_centre, now);
-        (fleet.remote_delegates(), silent)
+        let delegates = fleet.remote_delegates();
+        let silent = fleet.silent_data_centres(&shared.settings.data_centre, &delegates, now);
+        (delegates, silent)
     };
     let dispatch = Dispatch::new(shared, socket, &bytes, SUMMARY);
     dispatch.send(delegates).await + dispatch.reach(silent).await
@@ -294,7 +306,7 @@
         // The sender knows only the seeds. The report goes to its delegate; if none is known, the
         // next summary goes to all VMs of its data centre.
         fleet.add_member(report);
-        shared.report_requested.notify_one();
+        shared.greeting_requested.notify_one();
         let delegate = fleet
             .remote(now)
             .find(|p| p.report.data_centre == report.data_centre);
@@ -329,7 +341,7 @@
                 report.members.len(),
                 report.phase
             );
-            shared.report_requested.notify_one();
+            shared.greeting_requested.notify_one();
         }
         Receipt::KnownSender { has_news: true } => shared.report_received.notify_one(),
         Receipt::KnownSender { has_news: false } => {}
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -139,6 +139,8 @@
     pub report_received: Notify,
     /// Wakes the sender of reports when a change is to be reported at once.
     pub report_requested: Notify,
+    /// Wakes it when a VM was heard that doesn't know this one yet.
+    pub greeting_requested: Notify,
     /// When this VM last read the store; none if the last read failed.
     store_read_at: Mutex<Option<Instant>>,
     started_at: Instant,
@@ -199,6 +201,7 @@
             orders_outdated: Notify::new(),
             report_received: Notify::new(),
             report_requested: Notify::new(),
+            greeting_requested: Notify::new(),
             store_read_at: Mutex::default(),
             started_at: Instant::now(),
             has_members: AtomicBool::new(false),
--- a/programs/gateway/tests/site/mod.rs
+++ b/programs/gateway/tests/site/mod.rs
@@ -9,12 +9,14 @@
 use hyper::client::conn::http1;
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use peers::report::{Known, Phase, Report};
 use standin_site::operator::Desired;
 use standin_site::server::{Entry, Server};
 use standin_site::store::{Endpoint, Store};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
+use steering::entrance::Candidate;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
@@ -297,3 +299,35 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
+
+/// Returns the first report of a VM with a narrow link.
+pub fn report_of(vm: &str, data_centre: &str, address: SocketAddr) -> Report {
+    Report {
+        vm: vm.into(),
+        incarnation: 1,
+        sequence: 0,
+        data_centre: data_centre.into(),
+        region: "nord".into(),
+        address,
+        entrance: Candidate {
+            link_mbps: 12,
+            is_busy: false,
+        },
+        callers: address,
+        phase: Phase::Ready,
+        configuration: 1,
+        known: Known::default(),
+        members: Vec::new(),
+        in_flight: Vec::new(),
+        handled: Vec::new(),
+        down: Vec::new(),
+        leaving: Vec::new(),
+        staying: Vec::new(),
+        limits: Vec::new(),
+        spending: Vec::new(),
+        crashes: Vec::new(),
+        takeovers: Vec::new(),
+        usage: None,
+        paces: Vec::new(),
+    }
+}
